--- /dev/null
+++ b/internal/backend/dispatch.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/cactusbay/cactusbay/internal/observe"
+)
+
+// AttemptHeader carries the attempt's id, which the backend server echoes.
+const AttemptHeader = "X-Request-Id"
+
+// idleTimeout ends an answer that sends nothing for so long.
+const idleTimeout = 15 * time.Second
+
+// ErrNotSent reports a request of which no byte was written.
+var ErrNotSent = errors.New("nothing was sent to the backend server")
+
+// ErrUnclear reports a request that may have run.
+var ErrUnclear = errors.New("it is unclear whether the backend server ran the request")
+
+// ErrCrossed reports an answer to another attempt.
+var ErrCrossed = errors.New("the backend server answered another request")
+
+// ErrTruncated reports an answer without its end.
+var ErrTruncated = errors.New("the backend server's answer broke off")
+
+// Client sends requests to backend servers.
+type Client struct {
+	HTTP *http.Client
+}
+
+// send sends request and checks that the answer is to attempt. Errors wrap
+// ErrNotSent, ErrUnclear or ErrCrossed.
+func (c *Client) send(ctx context.Context, request *http.Request, attempt string) (*http.Response, error) {
+	var written atomic.Bool
+	hooks := &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { written.Store(true) },
+	}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, hooks))
+	request.Header.Set(AttemptHeader, attempt)
+	observe.Propagator.Inject(ctx, propagation.HeaderCarrier(request.Header))
+	response, err := c.HTTP.Do(request)
+	if err != nil && !written.Load() {
+		return nil, errors.Newf("%w: %w", ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, errors.Newf("%w: %w", ErrUnclear, err)
+	}
+	if response.Header.Get(AttemptHeader) != attempt {
+		_ = response.Body.Close()
+		return nil, errors.Newf("%w: asked %q, got %q", ErrCrossed, attempt, response.Header.Get(AttemptHeader))
+	}
+	return response, nil
+}
+
+// idleReader ends a body that stays silent for longer than the idle timeout.
+type idleReader struct {
+	body  io.ReadCloser
+	timer *time.Timer
+	limit time.Duration
+}
+
+func newIdleReader(body io.ReadCloser, cancel context.CancelFunc) *idleReader {
+	return &idleReader{body: body, timer: time.AfterFunc(idleTimeout, cancel), limit: idleTimeout}
+}
+
+func (r *idleReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.timer.Reset(r.limit)
+	return n, err
+}
+
+func (r *idleReader) Close() error {
+	r.timer.Stop()
+	return r.body.Close()
+}
--- /dev/null
+++ b/internal/caller/run.go
@@ -0,0 +1,240 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/cactusbay/cactusbay/internal/backend"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/ledger"
+)
+
+const (
+	ledgerTimeout = 3 * time.Second
+	settleTries   = 3
+	settlePause   = 50 * time.Millisecond
+	// maxKeptAnswerBytes bounds an answer that is kept for retries.
+	maxKeptAnswerBytes = 256 << 10
+)
+
+// run is one attempt of a request: a place at a backend server, a reservation
+// and, for a non-repeatable request, a claim.
+type run struct {
+	server   *Server
+	accepted *accepted
+	key      string
+	attempt  string
+	lease    *backend.Lease
+	held     ledger.Held
+	claimed  bool
+	// dispatched is set before the first byte may leave.
+	dispatched bool
+	tokens     int64
+}
+
+// start acquires what a dispatch needs. It returns a kept answer instead when
+// the request ran before.
+func (s *Server) start(ctx context.Context, a *accepted, tokens int64) (*run, *ledger.Answer, *Refusal) {
+	r := &run{server: s, accepted: a, key: a.key, attempt: rand.Text(), tokens: tokens}
+	if r.key == "" {
+		r.key = "entry-" + r.attempt
+	}
+	lease, found := s.Pool.Acquire(a.document, a.work, s.FailureDomain, nil)
+	if !found {
+		return nil, nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
+	}
+	r.lease = lease
+	kept, refusal := r.reserve(ctx)
+	if kept != nil || refusal != nil {
+		lease.Release()
+		return nil, kept, refusal
+	}
+	refusal = r.claim(ctx)
+	if refusal != nil {
+		r.release(ctx)
+		lease.Release()
+		return nil, nil, refusal
+	}
+	return r, nil, nil
+}
+
+func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
+	ctx, span := r.span(ctx, "reserve")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	held, err := r.server.Ledger.Reserve(ctx, ledger.Reserve{
+		Workspace:  r.accepted.workspace,
+		Key:        r.key,
+		BodyHash:   r.accepted.bodyHash(),
+		Tokens:     r.tokens,
+		Attempt:    r.attempt,
+		Server:     r.lease.Name,
+		Entry:      r.server.Instance,
+		Repeatable: r.accepted.repeatable,
+	})
+	if err != nil {
+		r.server.Log.Warn("no ledger answered", "err", err)
+		return nil, notRun(http.StatusServiceUnavailable, codeNoLedger, "no ledger can be reached", retrySoon)
+	}
+	r.held = held
+	return reservationAnswer(held.Reservation)
+}
+
+// reservationAnswer maps what the ledger knows to a final answer; both are nil
+// when the reservation is held.
+func reservationAnswer(reservation ledger.Reservation) (*ledger.Answer, *Refusal) {
+	switch reservation.Outcome {
+	case ledger.OutcomeReserved:
+		return nil, nil
+	case ledger.OutcomeSettled:
+		if reservation.Answer.Status == 0 {
+			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was too large to keep"}
+		}
+		return &reservation.Answer, nil
+	case ledger.OutcomeRunning:
+		return nil, &Refusal{Status: http.StatusConflict, Code: codeRunning, Message: "the request is still running", RetryAfter: retrySoon}
+	case ledger.OutcomeMismatch:
+		return nil, notRun(http.StatusUnprocessableEntity, codeKeyReused, "the Idempotency-Key was used with another request", 0)
+	case ledger.OutcomeInsufficient:
+		return nil, notRun(http.StatusTooManyRequests, codeOverBudget, "the workspace's budget cannot cover the request's worst case", retryLater)
+	default:
+		return nil, unknownOutcome()
+	}
+}
+
+// claim takes the only run of a non-repeatable request.
+func (r *run) claim(ctx context.Context) *Refusal {
+	if r.accepted.repeatable {
+		return nil
+	}
+	ctx, span := r.span(ctx, "claim")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	result, err := r.server.Claimer.Claim(ctx, group.Claim{
+		Workspace: r.accepted.workspace,
+		Key:       r.key,
+		BodyHash:  r.accepted.bodyHash(),
+		Holder:    r.attempt,
+	})
+	if err != nil {
+		r.abandon()
+		return notRun(http.StatusServiceUnavailable, codeNoClaim, "a request that may run once only needs the control group, which cannot be reached", retryLater)
+	}
+	switch result.Code {
+	case group.CodeDone:
+		r.claimed = true
+		return nil
+	case group.CodeIDReused:
+		return notRun(http.StatusUnprocessableEntity, codeKeyReused, "the Idempotency-Key was used with another request", 0)
+	default:
+		return unknownOutcome()
+	}
+}
+
+// abandon gives up a claim after which nothing was dispatched.
+func (r *run) abandon() {
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+	defer cancel()
+	abandoned := group.AbandonClaim{Workspace: r.accepted.workspace, Key: r.key, Holder: r.attempt}
+	err := r.server.Claimer.Abandon(ctx, abandoned)
+	if err != nil {
+		r.server.Log.Warn("claim was not abandoned", "err", err)
+	}
+}
+
+// release gives the reservation back; nothing was dispatched.
+func (r *run) release(ctx context.Context) {
+	_ = r.server.Check.Check(!r.dispatched, invariant.NotRunHonest, "attempt %s was dispatched", r.attempt)
+	if r.claimed {
+		r.abandon()
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	err := r.server.Ledger.Release(ctx, r.held.Address, ledger.Release{
+		Workspace: r.accepted.workspace,
+		Key:       r.key,
+		Attempt:   r.attempt,
+	})
+	if err != nil {
+		r.server.Log.Warn("reservation was not released", "err", err)
+	}
+}
+
+// settle bills the tokens, and again until the ledger has them.
+func (r *run) settle(ctx context.Context, tokens int64, answer ledger.Answer) error {
+	ctx, span := r.span(ctx, "settle")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	if len(answer.Body) > maxKeptAnswerBytes {
+		answer = ledger.Answer{}
+	}
+	settle := ledger.Settle{
+		Workspace: r.accepted.workspace,
+		Key:       r.key,
+		Attempt:   r.attempt,
+		Tokens:    min(tokens, r.tokens),
+		Answer:    answer,
+	}
+	var err error
+	for range settleTries {
+		err = r.server.Ledger.Settle(ctx, r.held.Address, settle)
+		if err == nil || ledger.IsFinal(err) {
+			break
+		}
+		time.Sleep(settlePause)
+	}
+	if err != nil {
+		r.server.Log.Error("settlement failed", "err", err)
+		return errors.Newf("settle: %w", err)
+	}
+	r.server.Scope.Tagged(map[string]string{"workspace": r.accepted.workspace}).Counter("billed_tokens").Inc(settle.Tokens)
+	return nil
+}
+
+// refuseDispatch answers for a dispatch that failed before any answer.
+func (r *run) refuseDispatch(ctx context.Context, err error) *Refusal {
+	var status *backend.StatusError
+	if errors.As(err, &status) || errors.Is(err, backend.ErrNotSent) {
+		r.dispatched = false
+		r.release(ctx)
+		return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
+	}
+	r.server.Log.Warn("dispatch failed with an unclear outcome", "server", r.lease.Name, "err", err)
+	_ = r.settle(ctx, r.tokens, ledger.Answer{})
+	return unknownOutcome()
+}
+
+func (r *run) span(ctx context.Context, name string) (context.Context, trace.Span) {
+	return r.server.Tracer.Start(ctx, name, trace.WithAttributes(
+		attribute.String("cactusbay.workspace", r.accepted.workspace),
+		attribute.String("cactusbay.work", r.accepted.workName),
+		attribute.String("cactusbay.attempt", r.attempt),
+	))
+}
+
+func (a *accepted) bodyHash() []byte {
+	sum := sha256.New()
+	sum.Write([]byte(a.workName))
+	sum.Write([]byte{0})
+	sum.Write([]byte(a.target))
+	sum.Write([]byte{0})
+	sum.Write(a.body)
+	return sum.Sum(nil)
+}
+
+func writeAnswer(w http.ResponseWriter, answer ledger.Answer) {
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,216 @@
+// Package check reads JSON documents strictly and reports every fault at
+// once, each with the path of its field.
+package check
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Fault is one problem of a document.
+type Fault struct {
+	// Path names the field, such as "controls[1].peer_address".
+	Path string `json:"path"`
+	// Problem says what is wrong and what to write instead.
+	Problem string `json:"problem"`
+}
+
+// Faults collects problems; its zero value works.
+type Faults struct {
+	List []Fault
+}
+
+// Add records a problem of the field at path.
+func (f *Faults) Add(path, format string, args ...any) {
+	f.List = append(f.List, Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
+}
+
+// Err returns nil when there are no faults, else an *Error.
+func (f *Faults) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return &Error{Faults: f.List}
+}
+
+// Error reports all faults of one document.
+type Error struct {
+	Faults []Fault
+}
+
+// Error lists one fault a line.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.Path+": "+fault.Problem)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Decode reads data into target, a pointer to a struct, and adds every unknown
+// field and wrong type to faults. Fields without faults are filled.
+func Decode(data []byte, target any, faults *Faults) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var value any
+	err := decoder.Decode(&value)
+	if err != nil {
+		faults.Add(".", "is not valid JSON: %s", describe(err, data))
+		return
+	}
+	if decoder.More() {
+		faults.Add(".", "has content after the JSON document: remove it")
+		return
+	}
+	decodeValue(value, reflect.ValueOf(target).Elem(), "", faults)
+}
+
+func describe(err error, data []byte) string {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return err.Error()
+	}
+	end := min(int(syntax.Offset), len(data))
+	line := bytes.Count(data[:end], []byte("\n")) + 1
+	return fmt.Sprintf("line %d: %s", line, syntax.Error())
+}
+
+func decodeValue(value any, target reflect.Value, path string, faults *Faults) {
+	if value == nil {
+		return
+	}
+	custom, ok := target.Addr().Interface().(json.Unmarshaler)
+	if ok {
+		decodeCustom(value, custom, path, faults)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		decodeStruct(value, target, path, faults)
+	case reflect.Map:
+		decodeMap(value, target, path, faults)
+	case reflect.Slice:
+		decodeSlice(value, target, path, faults)
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		decodeValue(value, target.Elem(), path, faults)
+	default:
+		decodeScalar(value, target, path, faults)
+	}
+}
+
+func decodeCustom(value any, target json.Unmarshaler, path string, faults *Faults) {
+	data, err := json.Marshal(value)
+	if err == nil {
+		err = target.UnmarshalJSON(data)
+	}
+	if err != nil {
+		faults.Add(path, "%s", err)
+	}
+}
+
+func decodeStruct(value any, target reflect.Value, path string, faults *Faults) {
+	object, ok := value.(map[string]any)
+	if !ok {
+		faults.Add(orRoot(path), "must be an object")
+		return
+	}
+	fields := fieldsByName(target.Type())
+	for _, name := range sortedKeys(object) {
+		index, known := fields[name]
+		if !known {
+			faults.Add(join(path, name), "is not a known field: remove it or correct its name")
+			continue
+		}
+		decodeValue(object[name], target.Field(index), join(path, name), faults)
+	}
+}
+
+func fieldsByName(structure reflect.Type) map[string]int {
+	fields := make(map[string]int)
+	for i := range structure.NumField() {
+		name, _, _ := strings.Cut(structure.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+func decodeMap(value any, target reflect.Value, path string, faults *Faults) {
+	object, ok := value.(map[string]any)
+	if !ok {
+		faults.Add(orRoot(path), "must be an object")
+		return
+	}
+	target.Set(reflect.MakeMapWithSize(target.Type(), len(object)))
+	for _, name := range sortedKeys(object) {
+		element := reflect.New(target.Type().Elem()).Elem()
+		decodeValue(object[name], element, join(path, name), faults)
+		target.SetMapIndex(reflect.ValueOf(name).Convert(target.Type().Key()), element)
+	}
+}
+
+func decodeSlice(value any, target reflect.Value, path string, faults *Faults) {
+	list, ok := value.([]any)
+	if !ok {
+		faults.Add(orRoot(path), "must be a list")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(list), len(list)))
+	for i, element := range list {
+		decodeValue(element, target.Index(i), fmt.Sprintf("%s[%d]", path, i), faults)
+	}
+}
+
+func decodeScalar(value any, target reflect.Value, path string, faults *Faults) {
+	data, err := json.Marshal(value)
+	if err == nil {
+		err = json.Unmarshal(data, target.Addr().Interface())
+	}
+	if err != nil {
+		faults.Add(orRoot(path), "must be %s", wanted(target.Kind()))
+	}
+}
+
+func wanted(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64, reflect.Float32:
+		return "a number"
+	default:
+		return "a whole number within range"
+	}
+}
+
+func sortedKeys(object map[string]any) []string {
+	keys := make([]string, 0, len(object))
+	for key := range object {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return "."
+	}
+	return path
+}
--- /dev/null
+++ b/internal/cmd/cmd_budget.go
@@ -0,0 +1,100 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+// cmdBudget shows and changes prepaid budgets.
+var cmdBudget = &cli.Command{
+	Name:  "budget",
+	Usage: "shows and changes prepaid budgets",
+	Commands: []*cli.Command{
+		{
+			Name:      "show",
+			Usage:     "prints a workspace's budget",
+			ArgsUsage: "WORKSPACE",
+			Flags:     operatorFlags(),
+			Action:    showBudget,
+		},
+		{
+			Name:      "deposit",
+			Usage:     "adds prepaid tokens to a workspace",
+			ArgsUsage: "WORKSPACE",
+			Flags:     operatorFlags(idFlag("deposit"), &cli.Int64Flag{Name: "tokens", Required: true, Usage: "`TOKENS` to add"}),
+			Action:    deposit,
+		},
+		{
+			Name:      "release",
+			Usage:     "gives a lost ledger's in-doubt tokens back to a workspace",
+			ArgsUsage: "WORKSPACE",
+			Flags:     operatorFlags(idFlag("release"), &cli.StringFlag{Name: "epoch", Required: true, Usage: "closed ledger `EPOCH`, as status shows it"}),
+			Action:    release,
+		},
+	},
+}
+
+func showBudget(ctx context.Context, command *cli.Command) error {
+	workspace, err := oneArgument(command, "workspace")
+	if err != nil {
+		return err
+	}
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	budget, err := client.Budget(ctx, workspace)
+	if err != nil {
+		return operatorError(err, "")
+	}
+	return printResult(command, budget, "")
+}
+
+func deposit(ctx context.Context, command *cli.Command) error {
+	workspace, err := oneArgument(command, "workspace")
+	if err != nil {
+		return err
+	}
+	tokens := command.Int64("tokens")
+	if tokens <= 0 {
+		return usageError(errors.New("--tokens must be above zero"))
+	}
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	id := idOf(command)
+	moved, err := client.Deposit(ctx, operator.Deposit{ID: id, Workspace: workspace, Tokens: tokens})
+	if err != nil {
+		return operatorError(err, id)
+	}
+	return printResult(command, moved, fmt.Sprintf("deposited %d tokens", moved.Tokens))
+}
+
+func release(ctx context.Context, command *cli.Command) error {
+	workspace, err := oneArgument(command, "workspace")
+	if err != nil {
+		return err
+	}
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	id := idOf(command)
+	moved, err := client.Release(ctx, operator.Release{ID: id, Epoch: command.String("epoch"), Workspace: workspace})
+	if err != nil {
+		return operatorError(err, id)
+	}
+	return printResult(command, moved, fmt.Sprintf("released %d tokens", moved.Tokens))
+}
--- /dev/null
+++ b/internal/cmd/cmd_config.go
@@ -0,0 +1,86 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+// cmdConfig shows and patches the numbered configuration.
+var cmdConfig = &cli.Command{
+	Name:  "config",
+	Usage: "shows and patches the numbered configuration",
+	Commands: []*cli.Command{
+		{
+			Name:   "show",
+			Usage:  "prints the current or a given version",
+			Flags:  operatorFlags(&cli.Uint64Flag{Name: "version", Usage: "version `NUMBER`; the current one by default"}),
+			Action: showConfig,
+		},
+		{
+			Name:      "patch",
+			Usage:     "applies a JSON merge patch (RFC 7396) made against a version",
+			ArgsUsage: "FILE|-",
+			Flags:     operatorFlags(idFlag("patch"), &cli.Uint64Flag{Name: "against", Required: true, Usage: "version `NUMBER` that the patch was made against"}),
+			Action:    patchConfig,
+		},
+	},
+}
+
+func showConfig(ctx context.Context, command *cli.Command) error {
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	configuration, err := client.Configuration(ctx, command.Uint64("version"))
+	if err != nil {
+		return operatorError(err, "")
+	}
+	return printResult(command, configuration, "")
+}
+
+func patchConfig(ctx context.Context, command *cli.Command) error {
+	path, err := oneArgument(command, "patch file, or - for standard input")
+	if err != nil {
+		return err
+	}
+	patch, err := readInput(path)
+	if err != nil {
+		return usageError(err)
+	}
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	id := idOf(command)
+	accepted, err := client.Patch(ctx, operator.Patch{ID: id, Against: command.Uint64("against"), Patch: patch})
+	if err != nil {
+		return operatorError(err, id)
+	}
+	return printResult(command, accepted, fmt.Sprintf("version %d accepted", accepted.Version))
+}
+
+func readInput(path string) ([]byte, error) {
+	if path == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, errors.Newf("read standard input: %w", err)
+		}
+		return data, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Newf("read patch: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/cmd/cmd_entry.go
@@ -0,0 +1,40 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+)
+
+// cmdEntry runs an entry instance.
+var cmdEntry = &cli.Command{
+	Name:   "entry",
+	Usage:  "runs an entry instance, which serves callers",
+	Flags:  []cli.Flag{settingsFlag},
+	Action: runEntry,
+}
+
+func runEntry(ctx context.Context, command *cli.Command) error {
+	s, err := loadSettings(command, settings.RoleEntry)
+	if err != nil {
+		return err
+	}
+	environment, err := openEnvironment(s)
+	if err != nil {
+		return err
+	}
+	defer environment.Telemetry.Close()
+	entry, err := process.StartEntry(s, environment)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	environment.Telemetry.Log.Info("shutting down; requests in progress are finished first", "running", entry.Server.Running())
+	limited, stop := untilSecondSignal(s)
+	defer stop()
+	entry.Shutdown(limited)
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/cmd_fake.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// cmdFake runs a stand-in for a system around the fleet.
+var cmdFake = &cli.Command{
+	Name:  "fake",
+	Usage: "runs a stand-in for trials and tests",
+	Commands: []*cli.Command{
+		{
+			Name:   "engine",
+			Usage:  "runs a stand-in model engine",
+			Flags:  []cli.Flag{settingsFlag},
+			Action: runFake(func(f *settings.Fake) http.Handler { return (&fake.Engine{StepTime: f.StepTime.Or(0)}).Handler() }),
+		},
+		{
+			Name:   "service",
+			Usage:  "runs a stand-in plain service",
+			Flags:  []cli.Flag{settingsFlag},
+			Action: runFake(func(*settings.Fake) http.Handler { return (&fake.Service{}).Handler() }),
+		},
+	},
+}
+
+func runFake(handler func(*settings.Fake) http.Handler) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		f, err := settings.LoadFake(command.String("settings"))
+		if err != nil {
+			return usageError(err)
+		}
+		running, err := process.StartFake(transport.TCP{}, f.Address, handler(f))
+		if err != nil {
+			return err
+		}
+		<-ctx.Done()
+		running.Close()
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/cmd/main.go
@@ -0,0 +1,88 @@
+// Package cmd is the command line, a file for each subcommand.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	// ExitOK means done.
+	ExitOK = 0
+	// ExitFailed means that the command failed.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a settings file is wrong.
+	ExitUsage = 2
+	// ExitConflict means that the configuration has changed meanwhile.
+	ExitConflict = 3
+	// ExitUnavailable means that the site did not answer: retry with the same
+	// id.
+	ExitUnavailable = 4
+)
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string {
+	return e.err.Error()
+}
+
+func (e *exitError) Unwrap() error {
+	return e.err
+}
+
+func usageError(err error) error {
+	return &exitError{code: ExitUsage, err: err}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, version string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := root(strings.TrimSpace(version)).Run(ctx, arguments)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "cactusbay: "+err.Error())
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
+
+func root(version string) *cli.Command {
+	return &cli.Command{
+		Name:                  "cactusbay",
+		Usage:                 "router fleet for prepaid token budgets",
+		Version:               version,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return usageError(err)
+		},
+		Commands: []*cli.Command{
+			cmdVersion(version),
+			cmdCheckSettings,
+			cmdEntry,
+			cmdControl,
+			cmdDev,
+			cmdFake,
+			cmdStatus,
+			cmdBudget,
+			cmdConfig,
+			cmdServer,
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmd/operator.go
@@ -0,0 +1,120 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+const operatorTimeout = 10 * time.Second
+
+// operatorFlags say which control instance a command calls and with what key.
+func operatorFlags(more ...cli.Flag) []cli.Flag {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "control", Value: "127.0.0.1:8090", Usage: "operators' `ADDRESS` of a control instance", Sources: cli.EnvVars("CACTUSBAY_CONTROL")},
+		&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator's key; else CACTUSBAY_OPERATOR_KEY"},
+		&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
+	}
+	return append(flags, more...)
+}
+
+func idFlag(what string) cli.Flag {
+	return &cli.StringFlag{Name: "id", Usage: "`ID` of the " + what + "; send the same one again after a lost answer"}
+}
+
+// idOf returns the id of the command line or a new one.
+func idOf(command *cli.Command) string {
+	id := command.String("id")
+	if id == "" {
+		id = rand.Text()
+	}
+	return id
+}
+
+func newClient(command *cli.Command) (*operator.Client, error) {
+	output := command.String("output")
+	if output != "text" && output != "json" {
+		return nil, usageError(errors.New("--output must be text or json"))
+	}
+	secret := &settings.Secret{Environment: "CACTUSBAY_OPERATOR_KEY"}
+	if command.String("key-file") != "" {
+		secret = &settings.Secret{File: command.String("key-file")}
+	}
+	key, err := secret.Read()
+	if err != nil {
+		return nil, usageError(err)
+	}
+	client := &operator.Client{
+		Address: command.String("control"),
+		Key:     key,
+		HTTP:    &http.Client{Timeout: operatorTimeout},
+	}
+	return client, nil
+}
+
+// operatorError maps a failed call to an exit code.
+func operatorError(err error, id string) error {
+	if err == nil {
+		return nil
+	}
+	var problem *operator.Problem
+	if !errors.As(err, &problem) {
+		return &exitError{code: ExitUnavailable, err: withID(err, id)}
+	}
+	if problem.Code == "conflict" {
+		return &exitError{code: ExitConflict, err: err}
+	}
+	if problem.Status == http.StatusServiceUnavailable {
+		return &exitError{code: ExitUnavailable, err: withID(err, id)}
+	}
+	return err
+}
+
+func withID(err error, id string) error {
+	if id == "" {
+		return err
+	}
+	return errors.Newf("%w; it is unclear whether it was applied: repeat with --id %s", err, id)
+}
+
+// printResult prints value as JSON, or text as it is.
+func printResult(command *cli.Command, value any, text string) error {
+	writer := command.Root().Writer
+	if command.String("output") != "json" && text != "" {
+		_, err := fmt.Fprintln(writer, text)
+		return err
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Newf("encode result: %w", err)
+	}
+	var indented bytes.Buffer
+	err = json.Indent(&indented, data, "", "  ")
+	if err != nil {
+		return errors.Newf("indent result: %w", err)
+	}
+	_, err = fmt.Fprintln(writer, indented.String())
+	return err
+}
+
+func oneArgument(command *cli.Command, what string) (string, error) {
+	if command.Args().Len() != 1 {
+		return "", usageError(errors.Newf("name one %s", what))
+	}
+	return command.Args().First(), nil
+}
+
+// withTimeout bounds a call to a control instance.
+func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, operatorTimeout)
+}
--- /dev/null
+++ b/internal/cmd/serve.go
@@ -0,0 +1,66 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// settingsFlag names the settings file of a process.
+var settingsFlag = &cli.StringFlag{
+	Name:     "settings",
+	Usage:    "JSON settings `FILE` of this process",
+	Required: true,
+}
+
+// loadSettings reads a process's settings and checks its role.
+func loadSettings(command *cli.Command, role string) (*settings.Settings, error) {
+	path := command.String("settings")
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, usageError(err)
+	}
+	if s.Role != role {
+		return nil, usageError(errors.Newf("%s has the role %q: run cactusbay %s", path, s.Role, s.Role))
+	}
+	return s, nil
+}
+
+// openEnvironment returns what a process stands on; the caller closes its
+// telemetry.
+func openEnvironment(s *settings.Settings) (process.Environment, error) {
+	telemetry, err := observe.New(s, os.Stderr)
+	if err != nil {
+		return process.Environment{}, errors.Newf("open telemetry: %w", err)
+	}
+	return process.Environment{
+		Network:   transport.TCP{},
+		Telemetry: telemetry,
+		Check:     &invariant.Checker{Log: telemetry.Log, Scope: telemetry.Scope},
+	}, nil
+}
+
+// untilSecondSignal returns a context for the graceful shutdown that ends at
+// a second signal or at the limit of the settings.
+func untilSecondSignal(s *settings.Settings) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	limit := s.Shutdown.Limit.Or(0)
+	if limit == 0 {
+		return ctx, stop
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
+	return limited, func() {
+		cancel()
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"sort"
+
+	"github.com/cactusbay/cactusbay/internal/check"
+)
+
+const keyHashBytes = 32
+
+// Parse reads a document strictly and validates it whole.
+func Parse(data []byte) (*Document, error) {
+	faults := &check.Faults{}
+	document := &Document{}
+	check.Decode(data, document, faults)
+	document.validate(faults)
+	err := faults.Err()
+	if err != nil {
+		return nil, err
+	}
+	return document, nil
+}
+
+func (d *Document) validate(faults *check.Faults) {
+	for _, name := range sortedNames(d.Workspaces) {
+		d.validateWorkspace("workspaces."+name, d.Workspaces[name], faults)
+	}
+	addresses := make(map[string]string)
+	for _, name := range sortedNames(d.BackendServers) {
+		validateServer("backend_servers."+name, d.BackendServers[name], addresses, faults)
+	}
+	for _, name := range sortedNames(d.Works) {
+		d.validateWork("works."+name, d.Works[name], faults)
+	}
+	for _, name := range sortedNames(d.Routes) {
+		_, known := d.Works[d.Routes[name].Work]
+		if !known {
+			faults.Add("routes."+name+".work", "names no work: write one of those under works")
+		}
+	}
+	validateLimits(d.Limits, faults)
+}
+
+func (d *Document) validateWorkspace(path string, workspace Workspace, faults *check.Faults) {
+	for _, hash := range workspace.KeyHashes {
+		raw, err := hex.DecodeString(hash)
+		if err != nil || len(raw) != keyHashBytes {
+			faults.Add(path+".key_hashes", "must hold SHA-256 hashes in 64 hex digits")
+		}
+	}
+	for _, work := range workspace.Works {
+		_, known := d.Works[work]
+		if !known {
+			faults.Add(path+".works", "names the work %q, which is not under works", work)
+		}
+	}
+	if workspace.Weight < 0 {
+		faults.Add(path+".weight", "must be 1 or more")
+	}
+}
+
+func validateServer(path string, server BackendServer, addresses map[string]string, faults *check.Faults) {
+	_, err := netip.ParseAddrPort(server.Address)
+	if err != nil {
+		faults.Add(path+".address", `must be an IP number and a port, such as "127.0.0.1:9000"`)
+	}
+	other, taken := addresses[server.Address]
+	if taken {
+		faults.Add(path+".address", "is also the address of %s", other)
+	}
+	addresses[server.Address] = path
+	if server.FailureDomain == "" {
+		faults.Add(path+".failure_domain", "is missing: write the failure domain's name")
+	}
+	checkOneOf(path+".kind", server.Kind, faults, KindModel, KindService)
+	if server.State != "" {
+		checkOneOf(path+".state", server.State, faults, StateActive, StateLeaving)
+	}
+	if server.Concurrency < 0 {
+		faults.Add(path+".concurrency", "must be 1 or more")
+	}
+}
+
+func (d *Document) validateWork(path string, work Work, faults *check.Faults) {
+	checkOneOf(path+".kind", work.Kind, faults, KindModel, KindService)
+	if work.Kind == KindModel && work.Model == "" {
+		faults.Add(path+".model", "is missing: write the name that engines know")
+	}
+	if work.Priority != "" {
+		checkOneOf(path+".priority", work.Priority, faults, PriorityInteractive, PriorityStandard, PriorityBatch)
+	}
+	faults.Positive(path+".deadline", work.Deadline)
+	for _, name := range work.BackendServers {
+		server, known := d.BackendServers[name]
+		if !known {
+			faults.Add(path+".backend_servers", "names %q, which is not under backend_servers", name)
+			continue
+		}
+		if server.Kind != work.Kind {
+			faults.Add(path+".backend_servers", "names %q, whose kind is %s", name, server.Kind)
+		}
+	}
+	if work.MaxTokens < 0 {
+		faults.Add(path+".max_tokens", "must be 1 or more")
+	}
+	if work.CallTokens < 0 {
+		faults.Add(path+".call_tokens", "must be 0 or more")
+	}
+}
+
+func validateLimits(limits Limits, faults *check.Faults) {
+	if limits.BodyBytes < 0 {
+		faults.Add("limits.body_bytes", "must be 1 or more")
+	}
+	if limits.QueuedRequests < 0 {
+		faults.Add("limits.queued_requests", "must be 1 or more")
+	}
+	if limits.RequestsRunning < 0 {
+		faults.Add("limits.requests_running", "must be 1 or more")
+	}
+}
+
+func checkOneOf(path, value string, faults *check.Faults, allowed ...string) {
+	for _, one := range allowed {
+		if value == one {
+			return
+		}
+	}
+	faults.Add(path, "must be one of %q", allowed)
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/disk/disk.go
@@ -0,0 +1,155 @@
+// Package disk is the interface to the data folder, so that tests can put a
+// folder in its place that loses what was not synced.
+package disk
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	filePermission   fs.FileMode = 0o600
+	folderPermission fs.FileMode = 0o700
+)
+
+// ErrNotExist reports that a file is absent.
+var ErrNotExist = fs.ErrNotExist
+
+// File is an append-only file of a Folder.
+type File interface {
+	// Write appends p; it is durable only after Sync.
+	Write(p []byte) (int, error)
+	// Sync makes all that was written durable.
+	Sync() error
+	// Truncate cuts the file to size bytes.
+	Truncate(size int64) error
+	// Close releases the file without syncing it.
+	Close() error
+}
+
+// Folder is a flat set of files.
+type Folder interface {
+	// ReadFile returns a whole file, or an error that wraps ErrNotExist.
+	ReadFile(name string) ([]byte, error)
+	// Append opens a file for appending and creates it when absent.
+	Append(name string) (File, error)
+	// WriteFile replaces a file atomically and durably.
+	WriteFile(name string, data []byte) error
+	// Remove deletes a file durably; an absent file is no error.
+	Remove(name string) error
+	// List returns the names of all files.
+	List() ([]string, error)
+}
+
+// OS is a Folder on the operating system's file system.
+type OS struct {
+	path string
+}
+
+// Open creates the folder at path when absent and returns it.
+func Open(path string) (*OS, error) {
+	err := os.MkdirAll(path, folderPermission)
+	if err != nil {
+		return nil, errors.Newf("create data folder: %w", err)
+	}
+	return &OS{path: path}, nil
+}
+
+// ReadFile implements Folder.
+func (o *OS) ReadFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(filepath.Join(o.path, name))
+	if err != nil {
+		return nil, errors.Newf("read file: %w", err)
+	}
+	return data, nil
+}
+
+// Append implements Folder.
+func (o *OS) Append(name string) (File, error) {
+	path := filepath.Join(o.path, name)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, filePermission)
+	if err != nil {
+		return nil, errors.Newf("open for append: %w", err)
+	}
+	err = o.syncFolder()
+	if err != nil {
+		_ = file.Close()
+		return nil, errors.Newf("sync new file's folder: %w", err)
+	}
+	return file, nil
+}
+
+// WriteFile implements Folder.
+func (o *OS) WriteFile(name string, data []byte) error {
+	path := filepath.Join(o.path, name)
+	temporary := path + ".tmp"
+	err := writeSynced(temporary, data)
+	if err != nil {
+		return errors.Newf("write temporary file: %w", err)
+	}
+	err = os.Rename(temporary, path)
+	if err != nil {
+		return errors.Newf("rename temporary file: %w", err)
+	}
+	return o.syncFolder()
+}
+
+// Remove implements Folder.
+func (o *OS) Remove(name string) error {
+	err := os.Remove(filepath.Join(o.path, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Newf("remove file: %w", err)
+	}
+	return o.syncFolder()
+}
+
+// List implements Folder.
+func (o *OS) List() ([]string, error) {
+	entries, err := os.ReadDir(o.path)
+	if err != nil {
+		return nil, errors.Newf("list data folder: %w", err)
+	}
+	var names []string
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+func (o *OS) syncFolder() error {
+	folder, err := os.Open(o.path)
+	if err != nil {
+		return errors.Newf("open data folder: %w", err)
+	}
+	defer func() { _ = folder.Close() }()
+	err = folder.Sync()
+	if err != nil {
+		return errors.Newf("sync data folder: %w", err)
+	}
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePermission)
+	if err != nil {
+		return errors.Newf("create file: %w", err)
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	closeErr := file.Close()
+	if err != nil {
+		return errors.Newf("write and sync: %w", err)
+	}
+	if closeErr != nil {
+		return errors.Newf("close file: %w", closeErr)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fake/disk.go
@@ -0,0 +1,176 @@
+package fake
+
+import (
+	"bytes"
+	"sort"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+)
+
+// ErrDisk is what a Disk that was told to fail returns.
+var ErrDisk = errors.New("input/output error")
+
+// Disk is a data folder in memory that loses what was not synced; its zero
+// value works.
+type Disk struct {
+	mu    sync.Mutex
+	files map[string]*diskFile
+	// generation counts crashes: a file that was opened before one is dead.
+	generation int
+	failing    bool
+}
+
+type diskFile struct {
+	content []byte
+	// synced is the length that survives a crash.
+	synced int
+}
+
+type openFile struct {
+	disk       *Disk
+	name       string
+	generation int
+}
+
+// Crash loses what was not synced but for the first keep bytes of it, and
+// kills the open files.
+func (d *Disk) Crash(keep int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+	for _, file := range d.files {
+		kept := min(len(file.content), file.synced+keep)
+		file.content = file.content[:kept]
+		file.synced = kept
+	}
+}
+
+// Erase loses everything, as when the disk is replaced.
+func (d *Disk) Erase() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+	d.files = nil
+}
+
+// SetFailing makes writes and syncs fail, or work again.
+func (d *Disk) SetFailing(failing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = failing
+}
+
+// ReadFile implements disk.Folder.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	file := d.files[name]
+	if file == nil {
+		return nil, errors.Newf("read %s: %w", name, disk.ErrNotExist)
+	}
+	return bytes.Clone(file.content), nil
+}
+
+// Append implements disk.Folder.
+func (d *Disk) Append(name string) (disk.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing {
+		return nil, ErrDisk
+	}
+	d.file(name)
+	return &openFile{disk: d, name: name, generation: d.generation}, nil
+}
+
+// WriteFile implements disk.Folder.
+func (d *Disk) WriteFile(name string, data []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing {
+		return ErrDisk
+	}
+	file := d.file(name)
+	file.content = bytes.Clone(data)
+	file.synced = len(data)
+	return nil
+}
+
+// Remove implements disk.Folder.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.files, name)
+	return nil
+}
+
+// List implements disk.Folder.
+func (d *Disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	for name := range d.files {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (d *Disk) file(name string) *diskFile {
+	if d.files == nil {
+		d.files = make(map[string]*diskFile)
+	}
+	if d.files[name] == nil {
+		d.files[name] = &diskFile{}
+	}
+	return d.files[name]
+}
+
+// open returns the file, or an error after a crash or while failing.
+func (f *openFile) open() (*diskFile, error) {
+	file := f.disk.files[f.name]
+	if f.disk.failing || f.generation != f.disk.generation || file == nil {
+		return nil, ErrDisk
+	}
+	return file, nil
+}
+
+func (f *openFile) Write(p []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	file, err := f.open()
+	if err != nil {
+		return 0, err
+	}
+	file.content = append(file.content, p...)
+	return len(p), nil
+}
+
+func (f *openFile) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	file, err := f.open()
+	if err != nil {
+		return err
+	}
+	file.synced = len(file.content)
+	return nil
+}
+
+func (f *openFile) Truncate(size int64) error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	file, err := f.open()
+	if err != nil {
+		return err
+	}
+	file.content = file.content[:size]
+	file.synced = min(file.synced, int(size))
+	return nil
+}
+
+func (f *openFile) Close() error {
+	return nil
+}
--- /dev/null
+++ b/internal/fake/network.go
@@ -0,0 +1,317 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const acceptSlots = 128
+
+// ErrRefused reports that nothing listens on an address.
+var ErrRefused = errors.New("connection refused")
+
+// Network is a network in memory whose links can be cut and delayed; its zero
+// value works.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cuts      map[link]bool
+	// changed is closed at each change of cuts.
+	changed chan struct{}
+	conns   map[*conn]struct{}
+	delay   time.Duration
+}
+
+// link is a direction between two hosts.
+type link struct {
+	from string
+	to   string
+}
+
+// Host is one instance's view of a Network. It implements transport.Network.
+type Host struct {
+	network *Network
+	name    string
+}
+
+// Host returns the view of the instance called name.
+func (n *Network) Host(name string) *Host {
+	return &Host{network: n, name: name}
+}
+
+// SetDelay sets the time that every write takes.
+func (n *Network) SetDelay(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+// Cut makes all that one host sends to another vanish into silence. Bytes that
+// wait arrive after Heal unless their connection was closed.
+func (n *Network) Cut(from, to string) {
+	n.set(link{from: from, to: to}, true)
+}
+
+// Heal ends a cut.
+func (n *Network) Heal(from, to string) {
+	n.set(link{from: from, to: to}, false)
+}
+
+// Kill closes the listeners and connections of a host at once.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	var doomed []*conn
+	for c := range n.conns {
+		if c.link.from == name || c.link.to == name {
+			doomed = append(doomed, c)
+		}
+	}
+	var closing []*listener
+	for _, l := range n.listeners {
+		if l.host == name {
+			closing = append(closing, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range closing {
+		_ = l.Close()
+	}
+	for _, c := range doomed {
+		_ = c.Close()
+	}
+}
+
+func (n *Network) set(l link, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts == nil {
+		n.cuts = make(map[link]bool)
+	}
+	if cut {
+		n.cuts[l] = true
+	} else {
+		delete(n.cuts, l)
+	}
+	if n.changed != nil {
+		close(n.changed)
+	}
+	n.changed = make(chan struct{})
+}
+
+// state returns whether the link is cut, the channel of the next change and
+// the delay.
+func (n *Network) state(l link) (cut bool, changed <-chan struct{}, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.changed == nil {
+		n.changed = make(chan struct{})
+	}
+	return n.cuts[l], n.changed, n.delay
+}
+
+// Listen implements transport.Network.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	n := h.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners == nil {
+		n.listeners = make(map[string]*listener)
+	}
+	_, taken := n.listeners[address]
+	if taken {
+		return nil, errors.Newf("listen on %s: address already in use", address)
+	}
+	l := &listener{
+		network: n,
+		host:    h.name,
+		address: memoryAddress(address),
+		waiting: make(chan net.Conn, acceptSlots),
+		closed:  make(chan struct{}),
+	}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// DialContext implements transport.Network. Over a cut link it waits until ctx
+// ends.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	n := h.network
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.Newf("dial %s: %w", address, ErrRefused)
+	}
+	err := n.waitPath(ctx, link{from: h.name, to: l.host})
+	if err != nil {
+		return nil, errors.Newf("dial %s: %w", address, err)
+	}
+	return l.connect(ctx, h.name)
+}
+
+// waitPath waits while the link is cut in either direction.
+func (n *Network) waitPath(ctx context.Context, there link) error {
+	back := link{from: there.to, to: there.from}
+	for {
+		cutThere, changed, _ := n.state(there)
+		cutBack, _, _ := n.state(back)
+		if !cutThere && !cutBack {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+type memoryAddress string
+
+func (memoryAddress) Network() string  { return "memory" }
+func (a memoryAddress) String() string { return string(a) }
+
+type listener struct {
+	network *Network
+	host    string
+	address memoryAddress
+	waiting chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *listener) connect(ctx context.Context, from string) (net.Conn, error) {
+	near, far := net.Pipe()
+	client := l.network.newConn(near, link{from: from, to: l.host})
+	server := l.network.newConn(far, link{from: l.host, to: from})
+	select {
+	case l.waiting <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errors.Newf("dial %s: %w", l.address, ErrRefused)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.waiting:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, string(l.address))
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr {
+	return l.address
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	network *Network
+	link    link
+	closed  chan struct{}
+	once    sync.Once
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func (n *Network) newConn(pipe net.Conn, l link) *conn {
+	c := &conn{Conn: pipe, network: n, link: l, closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns == nil {
+		n.conns = make(map[*conn]struct{})
+	}
+	n.conns[c] = struct{}{}
+	return c
+}
+
+// Write waits while the link is cut, so that the other end sees silence.
+func (c *conn) Write(p []byte) (int, error) {
+	for {
+		cut, changed, delay := c.network.state(c.link)
+		if !cut {
+			c.pause(delay)
+			return c.Conn.Write(p)
+		}
+		expired, stop := c.expiry()
+		select {
+		case <-changed:
+			stop()
+		case <-expired:
+			return 0, os.ErrDeadlineExceeded
+		case <-c.closed:
+			stop()
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+func (c *conn) pause(delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-c.closed:
+	}
+}
+
+// expiry returns a channel that fires at the write deadline.
+func (c *conn) expiry() (<-chan time.Time, func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.IsZero() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(c.deadline))
+	return timer.C, func() { timer.Stop() }
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *conn) setWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		delete(c.network.conns, c)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fake/service.go
@@ -0,0 +1,61 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Service is a stand-in plain service that counts its runs by key; its zero
+// value works.
+type Service struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+type serviceAnswer struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+	Run    int    `json:"run"`
+}
+
+// Handler serves every method and path.
+func (s *Service) Handler() http.Handler {
+	return http.HandlerFunc(s.serve)
+}
+
+// Runs returns how often the request with the key ran.
+func (s *Service) Runs(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+	w.Header().Set("Content-Type", "application/json")
+	answer := serviceAnswer{
+		Method: r.Method,
+		Path:   r.URL.RequestURI(),
+		Body:   string(body),
+		Run:    s.count(r.Header.Get("Idempotency-Key")),
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Service) count(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = make(map[string]int)
+	}
+	s.runs[key]++
+	return s.runs[key]
+}
--- /dev/null
+++ b/internal/group/command.go
@@ -0,0 +1,163 @@
+package group
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+// Command is a change of the group's state: one of the types below.
+type Command interface {
+	isCommand()
+}
+
+// PatchConfiguration applies a merge patch made against a numbered version.
+type PatchConfiguration struct {
+	// ID makes a resend idempotent.
+	ID      string `cbor:"1,keyasint"`
+	Against uint64 `cbor:"2,keyasint"`
+	Patch   []byte `cbor:"3,keyasint"`
+	// Operator is the name of the operator's key.
+	Operator string `cbor:"4,keyasint,omitempty"`
+}
+
+// Deposit adds prepaid tokens to a workspace's pool; idempotent by ID.
+type Deposit struct {
+	ID        string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint"`
+	Tokens    int64  `cbor:"3,keyasint"`
+}
+
+// OpenEpoch registers a ledger that starts with an empty journal.
+type OpenEpoch struct {
+	Epoch         string `cbor:"1,keyasint"`
+	Instance      string `cbor:"2,keyasint"`
+	FailureDomain string `cbor:"3,keyasint"`
+}
+
+// CloseEpoch ends a ledger whose journal is lost.
+type CloseEpoch struct {
+	Epoch string `cbor:"1,keyasint"`
+}
+
+// ReleaseInDoubt returns a closed epoch's unspent tokens to the pool;
+// idempotent by ID.
+type ReleaseInDoubt struct {
+	ID        string `cbor:"1,keyasint"`
+	Epoch     string `cbor:"2,keyasint"`
+	Workspace string `cbor:"3,keyasint"`
+}
+
+// Draw moves tokens from a workspace's pool to a ledger.
+type Draw struct {
+	Epoch     string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint"`
+	// Known is the cumulative grant that the ledger knows of.
+	Known int64 `cbor:"3,keyasint"`
+	Want  int64 `cbor:"4,keyasint"`
+}
+
+// Report takes in a ledger's cumulative counters by workspace.
+type Report struct {
+	Epoch    string                     `cbor:"1,keyasint"`
+	Counters map[string]budget.Counters `cbor:"2,keyasint"`
+}
+
+// Claim reserves the only run of a request that must not be repeated.
+type Claim struct {
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+	BodyHash  []byte `cbor:"3,keyasint"`
+	// Holder is the attempt that may run.
+	Holder string `cbor:"4,keyasint"`
+}
+
+// AbandonClaim gives a claim up that its holder never dispatched.
+type AbandonClaim struct {
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+	Holder    string `cbor:"3,keyasint"`
+}
+
+func (PatchConfiguration) isCommand() {}
+func (Deposit) isCommand()            {}
+func (OpenEpoch) isCommand()          {}
+func (CloseEpoch) isCommand()         {}
+func (ReleaseInDoubt) isCommand()     {}
+func (Draw) isCommand()               {}
+func (Report) isCommand()             {}
+func (Claim) isCommand()              {}
+func (AbandonClaim) isCommand()       {}
+
+// envelope carries exactly one command over the log.
+type envelope struct {
+	PatchConfiguration *PatchConfiguration `cbor:"1,keyasint,omitempty"`
+	Deposit            *Deposit            `cbor:"2,keyasint,omitempty"`
+	OpenEpoch          *OpenEpoch          `cbor:"3,keyasint,omitempty"`
+	CloseEpoch         *CloseEpoch         `cbor:"4,keyasint,omitempty"`
+	ReleaseInDoubt     *ReleaseInDoubt     `cbor:"5,keyasint,omitempty"`
+	Draw               *Draw               `cbor:"6,keyasint,omitempty"`
+	Report             *Report             `cbor:"7,keyasint,omitempty"`
+	Claim              *Claim              `cbor:"8,keyasint,omitempty"`
+	AbandonClaim       *AbandonClaim       `cbor:"9,keyasint,omitempty"`
+}
+
+// encodeCommand returns the log's form of command.
+func encodeCommand(command Command) ([]byte, error) {
+	var e envelope
+	switch c := command.(type) {
+	case PatchConfiguration:
+		e.PatchConfiguration = &c
+	case Deposit:
+		e.Deposit = &c
+	case OpenEpoch:
+		e.OpenEpoch = &c
+	case CloseEpoch:
+		e.CloseEpoch = &c
+	case ReleaseInDoubt:
+		e.ReleaseInDoubt = &c
+	case Draw:
+		e.Draw = &c
+	case Report:
+		e.Report = &c
+	case Claim:
+		e.Claim = &c
+	case AbandonClaim:
+		e.AbandonClaim = &c
+	default:
+		return nil, errors.Newf("unknown command %T", command)
+	}
+	return peer.Encode(e)
+}
+
+// decodeCommand reads a command from the log.
+func decodeCommand(data []byte) (Command, error) {
+	var e envelope
+	err := peer.Decode(data, &e)
+	if err != nil {
+		return nil, errors.Newf("decode command: %w", err)
+	}
+	switch {
+	case e.PatchConfiguration != nil:
+		return *e.PatchConfiguration, nil
+	case e.Deposit != nil:
+		return *e.Deposit, nil
+	case e.OpenEpoch != nil:
+		return *e.OpenEpoch, nil
+	case e.CloseEpoch != nil:
+		return *e.CloseEpoch, nil
+	case e.ReleaseInDoubt != nil:
+		return *e.ReleaseInDoubt, nil
+	case e.Draw != nil:
+		return *e.Draw, nil
+	case e.Report != nil:
+		return *e.Report, nil
+	case e.Claim != nil:
+		return *e.Claim, nil
+	case e.AbandonClaim != nil:
+		return *e.AbandonClaim, nil
+	default:
+		return nil, errors.New("empty command")
+	}
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,129 @@
+// Package group is the control group's replicated state: configuration,
+// deposits, grants, claims of non-repeatable requests and kept answers.
+package group
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+// Log commits commands by majority.
+type Log interface {
+	// Propose commits command and returns the machine's result.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+}
+
+// Group is the replicated state of one control instance. It is the Machine of
+// its Log.
+type Group struct {
+	// Check asserts the invariants; nil means that they are only returned.
+	Check *invariant.Checker
+
+	mu      sync.Mutex
+	state   *state
+	changed chan struct{}
+}
+
+// New returns an empty group state.
+func New(check *invariant.Checker) *Group {
+	return &Group{
+		Check:   check,
+		state:   newState(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Apply implements the log's machine.
+func (g *Group) Apply(data []byte) []byte {
+	result := g.applyCommand(data)
+	encoded, err := peer.Encode(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func (g *Group) applyCommand(data []byte) Result {
+	command, err := decodeCommand(data)
+	if err != nil {
+		return Result{Code: CodeInvalid, Detail: err.Error()}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.state.current().Number
+	result := g.state.apply(command, g.Check)
+	if g.state.current().Number != before {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
+	return result
+}
+
+// Propose commits command through log and returns its result.
+func Propose(ctx context.Context, log Log, command Command) (Result, error) {
+	data, err := encodeCommand(command)
+	if err != nil {
+		return Result{}, errors.Newf("encode command: %w", err)
+	}
+	answer, err := log.Propose(ctx, data)
+	if err != nil {
+		return Result{}, errors.Newf("propose command: %w", err)
+	}
+	var result Result
+	err = peer.Decode(answer, &result)
+	if err != nil {
+		return Result{}, errors.Newf("decode result: %w", err)
+	}
+	return result, nil
+}
+
+// Current returns the newest configuration version known here and a channel
+// that is closed at the next change.
+func (g *Group) Current() (Version, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.current(), g.changed
+}
+
+// VersionNumber returns one version of the configuration.
+func (g *Group) VersionNumber(number uint64) (Version, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if number == 0 || number > uint64(len(g.state.Versions)) {
+		return Version{}, false
+	}
+	return g.state.Versions[number-1], true
+}
+
+// Account returns a copy of a workspace's account.
+func (g *Group) Account(workspace string) (budget.Account, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	account, found := g.state.Accounts[workspace]
+	if !found {
+		return budget.Account{}, false
+	}
+	grants := make(map[string]budget.Grant, len(account.Grants))
+	for epoch, grant := range account.Grants {
+		grants[epoch] = grant
+	}
+	account.Grants = grants
+	return account, true
+}
+
+// Epochs returns a copy of the ledger epochs.
+func (g *Group) Epochs() map[string]Epoch {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	epochs := make(map[string]Epoch, len(g.state.Epochs))
+	for name, epoch := range g.state.Epochs {
+		epochs[name] = epoch
+	}
+	return epochs
+}
--- /dev/null
+++ b/internal/group/state.go
@@ -0,0 +1,237 @@
+package group
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+)
+
+// Epoch is one life of a ledger's journal.
+type Epoch struct {
+	Instance      string `cbor:"1,keyasint" json:"instance"`
+	FailureDomain string `cbor:"2,keyasint" json:"failure_domain"`
+	Closed        bool   `cbor:"3,keyasint,omitempty" json:"closed,omitempty"`
+}
+
+// Version is one accepted configuration.
+type Version struct {
+	Number   uint64 `cbor:"1,keyasint" json:"number"`
+	Document []byte `cbor:"2,keyasint" json:"-"`
+	Patch    string `cbor:"3,keyasint" json:"patch_id"`
+	Operator string `cbor:"4,keyasint,omitempty" json:"operator,omitempty"`
+}
+
+// answer is the kept result of an operator's command, found by its id.
+type answer struct {
+	BodyHash string `cbor:"1,keyasint"`
+	Result   Result `cbor:"2,keyasint"`
+}
+
+// claim is the only run of a request that must not be repeated.
+type claim struct {
+	Holder    string `cbor:"1,keyasint"`
+	BodyHash  []byte `cbor:"2,keyasint"`
+	Abandoned bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// state is what the replicated log drives. Its fields are exported for the
+// snapshot's encoding.
+type state struct {
+	Versions []Version                 `cbor:"1,keyasint"`
+	Accounts map[string]budget.Account `cbor:"2,keyasint"`
+	Epochs   map[string]Epoch          `cbor:"3,keyasint"`
+	Answers  map[string]answer         `cbor:"4,keyasint"`
+	Claims   map[string]claim          `cbor:"5,keyasint"`
+}
+
+func newState() *state {
+	return &state{
+		Accounts: make(map[string]budget.Account),
+		Epochs:   make(map[string]Epoch),
+		Answers:  make(map[string]answer),
+		Claims:   make(map[string]claim),
+	}
+}
+
+// current returns the newest version; number 0 with an empty document stands
+// before the first patch.
+func (s *state) current() Version {
+	if len(s.Versions) == 0 {
+		return Version{Document: []byte("{}")}
+	}
+	return s.Versions[len(s.Versions)-1]
+}
+
+// apply executes one command. It depends only on the state and the command.
+func (s *state) apply(command Command, check *invariant.Checker) Result {
+	switch c := command.(type) {
+	case PatchConfiguration:
+		return s.once("patch/"+c.ID, fingerprint(c), func() Result { return s.patch(c) })
+	case Deposit:
+		return s.once("deposit/"+c.ID, fingerprint(c), func() Result { return s.deposit(c, check) })
+	case ReleaseInDoubt:
+		return s.once("release/"+c.ID, fingerprint(c), func() Result { return s.release(c, check) })
+	case OpenEpoch:
+		return s.openEpoch(c)
+	case CloseEpoch:
+		return s.closeEpoch(c)
+	case Draw:
+		return s.draw(c, check)
+	case Report:
+		return s.report(c, check)
+	case Claim:
+		return s.claim(c)
+	case AbandonClaim:
+		return s.abandonClaim(c)
+	default:
+		return Result{Code: CodeInvalid, Detail: "unknown command"}
+	}
+}
+
+// once runs an operator's command unless its id was answered before.
+func (s *state) once(id, bodyHash string, run func() Result) Result {
+	kept, found := s.Answers[id]
+	if found && kept.BodyHash != bodyHash {
+		return Result{Code: CodeIDReused, Detail: "the id was used for another request: choose a new one"}
+	}
+	if found {
+		return kept.Result
+	}
+	result := run()
+	s.Answers[id] = answer{BodyHash: bodyHash, Result: result}
+	return result
+}
+
+func (s *state) patch(c PatchConfiguration) Result {
+	current := s.current()
+	if c.Against != current.Number {
+		return Result{Code: CodeConflict, Detail: "the configuration has changed: read it and make the patch again", Version: current.Number}
+	}
+	document, err := config.Merge(current.Document, c.Patch)
+	if err != nil {
+		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
+	}
+	next := Version{Number: current.Number + 1, Document: document, Patch: c.ID, Operator: c.Operator}
+	s.Versions = append(s.Versions, next)
+	return Result{Code: CodeDone, Version: next.Number}
+}
+
+func (s *state) deposit(c Deposit, check *invariant.Checker) Result {
+	if c.Tokens <= 0 {
+		return Result{Code: CodeInvalid, Detail: "a deposit must be above zero tokens"}
+	}
+	account := s.Accounts[c.Workspace]
+	account.Deposit(c.Tokens)
+	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: c.Tokens})
+}
+
+func (s *state) release(c ReleaseInDoubt, check *invariant.Checker) Result {
+	account, found := s.Accounts[c.Workspace]
+	if !found || !s.Epochs[c.Epoch].Closed {
+		return Result{Code: CodeNotFound, Detail: "the workspace has no closed ledger epoch of that name"}
+	}
+	tokens := account.Release(c.Epoch)
+	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: tokens})
+}
+
+func (s *state) openEpoch(c OpenEpoch) Result {
+	_, found := s.Epochs[c.Epoch]
+	if found {
+		return Result{Code: CodeDone}
+	}
+	s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain}
+	return Result{Code: CodeDone}
+}
+
+func (s *state) closeEpoch(c CloseEpoch) Result {
+	epoch, found := s.Epochs[c.Epoch]
+	if !found {
+		return Result{Code: CodeNotFound, Detail: "no ledger epoch of that name"}
+	}
+	epoch.Closed = true
+	s.Epochs[c.Epoch] = epoch
+	for workspace, account := range s.Accounts {
+		_, granted := account.Grants[c.Epoch]
+		if granted {
+			account.Close(c.Epoch)
+			s.Accounts[workspace] = account
+		}
+	}
+	return Result{Code: CodeDone}
+}
+
+func (s *state) draw(c Draw, check *invariant.Checker) Result {
+	epoch, found := s.Epochs[c.Epoch]
+	if !found || epoch.Closed {
+		return Result{Code: CodeNotFound, Detail: "the ledger epoch is not open"}
+	}
+	account := s.Accounts[c.Workspace]
+	granted := account.Draw(c.Epoch, c.Known, c.Want)
+	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Granted: granted})
+}
+
+func (s *state) report(c Report, check *invariant.Checker) Result {
+	for workspace, counters := range c.Counters {
+		account, found := s.Accounts[workspace]
+		if !found && counters.Deposited == 0 {
+			continue
+		}
+		err := account.Report(c.Epoch, counters)
+		if err != nil {
+			_ = check.Check(false, invariant.WithinGrant, "workspace %s: %v", workspace, err)
+			continue
+		}
+		s.store(workspace, account, check, Result{})
+	}
+	return Result{Code: CodeDone}
+}
+
+func (s *state) claim(c Claim) Result {
+	id := c.Workspace + "/" + c.Key
+	held, found := s.Claims[id]
+	if found && !bytes.Equal(held.BodyHash, c.BodyHash) {
+		return Result{Code: CodeIDReused, Detail: "the key was used for another request"}
+	}
+	if found && !held.Abandoned && held.Holder != c.Holder {
+		return Result{Code: CodeHeld, Holder: held.Holder}
+	}
+	s.Claims[id] = claim{Holder: c.Holder, BodyHash: c.BodyHash}
+	return Result{Code: CodeDone, Holder: c.Holder}
+}
+
+func (s *state) abandonClaim(c AbandonClaim) Result {
+	id := c.Workspace + "/" + c.Key
+	held, found := s.Claims[id]
+	if !found || held.Holder != c.Holder {
+		return Result{Code: CodeNotFound}
+	}
+	held.Abandoned = true
+	s.Claims[id] = held
+	return Result{Code: CodeDone}
+}
+
+// store keeps an account that adds up and refuses one that does not.
+func (s *state) store(workspace string, account budget.Account, check *invariant.Checker, result Result) Result {
+	err := account.Check()
+	if err != nil {
+		_ = check.Check(false, invariant.DepositsSum, "workspace %s: %v", workspace, err)
+		return Result{Code: CodeInvalid, Detail: err.Error()}
+	}
+	s.Accounts[workspace] = account
+	return result
+}
+
+// fingerprint returns a hash of the command, so that an id that is used for
+// another body is noticed.
+func fingerprint(command Command) string {
+	data, err := encodeCommand(command)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,83 @@
+// Package invariant asserts in the running program what must always hold. A
+// broken one is counted and logged, the operation at hand is refused, and in
+// tests it is fatal.
+package invariant
+
+import (
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// Names of the invariants.
+const (
+	DepositsSum      = "deposits_equal_pool_plus_grants"
+	WithinGrant      = "reserved_and_billed_within_grant"
+	OneBill          = "one_bill_per_key"
+	BillInReserve    = "bill_within_reservation"
+	ChartTransition  = "transition_in_chart"
+	OneDispatch      = "non_repeatable_dispatched_once"
+	NotRunHonest     = "not_run_without_dispatch"
+	VersionMonotonic = "configuration_version_monotonic"
+	LeavingServer    = "no_dispatch_to_leaving_server"
+	AnswerMatches    = "answer_matches_attempt"
+)
+
+// ErrBroken reports an operation that was refused because an invariant did
+// not hold.
+var ErrBroken = errors.New("invariant broken")
+
+// Checker counts broken invariants; its zero value works.
+type Checker struct {
+	// Log receives each broken invariant; nil means none.
+	Log *log.Logger
+	// Scope counts them; nil means none.
+	Scope tally.Scope
+	// Fatal is called with each broken invariant; tests set it.
+	Fatal func(error)
+
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+// Check returns nil when holds, else an error that wraps ErrBroken. A nil
+// Checker only returns the error.
+func (c *Checker) Check(holds bool, name, format string, args ...any) error {
+	if holds {
+		return nil
+	}
+	detail := errors.Newf(format, args...)
+	err := errors.Newf("%s: %s: %w", name, detail.Error(), ErrBroken)
+	if c == nil {
+		return err
+	}
+	c.record(name, err)
+	return err
+}
+
+// Count returns how often the invariant called name was broken.
+func (c *Checker) Count(name string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[name]
+}
+
+func (c *Checker) record(name string, err error) {
+	c.mu.Lock()
+	if c.counts == nil {
+		c.counts = make(map[string]int64)
+	}
+	c.counts[name]++
+	c.mu.Unlock()
+	if c.Log != nil {
+		c.Log.Error("invariant broken", "invariant", name, "err", err)
+	}
+	if c.Scope != nil {
+		c.Scope.Tagged(map[string]string{"invariant": name}).Counter("invariant_broken").Inc(1)
+	}
+	if c.Fatal != nil {
+		c.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,210 @@
+// Package journal keeps checksummed records in an append-only file and syncs
+// many waiting appends with one sync (group commit).
+package journal
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+)
+
+const (
+	ringSlots     = 1024
+	maxBatchBytes = 4 << 20
+)
+
+// ErrFull reports that the ring of waiting appends is full.
+var ErrFull = errors.New("journal has too many waiting appends: retry later")
+
+// ErrClosed reports an append after Close or after a failed sync.
+var ErrClosed = errors.New("journal is closed")
+
+// Journal is one append-only file with a writer of its own.
+type Journal struct {
+	folder disk.Folder
+	name   string
+	ring   chan request
+	stop   chan struct{}
+	done   chan struct{}
+	once   sync.Once
+
+	mu     sync.Mutex
+	failed error
+	size   int64
+	syncs  uint64
+}
+
+type request struct {
+	payload []byte
+	result  chan error
+}
+
+// Open reads the file called name, cuts a torn tail and returns the journal
+// with the records that it holds.
+func Open(folder disk.Folder, name string) (*Journal, [][]byte, error) {
+	data, err := folder.ReadFile(name)
+	if err != nil && !errors.Is(err, disk.ErrNotExist) {
+		return nil, nil, errors.Newf("open journal %s: %w", name, err)
+	}
+	records, size, err := Decode(data)
+	if err != nil {
+		return nil, nil, errors.Newf("open journal %s: %w", name, err)
+	}
+	file, err := folder.Append(name)
+	if err != nil {
+		return nil, nil, errors.Newf("open journal %s: %w", name, err)
+	}
+	if size < int64(len(data)) {
+		err = file.Truncate(size)
+		if err != nil {
+			return nil, nil, errors.Newf("cut torn tail of %s: %w", name, err)
+		}
+	}
+	j := &Journal{
+		folder: folder,
+		name:   name,
+		ring:   make(chan request, ringSlots),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+		size:   size,
+	}
+	go j.run(file)
+	return j, records, nil
+}
+
+// Append queues a record; the channel answers once the record is synced.
+func (j *Journal) Append(payload []byte) <-chan error {
+	result := make(chan error, 1)
+	if len(payload) == 0 || len(payload) > MaxRecordBytes {
+		result <- ErrTooLarge
+		return result
+	}
+	err := j.failure()
+	if err != nil {
+		result <- err
+		return result
+	}
+	select {
+	case j.ring <- request{payload: payload, result: result}:
+	default:
+		result <- ErrFull
+	}
+	return result
+}
+
+// Size returns the size of the file in bytes.
+func (j *Journal) Size() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.size
+}
+
+// Syncs returns the number of syncs so far.
+func (j *Journal) Syncs() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.syncs
+}
+
+// Done is closed once the writer has ended.
+func (j *Journal) Done() <-chan struct{} {
+	return j.done
+}
+
+// Close ends the writer after the appends that wait already.
+func (j *Journal) Close() {
+	j.once.Do(func() { close(j.stop) })
+	<-j.done
+}
+
+func (j *Journal) failure() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed
+}
+
+func (j *Journal) fail(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failed == nil {
+		j.failed = err
+	}
+}
+
+// run writes batches until Close.
+func (j *Journal) run(file disk.File) {
+	defer close(j.done)
+	defer func() { _ = file.Close() }()
+	for {
+		select {
+		case first := <-j.ring:
+			j.commit(file, j.collect(first))
+		case <-j.stop:
+			j.fail(ErrClosed)
+			j.drain(file)
+			return
+		}
+	}
+}
+
+func (j *Journal) drain(file disk.File) {
+	for {
+		select {
+		case first := <-j.ring:
+			j.commit(file, j.collect(first))
+		default:
+			return
+		}
+	}
+}
+
+// collect takes the appends that wait behind first, up to a batch.
+func (j *Journal) collect(first request) []request {
+	batch := []request{first}
+	size := len(first.payload)
+	for size < maxBatchBytes {
+		select {
+		case next := <-j.ring:
+			batch = append(batch, next)
+			size += len(next.payload)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// commit writes and syncs a batch. After a failed write or sync the file's
+// content is unknown, so that the journal takes no further append.
+func (j *Journal) commit(file disk.File, batch []request) {
+	err := j.failure()
+	if err == nil || errors.Is(err, ErrClosed) {
+		err = j.write(file, batch)
+	}
+	for _, waiting := range batch {
+		waiting.result <- err
+	}
+}
+
+func (j *Journal) write(file disk.File, batch []request) error {
+	var buffer []byte
+	for _, waiting := range batch {
+		buffer = appendRecord(buffer, waiting.payload)
+	}
+	_, err := file.Write(buffer)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err != nil {
+		err = errors.Newf("write journal %s: %w", j.name, err)
+		j.fail(err)
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.size += int64(len(buffer))
+	j.syncs++
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/draw.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/group"
+)
+
+// draw asks the group for enough tokens to reserve needed. One draw of a
+// workspace runs at a time; the others wait for it.
+func (l *Ledger) draw(ctx context.Context, workspace string, needed int64) error {
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	slot := l.drawSlot(workspace)
+	select {
+	case slot <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Newf("wait for another draw: %w", ctx.Err())
+	}
+	defer func() { <-slot }()
+	err := l.register(ctx)
+	if err != nil {
+		return err
+	}
+	escrow := l.Escrow(workspace)
+	if escrow.Available() >= needed {
+		return nil
+	}
+	result, err := group.Propose(ctx, l.options.Group, group.Draw{
+		Epoch:     l.Epoch(),
+		Workspace: workspace,
+		Known:     escrow.Granted,
+		Want:      budget.DrawSize(needed, escrow),
+	})
+	if err != nil {
+		return errors.Newf("draw: %w", err)
+	}
+	if result.Code != group.CodeDone {
+		return errors.Newf("draw: %s: %s", result.Code, result.Detail)
+	}
+	return l.install(workspace, result.Granted)
+}
+
+// install journals a grant without waiting for the sync: a grant that is
+// forgotten by a crash is learnt again from the group.
+func (l *Ledger) install(workspace string, total int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if total <= l.state.account(workspace).Granted {
+		return nil
+	}
+	l.commit(granted{Workspace: workspace, Granted: total})
+	return nil
+}
+
+func (l *Ledger) drawSlot(workspace string) chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slot := l.draws[workspace]
+	if slot == nil {
+		slot = make(chan struct{}, 1)
+		l.draws[workspace] = slot
+	}
+	return slot
+}
+
+// register makes the epoch known to the group.
+func (l *Ledger) register(ctx context.Context) error {
+	l.mu.Lock()
+	registered := l.registered
+	epoch := l.state.epoch
+	l.mu.Unlock()
+	if registered {
+		return nil
+	}
+	_, err := group.Propose(ctx, l.options.Group, group.OpenEpoch{
+		Epoch:         epoch,
+		Instance:      l.options.Instance,
+		FailureDomain: l.options.FailureDomain,
+	})
+	if err != nil {
+		return errors.Newf("open ledger epoch: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.registered = true
+	return nil
+}
+
+// run reports the counters to the group at an interval.
+func (l *Ledger) run(ctx context.Context) {
+	defer close(l.done)
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	sent := make(map[string]budget.Counters)
+	for {
+		err := l.report(ctx, sent)
+		if err != nil && ctx.Err() == nil {
+			l.options.Log.Debug("report to the control group failed; retrying", "err", err)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// report sends the counters that differ from those in sent.
+func (l *Ledger) report(ctx context.Context, sent map[string]budget.Counters) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := l.register(ctx)
+	if err != nil {
+		return err
+	}
+	changed := l.changedCounters(sent)
+	if len(changed) == 0 {
+		return nil
+	}
+	_, err = group.Propose(ctx, l.options.Group, group.Report{Epoch: l.Epoch(), Counters: changed})
+	if err != nil {
+		return errors.Newf("report counters: %w", err)
+	}
+	for workspace, counters := range changed {
+		sent[workspace] = counters
+	}
+	return nil
+}
+
+func (l *Ledger) changedCounters(sent map[string]budget.Counters) map[string]budget.Counters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := make(map[string]budget.Counters)
+	for workspace, account := range l.state.accounts {
+		counters := account.Counters()
+		if sent[workspace] != counters {
+			changed[workspace] = counters
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,278 @@
+// Package operator serves operators over HTTP at a control instance.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/quorum"
+)
+
+const (
+	maxPatchBytes = 4 << 20
+	bearerPrefix  = "Bearer "
+)
+
+// Key is a named operator's key, kept as its hash.
+type Key struct {
+	Name string
+	Hash string
+}
+
+// Server serves operators. Its fields are set before Handler is called.
+type Server struct {
+	Instance string
+	Keys     []Key
+	Group    *group.Group
+	Log      group.Log
+	Quorum   *quorum.Node
+	Ledger   *ledger.Ledger
+	Logger   *log.Logger
+}
+
+type problem struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Version uint64 `json:"version,omitempty"`
+}
+
+type patchBody struct {
+	ID      string          `json:"id"`
+	Against *uint64         `json:"against"`
+	Patch   json.RawMessage `json:"patch"`
+}
+
+type depositBody struct {
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Tokens    int64  `json:"tokens"`
+}
+
+type releaseBody struct {
+	ID        string `json:"id"`
+	Epoch     string `json:"epoch"`
+	Workspace string `json:"workspace"`
+}
+
+type versionBody struct {
+	Version  uint64          `json:"version"`
+	Document json.RawMessage `json:"configuration"`
+}
+
+type budgetBody struct {
+	Workspace string                  `json:"workspace"`
+	Deposited int64                   `json:"deposited"`
+	Pool      int64                   `json:"pool"`
+	Billed    int64                   `json:"billed"`
+	InDoubt   int64                   `json:"in_doubt"`
+	Grants    map[string]budget.Grant `json:"grants,omitempty"`
+}
+
+type statusBody struct {
+	Instance string                 `json:"instance"`
+	Member   quorum.Status          `json:"member"`
+	Version  uint64                 `json:"configuration_version"`
+	Ledger   string                 `json:"ledger_epoch"`
+	Epochs   map[string]group.Epoch `json:"ledger_epochs"`
+}
+
+// operatorKey finds the operator's name in a request's context.
+type operatorKey struct{}
+
+func operatorName(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
+// Handler returns the operators' HTTP API.
+func (s *Server) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Group(func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Get("/v1/status", s.serveStatus)
+		r.Get("/v1/configuration", s.serveConfiguration)
+		r.Patch("/v1/configuration", s.servePatch)
+		r.Get("/v1/workspaces/{workspace}/budget", s.serveBudget)
+		r.Post("/v1/deposits", s.serveDeposit)
+		r.Post("/v1/releases", s.serveRelease)
+	})
+	return router
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, found := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		name := ""
+		if found {
+			name = s.nameOf(key)
+		}
+		if name == "" {
+			write(w, http.StatusUnauthorized, problem{Code: "unauthorized", Message: "the operator's key is missing or unknown"})
+			return
+		}
+		ctx := context.WithValue(r.Context(), operatorKey{}, name)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func (s *Server) nameOf(key string) string {
+	hash := []byte(config.HashKey(key))
+	name := ""
+	for _, candidate := range s.Keys {
+		if subtle.ConstantTimeCompare(hash, []byte(candidate.Hash)) == 1 {
+			name = candidate.Name
+		}
+	}
+	return name
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	version, _ := s.Group.Current()
+	write(w, http.StatusOK, statusBody{
+		Instance: s.Instance,
+		Member:   s.Quorum.Status(),
+		Version:  version.Number,
+		Ledger:   s.Ledger.Epoch(),
+		Epochs:   s.Group.Epochs(),
+	})
+}
+
+func (s *Server) serveConfiguration(w http.ResponseWriter, r *http.Request) {
+	version, _ := s.Group.Current()
+	text := r.URL.Query().Get("version")
+	if text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		found := err == nil
+		if found {
+			version, found = s.Group.VersionNumber(number)
+		}
+		if !found {
+			write(w, http.StatusNotFound, problem{Code: "not_found", Message: "no such version"})
+			return
+		}
+	}
+	write(w, http.StatusOK, versionBody{Version: version.Number, Document: version.Document})
+}
+
+func (s *Server) servePatch(w http.ResponseWriter, r *http.Request) {
+	var body patchBody
+	if !read(w, r, &body) {
+		return
+	}
+	if body.ID == "" || body.Against == nil || len(body.Patch) == 0 {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "id, against and patch are required"})
+		return
+	}
+	s.propose(w, r, group.PatchConfiguration{
+		ID:       body.ID,
+		Against:  *body.Against,
+		Patch:    body.Patch,
+		Operator: operatorName(r.Context()),
+	})
+}
+
+func (s *Server) serveBudget(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "workspace")
+	account, found := s.Group.Account(name)
+	if !found {
+		write(w, http.StatusNotFound, problem{Code: "not_found", Message: "the workspace has no deposits"})
+		return
+	}
+	write(w, http.StatusOK, budgetBody{
+		Workspace: name,
+		Deposited: account.Deposited,
+		Pool:      account.Pool,
+		Billed:    account.Billed(),
+		InDoubt:   account.InDoubt(),
+		Grants:    account.Grants,
+	})
+}
+
+func (s *Server) serveDeposit(w http.ResponseWriter, r *http.Request) {
+	var body depositBody
+	if !read(w, r, &body) {
+		return
+	}
+	if body.ID == "" || body.Workspace == "" {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "id and workspace are required"})
+		return
+	}
+	s.propose(w, r, group.Deposit{ID: body.ID, Workspace: body.Workspace, Tokens: body.Tokens})
+}
+
+func (s *Server) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var body releaseBody
+	if !read(w, r, &body) {
+		return
+	}
+	if body.ID == "" || body.Workspace == "" || body.Epoch == "" {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "id, epoch and workspace are required"})
+		return
+	}
+	s.propose(w, r, group.ReleaseInDoubt{ID: body.ID, Epoch: body.Epoch, Workspace: body.Workspace})
+}
+
+// propose commits the command and answers with its result.
+func (s *Server) propose(w http.ResponseWriter, r *http.Request, command group.Command) {
+	result, err := group.Propose(r.Context(), s.Log, command)
+	if err != nil {
+		s.Logger.Warn("operator's command was not committed", "err", err)
+		w.Header().Set("Retry-After", "1")
+		write(w, http.StatusServiceUnavailable, problem{Code: "unavailable", Message: "the control group did not answer: send the same id again"})
+		return
+	}
+	status := statusOf(result.Code)
+	if status != http.StatusOK {
+		write(w, status, problem{Code: string(result.Code), Message: result.Detail, Version: result.Version})
+		return
+	}
+	write(w, status, result)
+}
+
+func statusOf(code group.Code) int {
+	switch code {
+	case group.CodeDone:
+		return http.StatusOK
+	case group.CodeConflict, group.CodeHeld:
+		return http.StatusConflict
+	case group.CodeNotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
+
+func read(w http.ResponseWriter, r *http.Request, target any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPatchBytes))
+	if err == nil {
+		err = json.Unmarshal(data, target)
+	}
+	if err != nil {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "the body is not valid: " + err.Error()})
+		return false
+	}
+	return true
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"code":"internal"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/process/control.go
@@ -0,0 +1,257 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/operator"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/quorum"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	initialPatchID  = "initial"
+	initialRetry    = 200 * time.Millisecond
+	initialTimeout  = time.Second
+	controlShutdown = 10 * time.Second
+)
+
+// Environment is what a process stands on; tests put stand-ins in its place.
+type Environment struct {
+	Network   transport.Network
+	Folder    disk.Folder
+	Telemetry *observe.Telemetry
+	// Check asserts the invariants.
+	Check *invariant.Checker
+}
+
+// Control is a running control instance.
+type Control struct {
+	Group    *group.Group
+	Quorum   *quorum.Node
+	Ledger   *ledger.Ledger
+	settings *settings.Settings
+	log      group.Log
+
+	parts parts
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// StartControl opens the durable state of a control instance and serves it.
+func StartControl(s *settings.Settings, environment Environment) (*Control, error) {
+	container := dig.New()
+	c := &Control{settings: s, done: make(chan struct{})}
+	err := provideAll(container,
+		func() *settings.Settings { return s },
+		func() Environment { return environment },
+		func() *invariant.Checker { return environment.Check },
+		newPeerSecret,
+		newPeerClient,
+		group.New,
+		c.openQuorum,
+		func(node *quorum.Node) group.Log { return node },
+		c.openLedger,
+		newOperatorServer,
+	)
+	if err != nil {
+		return nil, errors.Newf("wire control: %w", err)
+	}
+	err = container.Invoke(c.serve)
+	if err != nil {
+		c.parts.close()
+		return nil, errors.Newf("start control: %w", dig.RootCause(err))
+	}
+	return c, nil
+}
+
+func provideAll(container *dig.Container, constructors ...any) error {
+	for _, constructor := range constructors {
+		err := container.Provide(constructor)
+		if err != nil {
+			return errors.Newf("provide part: %w", err)
+		}
+	}
+	return nil
+}
+
+func newPeerSecret(s *settings.Settings) (peer.Secret, error) {
+	value, err := s.PeerSecret.Read()
+	if err != nil {
+		return "", errors.Newf("read peer secret: %w", err)
+	}
+	return peer.Secret(value), nil
+}
+
+func newPeerClient(environment Environment, secret peer.Secret) *peer.Client {
+	return &peer.Client{HTTP: transport.Client(environment.Network), Secret: secret}
+}
+
+func (c *Control) openQuorum(s *settings.Settings, environment Environment, machine *group.Group, client *peer.Client) (*quorum.Node, error) {
+	members := make([]quorum.Member, 0, len(s.Controls))
+	for _, control := range s.Controls {
+		members = append(members, quorum.Member{ID: control.InstanceID, Address: control.PeerAddress})
+	}
+	node, err := quorum.Open(quorum.Options{
+		ID:      s.InstanceID,
+		Members: members,
+		Folder:  environment.Folder,
+		Machine: machine,
+		Client:  client,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.parts.add(node.Close)
+	return node, nil
+}
+
+func (c *Control) openLedger(s *settings.Settings, environment Environment, log group.Log) (*ledger.Ledger, error) {
+	opened, err := ledger.Open(ledger.Options{
+		Instance:      s.InstanceID,
+		FailureDomain: s.FailureDomain,
+		Folder:        environment.Folder,
+		Group:         log,
+		Log:           environment.Telemetry.Log,
+		Check:         environment.Check,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.parts.add(opened.Close)
+	return opened, nil
+}
+
+func newOperatorServer(s *settings.Settings, environment Environment, g *group.Group, log group.Log, node *quorum.Node, l *ledger.Ledger) (*operator.Server, error) {
+	server := &operator.Server{
+		Instance: s.InstanceID,
+		Group:    g,
+		Log:      log,
+		Quorum:   node,
+		Ledger:   l,
+		Logger:   environment.Telemetry.Log,
+	}
+	for _, key := range s.Operators {
+		value, err := key.Key.Read()
+		if err != nil {
+			return nil, errors.Newf("operator %s: %w", key.Name, err)
+		}
+		server.Keys = append(server.Keys, operator.Key{Name: key.Name, Hash: config.HashKey(value)})
+	}
+	return server, nil
+}
+
+// serve opens the listeners and starts the first proposals of a new site.
+func (c *Control) serve(environment Environment, secret peer.Secret, g *group.Group, log group.Log, node *quorum.Node, l *ledger.Ledger, operators *operator.Server) error {
+	c.Group = g
+	c.Quorum = node
+	c.Ledger = l
+	c.log = log
+	mux := http.NewServeMux()
+	node.Handle(mux, secret)
+	g.Handle(mux, secret, log)
+	l.Handle(mux, secret)
+	err := c.listen(environment, c.settings.PeerAddress, mux)
+	if err != nil {
+		return err
+	}
+	err = c.listen(environment, c.settings.OperatorAddress, operators.Handler())
+	if err != nil {
+		return err
+	}
+	if c.settings.StatusAddress != "" {
+		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return true }))
+		if err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	go c.run(ctx, environment)
+	environment.Telemetry.Log.Info("control instance serves", "peer_address", c.settings.PeerAddress, "operator_address", c.settings.OperatorAddress)
+	return nil
+}
+
+func (c *Control) listen(environment Environment, address string, handler http.Handler) error {
+	l, err := listen(environment.Network, address, handler)
+	if err != nil {
+		return err
+	}
+	c.parts.add(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), controlShutdown)
+		defer cancel()
+		l.shutdown(ctx)
+	})
+	return nil
+}
+
+// run proposes the first configuration and deposits until they are committed.
+func (c *Control) run(ctx context.Context, environment Environment) {
+	defer close(c.done)
+	commands, err := c.initialCommands()
+	if err != nil {
+		environment.Telemetry.Log.Error("the first configuration cannot be read", "err", err)
+		return
+	}
+	for _, command := range commands {
+		c.proposeUntilDone(ctx, environment, command)
+	}
+}
+
+func (c *Control) initialCommands() ([]group.Command, error) {
+	var commands []group.Command
+	if c.settings.Configuration != "" {
+		patch, err := os.ReadFile(c.settings.Configuration)
+		if err != nil {
+			return nil, errors.Newf("read first configuration: %w", err)
+		}
+		commands = append(commands, group.PatchConfiguration{ID: initialPatchID, Patch: patch})
+	}
+	for _, deposit := range c.settings.Deposits {
+		commands = append(commands, group.Deposit{ID: deposit.ID, Workspace: deposit.Workspace, Tokens: deposit.Tokens})
+	}
+	return commands, nil
+}
+
+func (c *Control) proposeUntilDone(ctx context.Context, environment Environment, command group.Command) {
+	for ctx.Err() == nil {
+		result, err := c.propose(ctx, command)
+		if err == nil {
+			if result.Code == group.CodeInvalid {
+				environment.Telemetry.Log.Error("the first configuration was refused", "detail", result.Detail)
+			}
+			return
+		}
+		environment.Telemetry.Log.Debug("first proposal was not committed; retrying", "err", err)
+		select {
+		case <-time.After(initialRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Control) propose(ctx context.Context, command group.Command) (group.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, initialTimeout)
+	defer cancel()
+	return group.Propose(ctx, c.log, command)
+}
+
+// Close ends the instance after the calls in progress.
+func (c *Control) Close() {
+	c.stop()
+	<-c.done
+	c.parts.close()
+}
--- /dev/null
+++ b/internal/process/entry.go
@@ -0,0 +1,139 @@
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+
+	"github.com/cactusbay/cactusbay/internal/backend"
+	"github.com/cactusbay/cactusbay/internal/caller"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// Entry is a running entry instance.
+type Entry struct {
+	Server  *caller.Server
+	Watcher *group.Watcher
+
+	settings  *settings.Settings
+	telemetry Environment
+	callers   *listener
+	parts     parts
+}
+
+// StartEntry starts to serve callers.
+func StartEntry(s *settings.Settings, environment Environment) (*Entry, error) {
+	container := dig.New()
+	e := &Entry{settings: s, telemetry: environment}
+	err := provideAll(container,
+		func() *settings.Settings { return s },
+		func() Environment { return environment },
+		newPeerSecret,
+		newPeerClient,
+		e.startWatcher,
+		newClaimer,
+		newLedgerClient,
+		newBackendClient,
+		func() *backend.Pool { return &backend.Pool{} },
+		newCallerServer,
+	)
+	if err != nil {
+		return nil, errors.Newf("wire entry: %w", err)
+	}
+	err = container.Invoke(e.serve)
+	if err != nil {
+		e.parts.close()
+		return nil, errors.Newf("start entry: %w", dig.RootCause(err))
+	}
+	return e, nil
+}
+
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client) *group.Watcher {
+	watcher := &group.Watcher{
+		Addresses: s.NearestControls(),
+		Client:    client,
+		Log:       environment.Telemetry.Log,
+		Check:     environment.Check,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+	return watcher
+}
+
+func newClaimer(s *settings.Settings, client *peer.Client) *group.Claimer {
+	return &group.Claimer{Addresses: s.NearestControls(), Client: client}
+}
+
+func newLedgerClient(s *settings.Settings, client *peer.Client) *ledger.Client {
+	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
+}
+
+func newBackendClient(environment Environment) *backend.Client {
+	return &backend.Client{HTTP: transport.Client(environment.Network)}
+}
+
+func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
+	return &caller.Server{
+		Instance:      s.InstanceID + "/" + rand.Text(),
+		FailureDomain: s.FailureDomain,
+		Watcher:       watcher,
+		Claimer:       claimer,
+		Ledger:        ledgers,
+		Backend:       client,
+		Pool:          pool,
+		Log:           environment.Telemetry.Log,
+		Scope:         environment.Telemetry.Scope,
+		Tracer:        environment.Telemetry.Tracer,
+		Check:         environment.Check,
+	}
+}
+
+func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
+	e.Server = server
+	e.Watcher = watcher
+	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
+	if err != nil {
+		return err
+	}
+	e.callers = callers
+	e.parts.add(callers.close)
+	if e.settings.StatusAddress != "" {
+		ready := func() bool { return watcher.Active().Document != nil }
+		status, err := listen(e.telemetry.Network, e.settings.StatusAddress, statusHandler(e.telemetry.Telemetry, ready))
+		if err != nil {
+			return err
+		}
+		e.parts.add(status.close)
+	}
+	e.telemetry.Telemetry.Log.Info("entry instance serves", "caller_address", callers.address())
+	return nil
+}
+
+// Address returns the callers' address.
+func (e *Entry) Address() string {
+	return e.callers.address()
+}
+
+// Shutdown ends readiness, serves on while the balancer lags, then waits for
+// the requests in progress until ctx ends.
+func (e *Entry) Shutdown(ctx context.Context) {
+	e.Server.Drain()
+	select {
+	case <-time.After(e.settings.Shutdown.Lag.Or(0)):
+	case <-ctx.Done():
+	}
+	e.callers.shutdown(ctx)
+	e.parts.close()
+}
+
+// Close ends the instance at once.
+func (e *Entry) Close() {
+	e.parts.close()
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"fmt"
+
+	"github.com/cactusbay/cactusbay/internal/check"
+)
+
+func (s *Settings) validate(faults *check.Faults) {
+	required("instance_id", s.InstanceID, "a name of its own for the instance", faults)
+	required("failure_domain", s.FailureDomain, "the failure domain's name", faults)
+	switch s.Role {
+	case RoleEntry:
+		checkAddress("caller_address", s.CallerAddress, faults)
+	case RoleControl:
+		checkAddress("peer_address", s.PeerAddress, faults)
+		checkAddress("operator_address", s.OperatorAddress, faults)
+		required("data_folder", s.DataFolder, "the folder for durable state", faults)
+	default:
+		faults.Add("role", `must be "entry" or "control"`)
+	}
+	s.validateControls(faults)
+	s.validateOperators(faults)
+	s.validateDeposits(faults)
+	s.validateAddresses(faults)
+	if s.PeerSecret != nil {
+		s.PeerSecret.validate("peer_secret", faults)
+	}
+	oneOf("log.level", s.Log.Level, faults, "debug", "info", "warn", "error")
+	oneOf("log.format", s.Log.Format, faults, "text", "json")
+	if s.Trace.OTLPAddress != "" {
+		checkAddress("trace.otlp_address", s.Trace.OTLPAddress, faults)
+	}
+	faults.Positive("shutdown.limit", s.Shutdown.Limit)
+	faults.Positive("shutdown.lag", s.Shutdown.Lag)
+}
+
+func (s *Settings) validateControls(faults *check.Faults) {
+	if len(s.Controls) == 0 {
+		faults.Add("controls", "is missing: list the control instances")
+	}
+	ids := make(map[string]string)
+	addresses := make(map[string]string)
+	for i, control := range s.Controls {
+		path := fmt.Sprintf("controls[%d]", i)
+		required(path+".instance_id", control.InstanceID, "the control instance's id", faults)
+		required(path+".failure_domain", control.FailureDomain, "the failure domain's name", faults)
+		checkAddress(path+".peer_address", control.PeerAddress, faults)
+		unique(path+".instance_id", control.InstanceID, ids, faults)
+		unique(path+".peer_address", control.PeerAddress, addresses, faults)
+	}
+	_, listed := ids[s.InstanceID]
+	if s.Role == RoleEntry && listed {
+		faults.Add("instance_id", "is also the id of a control instance: choose another")
+	}
+}
+
+func (s *Settings) validateOperators(faults *check.Faults) {
+	names := make(map[string]string)
+	for i, operator := range s.Operators {
+		path := fmt.Sprintf("operators[%d]", i)
+		required(path+".name", operator.Name, "the operator's name", faults)
+		unique(path+".name", operator.Name, names, faults)
+		operator.Key.validate(path+".key", faults)
+	}
+}
+
+func (s *Settings) validateDeposits(faults *check.Faults) {
+	ids := make(map[string]string)
+	for i, deposit := range s.Deposits {
+		path := fmt.Sprintf("deposits[%d]", i)
+		required(path+".id", deposit.ID, "an id that makes a resend harmless", faults)
+		required(path+".workspace", deposit.Workspace, "the workspace's name", faults)
+		unique(path+".id", deposit.ID, ids, faults)
+		if deposit.Tokens <= 0 {
+			faults.Add(path+".tokens", "must be above zero")
+		}
+	}
+}
+
+// validateAddresses reports listeners of the process that share an address.
+func (s *Settings) validateAddresses(faults *check.Faults) {
+	used := make(map[string]string)
+	unique("caller_address", s.CallerAddress, used, faults)
+	unique("operator_address", s.OperatorAddress, used, faults)
+	unique("peer_address", s.PeerAddress, used, faults)
+	unique("status_address", s.StatusAddress, used, faults)
+	if s.StatusAddress != "" {
+		checkAddress("status_address", s.StatusAddress, faults)
+	}
+}
+
+func (s *Secret) validate(path string, faults *check.Faults) {
+	if (s.File == "") == (s.Environment == "") {
+		faults.Add(path, `must name either a "file" or an "environment" variable that holds the secret`)
+	}
+}
+
+func required(path, value, what string, faults *check.Faults) {
+	if value == "" {
+		faults.Add(path, "is missing: write %s", what)
+	}
+}
+
+func unique(path, value string, seen map[string]string, faults *check.Faults) {
+	if value == "" {
+		return
+	}
+	other, taken := seen[value]
+	if taken {
+		faults.Add(path, "is the same as %s: choose another", other)
+		return
+	}
+	seen[value] = path
+}
+
+func oneOf(path, value string, faults *check.Faults, allowed ...string) {
+	if value == "" {
+		return
+	}
+	for _, one := range allowed {
+		if value == one {
+			return
+		}
+	}
+	faults.Add(path, "must be one of %q", allowed)
+}
--- /dev/null
+++ b/test/site_test.go
@@ -0,0 +1,253 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	siteKey       = "caller-key"
+	siteWorkspace = "north"
+	callTimeout   = 30 * time.Second
+)
+
+// site is a whole fleet in one process over a network and disks in memory. It
+// lives inside a synctest bubble.
+type site struct {
+	t        *testing.T
+	network  *fake.Network
+	domains  []string
+	controls map[string]*process.Control
+	entries  map[string]*process.Entry
+	disks    map[string]*fake.Disk
+	engines  map[string]*fake.Engine
+	services map[string]*fake.Service
+	fakes    []*process.Fake
+	settings map[string]*settings.Settings
+	check    *invariant.Checker
+}
+
+// newSite starts a control instance, an entry, an engine and a service in each
+// failure domain, with tokens deposited.
+func newSite(t *testing.T, tokens int64, domains ...string) *site {
+	s := &site{
+		t:        t,
+		network:  &fake.Network{},
+		domains:  domains,
+		controls: make(map[string]*process.Control),
+		entries:  make(map[string]*process.Entry),
+		disks:    make(map[string]*fake.Disk),
+		engines:  make(map[string]*fake.Engine),
+		services: make(map[string]*fake.Service),
+		settings: make(map[string]*settings.Settings),
+	}
+	s.check = &invariant.Checker{Fatal: func(err error) { t.Errorf("%v", err) }}
+	s.writeSettings(tokens)
+	for i, domain := range domains {
+		s.startFakes(i, domain)
+		s.disks["control-"+domain] = &fake.Disk{}
+	}
+	for _, domain := range domains {
+		s.startControl(domain)
+	}
+	for _, domain := range domains {
+		s.startEntry(domain)
+		<-s.entries[domain].Watcher.Ready()
+	}
+	return s
+}
+
+func address(host, port int) string {
+	return fmt.Sprintf("10.0.0.%d:%d", host+1, port)
+}
+
+func (s *site) writeSettings(tokens int64) {
+	document, err := json.Marshal(s.document())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.t.TempDir(), "configuration.json")
+	err = os.WriteFile(path, document, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var controls []settings.Control
+	for i, domain := range s.domains {
+		controls = append(controls, settings.Control{InstanceID: "control-" + domain, FailureDomain: domain, PeerAddress: address(i, 9000)})
+	}
+	for i, domain := range s.domains {
+		s.settings["control-"+domain] = &settings.Settings{
+			InstanceID:      "control-" + domain,
+			Role:            settings.RoleControl,
+			FailureDomain:   domain,
+			PeerAddress:     address(i, 9000),
+			OperatorAddress: address(i, 9001),
+			DataFolder:      "memory",
+			Controls:        controls,
+			Configuration:   path,
+			Deposits:        []settings.Deposit{{ID: "first", Workspace: siteWorkspace, Tokens: tokens}},
+		}
+		s.settings["entry-"+domain] = &settings.Settings{
+			InstanceID:    "entry-" + domain,
+			Role:          settings.RoleEntry,
+			FailureDomain: domain,
+			CallerAddress: address(i, 8080),
+			Controls:      controls,
+		}
+	}
+}
+
+func (s *site) document() config.Document {
+	once := false
+	document := config.Document{
+		Workspaces: map[string]config.Workspace{
+			siteWorkspace: {KeyHashes: []string{config.HashKey(siteKey)}, Works: []string{"chat", "records", "orders"}},
+		},
+		BackendServers: make(map[string]config.BackendServer),
+		Routes: map[string]config.Route{
+			"demo":    {Work: "chat"},
+			"records": {Work: "records"},
+			"orders":  {Work: "orders"},
+		},
+	}
+	var engines, services []string
+	for i, domain := range s.domains {
+		engine := "engine-" + domain
+		service := "service-" + domain
+		document.BackendServers[engine] = config.BackendServer{Address: address(i, 7000), FailureDomain: domain, Kind: config.KindModel}
+		document.BackendServers[service] = config.BackendServer{Address: address(i, 7001), FailureDomain: domain, Kind: config.KindService}
+		engines = append(engines, engine)
+		services = append(services, service)
+	}
+	document.Works = map[string]config.Work{
+		"chat":    {Kind: config.KindModel, Model: "demo", BackendServers: engines},
+		"records": {Kind: config.KindService, BackendServers: services, CallTokens: 10},
+		"orders":  {Kind: config.KindService, BackendServers: services, CallTokens: 10, Repeatable: &once},
+	}
+	return document
+}
+
+func (s *site) startFakes(i int, domain string) {
+	engine := &fake.Engine{}
+	service := &fake.Service{}
+	s.engines[domain] = engine
+	s.services[domain] = service
+	for port, handler := range map[int]http.Handler{7000: engine.Handler(), 7001: service.Handler()} {
+		started, err := process.StartFake(s.network.Host("backend-"+domain), address(i, port), handler)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.fakes = append(s.fakes, started)
+	}
+}
+
+func (s *site) environment(name string) process.Environment {
+	return process.Environment{
+		Network:   s.network.Host(name),
+		Folder:    s.disks[name],
+		Telemetry: observe.Discard(),
+		Check:     s.check,
+	}
+}
+
+func (s *site) startControl(domain string) {
+	name := "control-" + domain
+	control, err := process.StartControl(s.settings[name], s.environment(name))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.controls[domain] = control
+}
+
+func (s *site) startEntry(domain string) {
+	name := "entry-" + domain
+	entry, err := process.StartEntry(s.settings[name], s.environment(name))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.entries[domain] = entry
+}
+
+// close ends every process, so that no goroutine of the bubble is left.
+func (s *site) close() {
+	for _, entry := range s.entries {
+		entry.Close()
+	}
+	for _, control := range s.controls {
+		control.Close()
+	}
+	for _, started := range s.fakes {
+		started.Close()
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (a answer) code() string {
+	var body struct {
+		Error struct {
+			Code   string `json:"code"`
+			NotRun bool   `json:"not_run"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(a.body), &body)
+	return body.Error.Code
+}
+
+// call sends a caller's request to the entry of a failure domain.
+func (s *site) call(domain, path, key, body string) answer {
+	client := transport.Client(s.network.Host("caller"))
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.settings["entry-"+domain].CallerAddress+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+siteKey)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func (s *site) chat(domain, key string, maxTokens int) answer {
+	body := fmt.Sprintf(`{"model":"demo","messages":[{"role":"user","content":"hello"}],"max_tokens":%d}`, maxTokens)
+	return s.call(domain, "/v1/chat/completions", key, body)
+}
+
+// committed proposes a command at the control instance of a failure domain.
+func (s *site) committed(domain string, command group.Command) (group.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return group.Propose(ctx, s.controls[domain].Quorum, command)
+}
