Stand-ins: a killed process loses its network and its disk for good

Cause: a process that a test killed went on in memory and could still settle over the network or replace a file. Change: views of Network and Disk that die with the process. Not yet used by a test.

--- a/internal/fake/disk.go
+++ b/internal/fake/disk.go
@@ -63,6 +63,57 @@
 	d.failing = failing
 }
 
+// Mount is one process's view of a Disk, dead once the disk crashed or was
+// erased. It implements disk.Folder.
+type Mount struct {
+	*Disk
+	generation int
+}
+
+// Mount returns a view for a new process.
+func (d *Disk) Mount() *Mount {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &Mount{Disk: d, generation: d.generation}
+}
+
+// alive returns ErrDisk after a crash.
+func (m *Mount) alive() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.generation != m.Disk.generation {
+		return ErrDisk
+	}
+	return nil
+}
+
+// Append implements disk.Folder.
+func (m *Mount) Append(name string) (disk.File, error) {
+	err := m.alive()
+	if err != nil {
+		return nil, err
+	}
+	return m.Disk.Append(name)
+}
+
+// WriteFile implements disk.Folder.
+func (m *Mount) WriteFile(name string, data []byte) error {
+	err := m.alive()
+	if err != nil {
+		return err
+	}
+	return m.Disk.WriteFile(name, data)
+}
+
+// Remove implements disk.Folder.
+func (m *Mount) Remove(name string) error {
+	err := m.alive()
+	if err != nil {
+		return err
+	}
+	return m.Disk.Remove(name)
+}
+
 // ReadFile implements disk.Folder.
 func (d *Disk) ReadFile(name string) ([]byte, error) {
 	d.mu.Lock()
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -25,6 +25,8 @@
 	changed chan struct{}
 	conns   map[*conn]struct{}
 	delay   time.Duration
+	// kills counts how often each host was killed.
+	kills map[string]int
 }
 
 // link is a direction between two hosts.
@@ -33,15 +35,30 @@
 	to   string
 }
 
-// Host is one instance's view of a Network. It implements transport.Network.
+// Host is one process's view of a Network, dead once its host was killed. It
+// implements transport.Network.
 type Host struct {
 	network *Network
 	name    string
+	kills   int
 }
 
-// Host returns the view of the instance called name.
+// Host returns a view for a new process of the instance called name.
 func (n *Network) Host(name string) *Host {
-	return &Host{network: n, name: name}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &Host{network: n, name: name, kills: n.kills[name]}
+}
+
+// ErrKilled reports a use of the network by a process that was killed.
+var ErrKilled = errors.New("the process was killed")
+
+// alive returns ErrKilled after the process was killed; the caller holds mu.
+func (h *Host) alive() error {
+	if h.network.kills[h.name] != h.kills {
+		return ErrKilled
+	}
+	return nil
 }
 
 // SetDelay sets the time that every write takes.
@@ -62,9 +79,14 @@
 	n.set(link{from: from, to: to}, false)
 }
 
-// Kill closes the listeners and connections of a host at once.
+// Kill ends a host's process at once: its listeners and connections close, and
+// its view of the network is dead.
 func (n *Network) Kill(name string) {
 	n.mu.Lock()
+	if n.kills == nil {
+		n.kills = make(map[string]int)
+	}
+	n.kills[name]++
 	var doomed []*conn
 	for c := range n.conns {
 		if c.link.from == name || c.link.to == name {
@@ -119,6 +141,10 @@
 	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	err := h.alive()
+	if err != nil {
+		return nil, errors.Newf("listen on %s: %w", address, err)
+	}
 	if n.listeners == nil {
 		n.listeners = make(map[string]*listener)
 	}
@@ -143,11 +169,15 @@
 	n := h.network
 	n.mu.Lock()
 	l := n.listeners[address]
+	err := h.alive()
 	n.mu.Unlock()
+	if err != nil {
+		return nil, errors.Newf("dial %s: %w", address, err)
+	}
 	if l == nil {
 		return nil, errors.Newf("dial %s: %w", address, ErrRefused)
 	}
-	err := n.waitPath(ctx, link{from: h.name, to: l.host})
+	err = n.waitPath(ctx, link{from: h.name, to: l.host})
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", address, err)
 	}
