--- a/Makefile
+++ b/Makefile
@@ -14,5 +14,11 @@
 fmt:
 	gofmt -w .
 
+# soak runs random faults: make soak SEED=7 MINUTES=5
+SEED ?= 1
+MINUTES ?= 1
+soak:
+	go test -count=1 -timeout 0 -run '^TestSoak$$' ./test -args -soak.seed=$(SEED) -soak.minutes=$(MINUTES)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/ledger/bills.go
@@ -0,0 +1,23 @@
+package ledger
+
+// Bill is a settled request.
+type Bill struct {
+	Workspace string
+	Key       string
+	Attempt   string
+	Tokens    int64
+}
+
+// Bills returns the bills that the ledger holds, in no order.
+func (l *Ledger) Bills() []Bill {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var bills []Bill
+	for id, held := range l.state.records {
+		if held.state != stateSettled {
+			continue
+		}
+		bills = append(bills, Bill{Workspace: id.workspace, Key: id.key, Attempt: held.reserve.Attempt, Tokens: held.billed})
+	}
+	return bills
+}
--- a/test/site_test.go
+++ b/test/site_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,6 +42,10 @@
 	fakes    []*process.Fake
 	settings map[string]*settings.Settings
 	check    *invariant.Checker
+	// runs counts the marked requests at all backend servers.
+	runs *counter
+	// lock guards controls and entries in tests that restart them.
+	lock sync.Mutex
 }
 
 // newSite starts a control instance, an entry, an engine and a service in each
@@ -56,6 +61,7 @@
 		engines:  make(map[string]*fake.Engine),
 		services: make(map[string]*fake.Service),
 		settings: make(map[string]*settings.Settings),
+		runs:     &counter{},
 	}
 	s.check = &invariant.Checker{Fatal: func(err error) { t.Errorf("%v", err) }}
 	s.writeSettings(tokens)
@@ -149,7 +155,7 @@
 	s.engines[domain] = engine
 	s.services[domain] = service
 	for port, handler := range map[int]http.Handler{7000: engine.Handler(), 7001: service.Handler()} {
-		started, err := process.StartFake(s.network.Host("backend-"+domain), address(i, port), handler)
+		started, err := process.StartFake(s.network.Host("backend-"+domain), address(i, port), s.runs.wrap(handler))
 		if err != nil {
 			s.t.Fatal(err)
 		}
@@ -158,12 +164,16 @@
 }
 
 func (s *site) environment(name string) process.Environment {
-	return process.Environment{
+	environment := process.Environment{
 		Network:   s.network.Host(name),
-		Folder:    s.disks[name],
 		Telemetry: observe.Discard(),
 		Check:     s.check,
 	}
+	disk := s.disks[name]
+	if disk != nil {
+		environment.Folder = disk.Mount()
+	}
+	return environment
 }
 
 func (s *site) startControl(domain string) {
@@ -172,6 +182,8 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	s.controls[domain] = control
 }
 
@@ -181,9 +193,56 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	s.entries[domain] = entry
 }
 
+// killEntry ends an entry as SIGKILL does.
+func (s *site) killEntry(domain string) {
+	s.network.Kill("entry-" + domain)
+	s.entries[domain].Close()
+}
+
+// killControl ends a control instance as SIGKILL does; keep bytes of what was
+// not synced survive on its disk.
+func (s *site) killControl(domain string, keep int) {
+	name := "control-" + domain
+	s.network.Kill(name)
+	s.disks[name].Crash(keep)
+	s.controls[domain].Close()
+}
+
+// hosts returns the instances of a failure domain.
+func hosts(domain string) []string {
+	return []string{"control-" + domain, "entry-" + domain, "backend-" + domain}
+}
+
+// eachLink calls set for every link between a failure domain and the others.
+func (s *site) eachLink(domain string, set func(from, to string)) {
+	for _, other := range s.domains {
+		if other == domain {
+			continue
+		}
+		for _, near := range hosts(domain) {
+			for _, far := range hosts(other) {
+				set(near, far)
+				set(far, near)
+			}
+		}
+	}
+}
+
+// cutDomain cuts a failure domain off from the others.
+func (s *site) cutDomain(domain string) {
+	s.eachLink(domain, s.network.Cut)
+}
+
+// healDomain ends the cut of a failure domain.
+func (s *site) healDomain(domain string) {
+	s.eachLink(domain, s.network.Heal)
+}
+
 // close ends every process, so that no goroutine of the bubble is left.
 func (s *site) close() {
 	for _, entry := range s.entries {
@@ -208,14 +267,24 @@
 func (a answer) code() string {
 	var body struct {
 		Error struct {
-			Code   string `json:"code"`
-			NotRun bool   `json:"not_run"`
+			Code string `json:"code"`
 		} `json:"error"`
 	}
 	_ = json.Unmarshal([]byte(a.body), &body)
 	return body.Error.Code
 }
 
+// notRun tells whether the answer claims that the request did not run.
+func (a answer) notRun() bool {
+	var body struct {
+		Error struct {
+			NotRun bool `json:"not_run"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(a.body), &body)
+	return body.Error.NotRun
+}
+
 // call sends a caller's request to the entry of a failure domain.
 func (s *site) call(domain, path, key, body string) answer {
 	client := transport.Client(s.network.Host("caller"))
