--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 SEED ?= 1
 MINUTES ?= 1
 soak:
-	go test -count=1 -timeout 0 -run '^TestSoak$$' ./test -args -soak.seed=$(SEED) -soak.minutes=$(MINUTES)
+	go test -v -count=1 -timeout 0 -run '^TestSoak$$' ./test -args -soak.seed=$(SEED) -soak.minutes=$(MINUTES)
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestParse prints every fault of the settings in testdata/parse.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(_ *testing.T, d *datadriven.TestData) string {
+		_, err := Parse([]byte(d.Input))
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		return "ok\n"
+	})
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, pattern := range []string{"entry-*.json", "control-*.json"} {
+		paths, err := filepath.Glob("../../examples/*/" + pattern)
+		if err != nil || len(paths) == 0 {
+			t.Fatalf("no examples match %s: %v", pattern, err)
+		}
+		for _, path := range paths {
+			_, err := Load(path)
+			if err != nil {
+				t.Errorf("%v", err)
+			}
+		}
+	}
+}
+
+func TestSecretIsReadFromTheEnvironment(t *testing.T) {
+	t.Setenv("CACTUSBAY_TEST_SECRET", "value")
+	got, err := (&Secret{Environment: "CACTUSBAY_TEST_SECRET"}).Read()
+	if err != nil || got != "value" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	_, err = (&Secret{Environment: "CACTUSBAY_TEST_MISSING"}).Read()
+	if err == nil {
+		t.Error("a missing secret was read")
+	}
+}
