Settings: report one fault a field

Cause: a field of a wrong type was reported twice, and a document that is not JSON listed every required field as missing. The first fault of a field counts.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -26,11 +26,25 @@
 	List []Fault
 }
 
-// Add records a problem of the field at path.
+// Add records a problem of the field at path. Only the first problem of a
+// field counts: the later ones mostly follow from it.
 func (f *Faults) Add(path, format string, args ...any) {
+	if f.Has(path) {
+		return
+	}
 	f.List = append(f.List, Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
 }
 
+// Has tells whether the field at path has a problem; "." is the whole document.
+func (f *Faults) Has(path string) bool {
+	for _, fault := range f.List {
+		if fault.Path == path {
+			return true
+		}
+	}
+	return false
+}
+
 // Err returns nil when there are no faults, else an *Error.
 func (f *Faults) Err() error {
 	if len(f.List) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,7 +118,9 @@
 	faults := &check.Faults{}
 	s := &Settings{}
 	check.Decode(data, s, faults)
-	s.validate(faults)
+	if !faults.Has(".") {
+		s.validate(faults)
+	}
 	err := faults.Err()
 	if err != nil {
 		return nil, err
