--- /dev/null
+++ b/test/live/live_test.go
@@ -0,0 +1,145 @@
+// Package live holds scenario tests with real processes on loopback.
+package live
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// others returns the failure domains but one.
+func others(domain string) []string {
+	var rest []string
+	for _, other := range domains {
+		if other != domain {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
+
+func TestEveryEntryServesAndBillsOnce(t *testing.T) {
+	s := newSite(t)
+	for _, domain := range domains {
+		got := s.retry(chatPath, "key-"+domain, chatBody(4, false), domain)
+		if !strings.Contains(got.body, "t3 ") {
+			t.Errorf("domain %s: %+v", domain, got)
+		}
+		again := s.retry(chatPath, "key-"+domain, chatBody(4, false), domain)
+		if again.body != got.body {
+			t.Errorf("a retry got another answer: %s and %s", got.body, again.body)
+		}
+	}
+	s.eventually("three bills of 5 tokens", func() bool { return s.billed("a") == 15 })
+}
+
+func TestKilledEntryLosesNoRequest(t *testing.T) {
+	s := newSite(t)
+	done := make(chan answer, 1)
+	go func() { done <- s.call("a", chatPath, "report", chatBody(100, true)) }()
+	time.Sleep(500 * time.Millisecond)
+	s.kill("entry-a")
+	first := <-done
+	if first.whole() && strings.Contains(first.body, "[DONE]") {
+		t.Fatalf("the stream ended before the kill: %+v", first)
+	}
+	got := s.retry(chatPath, "report", chatBody(100, true), "b", "c")
+	if !strings.Contains(got.body, "t99 ") || !strings.Contains(got.body, "[DONE]") {
+		t.Errorf("the retry's answer is not whole: %+v", got)
+	}
+	s.eventually("one bill of 101 tokens", func() bool { return s.billed("b") == 101 })
+}
+
+func TestOrderRunsOnceThroughKilledEntry(t *testing.T) {
+	s := newSite(t)
+	first := s.retry("/services/orders/new", "order", "door 7", "a")
+	s.kill("entry-a")
+	second := s.retry("/services/orders/new", "order", "door 7", "b")
+	if first.body != second.body {
+		t.Errorf("the order ran again: %s and %s", first.body, second.body)
+	}
+}
+
+func TestKilledLeaderIsReplaced(t *testing.T) {
+	s := newSite(t)
+	leader := s.leader()
+	s.kill("control-" + leader)
+	rest := others(leader)
+	s.retry(chatPath, "after-kill", chatBody(4, false), rest...)
+	s.patchUntilAccepted(rest[0], "after-kill")
+	s.start("control-" + leader)
+	s.eventually("the restarted instance has the version", func() bool { return s.version(leader) >= 2 })
+	s.retry("/services/orders/new", "after-restart", "x", leader)
+}
+
+func TestFrozenLeaderIsReplacedAndAnswersNothingStale(t *testing.T) {
+	s := newSite(t)
+	leader := s.leader()
+	s.signal("control-"+leader, syscall.SIGSTOP)
+	rest := others(leader)
+	s.patchUntilAccepted(rest[0], "while-frozen")
+	s.retry(chatPath, "while-frozen", chatBody(4, false), rest...)
+	s.signal("control-"+leader, syscall.SIGCONT)
+	s.eventually("the thawed instance has the version", func() bool { return s.version(leader) >= 2 })
+}
+
+func TestOnlyOneOfTwoRacingPatchesWins(t *testing.T) {
+	s := newSite(t)
+	codes := make(chan int, 2)
+	for i, domain := range []string{"a", "b"} {
+		go func() {
+			var result map[string]any
+			code, _ := s.operate(domain, http.MethodPatch, "/v1/configuration", patch([]string{"left", "right"}[i], 1, 10+i), &result)
+			codes <- code
+		}()
+	}
+	got := map[int]int{<-codes: 1}
+	got[<-codes]++
+	if got[http.StatusOK] != 1 || got[http.StatusConflict] != 1 {
+		t.Errorf("status codes %v, want one 200 and one 409", got)
+	}
+}
+
+func TestGracefulRestartCutsNoStream(t *testing.T) {
+	s := newSite(t)
+	done := make(chan answer, 1)
+	go func() { done <- s.call("a", chatPath, "long", chatBody(100, true)) }()
+	time.Sleep(500 * time.Millisecond)
+	s.signal("entry-a", syscall.SIGTERM)
+	got := <-done
+	if !got.whole() || !strings.Contains(got.body, "[DONE]") {
+		t.Errorf("the stream was cut: %+v", got)
+	}
+	s.wait("entry-a")
+}
+
+func patch(id string, against uint64, concurrency int) map[string]any {
+	servers := map[string]any{"engine-a": map[string]any{"concurrency": concurrency}}
+	return map[string]any{"id": id, "against": against, "patch": map[string]any{"backend_servers": servers}}
+}
+
+// patchUntilAccepted sends one patch under one id until it is answered.
+func (s *site) patchUntilAccepted(domain, id string) {
+	s.t.Helper()
+	s.eventually("the patch is accepted", func() bool {
+		var result map[string]any
+		code, err := s.operate(domain, http.MethodPatch, "/v1/configuration", patch(id, 1, 9), &result)
+		return err == nil && code == http.StatusOK
+	})
+}
+
+// version returns the configuration version that a control instance has.
+func (s *site) version(domain string) uint64 {
+	var configuration struct {
+		Version uint64 `json:"version"`
+	}
+	_, err := s.operate(domain, http.MethodGet, "/v1/configuration", nil, &configuration)
+	if err != nil {
+		return 0
+	}
+	return configuration.Version
+}
--- /dev/null
+++ b/test/live/site_test.go
@@ -0,0 +1,356 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+)
+
+const (
+	callerKey   = "caller-key"
+	operatorKey = "operator-key"
+	workspace   = "north"
+	deposited   = 1_000_000
+	waitLimit   = 30 * time.Second
+	callLimit   = 20 * time.Second
+	pause       = 50 * time.Millisecond
+)
+
+var domains = []string{"a", "b", "c"}
+
+// program is the built binary.
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "cactusbay-live-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "cactusbay")
+	build := exec.Command("go", "build", "-o", program, "../..")
+	build.Stderr = os.Stderr
+	err = build.Run()
+	code := 1
+	if err == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// site is a fleet of real processes on loopback.
+type site struct {
+	t         *testing.T
+	folder    string
+	addresses map[string]string
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+}
+
+// newSite starts a control instance, an entry, an engine and a service in each
+// failure domain and waits until every entry is ready.
+func newSite(t *testing.T) *site {
+	s := &site{t: t, folder: t.TempDir(), processes: make(map[string]*exec.Cmd)}
+	t.Cleanup(s.stop)
+	s.chooseAddresses()
+	s.writeSettings()
+	for _, domain := range domains {
+		s.start("engine-" + domain)
+		s.start("service-" + domain)
+		s.start("control-" + domain)
+		s.start("entry-" + domain)
+	}
+	for _, domain := range domains {
+		s.waitReady("entry-" + domain)
+	}
+	return s
+}
+
+// chooseAddresses finds free ports by holding them all open at once.
+func (s *site) chooseAddresses() {
+	s.addresses = make(map[string]string)
+	var held []net.Listener
+	for _, domain := range domains {
+		for _, use := range []string{"engine-", "service-", "peer-", "operator-", "caller-"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			held = append(held, listener)
+			s.addresses[use+domain] = listener.Addr().String()
+		}
+	}
+	for _, listener := range held {
+		_ = listener.Close()
+	}
+}
+
+func (s *site) write(name string, content any) {
+	data, err := json.MarshalIndent(content, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(s.folder, name), data, 0o600)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) writeSettings() {
+	err := os.WriteFile(filepath.Join(s.folder, "operator.key"), []byte(operatorKey), 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.write("configuration.json", s.document())
+	var controls []map[string]any
+	for _, domain := range domains {
+		controls = append(controls, map[string]any{"instance_id": "control-" + domain, "failure_domain": domain, "peer_address": s.addresses["peer-"+domain]})
+	}
+	for _, domain := range domains {
+		s.write("control-"+domain+".json", map[string]any{
+			"instance_id": "control-" + domain, "role": "control", "failure_domain": domain,
+			"peer_address": s.addresses["peer-"+domain], "operator_address": s.addresses["operator-"+domain],
+			"data_folder": "data-" + domain, "controls": controls, "configuration": "configuration.json",
+			"operators": []map[string]any{{"name": "test", "key": map[string]any{"file": "operator.key"}}},
+			"deposits":  []map[string]any{{"id": "first", "workspace": workspace, "tokens": deposited}},
+		})
+		s.write("entry-"+domain+".json", map[string]any{
+			"instance_id": "entry-" + domain, "role": "entry", "failure_domain": domain,
+			"caller_address": s.addresses["caller-"+domain], "controls": controls,
+		})
+		s.write("engine-"+domain+".json", map[string]any{"instance_id": "engine-" + domain, "failure_domain": domain, "address": s.addresses["engine-"+domain], "step_time": "20ms"})
+		s.write("service-"+domain+".json", map[string]any{"instance_id": "service-" + domain, "failure_domain": domain, "address": s.addresses["service-"+domain]})
+	}
+}
+
+func (s *site) document() config.Document {
+	once := false
+	document := config.Document{
+		Workspaces:     map[string]config.Workspace{workspace: {KeyHashes: []string{config.HashKey(callerKey)}, Works: []string{"chat", "orders"}}},
+		BackendServers: make(map[string]config.BackendServer),
+		Routes:         map[string]config.Route{"demo": {Work: "chat"}, "orders": {Work: "orders"}},
+	}
+	var engines, services []string
+	for _, domain := range domains {
+		document.BackendServers["engine-"+domain] = config.BackendServer{Address: s.addresses["engine-"+domain], FailureDomain: domain, Kind: config.KindModel}
+		document.BackendServers["service-"+domain] = config.BackendServer{Address: s.addresses["service-"+domain], FailureDomain: domain, Kind: config.KindService}
+		engines = append(engines, "engine-"+domain)
+		services = append(services, "service-"+domain)
+	}
+	document.Works = map[string]config.Work{
+		"chat":   {Kind: config.KindModel, Model: "demo", BackendServers: engines},
+		"orders": {Kind: config.KindService, BackendServers: services, CallTokens: 10, Repeatable: &once},
+	}
+	return document
+}
+
+// start runs the process called name; its kind is the part before the dash.
+func (s *site) start(name string) {
+	kind, _, _ := strings.Cut(name, "-")
+	arguments := []string{kind}
+	if kind == "engine" || kind == "service" {
+		arguments = []string{"fake", kind}
+	}
+	arguments = append(arguments, "--settings", filepath.Join(s.folder, name+".json"))
+	log, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	command := exec.Command(program, arguments...)
+	command.Stdout = log
+	command.Stderr = log
+	err = command.Start()
+	_ = log.Close()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name] = command
+}
+
+// signal sends a signal to a process of this site.
+func (s *site) signal(name string, number syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.processes[name].Process.Signal(number)
+	if err != nil {
+		s.t.Errorf("signal %s: %v", name, err)
+	}
+}
+
+// kill ends a process at once and waits for its end.
+func (s *site) kill(name string) {
+	s.signal(name, syscall.SIGKILL)
+	s.wait(name)
+}
+
+// wait waits for the end of a process.
+func (s *site) wait(name string) {
+	s.mu.Lock()
+	command := s.processes[name]
+	delete(s.processes, name)
+	s.mu.Unlock()
+	_ = command.Wait()
+}
+
+// stop ends every process that still runs and shows the logs of a failed test.
+func (s *site) stop() {
+	s.mu.Lock()
+	running := s.processes
+	s.processes = nil
+	s.mu.Unlock()
+	for _, command := range running {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}
+	if s.t.Failed() {
+		s.showLogs()
+	}
+}
+
+func (s *site) showLogs() {
+	paths, _ := filepath.Glob(filepath.Join(s.folder, "*.log"))
+	for _, path := range paths {
+		data, _ := os.ReadFile(path)
+		s.t.Logf("%s:\n%s", filepath.Base(path), data)
+	}
+}
+
+// eventually polls until done or fails the test at the limit.
+func (s *site) eventually(what string, done func() bool) {
+	s.t.Helper()
+	end := time.Now().Add(waitLimit)
+	for time.Now().Before(end) {
+		if done() {
+			return
+		}
+		time.Sleep(pause)
+	}
+	s.t.Fatalf("not within %s: %s", waitLimit, what)
+}
+
+func (s *site) waitReady(entry string) {
+	s.t.Helper()
+	_, domain, _ := strings.Cut(entry, "-")
+	s.eventually(entry+" is ready", func() bool {
+		response, err := http.Get("http://" + s.addresses["caller-"+domain] + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (a answer) whole() bool {
+	return a.err == nil && a.status == http.StatusOK
+}
+
+func (s *site) call(domain, path, key, body string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addresses["caller-"+domain]+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(data), err: err}
+}
+
+func chatBody(tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"demo","stream":%t,"messages":[{"role":"user","content":"hello"}],"max_tokens":%d}`, stream, tokens)
+}
+
+// retry repeats a call through the failure domains in turn until its answer is
+// whole.
+func (s *site) retry(path, key, body string, through ...string) answer {
+	s.t.Helper()
+	var got answer
+	turn := 0
+	s.eventually("a whole answer to "+key, func() bool {
+		got = s.call(through[turn%len(through)], path, key, body)
+		turn++
+		return got.whole()
+	})
+	return got
+}
+
+// operate calls the operators' API of a control instance.
+func (s *site) operate(domain, method, path string, body, target any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.addresses["operator-"+domain]+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode, json.NewDecoder(response.Body).Decode(target)
+}
+
+// billed returns the workspace's billed tokens that a control instance knows.
+func (s *site) billed(domain string) int64 {
+	var budget struct {
+		Billed int64 `json:"billed"`
+	}
+	_, err := s.operate(domain, http.MethodGet, "/v1/workspaces/"+workspace+"/budget", nil, &budget)
+	if err != nil {
+		return -1
+	}
+	return budget.Billed
+}
+
+// leader returns the failure domain of the leading control instance, or "".
+func (s *site) leader() string {
+	for _, domain := range domains {
+		var status struct {
+			Member struct {
+				Leader string `json:"leader"`
+			} `json:"member"`
+		}
+		_, err := s.operate(domain, http.MethodGet, "/v1/status", nil, &status)
+		_, name, found := strings.Cut(status.Member.Leader, "-")
+		if err == nil && found {
+			return name
+		}
+	}
+	return ""
+}
