Replicate the group log by majority

Cause: the log stood on one voter; a follower never applied, so that a site of three control instances served its entries no configuration.

A new group begins only once its first members have named their folders to each other, so that an empty folder under a known id never votes. TestPathServesAndBills runs over three failure domains again.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -23,6 +23,10 @@
 	VersionMonotonic = "configuration_version_monotonic"
 	LeavingServer    = "no_dispatch_to_leaving_server"
 	AnswerMatches    = "answer_matches_attempt"
+	OneLeader        = "one_leader_per_term"
+	CommittedStable  = "committed_entries_never_change"
+	AppliedMonotonic = "applied_index_monotonic"
+	OneEntryPerIndex = "one_entry_per_index_and_term"
 )
 
 // ErrBroken reports an operation that was refused because an invariant did
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -22,6 +22,12 @@
 // ErrTooLarge reports a payload above MaxRecordBytes.
 var ErrTooLarge = errors.New("journal record is too large")
 
+// AppendRecord appends the framed payload to buffer. The payload must be
+// within MaxRecordBytes.
+func AppendRecord(buffer, payload []byte) []byte {
+	return appendRecord(buffer, payload)
+}
+
 // appendRecord appends the framed payload: length, checksum, payload.
 func appendRecord(buffer, payload []byte) []byte {
 	var header [headerBytes]byte
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -111,6 +111,7 @@
 		Folder:  environment.Folder,
 		Machine: machine,
 		Client:  client,
+		Check:   environment.Check,
 	})
 	if err != nil {
 		return nil, err
@@ -253,5 +254,6 @@
 func (c *Control) Close() {
 	c.stop()
 	<-c.done
+	c.Quorum.HandOver()
 	c.parts.close()
 }
--- /dev/null
+++ b/internal/quorum/append.go
@@ -0,0 +1,139 @@
+package quorum
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+func (n *Node) serveAppend(_ context.Context, request *appendRequest) (*appendResponse, error) {
+	n.mu.Lock()
+	err := n.acceptLeader(request.Learner)
+	if err != nil {
+		n.mu.Unlock()
+		return nil, err
+	}
+	response, err := n.answerAppend(request)
+	if err != nil {
+		n.mu.Unlock()
+		return nil, errors.Newf("append: %w", err)
+	}
+	err = n.unlockDurably()
+	if err != nil {
+		return nil, err
+	}
+	return &response, nil
+}
+
+// acceptLeader refuses a leader's message unless the folder belongs to the
+// group. An empty folder is let in only as a learner.
+func (n *Node) acceptLeader(learner bool) error {
+	if n.failed != nil {
+		return n.failed
+	}
+	if !n.identity.Admitted && !learner {
+		return errNotAdmitted
+	}
+	return nil
+}
+
+func (n *Node) answerAppend(request *appendRequest) (appendResponse, error) {
+	n.observe(request.Term)
+	if request.Term < n.term {
+		return appendResponse{Term: n.term, Last: n.log.last()}, nil
+	}
+	err := n.follow(request.Leader)
+	if err != nil {
+		return appendResponse{}, err
+	}
+	if !n.identity.Admitted {
+		n.admit(nil)
+	}
+	last, agrees := n.agreement(request)
+	if !agrees {
+		return appendResponse{Term: n.term, Last: last}, nil
+	}
+	err = n.merge(request)
+	if err != nil {
+		return appendResponse{}, err
+	}
+	newest := request.PreviousIndex + uint64(len(request.Entries))
+	n.commitUpTo(min(request.Commit, newest))
+	return appendResponse{Term: n.term, Accepted: true}, nil
+}
+
+// agreement tells whether the logs agree up to the entry before the request's,
+// and else up to which index they may.
+func (n *Node) agreement(request *appendRequest) (last uint64, agrees bool) {
+	if request.PreviousIndex > n.log.last() {
+		return n.log.last(), false
+	}
+	if request.PreviousIndex <= n.commit {
+		return n.commit, true
+	}
+	term, _ := n.log.term(request.PreviousIndex)
+	if term == request.PreviousTerm {
+		return request.PreviousIndex, true
+	}
+	return n.startOfTerm(request.PreviousIndex), false
+}
+
+// startOfTerm returns the index before the first entry of the term at index,
+// but none that is committed.
+func (n *Node) startOfTerm(index uint64) uint64 {
+	term, _ := n.log.term(index)
+	for index > n.commit && n.log.at(index).Term == term {
+		index--
+	}
+	return index
+}
+
+// merge appends what is new and drops entries that conflict with it.
+func (n *Node) merge(request *appendRequest) error {
+	for i, e := range request.Entries {
+		if e.Index != request.PreviousIndex+uint64(i)+1 {
+			return errors.Newf("entry %d out of order: %w", e.Index, peer.ErrInvalid)
+		}
+		if e.Index <= n.log.base {
+			continue
+		}
+		term, found := n.log.term(e.Index)
+		if !found {
+			return n.store(request.Entries[i:])
+		}
+		if term == e.Term {
+			err := n.check(n.log.at(e.Index).equal(e), invariant.OneEntryPerIndex, "two entries at index %d in term %d", e.Index, e.Term)
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		err := n.check(e.Index > n.commit, invariant.CommittedStable, "index %d of term %d is committed, %s sends term %d", e.Index, term, request.Leader, e.Term)
+		if err != nil {
+			return err
+		}
+		return n.store(request.Entries[i:])
+	}
+	return nil
+}
+
+// store puts entries into the log and queues them for the disk.
+func (n *Node) store(entries []entry) error {
+	for _, e := range entries {
+		n.log.put(e)
+	}
+	n.save(entries)
+	n.refreshConfiguration()
+	return n.failed
+}
+
+func (n *Node) commitUpTo(index uint64) {
+	if index <= n.commit {
+		return
+	}
+	n.commit = index
+	n.applier.signal()
+}
--- /dev/null
+++ b/internal/quorum/cluster_test.go
@@ -0,0 +1,270 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// listMachine keeps every command that was applied.
+type listMachine struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (m *listMachine) Apply(command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = append(m.commands, string(command))
+	return []byte(fmt.Sprint(len(m.commands)))
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return peer.Encode(m.commands)
+}
+
+func (m *listMachine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = nil
+	return peer.Decode(data, &m.commands)
+}
+
+func (m *listMachine) list() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.commands)
+}
+
+// instance is one running member.
+type instance struct {
+	node    *Node
+	machine *listMachine
+	server  *http.Server
+	client  *http.Client
+}
+
+// cluster is a group in memory. It lives inside a synctest bubble.
+type cluster struct {
+	t         *testing.T
+	network   *fake.Network
+	check     *invariant.Checker
+	first     []Member
+	disks     map[string]*fake.Disk
+	instances map[string]*instance
+	snapshots int
+}
+
+func memberOf(id string) Member {
+	return Member{ID: id, Address: "10.0.0." + id + ":9000"}
+}
+
+// newCluster starts a group of the members "1" to size.
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{
+		t:         t,
+		network:   &fake.Network{},
+		disks:     make(map[string]*fake.Disk),
+		instances: make(map[string]*instance),
+		snapshots: 20,
+	}
+	c.check = &invariant.Checker{Fatal: func(err error) { t.Errorf("%v", err) }}
+	for i := range size {
+		c.first = append(c.first, memberOf(fmt.Sprint(i+1)))
+	}
+	for _, member := range c.first {
+		c.start(member.ID)
+	}
+	return c
+}
+
+func (c *cluster) open(id string) (*instance, error) {
+	if c.disks[id] == nil {
+		c.disks[id] = &fake.Disk{}
+	}
+	i := &instance{machine: &listMachine{}, client: transport.Client(c.network.Host(id))}
+	node, err := Open(Options{
+		ID:              id,
+		Members:         c.first,
+		Folder:          c.disks[id],
+		Machine:         i.machine,
+		Client:          &peer.Client{HTTP: i.client},
+		Check:           c.check,
+		SnapshotEntries: c.snapshots,
+	})
+	i.node = node
+	return i, err
+}
+
+func (c *cluster) start(id string) {
+	i, err := c.open(id)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	i.node.Handle(mux, "")
+	socket, err := c.network.Host(id).Listen(memberOf(id).Address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	i.server = &http.Server{Handler: mux}
+	go func() { _ = i.server.Serve(socket) }()
+	c.instances[id] = i
+}
+
+// kill ends a member at once; its disk keeps only the first keep bytes of what
+// was not synced.
+func (c *cluster) kill(id string, keep int) {
+	i := c.instances[id]
+	if i == nil {
+		return
+	}
+	delete(c.instances, id)
+	c.disks[id].Crash(keep)
+	c.network.Kill(id)
+	_ = i.server.Close()
+	i.node.end()
+	i.client.CloseIdleConnections()
+}
+
+func (c *cluster) close() {
+	for _, id := range c.ids() {
+		c.kill(id, 0)
+	}
+}
+
+func (c *cluster) ids() []string {
+	var ids []string
+	for id := range c.instances {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// isolate cuts a member off from all others, or ends that.
+func (c *cluster) isolate(id string, cut bool) {
+	for other := range c.disks {
+		if other != id {
+			c.cut(id, other, cut)
+			c.cut(other, id, cut)
+		}
+	}
+}
+
+func (c *cluster) cut(from, to string, cut bool) {
+	if cut {
+		c.network.Cut(from, to)
+	} else {
+		c.network.Heal(from, to)
+	}
+}
+
+func (c *cluster) propose(id, command string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := c.instances[id].node.Propose(ctx, []byte(command))
+	return err
+}
+
+func (c *cluster) mustPropose(id, command string) {
+	c.t.Helper()
+	err := c.propose(id, command)
+	if err != nil {
+		c.t.Fatalf("propose %s at %s: %v", command, id, err)
+	}
+}
+
+func (c *cluster) barrier(id string) error {
+	return c.instances[id].node.Barrier(context.Background())
+}
+
+// leader waits until all running members but those left out agree on a leader.
+func (c *cluster) leader(without ...string) string {
+	c.t.Helper()
+	for range 300 {
+		leaders := make(map[string]bool)
+		for id, i := range c.instances {
+			if !slices.Contains(without, id) {
+				leaders[i.node.Status().Leader] = true
+			}
+		}
+		for leader := range leaders {
+			if len(leaders) == 1 && leader != "" && !slices.Contains(without, leader) {
+				return leader
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatal("no leader within 30s")
+	return ""
+}
+
+// follower returns a running member that does not lead.
+func (c *cluster) follower() string {
+	leader := c.leader()
+	for _, id := range c.ids() {
+		if id != leader {
+			return id
+		}
+	}
+	c.t.Fatal("no follower runs")
+	return ""
+}
+
+// awaitVoter waits until id counts as repaired.
+func (c *cluster) awaitVoter(id string) {
+	c.t.Helper()
+	for range 300 {
+		for _, member := range c.instances[id].node.Status().Members {
+			if member.ID == id && !member.Learner {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("member %s is no voter within 30s", id)
+}
+
+// settle checks that every running member applies the same commands, each
+// accepted one exactly once.
+func (c *cluster) settle(accepted []string) {
+	c.t.Helper()
+	var want []string
+	for _, id := range c.ids() {
+		err := c.barrier(id)
+		if err != nil {
+			c.t.Fatalf("barrier at %s: %v", id, err)
+		}
+		got := c.instances[id].machine.list()
+		if want == nil {
+			want = got
+		}
+		if !slices.Equal(got, want) {
+			c.t.Fatalf("member %s applied %v, others %v", id, got, want)
+		}
+	}
+	counts := make(map[string]int)
+	for _, command := range want {
+		counts[command]++
+		if counts[command] > 1 {
+			c.t.Fatalf("command %s applied twice", command)
+		}
+	}
+	for _, command := range accepted {
+		if counts[command] != 1 {
+			c.t.Fatalf("accepted command %s applied %d times", command, counts[command])
+		}
+	}
+}
--- /dev/null
+++ b/internal/quorum/election.go
@@ -0,0 +1,260 @@
+package quorum
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/statechart"
+)
+
+const (
+	voteProcedure = "/quorum/vote"
+	voteTimeout   = 500 * time.Millisecond
+)
+
+type voteRequest struct {
+	Term      uint64 `cbor:"1,keyasint"`
+	Candidate string `cbor:"2,keyasint"`
+	LastIndex uint64 `cbor:"3,keyasint"`
+	LastTerm  uint64 `cbor:"4,keyasint"`
+	// Pre asks whether a vote in Term would be given; it changes nothing.
+	Pre bool `cbor:"5,keyasint,omitempty"`
+	// Transfer marks an election that the leader itself asked for.
+	Transfer bool `cbor:"6,keyasint,omitempty"`
+}
+
+type voteResponse struct {
+	Term    uint64 `cbor:"1,keyasint"`
+	Granted bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// elector starts an election when no leader is heard, and ends a leadership
+// that has lost its quorum.
+type elector struct {
+	node     *Node
+	deadline time.Time
+}
+
+func newElector(n *Node) *elector {
+	e := &elector{node: n}
+	if len(n.configuration.voters()) == 1 && n.configuration.isVoter(n.options.ID) {
+		e.deadline = time.Now()
+		return e
+	}
+	e.postpone()
+	return e
+}
+
+// postpone sets the next deadline, at random so that votes do not split.
+func (e *elector) postpone() {
+	span := maxElectionTimeout - minElectionTimeout
+	e.deadline = time.Now().Add(minElectionTimeout + rand.N(span))
+}
+
+func (e *elector) run() {
+	for {
+		timer := time.NewTimer(e.expire())
+		select {
+		case <-timer.C:
+		case <-e.node.stop:
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// expire acts on a deadline that has passed and returns the time to the next.
+func (e *elector) expire() time.Duration {
+	n := e.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.saveCommit()
+	left := time.Until(e.deadline)
+	if left > 0 {
+		return left
+	}
+	e.postpone()
+	switch {
+	case n.takesPart() != nil:
+	case n.role == roleLeader:
+		e.keepLeading()
+	case n.configuration.isVoter(n.options.ID):
+		n.startBallot(eventElectionTimeout)
+	}
+	return time.Until(e.deadline)
+}
+
+// keepLeading steps down without a quorum.
+func (e *elector) keepLeading() {
+	n := e.node
+	if !n.hasQuorum() {
+		n.resign("", eventStepDown)
+	}
+}
+
+// saveCommit saves a commit index that no later entry has carried to the disk,
+// so that a member that restarts alone applies it.
+func (n *Node) saveCommit() {
+	if n.takesPart() == nil && n.commit > n.commitSaved {
+		n.save(nil)
+	}
+}
+
+// ballot is one election, or the question beforehand whether it could be won.
+type ballot struct {
+	node    *Node
+	request voteRequest
+	voters  []Member
+	needed  int
+}
+
+// startBallot asks the other voters; a pre-vote comes first unless the leader
+// has asked for the election.
+func (n *Node) startBallot(event statechart.Event) {
+	if event != eventTransfer {
+		n.leader = ""
+	}
+	if !n.move(event) {
+		return
+	}
+	n.openBallot(voteRequest{Term: n.term + 1, Pre: n.role == rolePreCandidate, Transfer: event == eventTransfer})
+}
+
+func (n *Node) openBallot(request voteRequest) {
+	if !request.Pre {
+		n.term++
+		n.vote = n.options.ID
+		n.leader = ""
+		n.save(nil)
+	}
+	request.Candidate = n.options.ID
+	request.LastIndex = n.log.last()
+	request.LastTerm = n.log.lastTerm()
+	n.ballot = &ballot{node: n, request: request, voters: n.configuration.voters(), needed: n.configuration.majority()}
+	n.elector.postpone()
+	n.workers.Go(n.ballot.run)
+}
+
+// run collects the votes.
+func (b *ballot) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
+	defer cancel()
+	b.node.mu.Lock()
+	err := b.node.unlockDurably()
+	if err != nil {
+		return
+	}
+	answers := make(chan bool, len(b.voters))
+	for _, voter := range b.voters {
+		call := &voteCall{ballot: b, voter: voter, ctx: ctx, answers: answers}
+		go call.run()
+	}
+	granted := 0
+	for range b.voters {
+		if <-answers {
+			granted++
+		}
+		if granted == b.needed {
+			b.win()
+		}
+	}
+}
+
+// win goes on from a pre-vote to the vote, or from the vote to leading.
+func (b *ballot) win() {
+	n := b.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ballot != b || n.failed != nil {
+		return
+	}
+	if !b.request.Pre {
+		n.lead()
+		return
+	}
+	if n.move(eventPreVoteWon) {
+		n.openBallot(voteRequest{Term: n.term + 1})
+	}
+}
+
+// voteCall asks one voter.
+type voteCall struct {
+	ballot  *ballot
+	voter   Member
+	ctx     context.Context
+	answers chan<- bool
+}
+
+func (c *voteCall) run() {
+	c.answers <- c.ask()
+}
+
+func (c *voteCall) ask() bool {
+	n := c.ballot.node
+	if c.voter.ID == n.options.ID {
+		return true
+	}
+	response, err := peer.Call[voteRequest, voteResponse](c.ctx, n.options.Client, c.voter.Address, voteProcedure, &c.ballot.request)
+	if err != nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observe(response.Term)
+	return response.Granted
+}
+
+func (n *Node) serveVote(_ context.Context, request *voteRequest) (*voteResponse, error) {
+	n.mu.Lock()
+	err := n.takesPart()
+	if err != nil {
+		n.mu.Unlock()
+		return nil, err
+	}
+	response := n.answerVote(request)
+	err = n.unlockDurably()
+	if err != nil {
+		return nil, err
+	}
+	return &response, nil
+}
+
+// answerVote decides on a vote. A member that hears its leader disregards the
+// candidate, so that one that comes back from a cut disturbs nobody.
+func (n *Node) answerVote(request *voteRequest) voteResponse {
+	if !request.Transfer && n.hearsLeader() {
+		return voteResponse{Term: n.term}
+	}
+	if request.Pre {
+		return voteResponse{Term: n.term, Granted: request.Term > n.term && n.isUpToDate(request)}
+	}
+	n.observe(request.Term)
+	free := n.vote == "" || n.vote == request.Candidate
+	if request.Term != n.term || !free || !n.isUpToDate(request) {
+		return voteResponse{Term: n.term}
+	}
+	if n.vote == "" {
+		n.vote = request.Candidate
+		n.save(nil)
+	}
+	n.elector.postpone()
+	return voteResponse{Term: n.term, Granted: true}
+}
+
+func (n *Node) hearsLeader() bool {
+	if n.role == roleLeader {
+		return true
+	}
+	return n.leader != "" && time.Since(n.heard) < minElectionTimeout
+}
+
+// isUpToDate tells whether the candidate's log holds all that this one may
+// have helped to commit.
+func (n *Node) isUpToDate(request *voteRequest) bool {
+	if request.LastTerm != n.log.lastTerm() {
+		return request.LastTerm > n.log.lastTerm()
+	}
+	return request.LastIndex >= n.log.last()
+}
--- /dev/null
+++ b/internal/quorum/member.go
@@ -0,0 +1,184 @@
+package quorum
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+const memberProcedure = "/quorum/member"
+
+// memberRequest changes the group by one member.
+type memberRequest struct {
+	Add    *Member `cbor:"1,keyasint,omitempty"`
+	Remove string  `cbor:"2,keyasint,omitempty"`
+}
+
+type memberResponse struct {
+	NotLeader bool `cbor:"1,keyasint,omitempty"`
+	// Refused says why the change was refused.
+	Refused string `cbor:"2,keyasint,omitempty"`
+}
+
+// AddMember admits a member as a learner. It becomes a voter once it has
+// synced all that is committed; Status shows when.
+func (n *Node) AddMember(ctx context.Context, id, address string) error {
+	return n.changeMember(ctx, &memberRequest{Add: &Member{ID: id, Address: address, Learner: true}})
+}
+
+// RemoveMember retires a member; its id may not be used again.
+func (n *Node) RemoveMember(ctx context.Context, id string) error {
+	return n.changeMember(ctx, &memberRequest{Remove: id})
+}
+
+func (n *Node) changeMember(ctx context.Context, request *memberRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for {
+		err := n.tryChangeMember(ctx, request)
+		if !errors.Is(err, errNotLeader) {
+			return err
+		}
+		err = n.pause(ctx, leaderRetry)
+		if err != nil {
+			return errors.Newf("change member without a leader: %w", err)
+		}
+	}
+}
+
+func (n *Node) tryChangeMember(ctx context.Context, request *memberRequest) error {
+	err := n.changeMemberHere(ctx, request)
+	if !errors.Is(err, errNotLeader) {
+		return err
+	}
+	address := n.leaderAddress()
+	if address == "" {
+		return errNotLeader
+	}
+	response, err := peer.Call[memberRequest, memberResponse](ctx, n.options.Client, address, memberProcedure, request)
+	if err != nil {
+		return errors.Newf("forward to the leader: %w: %w", peer.ErrUnavailable, err)
+	}
+	if response.NotLeader {
+		return errNotLeader
+	}
+	if response.Refused != "" {
+		return errors.Newf("%s: %w", response.Refused, peer.ErrInvalid)
+	}
+	return nil
+}
+
+func (n *Node) serveMember(ctx context.Context, request *memberRequest) (*memberResponse, error) {
+	err := n.changeMemberHere(ctx, request)
+	switch {
+	case err == nil:
+		return &memberResponse{}, nil
+	case errors.Is(err, errNotLeader):
+		return &memberResponse{NotLeader: true}, nil
+	case errors.Is(err, peer.ErrInvalid):
+		return &memberResponse{Refused: err.Error()}, nil
+	default:
+		return nil, err
+	}
+}
+
+func (n *Node) changeMemberHere(ctx context.Context, request *memberRequest) error {
+	if request.Remove == n.options.ID {
+		n.HandOver()
+	}
+	n.mu.Lock()
+	err := n.mayChangeMember()
+	if err != nil {
+		n.mu.Unlock()
+		return err
+	}
+	next, changed, err := n.configuration.apply(request, n.options.ID)
+	if err != nil || !changed {
+		n.mu.Unlock()
+		return err
+	}
+	w, err := n.appendConfiguration(next)
+	n.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	_, err = w.wait(ctx)
+	return err
+}
+
+// mayChangeMember lets one change through at a time, and none before an entry
+// of the leader's own term is committed.
+func (n *Node) mayChangeMember() error {
+	if n.failed != nil {
+		return n.failed
+	}
+	if n.reign == nil || n.reign.ending {
+		return errNotLeader
+	}
+	if n.commit < n.reign.opening || n.configurationIndex > n.commit {
+		return errors.Newf("another change of the group is in progress: retry later: %w", peer.ErrUnavailable)
+	}
+	return nil
+}
+
+// apply returns the configuration after request, which the leader judges.
+func (c configuration) apply(request *memberRequest, leader string) (next configuration, changed bool, err error) {
+	if request.Add != nil {
+		return c.add(*request.Add)
+	}
+	member, found := c.find(request.Remove)
+	if !found {
+		return c, false, nil
+	}
+	if request.Remove == leader {
+		return c, false, errors.Newf("the leader cannot be removed while no other member can lead: %w", peer.ErrUnavailable)
+	}
+	if !member.Learner && len(c.voters()) == 1 {
+		return c, false, errors.Newf("the last voter cannot be removed: %w", peer.ErrInvalid)
+	}
+	return c.without(request.Remove), true, nil
+}
+
+func (c configuration) add(member Member) (next configuration, changed bool, err error) {
+	if member.ID == "" || member.Address == "" {
+		return c, false, errors.Newf("a member needs an id and an address: %w", peer.ErrInvalid)
+	}
+	if slices.Contains(c.Retired, member.ID) {
+		return c, false, errors.Newf("member id %s was used before: choose a new one: %w", member.ID, peer.ErrInvalid)
+	}
+	known, found := c.find(member.ID)
+	if found && known.Address == member.Address {
+		return c, false, nil
+	}
+	if found {
+		return c, false, errors.Newf("member %s has the address %s: remove it first: %w", member.ID, known.Address, peer.ErrInvalid)
+	}
+	return c.with(member), true, nil
+}
+
+func (n *Node) appendConfiguration(next configuration) (*waiter, error) {
+	data, err := encodeConfiguration(next)
+	if err != nil {
+		return nil, err
+	}
+	w := n.newWaiter()
+	n.add(kindConfiguration, data)
+	if n.failed != nil {
+		return nil, n.failed
+	}
+	n.refreshConfiguration()
+	return w, nil
+}
+
+// promote makes a learner that has synced all that is committed a voter.
+func (n *Node) promote(p *replicator) {
+	if n.reign == nil || !p.member.Learner || p.match < n.commit || n.mayChangeMember() != nil {
+		return
+	}
+	member := p.member
+	member.Learner = false
+	_, _ = n.appendConfiguration(n.configuration.with(member))
+}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -1,111 +1,285 @@
-// Package quorum keeps the control group's replicated log.
+// Package quorum keeps the control group's replicated log: entries that a
+// majority of the members has synced are applied by all of them in order.
 package quorum
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/disk"
-	"github.com/cactusbay/cactusbay/internal/journal"
+	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/statechart"
 )
 
-const logFile = "quorum.log"
-
 // Machine is the state that the log drives. Apply must depend on nothing but
 // the state and the command.
 type Machine interface {
 	// Apply executes one committed command and returns its result.
 	Apply(command []byte) []byte
-}
-
-// Member is one voter of the group.
-type Member struct {
-	ID      string
-	Address string
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state by that of a snapshot.
+	Restore(snapshot []byte) error
 }
 
 // Options configure a Node.
 type Options struct {
-	ID      string
+	ID string
+	// Members are the first members of the group. A member that joins later
+	// is admitted by AddMember.
 	Members []Member
 	Folder  disk.Folder
 	Machine Machine
 	Client  *peer.Client
+	// Check asserts the invariants; nil means that they are only returned.
+	Check *invariant.Checker
+	// SnapshotEntries is how many applied entries the log keeps before a
+	// snapshot replaces them; 0 means the default.
+	SnapshotEntries int
 }
 
-// Status describes a member for operators.
-type Status struct {
-	ID        string
-	Leader    string
-	Committed uint64
-}
-
-// Node is one member. The first member holds the log; the others forward to
-// it and follow it.
+// Node is one member.
 type Node struct {
 	options Options
-	journal *journal.Journal
+	writer  *writer
+	elector *elector
+	applier *applier
+	stop    chan struct{}
+	workers sync.WaitGroup
+	once    sync.Once
 
-	mu        sync.Mutex
-	committed uint64
+	mu sync.Mutex
+	// failed is why the member takes no more part.
+	failed   error
+	identity identity
+	role     statechart.State
+	term     uint64
+	vote     string
+	leader   string
+	// heard is when the leader of the term was last heard.
+	heard time.Time
+	log   entryLog
+	// configuration is the newest in the log, committed or not.
+	configuration      configuration
+	configurationIndex uint64
+	baseConfiguration  configuration
+	commit             uint64
+	// commitSaved is the commit index that the folder knows.
+	commitSaved uint64
+	applied     uint64
+	// restoring is a snapshot that the applier has not restored yet.
+	restoring *snapshot
+	incoming  incomingSnapshot
+	ballot    *ballot
+	reign     *reign
+	waiting   map[uint64]*waiter
+	// changed is closed and replaced at each change that somebody may await.
+	changed chan struct{}
 }
 
-// Open reads the log back into the machine and starts the member.
+// Open reads the folder back and starts the member. It answers nobody before
+// Handle is called.
 func Open(options Options) (*Node, error) {
-	n := &Node{options: options}
-	if !n.leads() {
-		return n, nil
+	if options.SnapshotEntries == 0 {
+		options.SnapshotEntries = defaultSnapshotEntries
+	}
+	d, err := load(options.Folder)
+	if err != nil {
+		return nil, errors.Newf("open group member: %w", err)
+	}
+	n := &Node{
+		options: options,
+		stop:    make(chan struct{}),
+		role:    memberChart.Initial,
+		waiting: make(map[uint64]*waiter),
+		changed: make(chan struct{}),
 	}
-	log, records, err := journal.Open(options.Folder, logFile)
+	err = n.restore(d)
 	if err != nil {
-		return nil, errors.Newf("open group log: %w", err)
+		_ = d.file.Close()
+		return nil, errors.Newf("open group member: %w", err)
 	}
-	for _, record := range records {
-		options.Machine.Apply(record)
-		n.committed++
+	n.writer = newWriter(options.Folder, d.file, d.snapshot.Segment, n.synced)
+	go n.writer.run()
+	err = n.identify()
+	if err != nil {
+		n.writer.close()
+		return nil, errors.Newf("open group member: %w", err)
 	}
-	n.journal = log
+	n.start()
 	return n, nil
 }
 
+// restore takes over what the folder holds.
+func (n *Node) restore(d *durable) error {
+	if d.identity.ID != "" && d.identity.ID != n.options.ID {
+		return errors.Newf("the data folder belongs to member %s, not to %s", d.identity.ID, n.options.ID)
+	}
+	n.identity = d.identity
+	n.term = d.term
+	n.vote = d.vote
+	n.log = d.log
+	n.baseConfiguration = d.head.Configuration
+	n.commit = min(d.commit, d.log.last())
+	n.commitSaved = n.commit
+	n.configuration, n.configurationIndex = n.configurationAt(n.log.last())
+	if d.snapshot.Index == 0 {
+		return nil
+	}
+	err := n.options.Machine.Restore(d.snapshot.Data)
+	if err != nil {
+		return errors.Newf("restore snapshot: %w", err)
+	}
+	n.applied = d.snapshot.Index
+	return nil
+}
+
+// identify names a folder that is new and admits the only member of a group
+// at once.
+func (n *Node) identify() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.identity.ID == "" {
+		n.identity = identity{ID: n.options.ID, Folder: rand.Text()}
+		n.save(nil)
+	}
+	if !n.identity.Admitted && n.isFirst() && len(n.options.Members) == 1 {
+		n.admit(map[string]string{n.options.ID: n.identity.Folder})
+	}
+	return n.writer.wait(n.writer.newest())
+}
+
+func (n *Node) start() {
+	n.elector = newElector(n)
+	n.applier = &applier{node: n, wake: make(chan struct{}, 1)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applier.signal()
+	n.workers.Go(n.elector.run)
+	n.workers.Go(n.applier.run)
+	if !n.identity.Admitted && n.isFirst() {
+		joiner := &joiner{node: n}
+		n.workers.Go(joiner.run)
+	}
+}
+
 // Handle serves the other members on mux.
 func (n *Node) Handle(mux *http.ServeMux, secret peer.Secret) {
+	peer.Handle(mux, secret, identifyProcedure, n.serveIdentify)
+	peer.Handle(mux, secret, voteProcedure, n.serveVote)
+	peer.Handle(mux, secret, transferProcedure, n.serveTransfer)
+	peer.Handle(mux, secret, appendProcedure, n.serveAppend)
+	peer.Handle(mux, secret, snapshotProcedure, n.serveSnapshot)
 	peer.Handle(mux, secret, proposeProcedure, n.servePropose)
+	peer.Handle(mux, secret, readProcedure, n.serveRead)
+	peer.Handle(mux, secret, memberProcedure, n.serveMember)
 }
 
-// Propose commits command and returns the machine's result.
-func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	if !n.leads() {
-		return n.forward(ctx, command)
-	}
+// Close hands a leadership over and ends the member.
+func (n *Node) Close() {
+	n.once.Do(func() {
+		n.HandOver()
+		n.end()
+	})
+}
+
+// end stops the member without a word to the others.
+func (n *Node) end() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	err := <-n.journal.Append(command)
+	n.saveCommit()
+	n.resign("", eventStop)
+	if n.failed == nil {
+		n.failed = errClosed
+	}
+	close(n.stop)
+	n.broadcast()
+	n.mu.Unlock()
+	n.workers.Wait()
+	n.writer.close()
+}
+
+// save queues the durable state with new entries for the next sync.
+func (n *Node) save(entries []entry) {
+	r := record{Term: n.term, Vote: n.vote, Commit: n.commit, Entries: entries}
+	if entries == nil {
+		r.Identity = &n.identity
+	}
+	n.commitSaved = n.commit
+	err := n.writer.append(r)
 	if err != nil {
-		return nil, errors.Newf("append to group log: %w: %w", peer.ErrUnavailable, err)
+		n.fail(err)
+	}
+}
+
+// fail ends the member's part in the group after a fault of its disk.
+func (n *Node) fail(err error) {
+	if n.failed != nil {
+		return
 	}
-	n.committed++
-	return n.options.Machine.Apply(command), nil
+	n.resign("", eventStop)
+	n.failed = errors.Newf("group member stopped: %w: %w", peer.ErrUnavailable, err)
+	n.broadcast()
 }
 
-// Status returns what the member knows of the group.
-func (n *Node) Status() Status {
+// synced takes notice of a finished batch.
+func (n *Node) synced(b *batch) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return Status{ID: n.options.ID, Leader: n.options.Members[0].ID, Committed: n.committed}
+	if b.err != nil {
+		n.fail(b.err)
+		return
+	}
+	if n.reign == nil || b.term != n.term {
+		return
+	}
+	n.reign.synced = max(n.reign.synced, b.index)
+	n.advanceCommit()
 }
 
-// Close ends the member.
-func (n *Node) Close() {
-	if n.journal != nil {
-		n.journal.Close()
+// unlockDurably unlocks the node and returns once all that was queued before
+// is synced.
+func (n *Node) unlockDurably() error {
+	newest := n.writer.newest()
+	n.mu.Unlock()
+	err := n.writer.wait(newest)
+	if err != nil {
+		return errors.Newf("sync: %w: %w", peer.ErrUnavailable, err)
 	}
+	return nil
 }
 
-func (n *Node) leads() bool {
-	return n.options.Members[0].ID == n.options.ID
+// broadcast wakes whoever awaits a change.
+func (n *Node) broadcast() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// await returns once holds, called under the lock, is true or fails.
+func (n *Node) await(ctx context.Context, holds func() (bool, error)) error {
+	for {
+		n.mu.Lock()
+		done, err := holds()
+		if err == nil {
+			err = n.failed
+		}
+		changed := n.changed
+		n.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Newf("wait for the group: %w: %w", peer.ErrUnavailable, ctx.Err())
+		}
+	}
 }
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -2,37 +2,145 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+const (
+	proposeProcedure = "/quorum/propose"
+	proposeTimeout   = 5 * time.Second
+	// leaderRetry is the pause before the leader is looked for again.
+	leaderRetry = 50 * time.Millisecond
+	// maxCommandBytes leaves room for the rest of a peer message.
+	maxCommandBytes = 6 << 20
 )
 
-const proposeProcedure = "/quorum/propose"
+// errNotLeader reports that nothing was appended, so that another try is safe.
+var errNotLeader = errors.Newf("this member does not lead: %w", peer.ErrUnavailable)
 
 type proposeRequest struct {
 	Command []byte `cbor:"1,keyasint"`
 }
 
 type proposeResponse struct {
-	Result []byte `cbor:"1,keyasint"`
+	Result []byte `cbor:"1,keyasint,omitempty"`
+	// NotLeader means that the command was not taken.
+	NotLeader bool `cbor:"2,keyasint,omitempty"`
 }
 
-func (n *Node) servePropose(ctx context.Context, request *proposeRequest) (*proposeResponse, error) {
-	if !n.leads() {
-		return nil, errors.Newf("not the leader: %w", peer.ErrUnavailable)
+// Propose commits command and returns the machine's result. After an error
+// that wraps peer.ErrUnavailable the command may have been committed or may
+// yet be.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > maxCommandBytes {
+		return nil, errors.Newf("command of %d bytes is too large: %w", len(command), peer.ErrInvalid)
 	}
-	result, err := n.Propose(ctx, request.Command)
-	if err != nil {
-		return nil, err
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for {
+		result, err := n.tryPropose(ctx, command)
+		if !errors.Is(err, errNotLeader) {
+			return result, err
+		}
+		err = n.pause(ctx, leaderRetry)
+		if err != nil {
+			return nil, errors.Newf("propose without a leader: %w", err)
+		}
 	}
-	return &proposeResponse{Result: result}, nil
 }
 
-func (n *Node) forward(ctx context.Context, command []byte) ([]byte, error) {
-	address := n.options.Members[0].Address
+// tryPropose proposes once, here or at the leader. It returns errNotLeader
+// only when the command was certainly not taken.
+func (n *Node) tryPropose(ctx context.Context, command []byte) ([]byte, error) {
+	result, err := n.proposeHere(ctx, command)
+	if !errors.Is(err, errNotLeader) {
+		return result, err
+	}
+	address := n.leaderAddress()
+	if address == "" {
+		return nil, errNotLeader
+	}
 	response, err := peer.Call[proposeRequest, proposeResponse](ctx, n.options.Client, address, proposeProcedure, &proposeRequest{Command: command})
 	if err != nil {
 		return nil, errors.Newf("forward to the leader: %w: %w", peer.ErrUnavailable, err)
 	}
+	if response.NotLeader {
+		return nil, errNotLeader
+	}
 	return response.Result, nil
 }
+
+// leaderAddress returns where another leader is known to be.
+func (n *Node) leaderAddress() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader == n.options.ID {
+		return ""
+	}
+	member, _ := n.configuration.find(n.leader)
+	return member.Address
+}
+
+func (n *Node) proposeHere(ctx context.Context, command []byte) ([]byte, error) {
+	n.mu.Lock()
+	if n.failed != nil {
+		defer n.mu.Unlock()
+		return nil, n.failed
+	}
+	if n.reign == nil || n.reign.ending {
+		n.mu.Unlock()
+		return nil, errNotLeader
+	}
+	if len(n.waiting) >= maxWaiting {
+		n.mu.Unlock()
+		return nil, errors.Newf("too many proposals wait: retry later: %w", peer.ErrUnavailable)
+	}
+	w := n.newWaiter()
+	n.add(kindCommand, command)
+	n.mu.Unlock()
+	return w.wait(ctx)
+}
+
+// newWaiter returns the waiter for the entry that the leader adds next.
+func (n *Node) newWaiter() *waiter {
+	w := &waiter{term: n.term, outcome: make(chan outcome, 1)}
+	n.waiting[n.log.last()+1] = w
+	return w
+}
+
+func (w *waiter) wait(ctx context.Context) ([]byte, error) {
+	select {
+	case o := <-w.outcome:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, errors.Newf("commit: %w: %w", peer.ErrUnavailable, ctx.Err())
+	}
+}
+
+func (n *Node) servePropose(ctx context.Context, request *proposeRequest) (*proposeResponse, error) {
+	result, err := n.proposeHere(ctx, request.Command)
+	if errors.Is(err, errNotLeader) {
+		return &proposeResponse{NotLeader: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &proposeResponse{Result: result}, nil
+}
+
+// pause waits a while, unless ctx or the member ends before.
+func (n *Node) pause(ctx context.Context, while time.Duration) error {
+	timer := time.NewTimer(while)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-n.stop:
+		return errClosed
+	case <-ctx.Done():
+		return errors.Newf("%w: %w", peer.ErrUnavailable, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/quorum/snapshot.go
@@ -0,0 +1,257 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/journal"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+const (
+	defaultSnapshotEntries = 4096
+	// trailingShare is the part of the entries that stays in the log behind a
+	// snapshot for members that lag a little.
+	trailingShare = 4
+
+	snapshotProcedure = "/quorum/snapshot"
+	snapshotTimeout   = 5 * time.Second
+)
+
+type snapshotRequest struct {
+	Term          uint64        `cbor:"1,keyasint"`
+	Leader        string        `cbor:"2,keyasint"`
+	Index         uint64        `cbor:"3,keyasint"`
+	IndexTerm     uint64        `cbor:"4,keyasint"`
+	Configuration configuration `cbor:"5,keyasint"`
+	// Offset is where Data belongs, in bytes.
+	Offset int64  `cbor:"6,keyasint,omitempty"`
+	Data   []byte `cbor:"7,keyasint,omitempty"`
+	// Last marks the last part.
+	Last    bool `cbor:"8,keyasint,omitempty"`
+	Learner bool `cbor:"9,keyasint,omitempty"`
+}
+
+type snapshotResponse struct {
+	Term uint64 `cbor:"1,keyasint"`
+	// Next is the offset that the member waits for.
+	Next int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// incomingSnapshot collects the parts that a leader sends.
+type incomingSnapshot struct {
+	term  uint64
+	index uint64
+	data  []byte
+}
+
+// maybeSnapshot replaces applied entries by a snapshot once they are many.
+func (a *applier) maybeSnapshot() {
+	n := a.node
+	n.mu.Lock()
+	index := n.applied
+	due := n.failed == nil && index >= n.log.base+uint64(n.options.SnapshotEntries)
+	n.mu.Unlock()
+	if !due {
+		return
+	}
+	data, err := n.options.Machine.Snapshot()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil {
+		n.fail(errors.Newf("take snapshot: %w", err))
+		return
+	}
+	if n.restoring != nil || index <= n.log.base {
+		return
+	}
+	n.compact(index, data)
+}
+
+func (n *Node) compact(index uint64, data []byte) {
+	s := snapshot{Index: index, Data: data}
+	s.Term, _ = n.log.term(index)
+	s.Configuration, _ = n.configurationAt(index)
+	cut := index - uint64(n.options.SnapshotEntries/trailingShare)
+	if cut > n.log.base {
+		n.baseConfiguration, _ = n.configurationAt(cut)
+		n.log.compact(cut)
+	}
+	n.rotate(s)
+}
+
+// rotate queues a snapshot and the segment that goes on from the log's base.
+func (n *Node) rotate(s snapshot) {
+	segment, err := n.segment()
+	if err != nil {
+		n.fail(err)
+		return
+	}
+	n.commitSaved = n.commit
+	n.writer.rotate(s, segment)
+}
+
+// segment returns the content of a new log file.
+func (n *Node) segment() ([]byte, error) {
+	first := record{Term: n.term, Vote: n.vote, Commit: n.commit, Identity: &n.identity}
+	first.Head = &head{Base: n.log.base, BaseTerm: n.log.baseTerm, Configuration: n.baseConfiguration}
+	payload, err := peer.Encode(first)
+	if err != nil {
+		return nil, errors.Newf("encode head of segment: %w", err)
+	}
+	buffer := journal.AppendRecord(nil, payload)
+	index := n.log.base
+	for index < n.log.last() {
+		entries := n.log.slice(index, n.log.last(), recordBytes)
+		payload, err = peer.Encode(record{Term: n.term, Vote: n.vote, Commit: n.commit, Entries: entries})
+		if err != nil {
+			return nil, errors.Newf("encode segment: %w", err)
+		}
+		buffer = journal.AppendRecord(buffer, payload)
+		index += uint64(len(entries))
+	}
+	return buffer, nil
+}
+
+// sendSnapshot carries the newest snapshot to a member that is behind the log.
+func (p *replicator) sendSnapshot() (more bool, err error) {
+	n := p.node
+	data, err := n.options.Folder.ReadFile(snapshotFile)
+	if err != nil {
+		return false, errors.Newf("read snapshot: %w", err)
+	}
+	s, err := decodeSnapshot(data)
+	if err != nil {
+		return false, errors.Newf("read snapshot: %w", err)
+	}
+	offset := int64(0)
+	for {
+		end := min(offset+chunkBytes, s.Size)
+		next, err := p.sendPart(&s, offset, end)
+		if err != nil {
+			return false, err
+		}
+		if end == s.Size && next == end {
+			break
+		}
+		if next < 0 || next > end {
+			return false, errors.Newf("snapshot part %d answered with %d: %w", end, next, peer.ErrInvalid)
+		}
+		offset = next
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.reign != p.reign {
+		return false, nil
+	}
+	p.match = max(p.match, s.Index)
+	p.next = p.match + 1
+	n.advanceCommit()
+	return true, nil
+}
+
+// sendPart sends one part and returns the offset that the member waits for.
+func (p *replicator) sendPart(s *snapshot, offset, end int64) (int64, error) {
+	n := p.node
+	n.mu.Lock()
+	request := &snapshotRequest{
+		Term:          n.term,
+		Leader:        n.options.ID,
+		Index:         s.Index,
+		IndexTerm:     s.Term,
+		Configuration: s.Configuration,
+		Offset:        offset,
+		Data:          s.Data[offset:end],
+		Last:          end == s.Size,
+		Learner:       p.member.Learner,
+	}
+	current := n.reign == p.reign
+	round := p.reign.reads
+	address := p.member.Address
+	n.mu.Unlock()
+	if !current {
+		return 0, errLost
+	}
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(p.ctx, snapshotTimeout)
+	defer cancel()
+	response, err := peer.Call[snapshotRequest, snapshotResponse](ctx, n.options.Client, address, snapshotProcedure, request)
+	if err != nil {
+		return 0, errors.Newf("send snapshot: %w", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !p.heard(response.Term, sent, round) {
+		return 0, errLost
+	}
+	return response.Next, nil
+}
+
+func (n *Node) serveSnapshot(_ context.Context, request *snapshotRequest) (*snapshotResponse, error) {
+	n.mu.Lock()
+	err := n.acceptLeader(request.Learner)
+	if err != nil {
+		n.mu.Unlock()
+		return nil, err
+	}
+	response, err := n.answerSnapshot(request)
+	if err != nil {
+		n.mu.Unlock()
+		return nil, errors.Newf("install snapshot: %w", err)
+	}
+	err = n.unlockDurably()
+	if err != nil {
+		return nil, err
+	}
+	return &response, nil
+}
+
+func (n *Node) answerSnapshot(request *snapshotRequest) (snapshotResponse, error) {
+	n.observe(request.Term)
+	if request.Term < n.term {
+		return snapshotResponse{Term: n.term}, nil
+	}
+	err := n.follow(request.Leader)
+	if err != nil {
+		return snapshotResponse{}, err
+	}
+	if !n.identity.Admitted {
+		n.admit(nil)
+	}
+	end := request.Offset + int64(len(request.Data))
+	if request.Index <= n.commit {
+		return snapshotResponse{Term: n.term, Next: end}, nil
+	}
+	in := &n.incoming
+	if in.term != request.Term || in.index != request.Index {
+		*in = incomingSnapshot{term: request.Term, index: request.Index}
+	}
+	if request.Offset != int64(len(in.data)) {
+		return snapshotResponse{Term: n.term, Next: int64(len(in.data))}, nil
+	}
+	in.data = append(in.data, request.Data...)
+	if request.Last {
+		n.install(request, in.data)
+		n.incoming = incomingSnapshot{}
+	}
+	return snapshotResponse{Term: n.term, Next: end}, nil
+}
+
+// install replaces the log by a whole snapshot.
+func (n *Node) install(request *snapshotRequest, data []byte) {
+	s := snapshot{Index: request.Index, Term: request.IndexTerm, Configuration: request.Configuration, Data: data}
+	term, found := n.log.term(s.Index)
+	if found && term == s.Term {
+		n.log.compact(s.Index)
+	} else {
+		n.log.reset(s.Index, s.Term)
+	}
+	n.baseConfiguration = s.Configuration
+	n.commit = s.Index
+	n.refreshConfiguration()
+	n.restoring = &s
+	n.rotate(s)
+	n.applier.signal()
+}
--- /dev/null
+++ b/internal/quorum/status.go
@@ -0,0 +1,62 @@
+package quorum
+
+// MemberStatus is what a member knows of another.
+type MemberStatus struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	// Learner is true until the member has synced all that is committed and
+	// votes.
+	Learner bool `json:"learner"`
+	// Synced is the newest index on the member's disk, as the leader knows it.
+	Synced uint64 `json:"synced,omitempty"`
+}
+
+// Status describes a member for operators.
+type Status struct {
+	ID        string         `json:"id"`
+	Role      string         `json:"role"`
+	Term      uint64         `json:"term"`
+	Leader    string         `json:"leader"`
+	Committed uint64         `json:"committed"`
+	Applied   uint64         `json:"applied"`
+	Admitted  bool           `json:"admitted"`
+	Members   []MemberStatus `json:"members"`
+	// Failure is why the member takes no more part.
+	Failure string `json:"failure,omitempty"`
+}
+
+// Status returns what the member knows of the group, by itself.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	status := Status{
+		ID:        n.options.ID,
+		Role:      string(n.role),
+		Term:      n.term,
+		Leader:    n.leader,
+		Committed: n.commit,
+		Applied:   n.applied,
+		Admitted:  n.identity.Admitted,
+	}
+	if n.failed != nil {
+		status.Failure = n.failed.Error()
+	}
+	committed, _ := n.configurationAt(n.commit)
+	for _, member := range committed.Members {
+		status.Members = append(status.Members, n.memberStatus(member))
+	}
+	return status
+}
+
+func (n *Node) memberStatus(member Member) MemberStatus {
+	status := MemberStatus{ID: member.ID, Address: member.Address, Learner: member.Learner}
+	if n.reign == nil {
+		return status
+	}
+	if member.ID == n.options.ID {
+		status.Synced = n.reign.synced
+	} else if p := n.reign.peers[member.ID]; p != nil {
+		status.Synced = p.match
+	}
+	return status
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -14,7 +14,7 @@
 
 func TestPathServesAndBills(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, 100_000, "a")
+		s := newSite(t, 100_000, "a", "b", "c")
 		defer s.close()
 		for _, domain := range s.domains {
 			got := s.chat(domain, "", 16)
@@ -24,8 +24,8 @@
 		}
 		time.Sleep(reportWithin)
 		account, _ := s.controls["a"].Group.Account(siteWorkspace)
-		if account.Billed() != 17 {
-			t.Errorf("billed %d, want %d", account.Billed(), 17)
+		if account.Billed() != 3*17 {
+			t.Errorf("billed %d, want %d", account.Billed(), 3*17)
 		}
 	})
 }
