Give the stand-in engine batching, a prefix cache, resume and faults

Cause: the answer path's decisions need an engine that breaks off, crosses answers, lags and batches. Attempts and streams come first, for the ledger. Ruled out: one loop for each engine, which would need its own end in every test; each generation paces itself by the batch's size instead. Change: /v1/attempts, /v1/streams, cancel, draining, lagging /load, a limited prefix cache and injected faults. A connection that breaks cancels the generation unless keeps_running is set.

--- /dev/null
+++ b/internal/fake/cache.go
@@ -0,0 +1,55 @@
+package fake
+
+import (
+	"container/list"
+	"hash/fnv"
+)
+
+// blockWords is the number of prompt tokens in one block of the cache.
+const blockWords = 16
+
+// prefixCache keeps the most recently used blocks of prompts; its zero value
+// keeps none.
+type prefixCache struct {
+	limit  int
+	recent list.List
+	blocks map[uint64]*list.Element
+}
+
+// use returns the number of leading words that are cached, and caches the
+// prompt's whole blocks.
+func (c *prefixCache) use(words []string) int64 {
+	if c.blocks == nil {
+		c.blocks = make(map[uint64]*list.Element)
+	}
+	hash := fnv.New64a()
+	cached := int64(0)
+	hit := true
+	for start := 0; start+blockWords <= len(words); start += blockWords {
+		for _, word := range words[start : start+blockWords] {
+			_, _ = hash.Write([]byte(word))
+			_, _ = hash.Write([]byte{0})
+		}
+		hit = c.touch(hash.Sum64()) && hit
+		if hit {
+			cached += blockWords
+		}
+	}
+	return cached
+}
+
+// touch marks a block as used and tells whether it was cached.
+func (c *prefixCache) touch(block uint64) bool {
+	element := c.blocks[block]
+	if element != nil {
+		c.recent.MoveToFront(element)
+		return true
+	}
+	c.blocks[block] = c.recent.PushFront(block)
+	for len(c.blocks) > c.limit {
+		oldest := c.recent.Back()
+		c.recent.Remove(oldest)
+		delete(c.blocks, oldest.Value.(uint64))
+	}
+	return false
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -3,32 +3,54 @@
 package fake
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	defaultStepTime  = 2 * time.Millisecond
-	defaultMaxTokens = 16
-	attemptHeader    = "X-Request-Id"
-	maxRequestBytes  = 8 << 20
+	defaultStepTime     = 2 * time.Millisecond
+	defaultMaxBatch     = 64
+	defaultCacheBlocks  = 4096
+	defaultKeptAttempts = 1024
+	defaultMaxTokens    = 16
+	attemptHeader       = "X-Request-Id"
+	priorityHeader      = "X-Priority"
+	maxRequestBytes     = 8 << 20
 )
 
 // Engine is a stand-in model engine in the chat-completions format; its zero
-// value works.
+// value works. Fields are set before Handler is called.
 type Engine struct {
-	// StepTime is the time between two tokens; zero means the default.
+	// StepTime is the time between two tokens of a batch of one; zero means
+	// the default.
 	StepTime time.Duration
+	// StepGrowth is what each further sequence of a batch adds to a step.
+	StepGrowth time.Duration
+	// PromptTime is the time to process one prompt token that is not cached.
+	PromptTime time.Duration
+	// MaxBatch bounds the sequences of a batch; zero means the default.
+	MaxBatch int
+	// CacheBlocks bounds the prefix cache; zero means the default.
+	CacheBlocks int
+	// KeptAttempts bounds the attempts that are kept; zero means the default.
+	KeptAttempts int
+	// KeepsRunning lets a generation go on when its connection breaks.
+	KeepsRunning bool
+	// LoadLag is the age of a load report.
+	LoadLag time.Duration
 
-	mu        sync.Mutex
-	generated map[string]int64
-	running   int
+	mu       sync.Mutex
+	attempts map[string]*generation
+	order    []string
+	waiting  []*generation
+	running  int
+	draining bool
+	cache    prefixCache
+	reports  []timedLoad
+	faults   []Fault
 }
 
 type engineRequest struct {
@@ -37,14 +59,19 @@
 	MaxTokens int64             `json:"max_tokens"`
 }
 
-type engineLoad struct {
-	Running int `json:"running"`
+type engineAttempt struct {
+	State            string `json:"state"`
+	PromptTokens     int64  `json:"prompt_tokens"`
+	CompletionTokens int64  `json:"completion_tokens"`
 }
 
 // Handler serves the engine's API.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{attempt}", e.serveResume)
+	mux.HandleFunc("GET /v1/attempts/{attempt}", e.serveAttempt)
+	mux.HandleFunc("DELETE /v1/attempts/{attempt}", e.serveCancel)
 	mux.HandleFunc("GET /load", e.serveLoad)
 	return mux
 }
@@ -53,14 +80,25 @@
 func (e *Engine) Generated(attempt string) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.generated[attempt]
+	g := e.attempts[attempt]
+	if g == nil {
+		return 0
+	}
+	return g.tokens
 }
 
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+// Attempts returns the ids of the attempts that are kept, oldest first.
+func (e *Engine) Attempts() []string {
 	e.mu.Lock()
-	load := engineLoad{Running: e.running}
-	e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(load)
+	defer e.mu.Unlock()
+	return append([]string(nil), e.order...)
+}
+
+// SetDraining makes the engine refuse new work, or accept it again.
+func (e *Engine) SetDraining(draining bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = draining
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -69,6 +107,8 @@
 	if err == nil {
 		err = json.Unmarshal(data, &request)
 	}
+	attempt := r.Header.Get(attemptHeader)
+	w.Header().Set(attemptHeader, attempt)
 	if err != nil {
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
@@ -76,64 +116,68 @@
 	if request.MaxTokens <= 0 {
 		request.MaxTokens = defaultMaxTokens
 	}
-	attempt := r.Header.Get(attemptHeader)
-	w.Header().Set(attemptHeader, attempt)
-	w.Header().Set("Content-Type", "text/event-stream")
-	e.enter(1)
-	defer e.enter(-1)
-	e.stream(r.Context(), w, request, attempt)
+	fault := e.nextFault()
+	refuse, refused := fault.(Refuse)
+	if refused {
+		http.Error(w, "overloaded", refuse.Status)
+		return
+	}
+	g, accepted := e.accept(request, attempt, r.Header.Get(priorityHeader))
+	if !accepted {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	e.follow(w, r, g, fault)
 }
 
-func (e *Engine) enter(change int) {
+// serveResume streams an answer from its start.
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	w.Header().Set(attemptHeader, attempt)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running += change
-}
-
-// stream writes one chunk a token, then the usage and the end mark.
-func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, request engineRequest, attempt string) {
-	controller := http.NewResponseController(w)
-	step := e.StepTime
-	if step == 0 {
-		step = defaultStepTime
+	g := e.attempts[attempt]
+	cancelled := g != nil && g.cancelled
+	e.mu.Unlock()
+	if g == nil {
+		http.Error(w, "no such attempt", http.StatusNotFound)
+		return
 	}
-	for i := range request.MaxTokens {
-		select {
-		case <-time.After(step):
-		case <-ctx.Done():
-			return
-		}
-		e.count(attempt)
-		finish := "null"
-		if i == request.MaxTokens-1 {
-			finish = `"length"`
-		}
-		_, err := fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"},\"finish_reason\":%s}]}\n\n", attempt, request.Model, i, finish)
-		if err == nil {
-			err = controller.Flush()
-		}
-		if err != nil {
-			return
-		}
+	if cancelled {
+		http.Error(w, "the attempt was cancelled", http.StatusGone)
+		return
 	}
-	prompt := promptTokens(request.Messages)
-	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", attempt, request.Model, prompt, request.MaxTokens, prompt+request.MaxTokens)
+	e.follow(w, r, g, e.nextFault())
+}
+
+func (e *Engine) serveAttempt(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	w.Header().Set(attemptHeader, attempt)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.describe(attempt))
 }
 
-func (e *Engine) count(attempt string) {
+func (e *Engine) describe(attempt string) engineAttempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.generated == nil {
-		e.generated = make(map[string]int64)
+	g := e.attempts[attempt]
+	if g == nil {
+		return engineAttempt{State: "absent"}
 	}
-	e.generated[attempt]++
+	state := "running"
+	if g.ended {
+		state = "done"
+	}
+	return engineAttempt{State: state, PromptTokens: g.prompt, CompletionTokens: g.tokens}
 }
 
-// promptTokens counts a token for each word of the messages.
-func promptTokens(messages []json.RawMessage) int64 {
-	var total int64
-	for _, message := range messages {
-		total += int64(len(strings.Fields(string(message))))
+// serveCancel ends a generation and tells what it generated.
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	e.mu.Lock()
+	g := e.attempts[attempt]
+	e.mu.Unlock()
+	if g != nil {
+		e.cancel(g)
 	}
-	return total
+	e.serveAttempt(w, r)
 }
