Configuration: idempotent patches, bounded history, deltas by watch and probe

A patch of JSON null replaced the whole configuration by {}. Every version was kept whole in memory and sent whole at each change. A caller's key in upper-case hex never matched, and one key could stand in two workspaces.

Change: the watch call sends one merge patch a version from the version that the entry has, with a sum of the result, and the whole document after a gap. History: segments of 512 changes behind one whole document, 8 at most. Answers to patches are kept per id for the last 16,384 ids, conflicts too: the answer to an id never changes. Watch calls are heartbeats for a bounded table of instances with a state chart. New: config history, config diff.

Tests: TestEmptyNearestControlDoesNotHoldAnEntryBack and TestStuckNearestControlDoesNotHoldAnEntryBack failed on (version 0 and version 1 for ever) and pass now.

--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -23,6 +23,23 @@
 			Flags:  operatorFlags(&cli.Uint64Flag{Name: "version", Usage: "version `NUMBER`; the current one by default"}),
 			Action: showConfig,
 		},
+		{
+			Name:  "history",
+			Usage: "prints the changes that are kept, the newest last",
+			Flags: operatorFlags(
+				&cli.Uint64Flag{Name: "until", Usage: "last version `NUMBER`; the current one by default"},
+			),
+			Action: showHistory,
+		},
+		{
+			Name:  "diff",
+			Usage: "prints the merge patch that leads from one version to another",
+			Flags: operatorFlags(
+				&cli.Uint64Flag{Name: "from", Usage: "version `NUMBER`; by default the one before --to"},
+				&cli.Uint64Flag{Name: "to", Usage: "version `NUMBER`; the current one by default"},
+			),
+			Action: showDiff,
+		},
 		{
 			Name:      "patch",
 			Usage:     "applies a JSON merge patch (RFC 7396) made against a version",
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -1,28 +1,75 @@
 package config
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
+// sumBytes is the length of a document's sum.
+const sumBytes = 8
+
 // Merge applies a JSON merge patch (RFC 7396) and validates the result whole.
 func Merge(document, patch []byte) ([]byte, error) {
+	return MergeAll(document, [][]byte{patch})
+}
+
+// MergeAll applies merge patches one after the other and validates the result
+// whole.
+func MergeAll(document []byte, patches [][]byte) ([]byte, error) {
+	result, _, err := Apply(document, patches)
+	return result, err
+}
+
+// Apply is MergeAll that also returns the parsed document.
+func Apply(document []byte, patches [][]byte) ([]byte, *Document, error) {
+	merged := document
+	for _, patch := range patches {
+		next, err := mergeOne(merged, patch)
+		if err != nil {
+			return nil, nil, err
+		}
+		merged = next
+	}
+	parsed, err := Parse(merged)
+	if err != nil {
+		return nil, nil, err
+	}
+	result, err := json.Marshal(parsed)
+	if err != nil {
+		return nil, nil, errors.Newf("encode configuration: %w", err)
+	}
+	return result, parsed, nil
+}
+
+func mergeOne(document, patch []byte) ([]byte, error) {
 	if !json.Valid(patch) {
 		return nil, errors.New("the patch is not valid JSON")
 	}
+	if !bytes.HasPrefix(bytes.TrimSpace(patch), []byte("{")) {
+		return nil, errors.New("the patch must be a JSON object")
+	}
 	merged, err := jsonpatch.MergePatch(document, patch)
 	if err != nil {
 		return nil, errors.Newf("merge patch: %w", err)
 	}
-	parsed, err := Parse(merged)
-	if err != nil {
-		return nil, err
-	}
-	result, err := json.Marshal(parsed)
+	return merged, nil
+}
+
+// Diff returns the merge patch that leads from one document to another.
+func Diff(from, to []byte) (json.RawMessage, error) {
+	patch, err := jsonpatch.CreateMergePatch(from, to)
 	if err != nil {
-		return nil, errors.Newf("encode configuration: %w", err)
+		return nil, errors.Newf("compare configurations: %w", err)
 	}
-	return result, nil
+	return patch, nil
+}
+
+// Sum returns a short hash by which two copies of a document are compared.
+func Sum(document []byte) []byte {
+	sum := sha256.Sum256(document)
+	return sum[:sumBytes]
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -3,13 +3,19 @@
 import (
 	"encoding/hex"
 	"net/netip"
+	"regexp"
 	"sort"
+	"strings"
 
 	"github.com/cactusbay/cactusbay/internal/check"
 )
 
 const keyHashBytes = 32
 
+// validName is what a workspace, backend server or work may be called: the
+// name stands in metrics and in keys of durable state.
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
 // Parse reads a document strictly and validates it whole.
 func Parse(data []byte) (*Document, error) {
 	faults := &check.Faults{}
@@ -24,6 +30,10 @@
 }
 
 func (d *Document) validate(faults *check.Faults) {
+	validateNames("workspaces", d.Workspaces, faults)
+	validateNames("backend_servers", d.BackendServers, faults)
+	validateNames("works", d.Works, faults)
+	d.validateKeys(faults)
 	for _, name := range sortedNames(d.Workspaces) {
 		d.validateWorkspace("workspaces."+name, d.Workspaces[name], faults)
 	}
@@ -43,11 +53,33 @@
 	validateLimits(d.Limits, faults)
 }
 
+func validateNames[V any](path string, named map[string]V, faults *check.Faults) {
+	for _, name := range sortedNames(named) {
+		if !validName.MatchString(name) {
+			faults.Add(path+"."+name, "has a name that is not 1 to 128 letters, digits, dots, underscores and hyphens")
+		}
+	}
+}
+
+// validateKeys reports a caller's key that would belong to two workspaces.
+func (d *Document) validateKeys(faults *check.Faults) {
+	owners := make(map[string]string)
+	for _, name := range sortedNames(d.Workspaces) {
+		for _, hash := range d.Workspaces[name].KeyHashes {
+			owner, taken := owners[hash]
+			if taken && owner != name {
+				faults.Add("workspaces."+name+".key_hashes", "holds a key of workspace %s", owner)
+			}
+			owners[hash] = name
+		}
+	}
+}
+
 func (d *Document) validateWorkspace(path string, workspace Workspace, faults *check.Faults) {
 	for _, hash := range workspace.KeyHashes {
 		raw, err := hex.DecodeString(hash)
-		if err != nil || len(raw) != keyHashBytes {
-			faults.Add(path+".key_hashes", "must hold SHA-256 hashes in 64 hex digits")
+		if err != nil || len(raw) != keyHashBytes || hash != strings.ToLower(hash) {
+			faults.Add(path+".key_hashes", "must hold SHA-256 hashes in 64 lower-case hex digits")
 		}
 	}
 	for _, work := range workspace.Works {
--- a/internal/group/command.go
+++ b/internal/group/command.go
@@ -20,6 +20,9 @@
 	Patch   []byte `cbor:"3,keyasint"`
 	// Operator is the name of the operator's key.
 	Operator string `cbor:"4,keyasint,omitempty"`
+	// SubmittedAt is when a control instance took the patch in, in
+	// milliseconds since 1970.
+	SubmittedAt int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Deposit adds prepaid tokens to a workspace's pool; idempotent by ID.
--- /dev/null
+++ b/internal/group/configuration.go
@@ -0,0 +1,252 @@
+package group
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+)
+
+const (
+	// segmentChanges and segmentBytes end a segment of the history.
+	segmentChanges = 512
+	segmentBytes   = 1 << 20
+	// maxSegments bounds the history: each holds one whole document.
+	maxSegments = 8
+	// maxPatchAnswers bounds the kept answers to patches.
+	maxPatchAnswers = 16_384
+	// maxPatchIDBytes bounds a patch's id.
+	maxPatchIDBytes = 256
+)
+
+// ErrNoVersion reports a configuration version that does not exist or that the
+// history no longer holds.
+var ErrNoVersion = errors.New("no such configuration version is kept")
+
+// Version is one accepted configuration.
+type Version struct {
+	Number   uint64
+	Document []byte
+}
+
+// Change is one accepted patch of the configuration.
+type Change struct {
+	// Number is the version that the change made.
+	Number   uint64 `cbor:"1,keyasint"`
+	Patch    []byte `cbor:"2,keyasint"`
+	PatchID  string `cbor:"3,keyasint"`
+	Operator string `cbor:"4,keyasint,omitempty"`
+	// SubmittedAt is when a control instance took the patch in, in
+	// milliseconds since 1970.
+	SubmittedAt int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// segment is a whole document and the changes that follow it.
+type segment struct {
+	// Number is the version of Document.
+	Number   uint64   `cbor:"1,keyasint"`
+	Document []byte   `cbor:"2,keyasint"`
+	Changes  []Change `cbor:"3,keyasint,omitempty"`
+	Bytes    int      `cbor:"4,keyasint,omitempty"`
+}
+
+// configuration is the current version, a bounded history and the bounded
+// answers to patches. Its fields are exported for the snapshot's encoding.
+type configuration struct {
+	Number   uint64 `cbor:"1,keyasint,omitempty"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+	// History is the kept changes, the oldest first.
+	History []segment `cbor:"3,keyasint,omitempty"`
+	// Answers are the kept answers by patch id, and AnswerIDs their order.
+	Answers   map[string]patchAnswer `cbor:"4,keyasint,omitempty"`
+	AnswerIDs []string               `cbor:"5,keyasint,omitempty"`
+}
+
+// patchAnswer is the first answer to a patch id.
+type patchAnswer struct {
+	BodyHash []byte `cbor:"1,keyasint"`
+	Result   Result `cbor:"2,keyasint"`
+}
+
+// current returns the newest version; number 0 with an empty document stands
+// before the first patch.
+func (c *configuration) current() Version {
+	if c.Number == 0 {
+		return Version{Document: []byte("{}")}
+	}
+	return Version{Number: c.Number, Document: c.Document}
+}
+
+// patch applies a patch whole or not at all. The first answer to an id is the
+// answer to every resend, also when it was a conflict: a patch that was made
+// again against another version takes a new id.
+func (c *configuration) patch(command PatchConfiguration) Result {
+	if command.ID == "" || len(command.ID) > maxPatchIDBytes {
+		return Result{Code: CodeInvalid, Detail: "a patch needs an id of 1 to 256 bytes", Version: c.Number}
+	}
+	hash := command.bodyHash()
+	kept, found := c.Answers[command.ID]
+	if found && string(kept.BodyHash) != string(hash) {
+		return Result{Code: CodeIDReused, Detail: "the id was used for another patch: choose a new one", Version: c.Number}
+	}
+	if found {
+		return kept.Result
+	}
+	result := c.patchOnce(command)
+	c.keepAnswer(command.ID, patchAnswer{BodyHash: hash, Result: result})
+	return result
+}
+
+func (c *configuration) patchOnce(command PatchConfiguration) Result {
+	current := c.current()
+	if command.Against != current.Number {
+		return Result{Code: CodeConflict, Detail: "the configuration has changed: read it and make the patch again", Version: current.Number}
+	}
+	document, err := config.Merge(current.Document, command.Patch)
+	if err != nil {
+		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
+	}
+	c.append(current, Change{
+		Number:      current.Number + 1,
+		Patch:       command.Patch,
+		PatchID:     command.ID,
+		Operator:    command.Operator,
+		SubmittedAt: command.SubmittedAt,
+	})
+	c.Number = current.Number + 1
+	c.Document = document
+	return Result{Code: CodeDone, Version: c.Number}
+}
+
+// append keeps change in the history; before is the version it was made
+// against.
+func (c *configuration) append(before Version, change Change) {
+	last := len(c.History) - 1
+	if last < 0 || len(c.History[last].Changes) >= segmentChanges || c.History[last].Bytes >= segmentBytes {
+		c.History = append(c.History, segment{Number: before.Number, Document: before.Document})
+		last++
+	}
+	c.History[last].Changes = append(c.History[last].Changes, change)
+	c.History[last].Bytes += len(change.Patch)
+	if len(c.History) > maxSegments {
+		c.History = append([]segment(nil), c.History[1:]...)
+	}
+}
+
+// keepAnswer drops the oldest answer above the bound. A patch whose answer was
+// dropped cannot be applied twice, because its version number is stale.
+func (c *configuration) keepAnswer(id string, kept patchAnswer) {
+	if c.Answers == nil {
+		c.Answers = make(map[string]patchAnswer)
+	}
+	c.Answers[id] = kept
+	c.AnswerIDs = append(c.AnswerIDs, id)
+	if len(c.AnswerIDs) > maxPatchAnswers {
+		delete(c.Answers, c.AnswerIDs[0])
+		c.AnswerIDs = c.AnswerIDs[1:]
+	}
+}
+
+// version returns a kept version.
+func (c *configuration) version(number uint64) (Version, error) {
+	current := c.current()
+	if number == current.Number {
+		return current, nil
+	}
+	for i := len(c.History) - 1; i >= 0; i-- {
+		kept := c.History[i]
+		if number < kept.Number {
+			continue
+		}
+		steps := number - kept.Number
+		if steps > uint64(len(kept.Changes)) {
+			break
+		}
+		document, err := config.MergeAll(kept.Document, patchesOf(kept.Changes[:steps]))
+		if err != nil {
+			return Version{}, errors.Newf("rebuild version %d: %w", number, err)
+		}
+		return Version{Number: number, Document: document}, nil
+	}
+	return Version{}, errors.Newf("version %d: %w", number, ErrNoVersion)
+}
+
+// changes returns up to limit changes that made the versions above after, the
+// oldest first; complete is false when the history does not reach back so far.
+func (c *configuration) changes(after uint64, limit int) (list []Change, complete bool) {
+	if after >= c.Number {
+		return nil, after == c.Number
+	}
+	if len(c.History) == 0 || after < c.History[0].Number {
+		return nil, false
+	}
+	for _, kept := range c.History {
+		for _, change := range kept.Changes {
+			if change.Number > after && len(list) < limit {
+				list = append(list, change)
+			}
+		}
+	}
+	return list, true
+}
+
+func patchesOf(changes []Change) [][]byte {
+	patches := make([][]byte, 0, len(changes))
+	for _, change := range changes {
+		patches = append(patches, change.Patch)
+	}
+	return patches
+}
+
+// bodyHash tells patches under one id apart; when a resend was taken in does
+// not count.
+func (p PatchConfiguration) bodyHash() []byte {
+	p.SubmittedAt = 0
+	data, err := encodeCommand(p)
+	if err != nil {
+		return nil
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+// Version returns one version of the configuration that the history holds.
+func (g *Group) Version(number uint64) (Version, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Configuration.version(number)
+}
+
+// Changes returns up to limit changes that made the versions above after; it
+// returns false when the history does not reach back so far.
+func (g *Group) Changes(after uint64, limit int) ([]Change, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Configuration.changes(after, limit)
+}
+
+// OldestVersion returns the oldest version that the history holds.
+func (g *Group) OldestVersion() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	history := g.state.Configuration.History
+	if len(history) == 0 {
+		return g.state.Configuration.Number
+	}
+	return history[0].Number
+}
+
+// Diff returns the merge patch that leads from one kept version to another.
+func (g *Group) Diff(from, to uint64) (json.RawMessage, error) {
+	before, err := g.Version(from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := g.Version(to)
+	if err != nil {
+		return nil, err
+	}
+	return config.Diff(before.Document, after.Document)
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -28,14 +28,23 @@
 	mu      sync.Mutex
 	state   *state
 	changed chan struct{}
+	// summed is the version that sum belongs to.
+	summed uint64
+	sum    []byte
+	// draining is closed when the instance is about to end.
+	draining chan struct{}
+	leaving  bool
+
+	instances instanceTable
 }
 
 // New returns an empty group state.
 func New(check *invariant.Checker) *Group {
 	return &Group{
-		Check:   check,
-		state:   newState(),
-		changed: make(chan struct{}),
+		Check:    check,
+		state:    newState(),
+		changed:  make(chan struct{}),
+		draining: make(chan struct{}),
 	}
 }
 
@@ -56,9 +65,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.state.current().Number
+	before := g.state.Configuration.current().Number
 	result := g.state.apply(command, g.Check)
-	if g.state.current().Number != before {
+	if g.state.Configuration.current().Number != before {
 		close(g.changed)
 		g.changed = make(chan struct{})
 	}
@@ -88,17 +97,7 @@
 func (g *Group) Current() (Version, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.current(), g.changed
-}
-
-// VersionNumber returns one version of the configuration.
-func (g *Group) VersionNumber(number uint64) (Version, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if number == 0 || number > uint64(len(g.state.Versions)) {
-		return Version{}, false
-	}
-	return g.state.Versions[number-1], true
+	return g.state.Configuration.current(), g.changed
 }
 
 // Account returns a copy of a workspace's account.
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
-	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/invariant"
 )
 
@@ -17,14 +16,6 @@
 	Closed        bool   `cbor:"3,keyasint,omitempty" json:"closed,omitempty"`
 }
 
-// Version is one accepted configuration.
-type Version struct {
-	Number   uint64 `cbor:"1,keyasint" json:"number"`
-	Document []byte `cbor:"2,keyasint" json:"-"`
-	Patch    string `cbor:"3,keyasint" json:"patch_id"`
-	Operator string `cbor:"4,keyasint,omitempty" json:"operator,omitempty"`
-}
-
 // answer is the kept result of an operator's command, found by its id.
 type answer struct {
 	BodyHash string `cbor:"1,keyasint"`
@@ -41,11 +32,11 @@
 // state is what the replicated log drives. Its fields are exported for the
 // snapshot's encoding.
 type state struct {
-	Versions []Version                 `cbor:"1,keyasint"`
-	Accounts map[string]budget.Account `cbor:"2,keyasint"`
-	Epochs   map[string]Epoch          `cbor:"3,keyasint"`
-	Answers  map[string]answer         `cbor:"4,keyasint"`
-	Claims   map[string]claim          `cbor:"5,keyasint"`
+	Configuration configuration             `cbor:"1,keyasint"`
+	Accounts      map[string]budget.Account `cbor:"2,keyasint"`
+	Epochs        map[string]Epoch          `cbor:"3,keyasint"`
+	Answers       map[string]answer         `cbor:"4,keyasint"`
+	Claims        map[string]claim          `cbor:"5,keyasint"`
 }
 
 func newState() *state {
@@ -57,20 +48,11 @@
 	}
 }
 
-// current returns the newest version; number 0 with an empty document stands
-// before the first patch.
-func (s *state) current() Version {
-	if len(s.Versions) == 0 {
-		return Version{Document: []byte("{}")}
-	}
-	return s.Versions[len(s.Versions)-1]
-}
-
 // apply executes one command. It depends only on the state and the command.
 func (s *state) apply(command Command, check *invariant.Checker) Result {
 	switch c := command.(type) {
 	case PatchConfiguration:
-		return s.once("patch/"+c.ID, fingerprint(c), func() Result { return s.patch(c) })
+		return s.Configuration.patch(c)
 	case Deposit:
 		return s.once("deposit/"+c.ID, fingerprint(c), func() Result { return s.deposit(c, check) })
 	case ReleaseInDoubt:
@@ -106,20 +88,6 @@
 	return result
 }
 
-func (s *state) patch(c PatchConfiguration) Result {
-	current := s.current()
-	if c.Against != current.Number {
-		return Result{Code: CodeConflict, Detail: "the configuration has changed: read it and make the patch again", Version: current.Number}
-	}
-	document, err := config.Merge(current.Document, c.Patch)
-	if err != nil {
-		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
-	}
-	next := Version{Number: current.Number + 1, Document: document, Patch: c.ID, Operator: c.Operator}
-	s.Versions = append(s.Versions, next)
-	return Result{Code: CodeDone, Version: next.Number}
-}
-
 func (s *state) deposit(c Deposit, check *invariant.Checker) Result {
 	if c.Tokens <= 0 {
 		return Result{Code: CodeInvalid, Detail: "a deposit must be above zero tokens"}
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/config"
-	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/peer"
 )
 
@@ -20,19 +17,39 @@
 
 	// watchWait bounds how long a watch call stays open without a change.
 	watchWait = 5 * time.Second
-	// watchTimeout bounds a whole watch call, so that a connection that went
-	// silent is dropped.
-	watchTimeout = watchWait + 2*time.Second
-	watchRetry   = 250 * time.Millisecond
+	// batchWait is how long the first change of a batch waits for more.
+	batchWait = 100 * time.Millisecond
+	// maxDeltaChanges bounds the changes of one answer.
+	maxDeltaChanges = 64
 )
 
+// watchRequest asks for what follows a version. It is also the heartbeat of
+// the instance that sends it.
 type watchRequest struct {
 	Have uint64 `cbor:"1,keyasint"`
+	// Wait holds the call open until there is a change.
+	Wait bool `cbor:"2,keyasint,omitempty"`
+	// NumberOnly asks for neither document nor changes.
+	NumberOnly    bool   `cbor:"3,keyasint,omitempty"`
+	Instance      string `cbor:"4,keyasint,omitempty"`
+	Incarnation   string `cbor:"5,keyasint,omitempty"`
+	FailureDomain string `cbor:"6,keyasint,omitempty"`
+	Basis         Basis  `cbor:"7,keyasint,omitempty"`
+	Leaving       bool   `cbor:"8,keyasint,omitempty"`
 }
 
+// watchResponse leads from the version that the instance has to Number, by
+// one patch for each version or by a whole document.
 type watchResponse struct {
-	Number   uint64 `cbor:"1,keyasint"`
-	Document []byte `cbor:"2,keyasint,omitempty"`
+	Number   uint64   `cbor:"1,keyasint"`
+	Patches  [][]byte `cbor:"2,keyasint,omitempty"`
+	Document []byte   `cbor:"3,keyasint,omitempty"`
+	// Sum is the sum of the document at Number.
+	Sum []byte `cbor:"4,keyasint,omitempty"`
+	// Known is the highest version that any instance reported here.
+	Known uint64 `cbor:"5,keyasint,omitempty"`
+	// Leaving asks the instance to go to another control instance.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Handle serves entries on mux.
@@ -43,120 +60,95 @@
 	})
 }
 
+// Drain ends the watch calls in progress, so that instances go to another
+// control instance.
+func (g *Group) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.leaving {
+		g.leaving = true
+		close(g.draining)
+	}
+}
+
 func (g *Group) serveWatch(ctx context.Context, request *watchRequest) (*watchResponse, error) {
+	known := g.instances.hear(request, g.Check)
+	if request.Wait {
+		err := g.waitChange(ctx, request.Have)
+		if err != nil {
+			return nil, err
+		}
+	}
+	response := g.answerWatch(request)
+	response.Known = known
+	return response, nil
+}
+
+// waitChange returns when there is a version above have, after a short wait
+// for more of them, or after watchWait.
+func (g *Group) waitChange(ctx context.Context, have uint64) error {
 	timer := time.NewTimer(watchWait)
 	defer timer.Stop()
 	for {
 		version, changed := g.Current()
-		if version.Number > request.Have {
-			return &watchResponse{Number: version.Number, Document: version.Document}, nil
+		if version.Number > have {
+			return g.waitBatch(ctx)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return &watchResponse{Number: version.Number}, nil
+			return nil
+		case <-g.draining:
+			return nil
 		case <-ctx.Done():
-			return nil, errors.Newf("watch configuration: %w", ctx.Err())
+			return errors.Newf("watch configuration: %w", ctx.Err())
 		}
 	}
 }
 
-// Active is a configuration version in force at an instance.
-type Active struct {
-	Number   uint64
-	Document *config.Document
-}
-
-// Watcher keeps the newest configuration version that any control instance
-// has shown. Versions never go back.
-type Watcher struct {
-	// Addresses are the control instances, the nearest first.
-	Addresses []string
-	Client    *peer.Client
-	Log       *log.Logger
-	Check     *invariant.Checker
-
-	mu     sync.Mutex
-	active Active
-	ready  chan struct{}
-	stop   context.CancelFunc
-	done   chan struct{}
-}
-
-// Start begins to watch.
-func (w *Watcher) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	w.stop = cancel
-	w.done = make(chan struct{})
-	w.ready = make(chan struct{})
-	go w.run(ctx)
-}
-
-// Close ends the watch.
-func (w *Watcher) Close() {
-	w.stop()
-	<-w.done
-}
-
-// Ready is closed once a version is in force.
-func (w *Watcher) Ready() <-chan struct{} {
-	return w.ready
-}
-
-// Active returns the version in force; its document is nil before Ready.
-func (w *Watcher) Active() Active {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.active
-}
-
-func (w *Watcher) run(ctx context.Context) {
-	defer close(w.done)
-	next := 0
-	for ctx.Err() == nil {
-		err := w.poll(ctx, w.Addresses[next%len(w.Addresses)])
-		if err == nil {
-			continue
-		}
-		next++
-		w.Log.Debug("configuration watch failed; trying the next control instance", "err", err)
-		select {
-		case <-time.After(watchRetry):
-		case <-ctx.Done():
-		}
+func (g *Group) waitBatch(ctx context.Context) error {
+	timer := time.NewTimer(batchWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-g.draining:
+		return nil
+	case <-ctx.Done():
+		return errors.Newf("watch configuration: %w", ctx.Err())
 	}
 }
 
-func (w *Watcher) poll(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	have := w.Active().Number
-	response, err := peer.Call[watchRequest, watchResponse](ctx, w.Client, address, watchProcedure, &watchRequest{Have: have})
-	if err != nil {
-		return errors.Newf("watch %s: %w", address, err)
+// answerWatch returns the changes after the version that the instance has, or
+// the whole document when it is smaller or the history is too short.
+func (g *Group) answerWatch(request *watchRequest) *watchResponse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.state.Configuration.current()
+	response := &watchResponse{Number: current.Number, Leaving: g.leaving}
+	if request.NumberOnly || current.Number <= request.Have {
+		return response
 	}
-	if response.Number <= have {
-		return nil
+	response.Sum = g.sumOf(current)
+	changes, complete := g.state.Configuration.changes(request.Have, maxDeltaChanges)
+	total := 0
+	for _, change := range changes {
+		total += len(change.Patch)
 	}
-	return w.install(response)
+	reaches := complete && request.Have+uint64(len(changes)) == current.Number
+	if request.Have > 0 && reaches && total < len(current.Document) {
+		response.Patches = patchesOf(changes)
+		return response
+	}
+	response.Document = current.Document
+	return response
 }
 
-func (w *Watcher) install(response *watchResponse) error {
-	document, err := config.Parse(response.Document)
-	if err != nil {
-		return errors.Newf("parse version %d: %w", response.Number, err)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	err = w.Check.Check(response.Number > w.active.Number, invariant.VersionMonotonic, "version %d after %d", response.Number, w.active.Number)
-	if err != nil {
-		return errors.Newf("install configuration: %w", err)
-	}
-	first := w.active.Document == nil
-	w.active = Active{Number: response.Number, Document: document}
-	w.Log.Info("configuration in force", "version", response.Number)
-	if first {
-		close(w.ready)
+// sumOf returns the sum of the current version, computed once a version.
+func (g *Group) sumOf(current Version) []byte {
+	if g.summed != current.Number {
+		g.sum = config.Sum(current.Document)
+		g.summed = current.Number
 	}
-	return nil
+	return g.sum
 }
--- /dev/null
+++ b/internal/group/watcher.go
@@ -0,0 +1,332 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+const (
+	// watchTimeout bounds a whole watch call, so that a connection that went
+	// silent is dropped.
+	watchTimeout = watchWait + 2*time.Second
+	watchRetry   = 250 * time.Millisecond
+	// probeInterval is the time between two probes of the control instances
+	// that are not the source.
+	probeInterval = time.Second
+	probeTimeout  = time.Second
+	// missedProbes is how many times in a row a probe must know more than the
+	// source before it becomes the source.
+	missedProbes = 2
+	// returnAfter is how long a source is kept before a nearer one is taken.
+	returnAfter = 30 * time.Second
+	// heardWithin is how long an answer of a control instance counts; each
+	// control instance adds a probeInterval to it.
+	heardWithin = 10 * time.Second
+)
+
+// errGap reports changes that do not lead to the version that they name.
+var errGap = errors.New("the changes do not fit the version in force")
+
+// Basis says what a version in force rests on.
+type Basis string
+
+// Bases of a version in force.
+const (
+	// BasisMajority means that most control instances answered lately.
+	BasisMajority Basis = "majority"
+	// BasisReachable means that only some control instances answered lately.
+	BasisReachable Basis = "reachable"
+	// BasisCutOff means that no control instance answered lately.
+	BasisCutOff Basis = "cut_off"
+)
+
+// Active is a configuration version in force at an instance.
+type Active struct {
+	Number   uint64
+	Document *config.Document
+	// Since is when the version came into force here.
+	Since time.Time
+}
+
+// Watcher keeps the newest configuration version that any control instance
+// has shown. Versions never go back.
+type Watcher struct {
+	// Addresses are the control instances, the nearest first.
+	Addresses []string
+	Client    *peer.Client
+	Log       *log.Logger
+	Check     *invariant.Checker
+	// Scope counts what the watch costs; nil means not counted.
+	Scope tally.Scope
+	// Instance, Incarnation and FailureDomain stand in the heartbeats.
+	Instance      string
+	Incarnation   string
+	FailureDomain string
+
+	// installing makes one install follow the other.
+	installing sync.Mutex
+
+	mu       sync.Mutex
+	active   Active
+	document []byte
+	// heard is when each control instance last answered.
+	heard    []time.Time
+	source   int
+	switched time.Time
+	missed   int
+	leaving  bool
+
+	ready chan struct{}
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// Start begins to watch.
+func (w *Watcher) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	w.done = make(chan struct{})
+	w.ready = make(chan struct{})
+	w.heard = make([]time.Time, len(w.Addresses))
+	go w.run(ctx)
+}
+
+// Close ends the watch.
+func (w *Watcher) Close() {
+	w.stop()
+	<-w.done
+}
+
+// Leave makes the heartbeats say that the instance is about to end.
+func (w *Watcher) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// Ready is closed once a version is in force.
+func (w *Watcher) Ready() <-chan struct{} {
+	return w.ready
+}
+
+// Active returns the version in force; its document is nil before Ready.
+func (w *Watcher) Active() Active {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.active
+}
+
+// Basis returns what the version in force rests on.
+func (w *Watcher) Basis() Basis {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.basis()
+}
+
+func (w *Watcher) basis() Basis {
+	within := heardWithin + time.Duration(len(w.Addresses))*probeInterval
+	answered := 0
+	for _, at := range w.heard {
+		if !at.IsZero() && time.Since(at) <= within {
+			answered++
+		}
+	}
+	switch {
+	case answered > len(w.Addresses)/2:
+		return BasisMajority
+	case answered > 0:
+		return BasisReachable
+	default:
+		return BasisCutOff
+	}
+}
+
+// run finds the first version, then follows the source and probes the others.
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+	w.findFirst(ctx)
+	prober := &prober{watcher: w, done: make(chan struct{})}
+	go prober.run(ctx)
+	for ctx.Err() == nil {
+		w.follow(ctx)
+	}
+	<-prober.done
+}
+
+// follow makes one watch call to the source.
+func (w *Watcher) follow(ctx context.Context) {
+	w.mu.Lock()
+	source := w.source
+	w.mu.Unlock()
+	response, err := w.fetch(ctx, source, watchRequest{Wait: true}, watchTimeout)
+	if err == nil && !response.Leaving && response.Number >= w.Active().Number {
+		w.mu.Lock()
+		w.missed = 0
+		w.mu.Unlock()
+		return
+	}
+	if err != nil {
+		w.Log.Debug("configuration watch failed; trying the next control instance", "err", err)
+	}
+	w.moveFrom(source)
+	pause(ctx, watchRetry)
+}
+
+// fetch asks a control instance for what follows the version in force and
+// puts the answer in force.
+func (w *Watcher) fetch(ctx context.Context, index int, request watchRequest, timeout time.Duration) (*watchResponse, error) {
+	response, have, err := w.ask(ctx, index, request, timeout)
+	if err != nil {
+		return nil, err
+	}
+	err = w.install(response, have)
+	if !errors.Is(err, errGap) {
+		return response, err
+	}
+	w.count("configuration_gaps", 1)
+	response, err = w.pull(ctx, index)
+	return response, err
+}
+
+// pull takes the whole document from a control instance.
+func (w *Watcher) pull(ctx context.Context, index int) (*watchResponse, error) {
+	response, _, err := w.askFrom(ctx, index, watchRequest{}, probeTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return response, w.install(response, 0)
+}
+
+// ask makes one watch call and returns the version it was made from.
+func (w *Watcher) ask(ctx context.Context, index int, request watchRequest, timeout time.Duration) (*watchResponse, uint64, error) {
+	request.Have = w.Active().Number
+	return w.askFrom(ctx, index, request, timeout)
+}
+
+func (w *Watcher) askFrom(ctx context.Context, index int, request watchRequest, timeout time.Duration) (*watchResponse, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request.Instance = w.Instance
+	request.Incarnation = w.Incarnation
+	request.FailureDomain = w.FailureDomain
+	w.mu.Lock()
+	request.Basis = w.basis()
+	request.Leaving = w.leaving
+	w.mu.Unlock()
+	address := w.Addresses[index]
+	response, err := peer.Call[watchRequest, watchResponse](ctx, w.Client, address, watchProcedure, &request)
+	if err != nil {
+		return nil, 0, errors.Newf("watch %s: %w", address, err)
+	}
+	w.mu.Lock()
+	w.heard[index] = time.Now()
+	w.mu.Unlock()
+	w.countAnswer(response)
+	return response, request.Have, nil
+}
+
+// install puts a newer version in force. An older one is no fault: a control
+// instance may be cut off or behind.
+func (w *Watcher) install(response *watchResponse, have uint64) error {
+	w.installing.Lock()
+	defer w.installing.Unlock()
+	active := w.Active().Number
+	if response.Number <= active {
+		return nil
+	}
+	document, parsed, err := w.assemble(response, have, active)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	err = w.Check.Check(response.Number > w.active.Number, invariant.VersionMonotonic, "version %d after %d", response.Number, w.active.Number)
+	if err != nil {
+		return errors.Newf("install configuration: %w", err)
+	}
+	first := w.active.Document == nil
+	w.document = document
+	w.active = Active{Number: response.Number, Document: parsed, Since: time.Now()}
+	w.Log.Info("configuration in force", "version", response.Number)
+	if first {
+		close(w.ready)
+	}
+	return nil
+}
+
+// assemble returns the document that a response leads to. Patches start after
+// the version have; those up to the one in force are skipped.
+func (w *Watcher) assemble(response *watchResponse, have, active uint64) ([]byte, *config.Document, error) {
+	document := response.Document
+	var patches [][]byte
+	if len(document) == 0 {
+		if have+uint64(len(response.Patches)) != response.Number || active < have {
+			return nil, nil, errGap
+		}
+		document = w.document
+		patches = response.Patches[active-have:]
+	}
+	document, parsed, err := config.Apply(document, patches)
+	if err != nil {
+		return nil, nil, errors.Newf("read version %d: %w", response.Number, err)
+	}
+	if len(response.Document) == 0 && string(config.Sum(document)) != string(response.Sum) {
+		return nil, nil, errGap
+	}
+	return document, parsed, nil
+}
+
+// moveFrom takes the next control instance as the source, unless the source
+// has changed already.
+func (w *Watcher) moveFrom(source int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.source == source {
+		w.setSource((source + 1) % len(w.Addresses))
+	}
+}
+
+// setSource is called with mu held.
+func (w *Watcher) setSource(index int) {
+	w.source = index
+	w.switched = time.Now()
+	w.missed = 0
+}
+
+func (w *Watcher) countAnswer(response *watchResponse) {
+	bytes := len(response.Document)
+	for _, patch := range response.Patches {
+		bytes += len(patch)
+	}
+	w.count("configuration_answers", 1)
+	w.count("configuration_bytes", int64(bytes))
+	w.count("configuration_changes", int64(len(response.Patches)))
+	if len(response.Document) > 0 {
+		w.count("configuration_documents", 1)
+	}
+}
+
+func (w *Watcher) count(name string, change int64) {
+	if w.Scope != nil && change > 0 {
+		w.Scope.Counter(name).Inc(change)
+	}
+}
+
+// pause waits unless ctx ends first.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/group/watcher_test.go
@@ -0,0 +1,220 @@
+package group_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// inForceWithin is the bound from acceptance to in force.
+const inForceWithin = 5 * time.Second
+
+// direct applies commands to several group states in the same order; a member
+// that is held back gets them when it is released.
+type direct struct {
+	groups []*group.Group
+	held   map[int][][]byte
+}
+
+func (d *direct) Propose(_ context.Context, command []byte) ([]byte, error) {
+	var result []byte
+	for i, g := range d.groups {
+		waiting, held := d.held[i]
+		if held {
+			d.held[i] = append(waiting, command)
+			continue
+		}
+		result = g.Apply(command)
+	}
+	return result, nil
+}
+
+func (d *direct) hold(i int) {
+	d.held[i] = nil
+}
+
+func (d *direct) release(i int) {
+	for _, command := range d.held[i] {
+		d.groups[i].Apply(command)
+	}
+	delete(d.held, i)
+}
+
+// fleet is some control instances over a network in memory.
+type fleet struct {
+	t         *testing.T
+	network   *fake.Network
+	direct    *direct
+	addresses []string
+	check     *invariant.Checker
+	closers   []func()
+}
+
+func newFleet(t *testing.T, members int) *fleet {
+	f := &fleet{t: t, network: &fake.Network{}, direct: &direct{held: make(map[int][][]byte)}}
+	f.check = &invariant.Checker{Fatal: func(err error) { t.Errorf("%v", err) }}
+	for i := range members {
+		f.addresses = append(f.addresses, fmt.Sprintf("10.0.0.%d:9000", i))
+		f.direct.groups = append(f.direct.groups, group.New(f.check))
+		f.serve(i)
+	}
+	return f
+}
+
+func controlHost(i int) string {
+	return fmt.Sprintf("control-%d", i)
+}
+
+func (f *fleet) serve(i int) {
+	mux := http.NewServeMux()
+	f.direct.groups[i].Handle(mux, "", f.direct)
+	listener, err := f.network.Host(controlHost(i)).Listen(f.addresses[i])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	f.closers = append(f.closers, func() { _ = server.Close() })
+}
+
+func (f *fleet) watch(host string) *group.Watcher {
+	client := transport.Client(f.network.Host(host))
+	w := &group.Watcher{
+		Addresses: f.addresses,
+		Client:    &peer.Client{HTTP: client},
+		Log:       log.New(io.Discard),
+		Check:     f.check,
+	}
+	w.Start()
+	f.closers = append(f.closers, func() {
+		w.Close()
+		client.CloseIdleConnections()
+	})
+	return w
+}
+
+func (f *fleet) close() {
+	for i := len(f.closers) - 1; i >= 0; i-- {
+		f.closers[i]()
+	}
+}
+
+// patch makes version n from version n-1.
+func (f *fleet) patch(n int) {
+	f.t.Helper()
+	result := f.propose(fmt.Sprintf("p%d", n), uint64(n-1), fmt.Sprintf(`{"limits":{"body_bytes":%d}}`, n))
+	if result.Code != group.CodeDone || result.Version != uint64(n) {
+		f.t.Fatalf("patch %d: %+v", n, result)
+	}
+}
+
+func (f *fleet) propose(id string, against uint64, patch string) group.Result {
+	f.t.Helper()
+	result, err := group.Propose(context.Background(), f.direct, group.PatchConfiguration{ID: id, Against: against, Patch: []byte(patch)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return result
+}
+
+func expectActive(t *testing.T, w *group.Watcher, number uint64) {
+	t.Helper()
+	active := w.Active()
+	if active.Number != number {
+		t.Errorf("version in force %d, want %d", active.Number, number)
+		return
+	}
+	if active.Document != nil && active.Document.Limits.BodyBytes != int64(number) {
+		t.Errorf("document of version %d has %d", number, active.Document.Limits.BodyBytes)
+	}
+}
+
+func TestEmptyNearestControlDoesNotHoldAnEntryBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.direct.hold(0)
+		f.patch(1)
+		w := f.watch("entry")
+		time.Sleep(inForceWithin)
+		expectActive(t, w, 1)
+	})
+}
+
+func TestStuckNearestControlDoesNotHoldAnEntryBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.patch(1)
+		w := f.watch("entry")
+		time.Sleep(time.Second)
+		f.direct.hold(0)
+		for n := 2; n <= 20; n++ {
+			f.patch(n)
+			time.Sleep(inForceWithin)
+			expectActive(t, w, uint64(n))
+		}
+	})
+}
+
+// TestIsolatedMemberNeverTakesAVersionBack restarts an entry beside a member
+// that still answers an old version, and rejoins a cut-off entry.
+func TestIsolatedMemberNeverTakesAVersionBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.patch(1)
+		first := f.watch("entry-1")
+		time.Sleep(time.Second)
+		f.direct.hold(0)
+		f.isolate("entry-2", 1, 2)
+		for n := 2; n <= 200; n++ {
+			f.patch(n)
+		}
+		time.Sleep(inForceWithin)
+		expectActive(t, first, 200)
+		restarted := f.watch("entry-1")
+		cutOff := f.watch("entry-2")
+		time.Sleep(inForceWithin)
+		expectActive(t, restarted, 200)
+		expectActive(t, cutOff, 1)
+		if restarted.Basis() != group.BasisMajority || cutOff.Basis() != group.BasisReachable {
+			t.Errorf("bases %s and %s", restarted.Basis(), cutOff.Basis())
+		}
+		f.rejoin("entry-2", 1, 2)
+		time.Sleep(inForceWithin)
+		expectActive(t, cutOff, 200)
+		f.direct.release(0)
+		f.patch(201)
+		time.Sleep(inForceWithin)
+		for _, w := range []*group.Watcher{first, restarted, cutOff} {
+			expectActive(t, w, 201)
+		}
+	})
+}
+
+func (f *fleet) isolate(host string, members ...int) {
+	for _, i := range members {
+		f.network.Cut(host, controlHost(i))
+		f.network.Cut(controlHost(i), host)
+	}
+}
+
+func (f *fleet) rejoin(host string, members ...int) {
+	for _, i := range members {
+		f.network.Heal(host, controlHost(i))
+		f.network.Heal(controlHost(i), host)
+	}
+}
--- /dev/null
+++ b/internal/operator/history.go
@@ -0,0 +1,102 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/group"
+)
+
+// maxHistoryChanges bounds one answer of the history.
+const maxHistoryChanges = 256
+
+type changeBody struct {
+	Version     uint64          `json:"version"`
+	PatchID     string          `json:"patch_id"`
+	Operator    string          `json:"operator,omitempty"`
+	SubmittedAt string          `json:"submitted_at,omitempty"`
+	Patch       json.RawMessage `json:"patch"`
+}
+
+type historyBody struct {
+	Version uint64 `json:"version"`
+	// Oldest is the oldest version that can still be shown.
+	Oldest  uint64       `json:"oldest_version"`
+	Changes []changeBody `json:"changes"`
+}
+
+type diffBody struct {
+	From  uint64          `json:"from"`
+	To    uint64          `json:"to"`
+	Patch json.RawMessage `json:"patch"`
+}
+
+// serveHistory answers with the newest changes up to the version in the query
+// parameter until, the newest last.
+func (s *Server) serveHistory(w http.ResponseWriter, r *http.Request) {
+	version, _ := s.Group.Current()
+	until, ok := queryNumber(r, "until", version.Number)
+	if !ok {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "until must be a version number"})
+		return
+	}
+	oldest := s.Group.OldestVersion()
+	until = min(until, version.Number)
+	after := oldest
+	if until > oldest+maxHistoryChanges {
+		after = until - maxHistoryChanges
+	}
+	body := historyBody{Version: version.Number, Oldest: oldest, Changes: []changeBody{}}
+	if until > after {
+		changes, _ := s.Group.Changes(after, int(until-after))
+		for _, change := range changes {
+			body.Changes = append(body.Changes, newChangeBody(change))
+		}
+	}
+	write(w, http.StatusOK, body)
+}
+
+func newChangeBody(change group.Change) changeBody {
+	body := changeBody{
+		Version:  change.Number,
+		PatchID:  change.PatchID,
+		Operator: change.Operator,
+		Patch:    change.Patch,
+	}
+	if change.SubmittedAt > 0 {
+		body.SubmittedAt = time.UnixMilli(change.SubmittedAt).UTC().Format(time.RFC3339)
+	}
+	return body
+}
+
+// serveDiff answers with the merge patch between two versions.
+func (s *Server) serveDiff(w http.ResponseWriter, r *http.Request) {
+	version, _ := s.Group.Current()
+	to, okTo := queryNumber(r, "to", version.Number)
+	from, okFrom := queryNumber(r, "from", max(to, 1)-1)
+	if !okTo || !okFrom {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "from and to must be version numbers"})
+		return
+	}
+	patch, err := s.Group.Diff(from, to)
+	if err != nil {
+		s.writeNoVersion(w)
+		return
+	}
+	write(w, http.StatusOK, diffBody{From: from, To: to, Patch: patch})
+}
+
+func (s *Server) writeNoVersion(w http.ResponseWriter) {
+	write(w, http.StatusNotFound, problem{Code: "not_found", Message: "no such version is kept: see the history for the oldest one"})
+}
+
+func queryNumber(r *http.Request, name string, fallback uint64) (uint64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, true
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	return number, err == nil
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
@@ -86,6 +87,8 @@
 	Version  uint64                 `json:"configuration_version"`
 	Ledger   string                 `json:"ledger_epoch"`
 	Epochs   map[string]group.Epoch `json:"ledger_epochs"`
+	// Instances are those that this control instance has heard.
+	Instances []group.Instance `json:"instances"`
 }
 
 // operatorKey finds the operator's name in a request's context.
@@ -104,6 +107,8 @@
 		r.Get("/v1/status", s.serveStatus)
 		r.Get("/v1/configuration", s.serveConfiguration)
 		r.Patch("/v1/configuration", s.servePatch)
+		r.Get("/v1/configuration/history", s.serveHistory)
+		r.Get("/v1/configuration/diff", s.serveDiff)
 		r.Get("/v1/workspaces/{workspace}/budget", s.serveBudget)
 		r.Post("/v1/deposits", s.serveDeposit)
 		r.Post("/v1/releases", s.serveRelease)
@@ -146,6 +151,8 @@
 		Version:  version.Number,
 		Ledger:   s.Ledger.Epoch(),
 		Epochs:   s.Group.Epochs(),
+
+		Instances: s.Group.Instances(),
 	})
 }
 
@@ -154,12 +161,11 @@
 	text := r.URL.Query().Get("version")
 	if text != "" {
 		number, err := strconv.ParseUint(text, 10, 64)
-		found := err == nil
-		if found {
-			version, found = s.Group.VersionNumber(number)
+		if err == nil {
+			version, err = s.Group.Version(number)
 		}
-		if !found {
-			write(w, http.StatusNotFound, problem{Code: "not_found", Message: "no such version"})
+		if err != nil {
+			s.writeNoVersion(w)
 			return
 		}
 	}
@@ -180,6 +186,8 @@
 		Against:  *body.Against,
 		Patch:    body.Patch,
 		Operator: operatorName(r.Context()),
+
+		SubmittedAt: time.Now().UnixMilli(),
 	})
 }
 
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -61,6 +61,11 @@
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
+		Scope:     environment.Telemetry.Scope,
+
+		Instance:      s.InstanceID,
+		Incarnation:   rand.Text(),
+		FailureDomain: s.FailureDomain,
 	}
 	watcher.Start()
 	e.parts.add(watcher.Close)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -62,6 +62,30 @@
 	Version uint64 `json:"version"`
 }
 
+// Change is one accepted patch.
+type Change struct {
+	Version     uint64          `json:"version"`
+	PatchID     string          `json:"patch_id"`
+	Operator    string          `json:"operator,omitempty"`
+	SubmittedAt string          `json:"submitted_at,omitempty"`
+	Patch       json.RawMessage `json:"patch"`
+}
+
+// History is a part of the accepted changes, the newest last.
+type History struct {
+	Version uint64 `json:"version"`
+	// Oldest is the oldest version that can still be shown.
+	Oldest  uint64   `json:"oldest_version"`
+	Changes []Change `json:"changes"`
+}
+
+// Diff is the merge patch that leads from one version to another.
+type Diff struct {
+	From  uint64          `json:"from"`
+	To    uint64          `json:"to"`
+	Patch json.RawMessage `json:"patch"`
+}
+
 // Deposit adds prepaid tokens. The same ID may be sent again.
 type Deposit struct {
 	ID        string `json:"id"`
@@ -106,6 +130,32 @@
 	return configuration, err
 }
 
+// History returns the kept changes up to a version, or the current one for 0.
+func (c *Client) History(ctx context.Context, until uint64) (History, error) {
+	path := "/v1/configuration/history"
+	if until > 0 {
+		path += fmt.Sprintf("?until=%d", until)
+	}
+	var history History
+	err := c.call(ctx, http.MethodGet, path, nil, &history)
+	return history, err
+}
+
+// Diff returns the merge patch between two versions. For to, 0 means the
+// current one; for from, it means the one before to.
+func (c *Client) Diff(ctx context.Context, from, to uint64) (Diff, error) {
+	query := url.Values{}
+	if from > 0 {
+		query.Set("from", fmt.Sprint(from))
+	}
+	if to > 0 {
+		query.Set("to", fmt.Sprint(to))
+	}
+	var diff Diff
+	err := c.call(ctx, http.MethodGet, "/v1/configuration/diff?"+query.Encode(), nil, &diff)
+	return diff, err
+}
+
 // Patch submits a patch. A *Problem with the code "conflict" carries the
 // current version.
 func (c *Client) Patch(ctx context.Context, patch Patch) (Accepted, error) {
