--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -96,7 +96,7 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		tokens := 5_000 + random.Int64N(60_000)
 		s := &soak{
-			site:   newSite(t, tokens, "a"),
+			site:   newSite(t, tokens, "a", "b", "c"),
 			t:      t,
 			seed:   seed,
 			tokens: tokens,
