--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -218,6 +218,7 @@
 			domain := s.domains[random.IntN(len(s.domains))]
 			got := s.send(domain, kind, key, nonce, tokens)
 			if got.status == http.StatusOK && got.err == nil {
+				s.resend(random, kind, key, nonce, tokens)
 				break
 			}
 			time.Sleep(time.Duration(200+random.IntN(4_000)) * time.Millisecond)
@@ -225,6 +226,16 @@
 	}
 }
 
+// resend repeats some answered requests through any domain, as a client does
+// that lost the answer.
+func (s *soak) resend(random *rand.Rand, kind int, key, nonce string, tokens int) {
+	if random.IntN(3) > 0 {
+		return
+	}
+	domain := s.domains[random.IntN(len(s.domains))]
+	s.send(domain, kind, key, nonce, tokens)
+}
+
 // send makes one call and checks what its answer claims.
 func (s *soak) send(domain string, kind int, key, nonce string, tokens int) answer {
 	before := s.runs.count(nonce)
