Prove the group log by random faults; keep the marks of wrapped errors

Cause: errors.Newf with two %w wraps neither, so that errors.Is(err, peer.ErrUnavailable) was false after "%w: %w". TestIsolatedLeaderAnswersNoRead failed on it ("unavailable: %!w(context.deadlineExceededError={})"), and TestLeaderHandsOverOnClose on a member that was closed twice; both pass now. Ruled out: fmt.Errorf, because the house style names the errors library. Change: peer.Unavailable marks and wraps; the log and group/claim.go use it. backend and ledger still hold such wraps. Random plans of kills, cuts, lost disks and hand-overs, focused tests of each fault, fuzz targets.

--- a/internal/group/claim.go
+++ b/internal/group/claim.go
@@ -58,5 +58,5 @@
 		}
 		last = err
 	}
-	return Result{}, errors.Newf("claim at the control group: %w: %w", peer.ErrUnavailable, last)
+	return Result{}, peer.Unavailable("claim at the control group", last)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -66,6 +66,12 @@
 // or at another instance.
 var ErrUnavailable = errors.New("unavailable")
 
+// Unavailable wraps err with a few words and marks it with ErrUnavailable.
+// Newf can't do so: with two %w it wraps neither.
+func Unavailable(words string, err error) error {
+	return errors.Mark(errors.Newf("%s: %w", words, err), ErrUnavailable)
+}
+
 // ErrInvalid marks an error that the same call will meet again.
 var ErrInvalid = errors.New("invalid")
 
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -62,8 +62,10 @@
 	check     *invariant.Checker
 	first     []Member
 	disks     map[string]*fake.Disk
-	instances map[string]*instance
 	snapshots int
+
+	mu        sync.Mutex
+	instances map[string]*instance
 }
 
 func memberOf(id string) Member {
@@ -120,17 +122,28 @@
 	}
 	i.server = &http.Server{Handler: mux}
 	go func() { _ = i.server.Serve(socket) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.instances[id] = i
 }
 
+// get returns a running member, or nil.
+func (c *cluster) get(id string) *instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instances[id]
+}
+
 // kill ends a member at once; its disk keeps only the first keep bytes of what
 // was not synced.
 func (c *cluster) kill(id string, keep int) {
-	i := c.instances[id]
+	i := c.get(id)
 	if i == nil {
 		return
 	}
+	c.mu.Lock()
 	delete(c.instances, id)
+	c.mu.Unlock()
 	c.disks[id].Crash(keep)
 	c.network.Kill(id)
 	_ = i.server.Close()
@@ -145,6 +158,8 @@
 }
 
 func (c *cluster) ids() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var ids []string
 	for id := range c.instances {
 		ids = append(ids, id)
@@ -174,7 +189,7 @@
 func (c *cluster) propose(id, command string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	_, err := c.instances[id].node.Propose(ctx, []byte(command))
+	_, err := c.get(id).node.Propose(ctx, []byte(command))
 	return err
 }
 
@@ -187,26 +202,31 @@
 }
 
 func (c *cluster) barrier(id string) error {
-	return c.instances[id].node.Barrier(context.Background())
+	return c.get(id).node.Barrier(context.Background())
 }
 
-// leader waits until all running members but those left out agree on a leader.
+// leader waits until all running and admitted members but those left out agree
+// on a leader.
 func (c *cluster) leader(without ...string) string {
 	c.t.Helper()
 	for range 300 {
 		leaders := make(map[string]bool)
-		for id, i := range c.instances {
-			if !slices.Contains(without, id) {
-				leaders[i.node.Status().Leader] = true
+		for _, id := range c.ids() {
+			status := c.get(id).node.Status()
+			if status.Admitted && !slices.Contains(without, id) {
+				leaders[status.Leader] = true
 			}
 		}
 		for leader := range leaders {
-			if len(leaders) == 1 && leader != "" && !slices.Contains(without, leader) {
+			if len(leaders) == 1 && c.get(leader) != nil && !slices.Contains(without, leader) {
 				return leader
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	for _, id := range c.ids() {
+		c.t.Logf("%+v", c.get(id).node.Status())
+	}
 	c.t.Fatal("no leader within 30s")
 	return ""
 }
@@ -227,7 +247,7 @@
 func (c *cluster) awaitVoter(id string) {
 	c.t.Helper()
 	for range 300 {
-		for _, member := range c.instances[id].node.Status().Members {
+		for _, member := range c.get(id).node.Status().Members {
 			if member.ID == id && !member.Learner {
 				return
 			}
@@ -247,7 +267,7 @@
 		if err != nil {
 			c.t.Fatalf("barrier at %s: %v", id, err)
 		}
-		got := c.instances[id].machine.list()
+		got := c.get(id).machine.list()
 		if want == nil {
 			want = got
 		}
--- /dev/null
+++ b/internal/quorum/fuzz_test.go
@@ -0,0 +1,105 @@
+package quorum
+
+import (
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/journal"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+func encoded(f *testing.F, message any) []byte {
+	data, err := peer.Encode(message)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return data
+}
+
+// FuzzLoad reads arbitrary segments: they load as a log without gaps or are
+// refused.
+func FuzzLoad(f *testing.F) {
+	first := encoded(f, record{Identity: &identity{ID: "1", Folder: "f", Admitted: true}, Head: &head{}})
+	second := encoded(f, record{Term: 2, Commit: 1, Entries: []entry{{Index: 1, Term: 1}, {Index: 2, Term: 2, Data: []byte("x")}}})
+	whole := journal.AppendRecord(journal.AppendRecord(nil, first), second)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-3])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := &fake.Disk{}
+		err := folder.WriteFile(segmentName(0), data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, err := load(folder)
+		if err != nil {
+			return
+		}
+		for i, e := range d.log.entries {
+			if e.Index != d.log.base+uint64(i)+1 {
+				t.Errorf("entry %d at position %d after %d", e.Index, i, d.log.base)
+			}
+		}
+	})
+}
+
+// FuzzSnapshot reads arbitrary snapshot files.
+func FuzzSnapshot(f *testing.F) {
+	whole, err := encodeSnapshot(snapshot{Index: 3, Term: 2, Data: []byte("state")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := decodeSnapshot(data)
+		if err == nil && int64(len(s.Data)) != s.Size {
+			t.Errorf("%d bytes instead of %d", len(s.Data), s.Size)
+		}
+	})
+}
+
+// FuzzMessages gives arbitrary messages of other members to one.
+func FuzzMessages(f *testing.F) {
+	f.Add(encoded(f, appendRequest{Term: 3, Leader: "2", PreviousIndex: 1, PreviousTerm: 1, Entries: []entry{{Index: 2, Term: 3}}, Commit: 2}))
+	f.Add(encoded(f, voteRequest{Term: 3, Candidate: "2", LastIndex: 9, LastTerm: 2}))
+	f.Add(encoded(f, snapshotRequest{Term: 3, Leader: "2", Index: 7, IndexTerm: 2, Data: []byte("x"), Last: true}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		network := &fake.Network{}
+		n, err := Open(Options{
+			ID:      "1",
+			Members: []Member{memberOf("1"), memberOf("2")},
+			Folder:  &fake.Disk{},
+			Machine: &listMachine{},
+			Client:  &peer.Client{HTTP: transport.Client(network.Host("1"))},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.end()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.admit(map[string]string{"1": n.identity.Folder})
+		take(n, data)
+		if n.commit > n.log.last() {
+			t.Errorf("commit %d after the log's end %d", n.commit, n.log.last())
+		}
+	})
+}
+
+// take decodes data as each kind of message and hands it to the node.
+func take(n *Node, data []byte) {
+	var vote voteRequest
+	if peer.Decode(data, &vote) == nil {
+		n.answerVote(&vote)
+	}
+	var appended appendRequest
+	if peer.Decode(data, &appended) == nil {
+		_, _ = n.answerAppend(&appended)
+	}
+	var parts snapshotRequest
+	if peer.Decode(data, &parts) == nil {
+		_, _ = n.answerSnapshot(&parts)
+	}
+}
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -60,7 +60,7 @@
 	}
 	response, err := peer.Call[memberRequest, memberResponse](ctx, n.options.Client, address, memberProcedure, request)
 	if err != nil {
-		return errors.Newf("forward to the leader: %w: %w", peer.ErrUnavailable, err)
+		return peer.Unavailable("forward to the leader", err)
 	}
 	if response.NotLeader {
 		return errNotLeader
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -52,9 +52,9 @@
 	applier *applier
 	stop    chan struct{}
 	workers sync.WaitGroup
-	once    sync.Once
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	ended bool
 	// failed is why the member takes no more part.
 	failed   error
 	identity identity
@@ -183,15 +183,18 @@
 
 // Close hands a leadership over and ends the member.
 func (n *Node) Close() {
-	n.once.Do(func() {
-		n.HandOver()
-		n.end()
-	})
+	n.HandOver()
+	n.end()
 }
 
 // end stops the member without a word to the others.
 func (n *Node) end() {
 	n.mu.Lock()
+	if n.ended {
+		n.mu.Unlock()
+		return
+	}
+	n.ended = true
 	n.saveCommit()
 	n.resign("", eventStop)
 	if n.failed == nil {
@@ -223,7 +226,7 @@
 		return
 	}
 	n.resign("", eventStop)
-	n.failed = errors.Newf("group member stopped: %w: %w", peer.ErrUnavailable, err)
+	n.failed = peer.Unavailable("group member stopped", err)
 	n.broadcast()
 }
 
@@ -249,7 +252,7 @@
 	n.mu.Unlock()
 	err := n.writer.wait(newest)
 	if err != nil {
-		return errors.Newf("sync: %w: %w", peer.ErrUnavailable, err)
+		return peer.Unavailable("sync", err)
 	}
 	return nil
 }
@@ -279,7 +282,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return errors.Newf("wait for the group: %w: %w", peer.ErrUnavailable, ctx.Err())
+			return peer.Unavailable("wait for the group", ctx.Err())
 		}
 	}
 }
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -65,7 +65,7 @@
 	}
 	response, err := peer.Call[proposeRequest, proposeResponse](ctx, n.options.Client, address, proposeProcedure, &proposeRequest{Command: command})
 	if err != nil {
-		return nil, errors.Newf("forward to the leader: %w: %w", peer.ErrUnavailable, err)
+		return nil, peer.Unavailable("forward to the leader", err)
 	}
 	if response.NotLeader {
 		return nil, errNotLeader
@@ -116,7 +116,7 @@
 	case o := <-w.outcome:
 		return o.result, o.err
 	case <-ctx.Done():
-		return nil, errors.Newf("commit: %w: %w", peer.ErrUnavailable, ctx.Err())
+		return nil, peer.Unavailable("commit", ctx.Err())
 	}
 }
 
@@ -141,6 +141,6 @@
 	case <-n.stop:
 		return errClosed
 	case <-ctx.Done():
-		return errors.Newf("%w: %w", peer.ErrUnavailable, ctx.Err())
+		return peer.Unavailable("pause", ctx.Err())
 	}
 }
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -1,21 +1,261 @@
 package quorum
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/journal"
+	"github.com/cactusbay/cactusbay/internal/peer"
 )
 
-func TestCommitsAtEveryMember(t *testing.T) {
+// inBubble runs a test on a new cluster under virtual time.
+func inBubble(t *testing.T, size int, run func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 3)
+		c := newCluster(t, size)
 		defer c.close()
+		c.leader()
+		run(t, c)
+	})
+}
+
+func (c *cluster) proposeMany(id string, count int) []string {
+	c.t.Helper()
+	var accepted []string
+	for i := range count {
+		command := fmt.Sprint("from-", id, "-", i)
+		c.mustPropose(id, command)
+		accepted = append(accepted, command)
+	}
+	return accepted
+}
+
+func TestCommitsAtEveryMember(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		accepted := c.proposeMany("1", 10)
+		accepted = append(accepted, c.proposeMany("2", 10)...)
+		accepted = append(accepted, c.proposeMany("3", 10)...)
+		c.settle(accepted)
+	})
+}
+
+func TestTornTailIsCut(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany("1", 3)
+		c.kill("1", 0)
+		file, err := c.disks["1"].Append(segmentName(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := journal.AppendRecord(nil, []byte("a record that was not synced"))
+		_, err = file.Write(whole[:len(whole)-4])
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.start("1")
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestDamagedMiddleStopsTheMember(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, c *cluster) {
+		c.proposeMany("1", 3)
+		c.kill("1", 0)
+		data, err := c.disks["1"].ReadFile(segmentName(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data[len(data)/2] ^= 1
+		err = c.disks["1"].WriteFile(segmentName(0), data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = c.open("1")
+		if !errors.Is(err, journal.ErrDamaged) {
+			t.Errorf("open returned %v", err)
+		}
+	})
+}
+
+func TestIsolatedLeaderAnswersNoRead(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		c.isolate(old, true)
+		// The first barrier falls into the time in which the old leader still
+		// believes that it leads.
+		for range 3 {
+			err := c.barrier(old)
+			if !errors.Is(err, peer.ErrUnavailable) {
+				t.Errorf("isolated leader's barrier: %v", err)
+			}
+		}
+		next := c.leader(old)
+		accepted := c.proposeMany(next, 2)
+		if c.propose(old, "lost") == nil {
+			t.Error("the isolated leader accepted a command")
+		}
+		c.isolate(old, false)
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestReturnOfACutOffMemberDisturbsNobody(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		away := c.follower()
+		before := c.get(c.leader()).node.Status()
+		c.isolate(away, true)
+		time.Sleep(time.Hour)
+		c.isolate(away, false)
+		time.Sleep(10 * time.Second)
+		after := c.get(c.leader()).node.Status()
+		if after.Term != before.Term || after.Leader != before.Leader {
+			t.Errorf("before %+v, after %+v", before, after)
+		}
+	})
+}
+
+func TestOneWayCutOfTheLeaderIsSurvived(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		deaf := c.leader()
+		for _, id := range c.ids() {
+			c.cut(id, deaf, true)
+		}
+		next := c.leader(deaf)
+		accepted := c.proposeMany(next, 1)
+		for _, id := range c.ids() {
+			c.cut(id, deaf, false)
+		}
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestRestartAloneAppliesWhatWasCommitted(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany(c.leader(), 500)
+		time.Sleep(maxElectionTimeout)
+		id := c.follower()
+		c.kill(id, 0)
+		c.isolate(id, true)
+		c.start(id)
+		synctest.Wait()
+		if !slices.Equal(c.get(id).machine.list(), accepted) {
+			t.Errorf("applied %d of %d commands", len(c.get(id).machine.list()), len(accepted))
+		}
+	})
+}
+
+func TestRestartOfTheWholeGroup(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		accepted := c.proposeMany("1", 500)
+		for _, id := range c.ids() {
+			c.kill(id, 7)
+		}
+		for _, member := range c.first {
+			c.start(member.ID)
+		}
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestEmptyFolderNeverVotesUnderAKnownID(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany(c.leader(), 5)
+		lost := c.follower()
+		c.kill(lost, 0)
+		c.disks[lost].Erase()
+		c.start(lost)
+		c.kill(c.leader(lost), 0)
+		time.Sleep(time.Minute)
+		for _, id := range c.ids() {
+			status := c.get(id).node.Status()
+			if status.Role == string(roleLeader) || status.Admitted != (id != lost) {
+				t.Errorf("%+v", status)
+			}
+		}
+		for _, member := range c.first {
+			if c.get(member.ID) == nil {
+				c.start(member.ID)
+			}
+		}
+		c.kill(lost, 0)
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestLostDiskReturnsUnderANewID(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany(c.leader(), 50)
+		r := &randomRun{cluster: c, members: []string{"1", "2", "3"}, next: 3}
+		r.loseDisk(0)
+		r.kill(r.members[1], 0)
+		r.disks[r.members[1]].Erase()
+		c.leader()
+		c.settle(accepted)
+		err := c.get("4").node.AddMember(t.Context(), "1", memberOf("1").Address)
+		if !errors.Is(err, peer.ErrInvalid) {
+			t.Errorf("a retired id was added again: %v", err)
+		}
+	})
+}
+
+func TestLeaderHandsOverOnClose(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		term := c.get(old).node.Status().Term
+		before := time.Now()
+		c.get(old).node.Close()
+		c.kill(old, 0)
+		next := c.leader()
+		if took := time.Since(before); took > minElectionTimeout/2 {
+			t.Errorf("the next leader stood after %v", took)
+		}
+		if got := c.get(next).node.Status().Term; got != term+1 {
+			t.Errorf("term %d after %d", got, term)
+		}
+	})
+}
+
+func TestFailingDiskIsNeverAcknowledged(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany(c.leader(), 3)
+		old := c.leader()
+		c.disks[old].SetFailing(true)
+		err := c.propose(old, "unclear")
+		if !errors.Is(err, peer.ErrUnavailable) {
+			t.Errorf("propose on a failing disk: %v", err)
+		}
+		next := c.leader(old)
+		accepted = append(accepted, c.proposeMany(next, 3)...)
+		c.disks[old].SetFailing(false)
+		c.kill(old, 0)
+		c.start(old)
+		c.leader()
+		c.settle(accepted)
+	})
+}
+
+func TestSnapshotOfManyPartsReachesALaggingMember(t *testing.T) {
+	inBubble(t, 3, func(_ *testing.T, c *cluster) {
+		lagging := c.follower()
+		c.kill(lagging, 0)
 		var accepted []string
-		for i := range 30 {
-			command := fmt.Sprint("c", i)
-			c.mustPropose(fmt.Sprint(i%3+1), command)
+		for i := range 2 * c.snapshots {
+			command := fmt.Sprint(i, string(bytes.Repeat([]byte("x"), 100_000)))
+			c.mustPropose(c.leader(), command)
 			accepted = append(accepted, command)
 		}
+		c.start(lagging)
+		c.leader()
 		c.settle(accepted)
 	})
 }
--- a/internal/quorum/read.go
+++ b/internal/quorum/read.go
@@ -54,7 +54,7 @@
 	}
 	response, err := peer.Call[readRequest, readResponse](ctx, n.options.Client, address, readProcedure, &readRequest{})
 	if err != nil {
-		return 0, errors.Newf("ask the leader: %w: %w", peer.ErrUnavailable, err)
+		return 0, peer.Unavailable("ask the leader", err)
 	}
 	if response.NotLeader {
 		return 0, errNotLeader
