Confirm operators' reads by majority; change members by command

Cause: configuration and budgets were read from whatever the called instance knew, and a lost disk had no way back. Status says linearizable. The commands control status, add and remove, with endpoints and client methods. Conclusion: a read survives one silent connection.

--- a/internal/cmd/cmd_budget.go
+++ b/internal/cmd/cmd_budget.go
@@ -19,7 +19,7 @@
 			Name:      "show",
 			Usage:     "prints a workspace's budget",
 			ArgsUsage: "WORKSPACE",
-			Flags:     operatorFlags(),
+			Flags:     operatorFlags(localFlag()),
 			Action:    showBudget,
 		},
 		{
--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -20,7 +20,7 @@
 		{
 			Name:   "show",
 			Usage:  "prints the current or a given version",
-			Flags:  operatorFlags(&cli.Uint64Flag{Name: "version", Usage: "version `NUMBER`; the current one by default"}),
+			Flags:  operatorFlags(localFlag(), &cli.Uint64Flag{Name: "version", Usage: "version `NUMBER`; the current one by default"}),
 			Action: showConfig,
 		},
 		{
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -11,15 +11,27 @@
 	"github.com/cactusbay/cactusbay/internal/settings"
 )
 
+// controlSettingsFlag is not required, because the subcommands go without.
+var controlSettingsFlag = &cli.StringFlag{
+	Name:  "settings",
+	Usage: "JSON settings `FILE` of this process",
+	Local: true,
+}
+
 // cmdControl runs a control instance.
 var cmdControl = &cli.Command{
 	Name:   "control",
 	Usage:  "runs a control instance, which keeps durable state",
-	Flags:  []cli.Flag{settingsFlag},
+	Flags:  []cli.Flag{controlSettingsFlag},
 	Action: runControl,
+
+	Commands: controlMemberCommands,
 }
 
 func runControl(ctx context.Context, command *cli.Command) error {
+	if command.String("settings") == "" {
+		return usageError(errors.New("--settings is missing: name the settings file"))
+	}
 	s, err := loadSettings(command, settings.RoleControl)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cmd/cmd_control_members.go
@@ -0,0 +1,96 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+// controlMemberCommands show and change the control group's members.
+var controlMemberCommands = []*cli.Command{
+	{
+		Name:   "status",
+		Usage:  "prints the control group's members as one instance knows them",
+		Flags:  operatorFlags(),
+		Action: showControlMembers,
+	},
+	{
+		Name:      "add",
+		Usage:     "admits a control instance with an empty data folder; it votes once it has synced everything",
+		ArgsUsage: "INSTANCE_ID PEER_ADDRESS",
+		Flags:     operatorFlags(),
+		Action:    addControlMember,
+	},
+	{
+		Name:      "remove",
+		Usage:     "retires a control instance; its id may not be used again",
+		ArgsUsage: "INSTANCE_ID",
+		Flags:     operatorFlags(),
+		Action:    removeControlMember,
+	},
+}
+
+func showControlMembers(ctx context.Context, command *cli.Command) error {
+	return withControlGroup(ctx, command, func(ctx context.Context, client *operator.Client) (operator.ControlGroup, error) {
+		return client.ControlGroup(ctx)
+	})
+}
+
+func addControlMember(ctx context.Context, command *cli.Command) error {
+	if command.Args().Len() != 2 {
+		return usageError(errors.New("name the instance id and its peer address"))
+	}
+	id, address := command.Args().Get(0), command.Args().Get(1)
+	return withControlGroup(ctx, command, func(ctx context.Context, client *operator.Client) (operator.ControlGroup, error) {
+		return client.AddControlMember(ctx, id, address)
+	})
+}
+
+func removeControlMember(ctx context.Context, command *cli.Command) error {
+	id, err := oneArgument(command, "control instance")
+	if err != nil {
+		return err
+	}
+	return withControlGroup(ctx, command, func(ctx context.Context, client *operator.Client) (operator.ControlGroup, error) {
+		return client.RemoveControlMember(ctx, id)
+	})
+}
+
+// withControlGroup makes one call and prints the group that it returns.
+func withControlGroup(ctx context.Context, command *cli.Command, call func(context.Context, *operator.Client) (operator.ControlGroup, error)) error {
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	group, err := call(ctx, client)
+	if err != nil {
+		return operatorError(err, "")
+	}
+	return printResult(command, group, controlGroupText(group))
+}
+
+// controlGroupText returns a line for the group and one for each member.
+func controlGroupText(group operator.ControlGroup) string {
+	lines := []string{fmt.Sprintf("%s: %s in term %d, leader %q, committed %d, applied %d", group.ID, group.Role, group.Term, group.Leader, group.Committed, group.Applied)}
+	if !group.Admitted {
+		lines = append(lines, "this instance's data folder belongs to no group yet")
+	}
+	if group.Failure != "" {
+		lines = append(lines, "failure: "+group.Failure)
+	}
+	for _, member := range group.Members {
+		part := "voter"
+		if member.Learner {
+			part = "learner, not repaired yet"
+		}
+		lines = append(lines, fmt.Sprintf("%s %s %s, synced %d", member.ID, member.Address, part, member.Synced))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -28,6 +28,11 @@
 	return append(flags, more...)
 }
 
+// localFlag asks for an answer that no majority has confirmed.
+func localFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "local", Usage: "print what this instance knows, also when it is cut off"}
+}
+
 func idFlag(what string) cli.Flag {
 	return &cli.StringFlag{Name: "id", Usage: "`ID` of the " + what + "; send the same one again after a lost answer"}
 }
@@ -58,6 +63,7 @@
 		Address: command.String("control"),
 		Key:     key,
 		HTTP:    &http.Client{Timeout: operatorTimeout},
+		Local:   command.Bool("local"),
 	}
 	return client, nil
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -82,11 +82,15 @@
 }
 
 type statusBody struct {
-	Instance string                 `json:"instance"`
-	Member   quorum.Status          `json:"member"`
-	Version  uint64                 `json:"configuration_version"`
-	Ledger   string                 `json:"ledger_epoch"`
-	Epochs   map[string]group.Epoch `json:"ledger_epochs"`
+	Instance string `json:"instance"`
+	// Linearizable is false when no majority confirmed the answer: it is only
+	// what this instance knows.
+	Linearizable bool `json:"linearizable"`
+
+	Member  quorum.Status          `json:"member"`
+	Version uint64                 `json:"configuration_version"`
+	Ledger  string                 `json:"ledger_epoch"`
+	Epochs  map[string]group.Epoch `json:"ledger_epochs"`
 	// Instances are those that this control instance has heard.
 	Instances []group.Instance `json:"instances"`
 }
@@ -105,11 +109,14 @@
 	router.Group(func(r chi.Router) {
 		r.Use(s.authenticate)
 		r.Get("/v1/status", s.serveStatus)
-		r.Get("/v1/configuration", s.serveConfiguration)
+		r.With(s.linearizable).Get("/v1/configuration", s.serveConfiguration)
 		r.Patch("/v1/configuration", s.servePatch)
-		r.Get("/v1/configuration/history", s.serveHistory)
-		r.Get("/v1/configuration/diff", s.serveDiff)
-		r.Get("/v1/workspaces/{workspace}/budget", s.serveBudget)
+		r.With(s.linearizable).Get("/v1/configuration/history", s.serveHistory)
+		r.With(s.linearizable).Get("/v1/configuration/diff", s.serveDiff)
+		r.With(s.linearizable).Get("/v1/workspaces/{workspace}/budget", s.serveBudget)
+		r.Get("/v1/control_members", s.serveMembers)
+		r.Post("/v1/control_members", s.serveAddMember)
+		r.Delete("/v1/control_members/{id}", s.serveRemoveMember)
 		r.Post("/v1/deposits", s.serveDeposit)
 		r.Post("/v1/releases", s.serveRelease)
 	})
@@ -143,14 +150,18 @@
 	return name
 }
 
-func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveStatus(w http.ResponseWriter, r *http.Request) {
+	confirmed := s.isConfirmed(r)
 	version, _ := s.Group.Current()
 	write(w, http.StatusOK, statusBody{
 		Instance: s.Instance,
-		Member:   s.Quorum.Status(),
-		Version:  version.Number,
-		Ledger:   s.Ledger.Epoch(),
-		Epochs:   s.Group.Epochs(),
+
+		Linearizable: confirmed,
+
+		Member:  s.Quorum.Status(),
+		Version: version.Number,
+		Ledger:  s.Ledger.Epoch(),
+		Epochs:  s.Group.Epochs(),
 
 		Instances: s.Group.Instances(),
 	})
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -224,11 +224,15 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	c.logStatus()
+	c.t.Fatal("no leader within 30s")
+	return ""
+}
+
+func (c *cluster) logStatus() {
 	for _, id := range c.ids() {
 		c.t.Logf("%+v", c.get(id).node.Status())
 	}
-	c.t.Fatal("no leader within 30s")
-	return ""
 }
 
 // follower returns a running member that does not lead.
@@ -265,6 +269,7 @@
 	for _, id := range c.ids() {
 		err := c.barrier(id)
 		if err != nil {
+			c.logStatus()
 			c.t.Fatalf("barrier at %s: %v", id, err)
 		}
 		got := c.get(id).machine.list()
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -133,12 +133,12 @@
 	if !found {
 		return c, false, nil
 	}
-	if request.Remove == leader {
-		return c, false, errors.Newf("the leader cannot be removed while no other member can lead: %w", peer.ErrUnavailable)
-	}
 	if !member.Learner && len(c.voters()) == 1 {
 		return c, false, errors.Newf("the last voter cannot be removed: %w", peer.ErrInvalid)
 	}
+	if request.Remove == leader {
+		return c, false, errors.Newf("the leader cannot be removed while no other member can lead: %w", peer.ErrUnavailable)
+	}
 	return c.without(request.Remove), true, nil
 }
 
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -259,3 +261,38 @@
 		c.settle(accepted)
 	})
 }
+
+// silentOnce lets the first call of a procedure go unanswered, as over a
+// connection that something in between has lost track of.
+type silentOnce struct {
+	next      http.RoundTripper
+	procedure string
+	mu        sync.Mutex
+	silent    bool
+}
+
+func (s *silentOnce) RoundTrip(request *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	first := !s.silent && request.URL.Path == s.procedure
+	s.silent = s.silent || first
+	s.mu.Unlock()
+	if first {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	return s.next.RoundTrip(request)
+}
+
+func TestReadSurvivesASilentConnection(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		accepted := c.proposeMany(c.leader(), 1)
+		id := c.follower()
+		client := c.get(id).client
+		client.Transport = &silentOnce{next: client.Transport, procedure: readProcedure}
+		err := c.barrier(id)
+		if err != nil {
+			t.Errorf("barrier after a silent connection: %v", err)
+		}
+		c.settle(accepted)
+	})
+}
--- a/internal/quorum/read.go
+++ b/internal/quorum/read.go
@@ -12,6 +12,9 @@
 const (
 	readProcedure = "/quorum/read"
 	readTimeout   = 3 * time.Second
+	// readCallTimeout is short, so that a read goes on over a new connection
+	// when one has gone silent.
+	readCallTimeout = 500 * time.Millisecond
 )
 
 type readRequest struct{}
@@ -33,12 +36,8 @@
 		if err == nil {
 			return n.awaitApplied(ctx, index)
 		}
-		if !errors.Is(err, errNotLeader) {
-			return errors.Newf("read barrier: %w", err)
-		}
-		err = n.pause(ctx, leaderRetry)
-		if err != nil {
-			return errors.Newf("read barrier without a leader: %w", err)
+		if n.pause(ctx, leaderRetry) != nil {
+			return peer.Unavailable("read barrier", err)
 		}
 	}
 }
@@ -52,6 +51,8 @@
 	if address == "" {
 		return 0, errNotLeader
 	}
+	ctx, cancel := context.WithTimeout(ctx, readCallTimeout)
+	defer cancel()
 	response, err := peer.Call[readRequest, readResponse](ctx, n.options.Client, address, readProcedure, &readRequest{})
 	if err != nil {
 		return 0, peer.Unavailable("ask the leader", err)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -23,6 +23,8 @@
 	Key string
 	// HTTP is the client to use; nil means the default one.
 	HTTP *http.Client
+	// Local asks for what the called instance knows, without a majority.
+	Local bool
 }
 
 // Problem is a refusal by the control instance.
@@ -192,6 +194,11 @@
 		return errors.Newf("make request: %w", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.Local && method == http.MethodGet {
+		query := request.URL.Query()
+		query.Set("local", "true")
+		request.URL.RawQuery = query.Encode()
+	}
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
