Ledger: tell nothing that is not durable; attempts end once

Ruled out: applying only after the sync (two requests would reserve the same tokens while the first waits); a shadow copy of the state per batch.

A release without its reservation leaves a record of the attempt, so the late Reserve is refused. Each ledger is asked with an attempt of its own. The entry keeps ends that were not confirmed (settle, release, abandon) in a bounded outbox and sends them until they are taken. Group accounts are copied before a change; a claim that gave up stays refused.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -23,6 +23,8 @@
 	Billed int64 `cbor:"3,keyasint,omitempty" json:"billed"`
 	// Reserved is held by requests now; unlike the others it also shrinks.
 	Reserved int64 `cbor:"4,keyasint,omitempty" json:"reserved"`
+	// Voided is the part of Billed that was taken back.
+	Voided int64 `cbor:"10,keyasint,omitempty" json:"voided"`
 }
 
 // Grant is the group's view of one ledger epoch's part of a budget.
@@ -43,7 +45,7 @@
 
 // Unspent returns the tokens in the grant that are not known to be billed.
 func (g Grant) Unspent() int64 {
-	return g.Held() - g.Counters.Billed
+	return g.Held() - g.Counters.Billed + g.Counters.Voided
 }
 
 // Account is the group's state of one workspace's budget in tokens.
@@ -82,7 +84,7 @@
 		return nil
 	}
 	old := grant.Counters
-	if counters.Returned < old.Returned || counters.Deposited < old.Deposited || counters.Billed < old.Billed {
+	if counters.Returned < old.Returned || counters.Deposited < old.Deposited || counters.Billed < old.Billed || counters.Voided < old.Voided {
 		return nil
 	}
 	grant.Counters = counters
@@ -120,7 +122,7 @@
 func (a *Account) Billed() int64 {
 	var total int64
 	for _, grant := range a.Grants {
-		total += grant.Counters.Billed
+		total += grant.Counters.Billed - grant.Counters.Voided
 	}
 	return total
 }
--- a/internal/budget/escrow.go
+++ b/internal/budget/escrow.go
@@ -3,18 +3,20 @@
 import "github.com/cockroachdb/errors"
 
 // Escrow is a ledger's own view of its part of one workspace's budget, in
-// tokens. Granted, Returned, Deposited and Billed are cumulative.
+// tokens. Granted, Returned, Deposited, Billed and Voided are cumulative.
 type Escrow struct {
 	Granted   int64 `cbor:"1,keyasint,omitempty" json:"granted"`
 	Returned  int64 `cbor:"2,keyasint,omitempty" json:"returned"`
 	Deposited int64 `cbor:"3,keyasint,omitempty" json:"deposited"`
 	Billed    int64 `cbor:"4,keyasint,omitempty" json:"billed"`
 	Reserved  int64 `cbor:"5,keyasint,omitempty" json:"reserved"`
+	// Voided is the cumulative total of bills that were taken back.
+	Voided int64 `cbor:"10,keyasint,omitempty" json:"voided"`
 }
 
 // Available returns the tokens that may still be reserved.
 func (e Escrow) Available() int64 {
-	return e.Granted + e.Deposited - e.Returned - e.Billed - e.Reserved
+	return e.Granted + e.Deposited + e.Voided - e.Returned - e.Billed - e.Reserved
 }
 
 // Counters returns the totals to report to the group.
@@ -24,6 +26,7 @@
 		Deposited: e.Deposited,
 		Billed:    e.Billed,
 		Reserved:  e.Reserved,
+		Voided:    e.Voided,
 	}
 }
 
@@ -48,7 +51,7 @@
 // Check returns an error that wraps ErrBroken when more is reserved and billed
 // than was granted.
 func (e Escrow) Check() error {
-	if e.Available() < 0 || e.Reserved < 0 {
+	if e.Available() < 0 || e.Reserved < 0 || e.Voided > e.Billed {
 		return errors.Newf("reserved %d and billed %d of granted %d: %w", e.Reserved, e.Billed, e.Granted, ErrBroken)
 	}
 	return nil
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if kept != nil {
-		writeAnswer(w, *kept)
+		replayAnswer(w, *kept)
 		return
 	}
 	defer run.lease.Release()
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -19,8 +19,9 @@
 
 const (
 	ledgerTimeout = 3 * time.Second
-	settleTries   = 3
-	settlePause   = 50 * time.Millisecond
+	// endTimeout bounds the first try to settle, release or abandon.
+	endTimeout = time.Second
+	awaitPause = 100 * time.Millisecond
 	// maxKeptAnswerBytes bounds an answer that is kept for retries.
 	maxKeptAnswerBytes = 256 << 10
 )
@@ -47,28 +48,81 @@
 	if r.key == "" {
 		r.key = "entry-" + r.attempt
 	}
-	lease, found := s.Pool.Acquire(a.document, a.work, s.FailureDomain, nil)
+	for {
+		kept, refusal := r.take(ctx)
+		if r.isWaiting(kept, refusal) {
+			kept, refusal = r.await(ctx)
+			if kept == nil && refusal == nil {
+				continue
+			}
+		}
+		if kept != nil || refusal != nil {
+			return nil, kept, refusal
+		}
+		refusal = r.claim(ctx)
+		if refusal != nil {
+			r.release(ctx)
+			r.lease.Release()
+			return nil, nil, refusal
+		}
+		return r, nil, nil
+	}
+}
+
+// take acquires a place at a backend server and the reservation for it.
+func (r *run) take(ctx context.Context) (*ledger.Answer, *Refusal) {
+	a := r.accepted
+	lease, found := r.server.Pool.Acquire(a.document, a.work, r.server.FailureDomain, nil)
 	if !found {
-		return nil, nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
+		return nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
 	}
 	r.lease = lease
 	kept, refusal := r.reserve(ctx)
 	if kept != nil || refusal != nil {
 		lease.Release()
-		return nil, kept, refusal
 	}
-	refusal = r.claim(ctx)
-	if refusal != nil {
-		r.release(ctx)
-		lease.Release()
-		return nil, nil, refusal
+	return kept, refusal
+}
+
+// isWaiting tells whether the request is running under another attempt.
+func (r *run) isWaiting(kept *ledger.Answer, refusal *Refusal) bool {
+	return kept == nil && refusal != nil && refusal.Code == codeRunning
+}
+
+// await waits within the deadline for the running attempt of the same request
+// and returns its kept answer. Both results are nil when that attempt was
+// released, so that this one may run.
+func (r *run) await(ctx context.Context) (*ledger.Answer, *Refusal) {
+	ctx, span := r.span(ctx, "await")
+	defer span.End()
+	for {
+		reservation, err := r.server.Ledger.Await(ctx, r.held.Address, r.accepted.workspace, r.key)
+		if err == nil && reservation.Outcome == ledger.OutcomeReleased {
+			r.attempt = rand.Text()
+			return nil, nil
+		}
+		if err == nil && reservation.Outcome != ledger.OutcomeRunning {
+			return reservationAnswer(reservation)
+		}
+		if err != nil {
+			r.server.Log.Debug("wait for the running attempt failed; retrying", "err", err)
+		}
+		select {
+		case <-time.After(awaitPause):
+		case <-ctx.Done():
+			return reservationAnswer(ledger.Reservation{Outcome: ledger.OutcomeRunning})
+		}
 	}
-	return r, nil, nil
 }
 
 func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
 	ctx, span := r.span(ctx, "reserve")
 	defer span.End()
+	within := ledgerTimeout
+	deadline, found := ctx.Deadline()
+	if found {
+		within = time.Until(deadline)
+	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	held, err := r.server.Ledger.Reserve(ctx, ledger.Reserve{
@@ -80,12 +134,17 @@
 		Server:     r.lease.Name,
 		Entry:      r.server.Instance,
 		Repeatable: r.accepted.repeatable,
+		Shared:     r.accepted.key != "",
+		Within:     within.Milliseconds(),
 	})
 	if err != nil {
 		r.server.Log.Warn("no ledger answered", "err", err)
 		return nil, notRun(http.StatusServiceUnavailable, codeNoLedger, "no ledger can be reached", retrySoon)
 	}
 	r.held = held
+	if held.Outcome == ledger.OutcomeReserved {
+		r.attempt = held.Attempt
+	}
 	return reservationAnswer(held.Reservation)
 }
 
@@ -127,7 +186,7 @@
 		Holder:    r.attempt,
 	})
 	if err != nil {
-		r.abandon()
+		r.abandon(ctx)
 		return notRun(http.StatusServiceUnavailable, codeNoClaim, "a request that may run once only needs the control group, which cannot be reached", retryLater)
 	}
 	switch result.Code {
@@ -142,13 +201,14 @@
 }
 
 // abandon gives up a claim after which nothing was dispatched.
-func (r *run) abandon() {
-	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+func (r *run) abandon(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
 	abandoned := group.AbandonClaim{Workspace: r.accepted.workspace, Key: r.key, Holder: r.attempt}
 	err := r.server.Claimer.Abandon(ctx, abandoned)
 	if err != nil {
-		r.server.Log.Warn("claim was not abandoned", "err", err)
+		r.server.Log.Warn("claim was not abandoned; trying again in the background", "err", err)
+		r.server.Outbox.add(pendingAbandon{abandon: abandoned})
 	}
 }
 
@@ -156,25 +216,25 @@
 func (r *run) release(ctx context.Context) {
 	_ = r.server.Check.Check(!r.dispatched, invariant.NotRunHonest, "attempt %s was dispatched", r.attempt)
 	if r.claimed {
-		r.abandon()
+		r.abandon(ctx)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	err := r.server.Ledger.Release(ctx, r.held.Address, ledger.Release{
-		Workspace: r.accepted.workspace,
-		Key:       r.key,
-		Attempt:   r.attempt,
-	})
-	if err != nil {
-		r.server.Log.Warn("reservation was not released", "err", err)
+	release := ledger.Release{Workspace: r.accepted.workspace, Key: r.key, Attempt: r.attempt}
+	err := r.server.Ledger.Release(ctx, r.held.Address, release)
+	if err != nil && !ledger.IsFinal(err) {
+		r.server.Log.Warn("reservation was not released; trying again in the background", "err", err)
+		r.server.Outbox.GiveUp(r.held.Address, release)
 	}
 }
 
-// settle bills the tokens, and again until the ledger has them.
+// settle bills the tokens. A bill that the ledger does not take in time is
+// kept and sent again in the background: the reservation covers it until then.
+// The error is final: the ledger holds no reservation for the attempt.
 func (r *run) settle(ctx context.Context, tokens int64, answer ledger.Answer) error {
 	ctx, span := r.span(ctx, "settle")
 	defer span.End()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
 	if len(answer.Body) > maxKeptAnswerBytes {
 		answer = ledger.Answer{}
@@ -186,17 +246,14 @@
 		Tokens:    min(tokens, r.tokens),
 		Answer:    answer,
 	}
-	var err error
-	for range settleTries {
-		err = r.server.Ledger.Settle(ctx, r.held.Address, settle)
-		if err == nil || ledger.IsFinal(err) {
-			break
-		}
-		time.Sleep(settlePause)
+	err := r.server.Ledger.Settle(ctx, r.held.Address, settle)
+	if ledger.IsFinal(err) {
+		r.server.Log.Error("settlement was refused", "err", err)
+		return errors.Newf("settle: %w", err)
 	}
 	if err != nil {
-		r.server.Log.Error("settlement failed", "err", err)
-		return errors.Newf("settle: %w", err)
+		r.server.Log.Warn("settlement was not confirmed; trying again in the background", "err", err)
+		r.server.Outbox.add(pendingSettle{address: r.held.Address, settle: settle})
 	}
 	r.server.Scope.Tagged(map[string]string{"workspace": r.accepted.workspace}).Counter("billed_tokens").Inc(settle.Tokens)
 	return nil
@@ -233,6 +290,12 @@
 	return sum.Sum(nil)
 }
 
+// replayAnswer sends an answer that was kept from an earlier attempt.
+func replayAnswer(w http.ResponseWriter, answer ledger.Answer) {
+	w.Header().Set(ReplayedHeader, "true")
+	writeAnswer(w, answer)
+}
+
 func writeAnswer(w http.ResponseWriter, answer ledger.Answer) {
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.WriteHeader(answer.Status)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -35,6 +35,9 @@
 	// RepeatableHeader set to false marks a request that may run once only.
 	RepeatableHeader = "Cactusbay-Repeatable"
 
+	// ReplayedHeader marks an answer that was kept from an earlier attempt.
+	ReplayedHeader = "Cactusbay-Replayed"
+
 	maxKeyBytes = 256
 )
 
@@ -46,6 +49,7 @@
 	Watcher       *group.Watcher
 	Claimer       *group.Claimer
 	Ledger        *ledger.Client
+	Outbox        *Outbox
 	Backend       *backend.Client
 	Pool          *backend.Pool
 	Log           *log.Logger
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if kept != nil {
-		writeAnswer(w, *kept)
+		replayAnswer(w, *kept)
 		return
 	}
 	defer run.lease.Release()
--- a/internal/group/claim.go
+++ b/internal/group/claim.go
@@ -1,13 +1,50 @@
 package group
 
 import (
+	"bytes"
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/peer"
 )
 
+// maxGone bounds the attempts of one key that are remembered as given up.
+const maxGone = 16
+
+// claim grants the only run of a key to one attempt. An attempt that gave up
+// stays refused, also when its claim arrives after its abandoning.
+func (s *state) claim(c Claim) Result {
+	id := c.Workspace + "/" + c.Key
+	held, found := s.Claims[id]
+	if found && len(held.BodyHash) > 0 && !bytes.Equal(held.BodyHash, c.BodyHash) {
+		return Result{Code: CodeIDReused, Detail: "the key was used for another request"}
+	}
+	if slices.Contains(held.Gone, c.Holder) {
+		return Result{Code: CodeHeld, Holder: held.Holder, Detail: "the attempt gave up"}
+	}
+	if found && !held.Abandoned && held.Holder != c.Holder {
+		return Result{Code: CodeHeld, Holder: held.Holder}
+	}
+	s.Claims[id] = claim{Holder: c.Holder, BodyHash: c.BodyHash, Gone: held.Gone}
+	return Result{Code: CodeDone, Holder: c.Holder}
+}
+
+func (s *state) abandonClaim(c AbandonClaim) Result {
+	id := c.Workspace + "/" + c.Key
+	held, found := s.Claims[id]
+	if !slices.Contains(held.Gone, c.Holder) {
+		gone := append(slices.Clone(held.Gone), c.Holder)
+		held.Gone = gone[max(0, len(gone)-maxGone):]
+	}
+	if !found || held.Holder == c.Holder {
+		held.Abandoned = true
+	}
+	s.Claims[id] = held
+	return Result{Code: CodeDone}
+}
+
 type claimRequest struct {
 	Claim   *Claim        `cbor:"1,keyasint,omitempty"`
 	Abandon *AbandonClaim `cbor:"2,keyasint,omitempty"`
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -1,9 +1,9 @@
 package group
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
 	"github.com/cactusbay/cactusbay/internal/config"
@@ -36,6 +36,8 @@
 	Holder    string `cbor:"1,keyasint"`
 	BodyHash  []byte `cbor:"2,keyasint"`
 	Abandoned bool   `cbor:"3,keyasint,omitempty"`
+	// Gone are the latest attempts that gave up, whose late claims are refused.
+	Gone []string `cbor:"4,keyasint,omitempty"`
 }
 
 // state is what the replicated log drives. Its fields are exported for the
@@ -124,16 +126,17 @@
 	if c.Tokens <= 0 {
 		return Result{Code: CodeInvalid, Detail: "a deposit must be above zero tokens"}
 	}
-	account := s.Accounts[c.Workspace]
+	account := s.account(c.Workspace)
 	account.Deposit(c.Tokens)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: c.Tokens})
 }
 
 func (s *state) release(c ReleaseInDoubt, check *invariant.Checker) Result {
-	account, found := s.Accounts[c.Workspace]
+	_, found := s.Accounts[c.Workspace]
 	if !found || !s.Epochs[c.Epoch].Closed {
 		return Result{Code: CodeNotFound, Detail: "the workspace has no closed ledger epoch of that name"}
 	}
+	account := s.account(c.Workspace)
 	tokens := account.Release(c.Epoch)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: tokens})
 }
@@ -154,7 +157,8 @@
 	}
 	epoch.Closed = true
 	s.Epochs[c.Epoch] = epoch
-	for workspace, account := range s.Accounts {
+	for workspace := range s.Accounts {
+		account := s.account(workspace)
 		_, granted := account.Grants[c.Epoch]
 		if granted {
 			account.Close(c.Epoch)
@@ -169,17 +173,18 @@
 	if !found || epoch.Closed {
 		return Result{Code: CodeNotFound, Detail: "the ledger epoch is not open"}
 	}
-	account := s.Accounts[c.Workspace]
+	account := s.account(c.Workspace)
 	granted := account.Draw(c.Epoch, c.Known, c.Want)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Granted: granted})
 }
 
 func (s *state) report(c Report, check *invariant.Checker) Result {
 	for workspace, counters := range c.Counters {
-		account, found := s.Accounts[workspace]
+		_, found := s.Accounts[workspace]
 		if !found && counters.Deposited == 0 {
 			continue
 		}
+		account := s.account(workspace)
 		err := account.Report(c.Epoch, counters)
 		if err != nil {
 			_ = check.Check(false, invariant.WithinGrant, "workspace %s: %v", workspace, err)
@@ -190,28 +195,12 @@
 	return Result{Code: CodeDone}
 }
 
-func (s *state) claim(c Claim) Result {
-	id := c.Workspace + "/" + c.Key
-	held, found := s.Claims[id]
-	if found && !bytes.Equal(held.BodyHash, c.BodyHash) {
-		return Result{Code: CodeIDReused, Detail: "the key was used for another request"}
-	}
-	if found && !held.Abandoned && held.Holder != c.Holder {
-		return Result{Code: CodeHeld, Holder: held.Holder}
-	}
-	s.Claims[id] = claim{Holder: c.Holder, BodyHash: c.BodyHash}
-	return Result{Code: CodeDone, Holder: c.Holder}
-}
-
-func (s *state) abandonClaim(c AbandonClaim) Result {
-	id := c.Workspace + "/" + c.Key
-	held, found := s.Claims[id]
-	if !found || held.Holder != c.Holder {
-		return Result{Code: CodeNotFound}
-	}
-	held.Abandoned = true
-	s.Claims[id] = held
-	return Result{Code: CodeDone}
+// account returns a copy of a workspace's account, so that a change that is
+// refused in the end leaves the state as it was.
+func (s *state) account(workspace string) budget.Account {
+	account := s.Accounts[workspace]
+	account.Grants = maps.Clone(account.Grants)
+	return account
 }
 
 // store keeps an account that adds up and refuses one that does not.
--- /dev/null
+++ b/internal/group/state_test.go
@@ -0,0 +1,68 @@
+package group
+
+import (
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+)
+
+// broken is an account whose deposits are not its pool plus its grants, so
+// that every change of it is refused.
+func broken() budget.Account {
+	return budget.Account{
+		Deposited: 1000,
+		Pool:      500,
+		Grants:    map[string]budget.Grant{"open": {Granted: 100}},
+	}
+}
+
+func TestRefusedChangeLeavesTheAccount(t *testing.T) {
+	commands := map[string]Command{
+		"draw":   Draw{Epoch: "open", Workspace: "north", Known: 100, Want: 50},
+		"report": Report{Epoch: "open", Counters: map[string]budget.Counters{"north": {Billed: 10}}},
+	}
+	for name, command := range commands {
+		t.Run(name, func(t *testing.T) {
+			s := newState()
+			s.Epochs["open"] = Epoch{Instance: "control-a"}
+			s.Accounts["north"] = broken()
+			s.apply(command, nil)
+			got := s.Accounts["north"].Grants["open"]
+			if got != (budget.Grant{Granted: 100}) {
+				t.Errorf("a refused %s changed the grant to %+v", name, got)
+			}
+		})
+	}
+}
+
+func TestClaimIsHeldOnceAndAbandonedByItsHolderOnly(t *testing.T) {
+	s := newState()
+	claim := func(holder, body string) Result {
+		return s.apply(Claim{Workspace: "north", Key: "order", BodyHash: []byte(body), Holder: holder}, nil)
+	}
+	abandon := func(holder string) Result {
+		return s.apply(AbandonClaim{Workspace: "north", Key: "order", Holder: holder}, nil)
+	}
+	steps := []struct {
+		name string
+		got  Result
+		want Code
+	}{
+		{"abandon before the claim", abandon("early"), CodeDone},
+		{"late claim of an abandoned attempt", claim("early", "body"), CodeHeld},
+		{"first", claim("first", "body"), CodeDone},
+		{"resend", claim("first", "body"), CodeDone},
+		{"second holder", claim("second", "body"), CodeHeld},
+		{"another body", claim("first", "other"), CodeIDReused},
+		{"abandon by another", abandon("second"), CodeDone},
+		{"still held", claim("third", "body"), CodeHeld},
+		{"abandon", abandon("first"), CodeDone},
+		{"resend after the abandon", claim("first", "body"), CodeHeld},
+		{"retry", claim("fourth", "body"), CodeDone},
+	}
+	for _, step := range steps {
+		if step.got.Code != step.want {
+			t.Errorf("%s: %s, want %s", step.name, step.got.Code, step.want)
+		}
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -81,17 +81,46 @@
 		result <- ErrTooLarge
 		return result
 	}
+	j.queue(request{payload: payload, result: result})
+	return result
+}
+
+// Ready returns the error that an Append of payload would meet now. With one
+// appender, which also calls Barrier, a nil answer means that the next Append
+// is queued.
+func (j *Journal) Ready(payload []byte) error {
+	if len(payload) == 0 || len(payload) > MaxRecordBytes {
+		return ErrTooLarge
+	}
 	err := j.failure()
 	if err != nil {
-		result <- err
-		return result
+		return err
+	}
+	if len(j.ring) == cap(j.ring) {
+		return ErrFull
+	}
+	return nil
+}
+
+// Barrier writes nothing; the channel answers once every earlier append is
+// synced.
+func (j *Journal) Barrier() <-chan error {
+	result := make(chan error, 1)
+	j.queue(request{result: result})
+	return result
+}
+
+func (j *Journal) queue(r request) {
+	err := j.failure()
+	if err != nil {
+		r.result <- err
+		return
 	}
 	select {
-	case j.ring <- request{payload: payload, result: result}:
+	case j.ring <- r:
 	default:
-		result <- ErrFull
+		r.result <- ErrFull
 	}
-	return result
 }
 
 // Size returns the size of the file in bytes.
@@ -119,6 +148,11 @@
 	<-j.done
 }
 
+// Fail makes the journal refuse all further appends with err.
+func (j *Journal) Fail(err error) {
+	j.fail(err)
+}
+
 func (j *Journal) failure() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -191,7 +225,12 @@
 func (j *Journal) write(file disk.File, batch []request) error {
 	var buffer []byte
 	for _, waiting := range batch {
-		buffer = appendRecord(buffer, waiting.payload)
+		if waiting.payload != nil {
+			buffer = appendRecord(buffer, waiting.payload)
+		}
+	}
+	if buffer == nil {
+		return nil
 	}
 	_, err := file.Write(buffer)
 	if err == nil {
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -31,6 +31,17 @@
 	return append(buffer, payload...)
 }
 
+// Encode frames a payload of any size as records of at most MaxRecordBytes.
+func Encode(payload []byte) []byte {
+	var framed []byte
+	for len(payload) > 0 {
+		size := min(len(payload), MaxRecordBytes)
+		framed = appendRecord(framed, payload[:size])
+		payload = payload[size:]
+	}
+	return framed
+}
+
 func checksum(length, payload []byte) uint32 {
 	sum := crc32.Update(0, castagnoli, length)
 	return crc32.Update(sum, castagnoli, payload)
--- a/internal/ledger/draw.go
+++ b/internal/ledger/draw.go
@@ -122,6 +122,10 @@
 	if len(changed) == 0 {
 		return nil
 	}
+	err = l.durable()
+	if err != nil {
+		return err
+	}
 	_, err = group.Propose(ctx, l.options.Group, group.Report{Epoch: l.Epoch(), Counters: changed})
 	if err != nil {
 		return errors.Newf("report counters: %w", err)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,6 @@
 package ledger
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"sync"
@@ -12,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
 	"github.com/cactusbay/cactusbay/internal/disk"
@@ -22,8 +22,6 @@
 )
 
 const (
-	journalFile = "ledger.journal"
-
 	reportInterval = time.Second
 	reportTimeout  = 2 * time.Second
 	drawTimeout    = time.Second
@@ -37,18 +35,36 @@
 	Folder        disk.Folder
 	// Group commits draws and reports.
 	Group group.Log
-	Log   *log.Logger
-	Check *invariant.Checker
+	// Peers are the other ledgers; Client calls them.
+	Peers  []Peer
+	Client *peer.Client
+	// Attempts asks backend servers about attempts; nil means that none tells.
+	Attempts Attempts
+	Log      *log.Logger
+	Check    *invariant.Checker
+	// Scope receives gauges; nil means none.
+	Scope tally.Scope
+}
+
+// Peer is another ledger.
+type Peer struct {
+	Instance string
+	Address  string
 }
 
 // Ledger is the open journal and what it adds up to.
 type Ledger struct {
-	options Options
-	journal *journal.Journal
-	stop    context.CancelFunc
-	done    chan struct{}
+	options  Options
+	stop     context.CancelFunc
+	done     chan struct{}
+	settling chan struct{}
+	openedAt time.Time
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	journal *journal.Journal
+	// generation counts the snapshots that the journal follows.
+	generation uint64
+	snapshot   int64
 	// state is guarded by mu; a change is applied before it is synced and
 	// acknowledged after.
 	state *state
@@ -56,30 +72,59 @@
 	draws map[string]chan struct{}
 	// registered tells that the group knows the epoch.
 	registered bool
+	entries    entries
+	contests   map[recordID]*contest
+	promises   map[recordID]promise
+	// unchecked are shared keys that some other ledger was not asked about.
+	unchecked map[recordID]*record
 }
 
 // Open reads the journal back and starts to report to the group.
 func Open(options Options) (*Ledger, error) {
-	file, records, err := journal.Open(options.Folder, journalFile)
+	l := &Ledger{
+		options:   options,
+		done:      make(chan struct{}),
+		settling:  make(chan struct{}),
+		openedAt:  time.Now(),
+		draws:     make(map[string]chan struct{}),
+		contests:  make(map[recordID]*contest),
+		promises:  make(map[recordID]promise),
+		unchecked: make(map[recordID]*record),
+	}
+	err := l.load()
 	if err != nil {
 		return nil, errors.Newf("open ledger: %w", err)
 	}
-	l := &Ledger{
-		options: options,
-		journal: file,
-		done:    make(chan struct{}),
-		state:   newState(),
-		draws:   make(map[string]chan struct{}),
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stop = cancel
+	go l.run(ctx)
+	go l.loop(ctx)
+	return l, nil
+}
+
+// load reads the snapshot and the journal that follows it.
+func (l *Ledger) load() error {
+	err := l.readSnapshot()
+	if err != nil {
+		return err
+	}
+	file, records, err := journal.Open(l.options.Folder, journalName(l.generation))
+	if err != nil {
+		return err
 	}
+	l.journal = file
 	err = l.recover(records)
 	if err != nil {
 		file.Close()
-		return nil, errors.Newf("recover ledger: %w", err)
+		return errors.Newf("recover ledger: %w", err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l.stop = cancel
-	go l.run(ctx)
-	return l, nil
+	l.removeOldJournals()
+	for id, held := range l.state.records {
+		if held.reserve.Shared && held.state != stateReleased && held.state != stateVoided {
+			l.unchecked[id] = held
+		}
+	}
+	return nil
 }
 
 func (l *Ledger) recover(records [][]byte) error {
@@ -100,15 +145,17 @@
 }
 
 // commit applies a change and queues it for the journal; the caller holds mu
-// or is the only user. The channel answers once the change is durable.
+// or is the only user. A change that the journal or the state refuses changes
+// nothing. The channel answers once the change is durable.
 func (l *Ledger) commit(c change) <-chan error {
 	failed := make(chan error, 1)
 	data, err := encodeChange(c)
-	if err != nil {
-		failed <- err
-		return failed
+	if err == nil {
+		err = l.journal.Ready(data)
+	}
+	if err == nil {
+		err = l.state.apply(c, l.options.Check)
 	}
-	err = l.state.apply(c, l.options.Check)
 	if err != nil {
 		failed <- err
 		return failed
@@ -116,102 +163,31 @@
 	return l.journal.Append(data)
 }
 
-// Reserve sets the worst case of a request aside, or tells what is known of
-// the request already. An error that wraps peer.ErrUnavailable means that
-// nothing was reserved for certain.
-func (l *Ledger) Reserve(ctx context.Context, r Reserve) (Reservation, error) {
-	answer, synced, short := l.tryReserve(r)
-	if short {
-		err := l.draw(ctx, r.Workspace, r.Tokens)
-		if err != nil {
-			l.options.Log.Debug("draw failed", "workspace", r.Workspace, "err", err)
-		}
-		answer, synced, _ = l.tryReserve(r)
-	}
-	if synced == nil {
-		return answer, nil
-	}
-	err := <-synced
-	if err != nil {
-		return Reservation{}, errors.Newf("reserve: %w: %w", peer.ErrUnavailable, err)
-	}
-	return answer, nil
-}
-
-func (l *Ledger) tryReserve(r Reserve) (answer Reservation, synced <-chan error, short bool) {
+// durable waits until all that the ledger has told itself so far is synced,
+// which every answer that reads the state needs. It fails for good after a
+// failed sync.
+func (l *Ledger) durable() error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	old := l.state.records[recordID{workspace: r.Workspace, key: r.Key}]
-	if old != nil && !bytes.Equal(old.reserve.BodyHash, r.BodyHash) {
-		return Reservation{Outcome: OutcomeMismatch}, nil, false
-	}
-	if old != nil && old.state != stateReleased {
-		return known(old), nil, false
-	}
-	available := l.state.account(r.Workspace).Available()
-	if available < r.Tokens {
-		return Reservation{Outcome: OutcomeInsufficient, Available: available}, nil, true
-	}
-	synced = l.commit(reserved{Reserve: r})
-	return Reservation{Outcome: OutcomeReserved, Attempt: r.Attempt, Server: r.Server}, synced, false
+	synced := l.journal.Barrier()
+	l.mu.Unlock()
+	return unavailable(<-synced)
 }
 
-// known answers for a request that the ledger has a record of.
-func known(old *record) Reservation {
-	answer := Reservation{Attempt: old.reserve.Attempt, Server: old.reserve.Server}
-	switch old.state {
-	case stateReserved:
-		answer.Outcome = OutcomeRunning
-	case stateSettled:
-		answer.Outcome = OutcomeSettled
-		answer.Answer = old.answer
-	default:
-		answer.Outcome = OutcomeUnknown
+// unavailable marks an error as one after which another ledger may serve.
+func unavailable(err error) error {
+	if err == nil {
+		return nil
 	}
-	return answer
+	return errors.Newf("ledger journal: %w", errors.Mark(err, peer.ErrUnavailable))
 }
 
-// Settle bills a request once; a resend changes nothing.
-func (l *Ledger) Settle(_ context.Context, s Settle) error {
-	l.mu.Lock()
-	held, err := l.state.held(s.Workspace, s.Key, s.Attempt)
-	if err != nil {
-		l.mu.Unlock()
-		return errors.Newf("settle: %w: %w", peer.ErrInvalid, err)
-	}
-	if held.state == stateSettled {
-		l.mu.Unlock()
-		return nil
-	}
-	synced := l.commit(settled{Settle: s})
-	l.mu.Unlock()
-	err = <-synced
-	if err != nil {
-		return errors.Newf("settle: %w: %w", peer.ErrUnavailable, err)
-	}
-	return nil
+// invalid marks an error that a resend will meet again.
+func invalid(err error) error {
+	return errors.Mark(err, peer.ErrInvalid)
 }
 
-// Release gives a reservation back of which nothing was dispatched; a resend
-// changes nothing.
-func (l *Ledger) Release(_ context.Context, r Release) error {
-	l.mu.Lock()
-	held, err := l.state.held(r.Workspace, r.Key, r.Attempt)
-	if err != nil {
-		l.mu.Unlock()
-		return errors.Newf("release: %w: %w", peer.ErrInvalid, err)
-	}
-	if held.state == stateReleased {
-		l.mu.Unlock()
-		return nil
-	}
-	synced := l.commit(released{Release: r})
-	l.mu.Unlock()
-	err = <-synced
-	if err != nil {
-		return errors.Newf("release: %w: %w", peer.ErrUnavailable, err)
-	}
-	return nil
+func now() int64 {
+	return time.Now().UnixMilli()
 }
 
 // Escrow returns the ledger's part of a workspace's budget.
@@ -241,5 +217,8 @@
 func (l *Ledger) Close() {
 	l.stop()
 	<-l.done
+	<-l.settling
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.journal.Close()
 }
--- a/internal/ledger/peer.go
+++ b/internal/ledger/peer.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"net/http"
-
-	"github.com/cockroachdb/errors"
-
-	"connectrpc.com/connect"
+	"time"
 
 	"github.com/cactusbay/cactusbay/internal/peer"
 )
@@ -15,6 +12,11 @@
 	reserveProcedure = "/ledger/reserve"
 	settleProcedure  = "/ledger/settle"
 	releaseProcedure = "/ledger/release"
+	awaitProcedure   = "/ledger/await"
+	beatProcedure    = "/ledger/heartbeat"
+
+	contestProcedure   = "/ledger/contest"
+	reconcileProcedure = "/ledger/reconcile"
 )
 
 type reserveRequest struct {
@@ -33,6 +35,16 @@
 	Release Release `cbor:"1,keyasint"`
 }
 
+type awaitRequest struct {
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+}
+
+type heartbeatRequest struct {
+	// Entry is the entry instance and its incarnation.
+	Entry string `cbor:"1,keyasint"`
+}
+
 type emptyResponse struct{}
 
 // Handle serves entries on mux.
@@ -40,6 +52,10 @@
 	peer.Handle(mux, secret, reserveProcedure, l.serveReserve)
 	peer.Handle(mux, secret, settleProcedure, l.serveSettle)
 	peer.Handle(mux, secret, releaseProcedure, l.serveRelease)
+	peer.Handle(mux, secret, awaitProcedure, l.serveAwait)
+	peer.Handle(mux, secret, beatProcedure, l.serveHeartbeat)
+	peer.Handle(mux, secret, contestProcedure, l.serveContest)
+	peer.Handle(mux, secret, reconcileProcedure, l.serveReconcile)
 }
 
 func (l *Ledger) serveReserve(ctx context.Context, request *reserveRequest) (*reserveResponse, error) {
@@ -66,60 +82,17 @@
 	return &emptyResponse{}, nil
 }
 
-// Client calls ledgers from an entry.
-type Client struct {
-	// Addresses are the control instances, the nearest first.
-	Addresses []string
-	Peer      *peer.Client
-}
-
-// Held is a reservation and the ledger that holds it.
-type Held struct {
-	Reservation
-	// Address is the ledger's, to which settlement and release go.
-	Address string
-}
-
-// Reserve asks the nearest reachable ledger. The error wraps
-// peer.ErrUnavailable when none answered for certain.
-func (c *Client) Reserve(ctx context.Context, r Reserve) (Held, error) {
-	var last error
-	for _, address := range c.Addresses {
-		response, err := peer.Call[reserveRequest, reserveResponse](ctx, c.Peer, address, reserveProcedure, &reserveRequest{Reserve: r})
-		if err == nil {
-			return Held{Reservation: response.Reservation, Address: address}, nil
-		}
-		last = err
-		c.releaseUncertain(ctx, address, r)
-	}
-	return Held{}, errors.Newf("no ledger answered: %w: %w", peer.ErrUnavailable, last)
-}
-
-// releaseUncertain gives back what a ledger whose answer was lost may hold.
-func (c *Client) releaseUncertain(ctx context.Context, address string, r Reserve) {
-	release := Release{Workspace: r.Workspace, Key: r.Key, Attempt: r.Attempt}
-	_ = c.Release(ctx, address, release)
-}
-
-// Settle bills at the ledger that holds the reservation.
-func (c *Client) Settle(ctx context.Context, address string, s Settle) error {
-	_, err := peer.Call[settleRequest, emptyResponse](ctx, c.Peer, address, settleProcedure, &settleRequest{Settle: s})
+func (l *Ledger) serveAwait(ctx context.Context, request *awaitRequest) (*reserveResponse, error) {
+	reservation, err := l.Await(ctx, request.Workspace, request.Key)
 	if err != nil {
-		return errors.Newf("settle: %w", err)
-	}
-	return nil
-}
-
-// Release gives a reservation back to the ledger that holds it.
-func (c *Client) Release(ctx context.Context, address string, r Release) error {
-	_, err := peer.Call[releaseRequest, emptyResponse](ctx, c.Peer, address, releaseProcedure, &releaseRequest{Release: r})
-	if err != nil {
-		return errors.Newf("release: %w", err)
+		return nil, err
 	}
-	return nil
+	return &reserveResponse{Reservation: reservation}, nil
 }
 
-// IsFinal tells whether the same call would fail again.
-func IsFinal(err error) bool {
-	return connect.CodeOf(err) == connect.CodeInvalidArgument
+func (l *Ledger) serveHeartbeat(_ context.Context, request *heartbeatRequest) (*emptyResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries.see(request.Entry, time.Now())
+	return &emptyResponse{}, nil
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -6,7 +6,8 @@
 	"github.com/cactusbay/cactusbay/internal/peer"
 )
 
-// change is one journal record: one of the types below.
+// change is one journal record: one of the types below. Times are in
+// milliseconds since the Unix epoch.
 type change interface {
 	isChange()
 }
@@ -17,14 +18,20 @@
 
 type reserved struct {
 	Reserve Reserve `cbor:"1,keyasint"`
+	At      int64   `cbor:"2,keyasint,omitempty"`
 }
 
 type settled struct {
 	Settle Settle `cbor:"1,keyasint"`
+	At     int64  `cbor:"2,keyasint,omitempty"`
+	// Unclear marks a bill of the whole reservation because nobody could tell
+	// what the attempt did.
+	Unclear bool `cbor:"3,keyasint,omitempty"`
 }
 
 type released struct {
 	Release Release `cbor:"1,keyasint"`
+	At      int64   `cbor:"2,keyasint,omitempty"`
 }
 
 type granted struct {
@@ -33,11 +40,30 @@
 	Granted int64 `cbor:"2,keyasint"`
 }
 
+// lost tells that the entry of an attempt ended.
+type lost struct {
+	Attempt Release `cbor:"1,keyasint"`
+	At      int64   `cbor:"2,keyasint"`
+}
+
+// voided takes a second bill of a key back.
+type voided struct {
+	Attempt Release `cbor:"1,keyasint"`
+}
+
+// forgotten drops the records that ended before a time.
+type forgotten struct {
+	Before int64 `cbor:"1,keyasint"`
+}
+
 func (epochOpened) isChange() {}
 func (reserved) isChange()    {}
 func (settled) isChange()     {}
 func (released) isChange()    {}
 func (granted) isChange()     {}
+func (lost) isChange()        {}
+func (voided) isChange()      {}
+func (forgotten) isChange()   {}
 
 // changeEnvelope carries exactly one change in the journal.
 type changeEnvelope struct {
@@ -46,6 +72,9 @@
 	Settled     *settled     `cbor:"3,keyasint,omitempty"`
 	Released    *released    `cbor:"4,keyasint,omitempty"`
 	Granted     *granted     `cbor:"5,keyasint,omitempty"`
+	Lost        *lost        `cbor:"10,keyasint,omitempty"`
+	Voided      *voided      `cbor:"11,keyasint,omitempty"`
+	Forgotten   *forgotten   `cbor:"12,keyasint,omitempty"`
 }
 
 func encodeChange(c change) ([]byte, error) {
@@ -61,6 +90,12 @@
 		e.Released = &c
 	case granted:
 		e.Granted = &c
+	case lost:
+		e.Lost = &c
+	case voided:
+		e.Voided = &c
+	case forgotten:
+		e.Forgotten = &c
 	default:
 		return nil, errors.Newf("unknown change %T", c)
 	}
@@ -84,6 +119,12 @@
 		return *e.Released, nil
 	case e.Granted != nil:
 		return *e.Granted, nil
+	case e.Lost != nil:
+		return *e.Lost, nil
+	case e.Voided != nil:
+		return *e.Voided, nil
+	case e.Forgotten != nil:
+		return *e.Forgotten, nil
 	default:
 		return nil, errors.New("empty change")
 	}
--- a/internal/ledger/request.go
+++ b/internal/ledger/request.go
@@ -15,6 +15,11 @@
 	// Entry is the entry instance and its incarnation.
 	Entry      string `cbor:"7,keyasint"`
 	Repeatable bool   `cbor:"8,keyasint,omitempty"`
+	// Shared marks a key that the caller chose, which other ledgers may get too.
+	Shared bool `cbor:"9,keyasint,omitempty"`
+	// Within is the time in milliseconds in which the attempt may be
+	// dispatched.
+	Within int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Settle ends a reservation with the actual tokens.
@@ -58,8 +63,13 @@
 	OutcomeMismatch Outcome = "mismatch"
 	// OutcomeInsufficient means that too few tokens are left.
 	OutcomeInsufficient Outcome = "insufficient"
+	// OutcomeReleased means that the attempt itself was given up before.
+	OutcomeReleased Outcome = "released"
 )
 
+// OutcomeElsewhere means that another ledger holds the request.
+const OutcomeElsewhere Outcome = "elsewhere"
+
 // Reservation is the answer to a Reserve.
 type Reservation struct {
 	Outcome Outcome `cbor:"1,keyasint"`
@@ -69,4 +79,6 @@
 	Answer  Answer `cbor:"4,keyasint,omitempty"`
 	// Available is the number of tokens left when they were too few.
 	Available int64 `cbor:"5,keyasint,omitempty"`
+	// Holder is the address of the ledger that holds the request.
+	Holder string `cbor:"6,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/ledger/settle.go
@@ -0,0 +1,65 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settle bills a request once; a resend changes nothing.
+func (l *Ledger) Settle(_ context.Context, s Settle) error {
+	synced, err := l.trySettle(s)
+	if err != nil {
+		return errors.Newf("settle: %w", invalid(err))
+	}
+	err = unavailable(<-synced)
+	if err != nil {
+		return errors.Newf("settle: %w", err)
+	}
+	return nil
+}
+
+func (l *Ledger) trySettle(s Settle) (<-chan error, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, err := l.state.held(s.Workspace, s.Key, s.Attempt)
+	if err != nil {
+		return nil, err
+	}
+	if held.state == stateReleased {
+		return nil, errors.Newf("attempt %s was released: %w", s.Attempt, ErrNoReservation)
+	}
+	if !held.isOpen() {
+		return l.journal.Barrier(), nil
+	}
+	return l.commit(settled{Settle: s, At: now()}), nil
+}
+
+// Release gives a reservation back of which nothing was dispatched; a resend
+// changes nothing. A release that arrives before its reservation makes that
+// reservation be refused.
+func (l *Ledger) Release(_ context.Context, r Release) error {
+	synced, err := l.tryRelease(r)
+	if err != nil {
+		return errors.Newf("release: %w", invalid(err))
+	}
+	err = unavailable(<-synced)
+	if err != nil {
+		return errors.Newf("release: %w", err)
+	}
+	return nil
+}
+
+func (l *Ledger) tryRelease(r Release) (<-chan error, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, err := l.state.held(r.Workspace, r.Key, r.Attempt)
+	_, gone := l.state.gone[r.Attempt]
+	if gone || (err == nil && held.state == stateReleased) {
+		return l.journal.Barrier(), nil
+	}
+	if err == nil && !held.isOpen() {
+		return nil, errors.Newf("attempt %s is billed already", r.Attempt)
+	}
+	return l.commit(released{Release: r, At: now()}), nil
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -23,6 +23,7 @@
 	stateSettled  statechart.State = "settled"
 	stateReleased statechart.State = "released"
 	stateUnknown  statechart.State = "unknown"
+	stateVoided   statechart.State = "voided"
 )
 
 var requestChart = statechart.MustLoad("request")
@@ -41,8 +42,29 @@
 type record struct {
 	state   statechart.State
 	reserve Reserve
-	billed  int64
-	answer  Answer
+	// reservedAt, lostAt and endedAt are in milliseconds since the Unix epoch.
+	reservedAt int64
+	lostAt     int64
+	endedAt    int64
+	billed     int64
+	answer     Answer
+	// unclear tells that nobody knows what the billed attempt did.
+	unclear bool
+	// ended is closed at the end of the attempt once somebody waits for it.
+	ended chan struct{}
+}
+
+// isOpen tells whether the attempt may still run.
+func (r *record) isOpen() bool {
+	return r.state == stateReserved || r.state == stateUnknown
+}
+
+// ending is a record or a given-up attempt in the order of its end.
+type ending struct {
+	at int64
+	id recordID
+	// attempt is set for an attempt that was given up without a record.
+	attempt string
 }
 
 // state is what the journal's changes add up to.
@@ -50,12 +72,23 @@
 	epoch    string
 	accounts map[string]*budget.Escrow
 	records  map[recordID]*record
+	// open holds the records whose attempt may still run.
+	open map[recordID]*record
+	// gone holds attempts that were given up before they reserved.
+	gone map[string]int64
+	// endings are in the order of time, the oldest first.
+	endings []ending
+	// kept are the records whose answer is kept, the oldest first.
+	kept      []*record
+	keptBytes int
 }
 
 func newState() *state {
 	return &state{
 		accounts: make(map[string]*budget.Escrow),
 		records:  make(map[recordID]*record),
+		open:     make(map[recordID]*record),
+		gone:     make(map[string]int64),
 	}
 }
 
@@ -80,17 +113,25 @@
 		account.Granted = max(account.Granted, c.Granted)
 		return nil
 	case reserved:
-		return s.applyReserve(c.Reserve, check)
+		return s.applyReserve(c, check)
 	case settled:
-		return s.applySettle(c.Settle, check)
+		return s.applySettle(c, check)
 	case released:
-		return s.applyRelease(c.Release, check)
+		return s.applyRelease(c, check)
+	case lost:
+		return s.applyLost(c, check)
+	case voided:
+		return s.applyVoid(c.Attempt, check)
+	case forgotten:
+		s.forget(c.Before)
+		return nil
 	default:
 		return errors.Newf("unknown change %T", c)
 	}
 }
 
-func (s *state) applyReserve(r Reserve, check *invariant.Checker) error {
+func (s *state) applyReserve(c reserved, check *invariant.Checker) error {
+	r := c.Reserve
 	id := recordID{workspace: r.Workspace, key: r.Key}
 	old := s.records[id]
 	from := requestChart.Initial
@@ -105,12 +146,21 @@
 	if !account.Reserve(r.Tokens) {
 		return check.Check(false, invariant.WithinGrant, "reserve %d of %d available", r.Tokens, account.Available())
 	}
-	s.records[id] = &record{state: to, reserve: r}
+	if old != nil {
+		s.giveUp(id, old.reserve.Attempt, c.At)
+	}
+	held := &record{state: to, reserve: r, reservedAt: c.At}
+	s.records[id] = held
+	s.open[id] = held
 	return nil
 }
 
-func (s *state) applySettle(c Settle, check *invariant.Checker) error {
-	held, err := s.held(c.Workspace, c.Key, c.Attempt)
+func (s *state) applySettle(c settled, check *invariant.Checker) error {
+	held, err := s.held(c.Settle.Workspace, c.Settle.Key, c.Settle.Attempt)
+	if err != nil {
+		return err
+	}
+	err = check.Check(held.state != stateSettled && held.state != stateVoided, invariant.OneBill, "key %s is billed already", c.Settle.Key)
 	if err != nil {
 		return err
 	}
@@ -118,28 +168,64 @@
 	if err != nil {
 		return err
 	}
-	err = check.Check(c.Tokens <= held.reserve.Tokens, invariant.BillInReserve, "bill of %d above the reservation of %d", c.Tokens, held.reserve.Tokens)
+	err = check.Check(c.Settle.Tokens <= held.reserve.Tokens, invariant.BillInReserve, "bill of %d above the reservation of %d", c.Settle.Tokens, held.reserve.Tokens)
 	if err != nil {
 		return err
 	}
-	account := s.account(c.Workspace)
-	held.billed = account.Settle(held.reserve.Tokens, c.Tokens)
-	held.answer = c.Answer
+	account := s.account(c.Settle.Workspace)
+	held.billed = account.Settle(held.reserve.Tokens, c.Settle.Tokens)
+	held.unclear = c.Unclear
+	held.state = to
+	id := recordID{workspace: c.Settle.Workspace, key: c.Settle.Key}
+	s.end(id, held, c.At)
+	s.keep(held, c.Settle.Answer)
+	return within(account, check)
+}
+
+func (s *state) applyRelease(c released, check *invariant.Checker) error {
+	id := recordID{workspace: c.Release.Workspace, key: c.Release.Key}
+	held, err := s.held(id.workspace, id.key, c.Release.Attempt)
+	if err != nil {
+		s.giveUp(id, c.Release.Attempt, c.At)
+		return nil
+	}
+	to, err := next(held.state, eventRelease, check)
+	if err != nil {
+		return err
+	}
+	account := s.account(id.workspace)
+	account.Settle(held.reserve.Tokens, 0)
 	held.state = to
+	s.end(id, held, c.At)
 	return within(account, check)
 }
 
-func (s *state) applyRelease(c Release, check *invariant.Checker) error {
+func (s *state) applyLost(c lost, check *invariant.Checker) error {
+	held, err := s.held(c.Attempt.Workspace, c.Attempt.Key, c.Attempt.Attempt)
+	if err != nil {
+		return err
+	}
+	to, err := next(held.state, eventLose, check)
+	if err != nil {
+		return err
+	}
+	held.state = to
+	held.lostAt = c.At
+	return nil
+}
+
+// applyVoid takes a bill back because another ledger billed the same key.
+func (s *state) applyVoid(c Release, check *invariant.Checker) error {
 	held, err := s.held(c.Workspace, c.Key, c.Attempt)
 	if err != nil {
 		return err
 	}
-	to, err := next(held.state, eventRelease, check)
+	to, err := next(held.state, eventVoid, check)
 	if err != nil {
 		return err
 	}
 	account := s.account(c.Workspace)
-	account.Settle(held.reserve.Tokens, 0)
+	account.Voided += held.billed
 	held.state = to
 	return within(account, check)
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -119,12 +119,22 @@
 	return node, nil
 }
 
-func (c *Control) openLedger(s *settings.Settings, environment Environment, log group.Log) (*ledger.Ledger, error) {
+func (c *Control) openLedger(s *settings.Settings, environment Environment, machine *group.Group, log group.Log, client *peer.Client) (*ledger.Ledger, error) {
+	var others []ledger.Peer
+	for _, control := range s.Controls {
+		if control.InstanceID != s.InstanceID {
+			others = append(others, ledger.Peer{Instance: control.InstanceID, Address: control.PeerAddress})
+		}
+	}
 	opened, err := ledger.Open(ledger.Options{
 		Instance:      s.InstanceID,
 		FailureDomain: s.FailureDomain,
 		Folder:        environment.Folder,
 		Group:         log,
+		Peers:         others,
+		Client:        client,
+		Attempts:      &attempts{group: machine, backend: newBackendClient(environment)},
+		Scope:         environment.Telemetry.Scope,
 		Log:           environment.Telemetry.Log,
 		Check:         environment.Check,
 	})
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,8 @@
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
+		newIncarnation,
+		e.startOutbox,
 		newBackendClient,
 		func() *backend.Pool { return &backend.Pool{} },
 		newCallerServer,
@@ -75,13 +78,35 @@
 	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
 }
 
+// incarnation is an entry's id and start; later starts sort after earlier ones.
+type incarnation string
+
+func newIncarnation(s *settings.Settings) incarnation {
+	return incarnation(fmt.Sprintf("%s/%016x-%s", s.InstanceID, time.Now().UnixNano(), rand.Text()))
+}
+
+func (e *Entry) startOutbox(environment Environment, own incarnation, ledgers *ledger.Client, claimer *group.Claimer) *caller.Outbox {
+	outbox := &caller.Outbox{
+		Entry:   string(own),
+		Ledger:  ledgers,
+		Claimer: claimer,
+		Log:     environment.Telemetry.Log,
+		Scope:   environment.Telemetry.Scope,
+	}
+	ledgers.Uncertain = outbox.GiveUp
+	outbox.Start()
+	e.parts.add(outbox.Close)
+	return outbox
+}
+
 func newBackendClient(environment Environment) *backend.Client {
 	return &backend.Client{HTTP: transport.Client(environment.Network)}
 }
 
-func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
+func newCallerServer(s *settings.Settings, environment Environment, own incarnation, outbox *caller.Outbox, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
 	return &caller.Server{
-		Instance:      s.InstanceID + "/" + rand.Text(),
+		Instance:      string(own),
+		Outbox:        outbox,
 		FailureDomain: s.FailureDomain,
 		Watcher:       watcher,
 		Claimer:       claimer,
