Ledger: settle the attempts of entries that ended

Cause: a reservation of a dead entry stayed for good, and its request was answered "running" for ever.

Ruled out: a lease on each reservation (its end says nothing about what the engine generated, so either the bill or the refusal would be a guess).

Change: a newer incarnation or 10 s of silence makes an entry's open attempts unknown; the ledger asks the engine and bills what it generated, gives an attempt that never arrived back (and abandons its claim) once the entry can no longer dispatch it, and bills the reservation once after two minutes when nobody can tell.

--- a/internal/ledger/bills.go
+++ b/internal/ledger/bills.go
@@ -8,7 +8,8 @@
 	Tokens    int64
 }
 
-// Bills returns the bills that the ledger holds, in no order.
+// Bills returns the bills that the ledger holds and that were not taken back,
+// in no order.
 func (l *Ledger) Bills() []Bill {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -37,12 +37,18 @@
 }
 
 func open(t *testing.T, folder *fake.Disk, groupLog group.Log) *Ledger {
+	t.Helper()
+	return openWith(t, folder, groupLog, nil)
+}
+
+func openWith(t *testing.T, folder *fake.Disk, groupLog group.Log, attempts Attempts) *Ledger {
 	t.Helper()
 	l, err := Open(Options{
 		Instance:      "control-a",
 		FailureDomain: "a",
 		Folder:        folder,
 		Group:         groupLog,
+		Attempts:      attempts,
 		Log:           log.New(io.Discard),
 		Check:         &invariant.Checker{Fatal: func(err error) { t.Error(err) }},
 	})
--- a/internal/ledger/resolve.go
+++ b/internal/ledger/resolve.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/group"
 )
 
 const (
@@ -87,10 +91,36 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if state == AttemptAbsent && !r.Repeatable && l.abandonClaim(ctx, r) != nil {
+			continue
+		}
 		l.conclude(r, state, tokens, now())
 	}
 }
 
+// abandonClaim gives up the claim of an attempt that was never dispatched, for
+// its entry that ended.
+func (l *Ledger) abandonClaim(ctx context.Context, r Reserve) error {
+	if !l.mayRelease(r) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	abandon := group.AbandonClaim{Workspace: r.Workspace, Key: r.Key, Holder: r.Attempt}
+	_, err := group.Propose(ctx, l.options.Group, abandon)
+	if err != nil {
+		return errors.Newf("abandon claim: %w", err)
+	}
+	return nil
+}
+
+func (l *Ledger) mayRelease(r Reserve) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, err := l.state.held(r.Workspace, r.Key, r.Attempt)
+	return err == nil && held.state == stateUnknown && l.isPastDispatch(held, now())
+}
+
 func (l *Ledger) ask(ctx context.Context, r Reserve) (AttemptState, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
