Ledger: one key through two failure domains runs and is billed once

Cause: each ledger knew its own keys only, so a retry through another domain ran and was billed again.

Change: a ledger records its reservation first and then asks the others; one that holds the key wins, of two that ask at once the lower instance id. The loser releases and sends the entry to the winner. Ledgers that do not answer within 250 ms are skipped, and not asked again before an exchange of bills reached them, so that a cut delays one request only. Keys that a ledger was not asked about are compared later; the bill of the lower id stays, the other is voided and its tokens go back (Counters.Voided, cumulative).

--- a/internal/ledger/contest.go
+++ b/internal/ledger/contest.go
@@ -9,13 +9,9 @@
 	"github.com/cactusbay/cactusbay/internal/peer"
 )
 
-const (
-	// contestTimeout bounds the question to the other ledgers; those that do
-	// not answer are skipped.
-	contestTimeout = 250 * time.Millisecond
-	// promiseTime is how long a ledger sends a key to the one that asked first.
-	promiseTime = 5 * time.Second
-)
+// contestTimeout bounds the question to the other ledgers; those that do not
+// answer are skipped.
+const contestTimeout = 250 * time.Millisecond
 
 // contest is a reservation of a shared key that the other ledgers are being
 // asked about. The ledger that reserved first wins; of two that ask at once,
@@ -28,12 +24,6 @@
 	err    error
 }
 
-// promise sends a key to the ledger that asked about it.
-type promise struct {
-	holder string
-	until  time.Time
-}
-
 // openContest starts to ask the other ledgers; the caller holds mu.
 func (l *Ledger) openContest(id recordID, held *record) *contest {
 	c := &contest{done: make(chan struct{})}
@@ -63,13 +53,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), contestTimeout)
 	defer cancel()
 	answers := make(chan contestAnswer, len(l.options.Peers))
-	for _, other := range l.options.Peers {
+	asked := l.answering()
+	for _, other := range asked {
 		go l.runAsk(ctx, other, r, answers)
 	}
 	holder := ""
-	skipped := false
-	for range l.options.Peers {
+	skipped := len(asked) < len(l.options.Peers)
+	for range asked {
 		answer := <-answers
+		if answer.skipped {
+			l.setSilent(answer.peer.Instance, true)
+		}
 		skipped = skipped || answer.skipped
 		if answer.holds {
 			holder = answer.peer.Address
@@ -79,6 +73,34 @@
 	close(c.done)
 }
 
+// answering returns the other ledgers that answered last time.
+func (l *Ledger) answering() []Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var answering []Peer
+	for _, other := range l.options.Peers {
+		if !l.silent[other.Instance] {
+			answering = append(answering, other)
+		}
+	}
+	return answering
+}
+
+// setSilent notes whether another ledger answers. A silent one is not asked
+// about keys until an exchange of bills has reached it again.
+func (l *Ledger) setSilent(instance string, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if silent {
+		l.silent[instance] = true
+	} else {
+		delete(l.silent, instance)
+	}
+	if l.options.Scope != nil {
+		l.options.Scope.Gauge("ledgers_unreachable").Update(float64(len(l.silent)))
+	}
+}
+
 // decide ends the contest in one step, so that a question of another ledger
 // meets it either open or decided.
 func (l *Ledger) decide(id recordID, r Reserve, c *contest, holder string, skipped bool) error {
@@ -140,7 +162,6 @@
 	id := recordID{workspace: request.Workspace, key: request.Key}
 	held := l.state.records[id]
 	if held == nil || held.state == stateReleased {
-		l.promises[id] = promise{holder: asker.Address, until: time.Now().Add(promiseTime)}
 		return &contestResponse{}, nil
 	}
 	open := l.contests[id]
@@ -159,17 +180,3 @@
 	}
 	return Peer{}, false
 }
-
-// promised returns the ledger that asked about a key a short time ago; the
-// caller holds mu.
-func (l *Ledger) promised(id recordID) (string, bool) {
-	found, ok := l.promises[id]
-	if !ok {
-		return "", false
-	}
-	if time.Now().After(found.until) {
-		delete(l.promises, id)
-		return "", false
-	}
-	return found.holder, true
-}
--- /dev/null
+++ b/internal/ledger/contest_test.go
@@ -0,0 +1,247 @@
+package ledger
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// trio is three ledgers on a network that can be cut, with a group that all of
+// them reach.
+type trio struct {
+	network *fake.Network
+	group   soloLog
+	ledgers map[string]*Ledger
+	servers []*http.Server
+	clients []*http.Client
+}
+
+func ledgerAddress(name string) string {
+	return "10.0.0." + strconv.Itoa(int(name[0])) + ":9000"
+}
+
+func newTrio(t *testing.T) *trio {
+	t.Helper()
+	s := &trio{network: &fake.Network{}, group: fund(t, 1_000_000), ledgers: make(map[string]*Ledger)}
+	s.network.SetDelay(time.Millisecond)
+	for _, name := range []string{"a", "b", "c"} {
+		s.start(t, name)
+	}
+	return s
+}
+
+func (s *trio) start(t *testing.T, name string) {
+	t.Helper()
+	var peers []Peer
+	for _, other := range []string{"a", "b", "c"} {
+		if other != name {
+			peers = append(peers, Peer{Instance: other, Address: ledgerAddress(other)})
+		}
+	}
+	client := transport.Client(s.network.Host(name))
+	l, err := Open(Options{
+		Instance: name,
+		Folder:   &fake.Disk{},
+		Group:    s.group,
+		Peers:    peers,
+		Client:   &peer.Client{HTTP: client},
+		Log:      log.New(io.Discard),
+		Check:    &invariant.Checker{Fatal: func(err error) { t.Error(err) }},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	l.Handle(mux, "")
+	listener, err := s.network.Host(name).Listen(ledgerAddress(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	s.ledgers[name] = l
+	s.servers = append(s.servers, server)
+	s.clients = append(s.clients, client)
+}
+
+func (s *trio) close() {
+	for _, client := range s.clients {
+		client.CloseIdleConnections()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, l := range s.ledgers {
+		l.Close()
+	}
+}
+
+func (s *trio) cut(name string, apart bool) {
+	for other := range s.ledgers {
+		if other == name {
+			continue
+		}
+		if apart {
+			s.network.Cut(name, other)
+			s.network.Cut(other, name)
+		} else {
+			s.network.Heal(name, other)
+			s.network.Heal(other, name)
+		}
+	}
+}
+
+func shared(key, attempt string) Reserve {
+	r := request(key, attempt)
+	r.Shared = true
+	return r
+}
+
+// race reserves a key at several ledgers at once and returns the outcomes.
+func (s *trio) race(t *testing.T, key string, stagger time.Duration, names ...string) map[string]Reservation {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	got := make(map[string]Reservation)
+	for i, name := range names {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * stagger)
+			answer, err := s.ledgers[name].Reserve(t.Context(), shared(key, name))
+			if err != nil {
+				t.Error(err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			got[name] = answer
+		})
+	}
+	group.Wait()
+	return got
+}
+
+func TestOneLedgerWinsASharedKey(t *testing.T) {
+	orders := [][]string{{"a", "b"}, {"b", "a"}, {"a", "b", "c"}, {"c", "b", "a"}, {"b", "c", "a"}}
+	for _, order := range orders {
+		for _, stagger := range []time.Duration{0, 500 * time.Microsecond, time.Millisecond, 1500 * time.Microsecond, 3 * time.Millisecond, 10 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%v/%s", order, stagger), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newTrio(t)
+					defer s.close()
+					won := 0
+					for name, answer := range s.race(t, "key", stagger, order...) {
+						switch answer.Outcome {
+						case OutcomeReserved:
+							won++
+						case OutcomeElsewhere:
+							if s.ledgers[name].Escrow("north").Reserved != 0 {
+								t.Errorf("%s lost and kept its reservation", name)
+							}
+						default:
+							t.Errorf("%s got %s", name, answer.Outcome)
+						}
+					}
+					if won != 1 {
+						t.Errorf("%d ledgers hold the key", won)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestLateLowerLedgerWins lets b wait for an answer of c, which is cut off,
+// after a answered that it does not hold the key.
+func TestLateLowerLedgerWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTrio(t)
+		defer s.close()
+		s.cut("c", true)
+		got := s.race(t, "key", 20*time.Millisecond, "b", "a")
+		if got["a"].Outcome != OutcomeReserved || got["b"].Outcome != OutcomeElsewhere || got["b"].Holder != ledgerAddress("a") {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+func TestSecondBillIsVoidedAfterACut(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("first_before_cut=%t", before), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { voidAfterCut(t, before) })
+		})
+	}
+}
+
+// voidAfterCut bills one key at c, which is cut off, and at a, which reserved
+// it before or during the cut and settles after it.
+func voidAfterCut(t *testing.T, before bool) {
+	s := newTrio(t)
+	defer s.close()
+	reserveAt := func(name string) {
+		if reserve(t, s.ledgers[name], shared("key", name)).Outcome != OutcomeReserved {
+			t.Fatalf("%s did not serve", name)
+		}
+	}
+	settleAt := func(name string) {
+		err := s.ledgers[name].Settle(t.Context(), settle("key", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if before {
+		reserveAt("a")
+	}
+	s.cut("c", true)
+	reserveAt("c")
+	settleAt("c")
+	if !before {
+		time.Sleep(time.Hour)
+		reserveAt("a")
+	}
+	s.cut("c", false)
+	time.Sleep(5 * time.Second)
+	settleAt("a")
+	time.Sleep(30 * time.Second)
+	var net int64
+	for _, l := range s.ledgers {
+		net += l.Escrow("north").Billed - l.Escrow("north").Voided
+	}
+	account, _ := s.group.group.Account("north")
+	if net != 40 || account.Billed() != 40 {
+		t.Errorf("ledgers billed %d, the group %d, want 40 once", net, account.Billed())
+	}
+	got := reserve(t, s.ledgers["c"], shared("key", "retry"))
+	if got.Outcome != OutcomeSettled {
+		t.Errorf("the retry got %s", got.Outcome)
+	}
+}
+
+func TestCutDelaysOneRequestOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTrio(t)
+		defer s.close()
+		s.cut("c", true)
+		reserve(t, s.ledgers["a"], shared("first", "first"))
+		start := time.Now()
+		reserve(t, s.ledgers["a"], shared("second", "second"))
+		if time.Since(start) > 20*time.Millisecond {
+			t.Errorf("the second request took %s", time.Since(start))
+		}
+		s.cut("c", false)
+		time.Sleep(5 * time.Second)
+		reserve(t, s.ledgers["a"], shared("third", "third"))
+		if reserve(t, s.ledgers["c"], shared("third", "other")).Outcome != OutcomeElsewhere {
+			t.Error("the ledgers do not ask each other after the cut")
+		}
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -74,9 +74,10 @@
 	registered bool
 	entries    entries
 	contests   map[recordID]*contest
-	promises   map[recordID]promise
 	// unchecked are shared keys that some other ledger was not asked about.
 	unchecked map[recordID]*record
+	// silent are the other ledgers that did not answer last time.
+	silent map[string]bool
 }
 
 // Open reads the journal back and starts to report to the group.
@@ -88,8 +89,8 @@
 		openedAt:  time.Now(),
 		draws:     make(map[string]chan struct{}),
 		contests:  make(map[recordID]*contest),
-		promises:  make(map[recordID]promise),
 		unchecked: make(map[recordID]*record),
+		silent:    make(map[string]bool),
 	}
 	err := l.load()
 	if err != nil {
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -31,19 +31,20 @@
 // reconcile compares the bills of shared keys with the ledgers that were not
 // asked before the reservation, until all of them have answered.
 func (l *Ledger) reconcile(ctx context.Context) {
-	l.expirePromises(time.Now())
 	billed := l.uncheckedBills()
-	if len(billed) == 0 {
-		return
-	}
 	checked := true
 	later := make(map[Release]bool)
 	for _, other := range l.options.Peers {
+		if len(billed) == 0 && !l.isSilent(other.Instance) {
+			continue
+		}
 		response, err := l.reconcileWith(ctx, other, billed)
 		if err != nil {
 			checked = false
+			l.setSilent(other.Instance, true)
 			continue
 		}
+		l.setSilent(other.Instance, false)
 		for _, name := range response.Void {
 			l.void(name)
 		}
@@ -56,6 +57,12 @@
 	}
 }
 
+func (l *Ledger) isSilent(instance string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[instance]
+}
+
 func (l *Ledger) reconcileWith(ctx context.Context, other Peer, billed []Release) (*reconcileResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, reconcileTimeout)
 	defer cancel()
@@ -132,13 +139,3 @@
 	}
 	return response, nil
 }
-
-func (l *Ledger) expirePromises(at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, found := range l.promises {
-		if at.After(found.until) {
-			delete(l.promises, id)
-		}
-	}
-}
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -66,10 +66,6 @@
 	if old != nil && old.state != stateReleased {
 		return l.tell(known(old))
 	}
-	holder, promised := l.promised(id)
-	if promised && r.Shared {
-		return l.tell(Reservation{Outcome: OutcomeElsewhere, Holder: holder})
-	}
 	return l.hold(id, r)
 }
 
