Resume answers that broke off and bill what was generated

Cause: an answer that broke off ended in an error although the engine still had it; a caller that left was billed the worst case; a keyed request died with its caller; a refusal by one engine refused the request; and errors made by errors.Newf with two %w matched neither cause, so a broken connection was not told from a refusal (seen when the resume test failed on crashes only). Ruled out: resuming on another engine, which would say something else.

--- /dev/null
+++ b/internal/backend/cancel.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const attemptsPath = "/v1/attempts/"
+
+// States of an attempt at an engine.
+const (
+	stateRunning = "running"
+	stateAbsent  = "absent"
+)
+
+type attemptStatus struct {
+	State            string `json:"state"`
+	PromptTokens     int64  `json:"prompt_tokens"`
+	CompletionTokens int64  `json:"completion_tokens"`
+}
+
+// Cancelled is what an engine made of an attempt that was cancelled.
+type Cancelled struct {
+	// Ran is false when the engine knows nothing of the attempt.
+	Ran bool
+	// Tokens is the sum of the prompt's and the generated tokens.
+	Tokens int64
+}
+
+// Cancel ends an attempt at an engine and returns what it generated.
+func (c *Client) Cancel(ctx context.Context, chat Chat) (Cancelled, error) {
+	status, err := c.ask(ctx, http.MethodDelete, chat)
+	if err != nil {
+		return Cancelled{}, errors.Newf("cancel attempt: %w", err)
+	}
+	return Cancelled{Ran: status.State != stateAbsent, Tokens: status.PromptTokens + status.CompletionTokens}, nil
+}
+
+func (c *Client) status(ctx context.Context, chat Chat) (attemptStatus, error) {
+	return c.ask(ctx, http.MethodGet, chat)
+}
+
+func (c *Client) ask(ctx context.Context, method string, chat Chat) (attemptStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+chat.Address+attemptsPath+chat.Attempt, nil)
+	if err != nil {
+		return attemptStatus{}, errors.Newf("new request: %w", err)
+	}
+	response, err := c.send(ctx, request, chat.Attempt)
+	if err != nil {
+		return attemptStatus{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return attemptStatus{}, &StatusError{Status: response.StatusCode}
+	}
+	var status attemptStatus
+	err = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&status)
+	if err != nil {
+		return attemptStatus{}, errors.Newf("decode attempt: %w", err)
+	}
+	return status, nil
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -11,13 +10,14 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/observe"
 )
 
 // AttemptHeader carries the attempt's id, which the backend server echoes.
 const AttemptHeader = "X-Request-Id"
 
-// idleTimeout ends an answer that sends nothing for so long.
+// idleTimeout ends a plain service's answer that sends nothing for so long.
 const idleTimeout = 15 * time.Second
 
 // ErrNotSent reports a request of which no byte was written.
@@ -32,9 +32,13 @@
 // ErrTruncated reports an answer without its end.
 var ErrTruncated = errors.New("the backend server's answer broke off")
 
+// ErrMismatch reports a resumed answer that differs from what was sent before.
+var ErrMismatch = errors.New("the resumed answer differs from the one that broke off")
+
 // Client sends requests to backend servers.
 type Client struct {
-	HTTP *http.Client
+	HTTP  *http.Client
+	Check *invariant.Checker
 }
 
 // send sends request and checks that the answer is to attempt. Errors wrap
@@ -49,10 +53,10 @@
 	observe.Propagator.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	response, err := c.HTTP.Do(request)
 	if err != nil && !written.Load() {
-		return nil, errors.Newf("%w: %w", ErrNotSent, err)
+		return nil, errors.Newf("%w: %v", ErrNotSent, err)
 	}
 	if err != nil {
-		return nil, errors.Newf("%w: %w", ErrUnclear, err)
+		return nil, errors.Newf("%w: %v", ErrUnclear, err)
 	}
 	if response.Header.Get(AttemptHeader) != attempt {
 		_ = response.Body.Close()
@@ -60,25 +64,3 @@
 	}
 	return response, nil
 }
-
-// idleReader ends a body that stays silent for longer than the idle timeout.
-type idleReader struct {
-	body  io.ReadCloser
-	timer *time.Timer
-	limit time.Duration
-}
-
-func newIdleReader(body io.ReadCloser, cancel context.CancelFunc) *idleReader {
-	return &idleReader{body: body, timer: time.AfterFunc(idleTimeout, cancel), limit: idleTimeout}
-}
-
-func (r *idleReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	r.timer.Reset(r.limit)
-	return n, err
-}
-
-func (r *idleReader) Close() error {
-	r.timer.Stop()
-	return r.body.Close()
-}
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +18,7 @@
 	eventPrefix    = "data: "
 	endMark        = "[DONE]"
 	chatPath       = "/v1/chat/completions"
+	streamsPath    = "/v1/streams/"
 	priorityHeader = "X-Priority"
 )
 
@@ -76,38 +78,66 @@
 	return "the backend server answered " + http.StatusText(e.Status)
 }
 
+// NotRun tells whether the status says that the request did not run.
+func (e *StatusError) NotRun() bool {
+	return e.Status < http.StatusInternalServerError || e.Status == http.StatusServiceUnavailable
+}
+
+// Tokens returns the least number of tokens that the event holds.
+func (e Event) Tokens() int64 {
+	return e.Chunk.tokens()
+}
+
 // Stream is a streamed answer in progress.
 type Stream struct {
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
+	watch   *watchdog
+	attempt string
+	tokens  int64
 	ended   bool
 }
 
 // Open dispatches chat. Errors wrap ErrNotSent, ErrUnclear, ErrCrossed or are
-// a *StatusError, after which the engine has not run the request.
+// a *StatusError.
 func (c *Client) Open(ctx context.Context, chat Chat) (*Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+chat.Address+chatPath, bytes.NewReader(chat.Body))
 	if err != nil {
-		cancel()
-		return nil, errors.Newf("%w: %w", ErrNotSent, err)
+		return nil, errors.Newf("%w: %v", ErrNotSent, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(priorityHeader, chat.Priority)
+	return c.stream(ctx, request, chat)
+}
+
+// Resume streams the answer of an attempt again from its start. Errors are
+// those of Open.
+func (c *Client) Resume(ctx context.Context, chat Chat) (*Stream, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+chat.Address+streamsPath+chat.Attempt, nil)
+	if err != nil {
+		return nil, errors.Newf("%w: %v", ErrNotSent, err)
+	}
+	return c.stream(ctx, request, chat)
+}
+
+func (c *Client) stream(ctx context.Context, request *http.Request, chat Chat) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	watch := c.watch(ctx, chat, cancel)
 	response, err := c.send(ctx, request, chat.Attempt)
 	if err != nil {
+		watch.stop()
 		cancel()
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
+		watch.stop()
 		return nil, readStatusError(response)
 	}
-	body := newIdleReader(response.Body, cancel)
-	scanner := bufio.NewScanner(body)
+	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(nil, maxEventBytes)
-	return &Stream{body: body, scanner: scanner, cancel: cancel}, nil
+	return &Stream{body: response.Body, scanner: scanner, cancel: cancel, watch: watch, attempt: chat.Attempt}, nil
 }
 
 func readStatusError(response *http.Response) error {
@@ -117,7 +147,8 @@
 }
 
 // Next returns the next chunk, io.EOF after the end mark, or an error that
-// wraps ErrTruncated. The event's data is valid until the next call.
+// wraps ErrTruncated or ErrCrossed. The event's data is valid until the next
+// call.
 func (s *Stream) Next() (Event, error) {
 	if s.ended {
 		return Event{}, io.EOF
@@ -131,21 +162,42 @@
 			s.ended = true
 			return Event{}, io.EOF
 		}
-		event := Event{Data: data}
-		err := json.Unmarshal(data, &event.Chunk)
-		if err != nil {
-			return Event{}, errors.Newf("%w: chunk is not valid JSON: %w", ErrTruncated, err)
-		}
-		return event, nil
+		return s.parse(data)
 	}
 	if s.scanner.Err() != nil {
-		return Event{}, errors.Newf("%w: %w", ErrTruncated, s.scanner.Err())
+		return Event{}, errors.Newf("%w: %v", ErrTruncated, s.scanner.Err())
 	}
 	return Event{}, ErrTruncated
 }
 
-// Close ends the stream; one that has not ended is cancelled at the engine.
+func (s *Stream) parse(data []byte) (Event, error) {
+	event := Event{Data: data}
+	err := json.Unmarshal(data, &event.Chunk)
+	if err != nil {
+		return Event{}, errors.Newf("%w: chunk is not valid JSON: %v", ErrTruncated, err)
+	}
+	if !strings.HasSuffix(event.Chunk.ID, s.attempt) {
+		return Event{}, errors.Newf("%w: chunk of %q in the answer to %q", ErrCrossed, event.Chunk.ID, s.attempt)
+	}
+	s.tokens += event.Chunk.tokens()
+	s.watch.progress(s.tokens)
+	return event, nil
+}
+
+// tokens returns the least number of tokens that the chunk holds.
+func (c Chunk) tokens() int64 {
+	var total int64
+	for _, choice := range c.Choices {
+		if choice.Delta.Content != "" {
+			total++
+		}
+	}
+	return total
+}
+
+// Close ends the stream; engines may cancel one that has not ended.
 func (s *Stream) Close() {
+	s.watch.stop()
 	s.cancel()
 	_ = s.body.Close()
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -71,6 +71,11 @@
 	return p.running[name]
 }
 
+// Retry tells whether the retry budget allows another try.
+func (p *Pool) Retry() bool {
+	return true
+}
+
 // Release gives the place back.
 func (l *Lease) Release() {
 	l.pool.mu.Lock()
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, errors.Newf("%w: %w", ErrNotSent, err)
+		return Answer{}, errors.Newf("%w: %v", ErrNotSent, err)
 	}
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
@@ -56,7 +56,7 @@
 	defer func() { _ = body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(body, maxServiceAnswerBytes+1))
 	if err != nil {
-		return Answer{}, errors.Newf("%w: %w", ErrTruncated, err)
+		return Answer{}, errors.Newf("%w: %v", ErrTruncated, err)
 	}
 	if len(data) > maxServiceAnswerBytes {
 		return Answer{}, ErrTooLarge
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -4,15 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/config"
-	"github.com/cactusbay/cactusbay/internal/ledger"
 )
 
 // messageOverheadTokens bounds what an engine's template adds to a message.
@@ -46,20 +42,27 @@
 		refusal.write(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.work.DeadlineOr())
+	ctx, cancel := a.bound(ctx)
 	defer cancel()
 	limit := chat.tokenLimit(a.work)
-	run, kept, refusal := s.start(ctx, a, chat.promptBound()+limit)
-	if refusal != nil {
-		refusal.write(w)
+	body, err := a.engineBody(limit)
+	if err != nil {
+		notRun(http.StatusBadRequest, codeBadRequest, "the body cannot be passed on", 0).write(w)
 		return
 	}
-	if kept != nil {
-		writeAnswer(w, *kept)
-		return
+	d := &delivery{server: s, accepted: a, body: body, limit: limit, prompt: chat.promptBound()}
+	d.sink = newSink(w, chat.Stream)
+	d.serve(ctx)
+}
+
+// bound returns the context of the request's work. A request that may be
+// retried under its key, or that may run once only, runs on when its caller
+// leaves.
+func (a *accepted) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.key != "" || !a.repeatable {
+		ctx = context.WithoutCancel(ctx)
 	}
-	defer run.lease.Release()
-	s.dispatchChat(ctx, w, run, chat, limit)
+	return context.WithTimeout(ctx, a.work.DeadlineOr())
 }
 
 func (a *accepted) parseChat(header http.Header) (*chatRequest, *Refusal) {
@@ -134,215 +137,3 @@
 	}
 	return body, nil
 }
-
-func (s *Server) dispatchChat(ctx context.Context, w http.ResponseWriter, run *run, chat *chatRequest, limit int64) {
-	body, err := run.accepted.engineBody(limit)
-	if err != nil {
-		run.release(ctx)
-		notRun(http.StatusBadRequest, codeBadRequest, "the body cannot be passed on", 0).write(w)
-		return
-	}
-	dispatchCtx, span := run.span(ctx, "dispatch")
-	defer span.End()
-	run.dispatched = true
-	stream, err := s.Backend.Open(dispatchCtx, backend.Chat{
-		Address:  run.lease.Address,
-		Attempt:  run.attempt,
-		Priority: run.accepted.work.Priority,
-		Body:     body,
-	})
-	if err != nil {
-		run.refuseDispatch(ctx, err).write(w)
-		return
-	}
-	defer stream.Close()
-	sink := newSink(w, chat.Stream)
-	err = copyStream(stream, sink, limit, func() { _, first := run.span(ctx, "first_token"); first.End() })
-	run.finishChat(ctx, sink, err)
-}
-
-// copyStream passes chunks on until the end mark.
-func copyStream(stream *backend.Stream, sink *sink, limit int64, first func()) error {
-	for {
-		event, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if sink.events == 0 {
-			first()
-		}
-		err = sink.add(event)
-		if err != nil {
-			return err
-		}
-		if sink.tokens > limit {
-			return errors.Newf("%w: more tokens than the limit of %d", backend.ErrTruncated, limit)
-		}
-	}
-}
-
-// finishChat settles, and only then lets the answer look whole.
-func (r *run) finishChat(ctx context.Context, sink *sink, err error) {
-	if err != nil {
-		r.server.Log.Warn("answer broke off", "server", r.lease.Name, "err", err)
-		_ = r.settle(ctx, r.tokens, ledger.Answer{})
-		sink.fail(unknownOutcome())
-		return
-	}
-	answer := sink.answer(r.accepted.work.Model)
-	err = r.settle(ctx, sink.billable(r.tokens), answer)
-	if err != nil {
-		sink.fail(unknownOutcome())
-		return
-	}
-	sink.finish(answer)
-}
-
-// sink writes an answer to the caller, streamed or whole.
-type sink struct {
-	w        http.ResponseWriter
-	flusher  *http.ResponseController
-	streamed bool
-	events   int
-	tokens   int64
-	usage    *backend.Usage
-	last     backend.Chunk
-	reason   string
-	text     strings.Builder
-	kept     bytes.Buffer
-	broken   bool
-}
-
-func newSink(w http.ResponseWriter, streamed bool) *sink {
-	return &sink{w: w, flusher: http.NewResponseController(w), streamed: streamed}
-}
-
-// add takes one chunk in. A caller that left is no error: the request still
-// runs to its end, so that its answer is there for a retry.
-func (s *sink) add(event backend.Event) error {
-	s.events++
-	s.last = event.Chunk
-	if event.Chunk.Usage != nil {
-		s.usage = event.Chunk.Usage
-	}
-	for _, choice := range event.Chunk.Choices {
-		if choice.Delta.Content != "" {
-			s.tokens++
-		}
-		s.text.WriteString(choice.Delta.Content)
-		if choice.FinishReason != nil {
-			s.reason = *choice.FinishReason
-		}
-	}
-	if !s.streamed {
-		return nil
-	}
-	if s.events == 1 {
-		s.w.Header().Set("Content-Type", streamContentType)
-		s.w.Header().Set("Cache-Control", "no-cache")
-		s.w.WriteHeader(http.StatusOK)
-	}
-	s.writeEvent(event.Data)
-	return nil
-}
-
-func (s *sink) writeEvent(data []byte) {
-	if s.kept.Len() <= maxKeptAnswerBytes {
-		s.kept.WriteString("data: ")
-		s.kept.Write(data)
-		s.kept.WriteString("\n\n")
-	}
-	if s.broken {
-		return
-	}
-	line := make([]byte, 0, len(data)+8)
-	line = append(line, "data: "...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	_, err := s.w.Write(line)
-	if err == nil {
-		err = s.flusher.Flush()
-	}
-	s.broken = err != nil
-}
-
-// billable returns the tokens to bill: the engine's count, or the worst case
-// when it gave none.
-func (s *sink) billable(worstCase int64) int64 {
-	if s.usage == nil {
-		return worstCase
-	}
-	return s.usage.PromptTokens + s.usage.CompletionTokens
-}
-
-// answer returns the whole answer in the form that the caller asked for.
-func (s *sink) answer(model string) ledger.Answer {
-	if s.streamed {
-		body := append(bytes.Clone(s.kept.Bytes()), "data: [DONE]\n\n"...)
-		return ledger.Answer{Status: http.StatusOK, ContentType: streamContentType, Body: body}
-	}
-	body, err := json.Marshal(completion{
-		ID:      s.last.ID,
-		Object:  "chat.completion",
-		Created: s.last.Created,
-		Model:   model,
-		Choices: []completionChoice{{
-			Message:      completionMessage{Role: "assistant", Content: s.text.String()},
-			FinishReason: s.reason,
-		}},
-		Usage: s.usage,
-	})
-	if err != nil {
-		return ledger.Answer{}
-	}
-	return ledger.Answer{Status: http.StatusOK, ContentType: jsonContentType, Body: body}
-}
-
-type completion struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Created int64              `json:"created"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   *backend.Usage     `json:"usage,omitempty"`
-}
-
-type completionChoice struct {
-	Index        int               `json:"index"`
-	Message      completionMessage `json:"message"`
-	FinishReason string            `json:"finish_reason"`
-}
-
-type completionMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// finish sends the end of the answer.
-func (s *sink) finish(answer ledger.Answer) {
-	if !s.streamed {
-		writeAnswer(s.w, answer)
-		return
-	}
-	if s.broken {
-		return
-	}
-	_, _ = io.WriteString(s.w, "data: [DONE]\n\n")
-	_ = s.flusher.Flush()
-}
-
-// fail ends the answer with an explicit error and never with the end mark.
-func (s *sink) fail(refusal *Refusal) {
-	if !s.streamed || s.events == 0 {
-		refusal.write(s.w)
-		return
-	}
-	if s.broken {
-		return
-	}
-	_, _ = io.WriteString(s.w, "event: error\ndata: "+string(refusal.body())+"\n\n")
-	_ = s.flusher.Flush()
-}
--- /dev/null
+++ b/internal/caller/delivery.go
@@ -0,0 +1,306 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/backend"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+)
+
+const (
+	resumeTries    = 5
+	resumePause    = 100 * time.Millisecond
+	cancelTries    = 3
+	cancelPause    = 200 * time.Millisecond
+	maxDispatches  = 3
+	minRetryBudget = 250 * time.Millisecond
+)
+
+var (
+	errOverrun    = errors.New("the backend server sent more tokens than the limit")
+	errDuplicated = errors.New("the backend server sent chunks twice")
+)
+
+// delivery brings one engine's answer to its caller.
+type delivery struct {
+	server   *Server
+	accepted *accepted
+	body     []byte
+	limit    int64
+	// prompt is the most tokens that the prompt can have.
+	prompt int64
+	sink   *sink
+	run    *run
+	tried  map[string]bool
+}
+
+// serve runs the request, at another backend server when one refused it.
+func (d *delivery) serve(ctx context.Context) {
+	d.tried = make(map[string]bool)
+	for {
+		run, kept, refusal := d.server.start(ctx, d.accepted, d.prompt+d.limit, d.tried)
+		if refusal != nil {
+			refusal.write(d.sink.w)
+			return
+		}
+		if kept != nil {
+			writeAnswer(d.sink.w, *kept)
+			return
+		}
+		d.run = run
+		refusal = d.dispatch(ctx)
+		d.run.lease.Release()
+		if refusal == nil {
+			return
+		}
+		if !d.retries(ctx) {
+			refusal.write(d.sink.w)
+			return
+		}
+	}
+}
+
+// retries tells whether another backend server may be tried after a refusal.
+func (d *delivery) retries(ctx context.Context) bool {
+	d.tried[d.run.lease.Name] = true
+	return len(d.tried) < maxDispatches && hasTime(ctx) && d.server.Pool.Retry()
+}
+
+func hasTime(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return ctx.Err() == nil && (!bounded || time.Until(deadline) > minRetryBudget)
+}
+
+// dispatch runs the request and answers the caller, or returns the refusal of
+// a backend server that did not run it.
+func (d *delivery) dispatch(ctx context.Context) *Refusal {
+	spanCtx, span := d.run.span(ctx, "dispatch")
+	defer span.End()
+	d.run.dispatched = true
+	err := d.receive(spanCtx)
+	for d.restarts(ctx, err) {
+		err = d.receive(spanCtx)
+	}
+	if isRefused(err) {
+		return d.run.refuse(ctx)
+	}
+	d.finish(ctx, err)
+	return nil
+}
+
+// receive opens the stream, and resumes it at the same engine each time that
+// it breaks off.
+func (d *delivery) receive(ctx context.Context) error {
+	err := d.follow(ctx, d.server.Backend.Open)
+	if isRefused(err) {
+		return err
+	}
+	pause := resumePause
+	for try := 0; try < resumeTries && isBroken(err) && hasTime(ctx); try++ {
+		sleep(ctx, pause)
+		pause *= 2
+		events := d.sink.events
+		next := d.follow(ctx, d.server.Backend.Resume)
+		if isGone(next) {
+			return err
+		}
+		if !isRefused(next) {
+			err = next
+		}
+		if d.sink.events > events {
+			try = -1
+			pause = resumePause
+		}
+	}
+	return err
+}
+
+type opener func(context.Context, backend.Chat) (*backend.Stream, error)
+
+// follow passes the chunks of one connection on until the end mark.
+func (d *delivery) follow(ctx context.Context, open opener) error {
+	d.sink.rewind()
+	stream, err := open(ctx, d.chat())
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return d.sink.check()
+		}
+		if err != nil {
+			return err
+		}
+		err = d.take(ctx, event)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// take passes one chunk on.
+func (d *delivery) take(ctx context.Context, event backend.Event) error {
+	err := d.server.Check.Check(strings.HasSuffix(event.Chunk.ID, d.run.attempt), invariant.AnswerMatches, "chunk of %s for %s", event.Chunk.ID, d.run.attempt)
+	if err != nil {
+		return err
+	}
+	if d.sink.events == 0 {
+		_, span := d.run.span(ctx, "first_token")
+		span.End()
+	}
+	if d.sink.tokens+event.Tokens() > d.limit && d.sink.seen >= d.sink.events {
+		return errors.Newf("%w of %d", errOverrun, d.limit)
+	}
+	return d.sink.add(event)
+}
+
+func (d *delivery) chat() backend.Chat {
+	return backend.Chat{
+		Address:  d.run.lease.Address,
+		Attempt:  d.run.attempt,
+		Priority: d.accepted.work.Priority,
+		Body:     d.body,
+	}
+}
+
+// restarts moves a repeatable request of which the caller has nothing to
+// another backend server. The reservation stays.
+func (d *delivery) restarts(ctx context.Context, err error) bool {
+	if !isBroken(err) || !d.accepted.repeatable || !d.sink.restartable() {
+		return false
+	}
+	if !d.retries(ctx) {
+		return false
+	}
+	lease, found := d.server.acquire(ctx, d.accepted, d.tried)
+	if !found {
+		return false
+	}
+	d.cancelDetached(ctx)
+	d.run.lease.Release()
+	d.run.lease = lease
+	d.sink.reset()
+	return true
+}
+
+// finish settles, and only then lets the answer look whole.
+func (d *delivery) finish(ctx context.Context, err error) {
+	if err != nil {
+		d.breakOff(ctx, err)
+		return
+	}
+	answer := d.sink.answer(d.accepted.work.Model)
+	err = d.run.settle(ctx, d.sink.billable(d.run.tokens), answer)
+	if err != nil {
+		d.sink.fail(unknownOutcome())
+		return
+	}
+	d.sink.finish(answer)
+}
+
+// breakOff cancels what runs, bills what was generated and ends the answer
+// with an explicit error.
+func (d *delivery) breakOff(ctx context.Context, err error) {
+	d.server.Log.Warn("answer broke off", "server", d.run.lease.Name, "err", err)
+	refusal := brokenOff(ctx)
+	d.sink.fail(refusal)
+	_ = d.run.settle(ctx, d.generated(ctx), d.sink.partial(refusal))
+}
+
+// generated cancels the attempt and returns the tokens to bill: the engine's
+// count, or the worst case when it can't tell.
+func (d *delivery) generated(ctx context.Context) int64 {
+	ctx = context.WithoutCancel(ctx)
+	for try := range cancelTries {
+		if try > 0 {
+			sleep(ctx, cancelPause)
+		}
+		cancelled, err := d.server.Backend.Cancel(ctx, d.chat())
+		if err != nil {
+			continue
+		}
+		if cancelled.Ran {
+			return cancelled.Tokens
+		}
+		return d.received()
+	}
+	return d.run.tokens
+}
+
+// received returns the tokens that an engine which lost the attempt must have
+// used.
+func (d *delivery) received() int64 {
+	if d.sink.events == 0 {
+		return 0
+	}
+	return d.prompt + d.sink.tokens
+}
+
+// cancelDetached cancels the present attempt without waiting for the answer.
+func (d *delivery) cancelDetached(ctx context.Context) {
+	c := &cancellation{server: d.server, chat: d.chat()}
+	go c.run(context.WithoutCancel(ctx))
+}
+
+// cancellation ends an attempt whose answer is no longer wanted.
+type cancellation struct {
+	server *Server
+	chat   backend.Chat
+}
+
+func (c *cancellation) run(ctx context.Context) {
+	_, err := c.server.Backend.Cancel(ctx, c.chat)
+	if err != nil {
+		c.server.Log.Debug("attempt was not cancelled", "err", err)
+	}
+}
+
+// isRefused tells whether the backend server did not run the request.
+func isRefused(err error) bool {
+	var status *backend.StatusError
+	if errors.As(err, &status) {
+		return status.NotRun()
+	}
+	return errors.Is(err, backend.ErrNotSent)
+}
+
+// isBroken tells whether resuming may help.
+func isBroken(err error) bool {
+	var status *backend.StatusError
+	return errors.As(err, &status) ||
+		errors.Is(err, backend.ErrTruncated) ||
+		errors.Is(err, backend.ErrUnclear) ||
+		errors.Is(err, backend.ErrCrossed)
+}
+
+// isGone tells whether the engine no longer has the attempt.
+func isGone(err error) bool {
+	var status *backend.StatusError
+	if !errors.As(err, &status) {
+		return false
+	}
+	return status.Status == http.StatusNotFound || status.Status == http.StatusGone
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
+// brokenOff returns the error of an answer that ended before its end.
+func brokenOff(ctx context.Context) *Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &Refusal{Status: http.StatusGatewayTimeout, Code: codeDeadline, Message: "the answer was not whole at the work's deadline; what was generated is billed", RetryAfter: retrySoon}
+	}
+	return unknownOutcome()
+}
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -51,6 +51,7 @@
 	codeBackendRefused = "backend_refused"
 	codeAnswerNotKept  = "answer_not_kept"
 	codeShuttingDown   = "shutting_down"
+	codeDeadline       = "deadline_exceeded"
 )
 
 const (
@@ -82,9 +83,11 @@
 		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	body := r.body()
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status)
-	_, _ = w.Write(r.body())
+	_, _ = w.Write(body)
 }
 
 func errorType(status int) string {
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -42,12 +42,12 @@
 
 // start acquires what a dispatch needs. It returns a kept answer instead when
 // the request ran before.
-func (s *Server) start(ctx context.Context, a *accepted, tokens int64) (*run, *ledger.Answer, *Refusal) {
+func (s *Server) start(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*run, *ledger.Answer, *Refusal) {
 	r := &run{server: s, accepted: a, key: a.key, attempt: rand.Text(), tokens: tokens}
 	if r.key == "" {
 		r.key = "entry-" + r.attempt
 	}
-	lease, found := s.Pool.Acquire(a.document, a.work, s.FailureDomain, nil)
+	lease, found := s.acquire(ctx, a, tried)
 	if !found {
 		return nil, nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
 	}
@@ -66,6 +66,11 @@
 	return r, nil, nil
 }
 
+// acquire takes a place at a backend server that was not tried.
+func (s *Server) acquire(_ context.Context, a *accepted, tried map[string]bool) (*backend.Lease, bool) {
+	return s.Pool.Acquire(a.document, a.work, s.FailureDomain, tried)
+}
+
 func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
 	ctx, span := r.span(ctx, "reserve")
 	defer span.End()
@@ -97,7 +102,7 @@
 		return nil, nil
 	case ledger.OutcomeSettled:
 		if reservation.Answer.Status == 0 {
-			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was too large to keep"}
+			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was not kept"}
 		}
 		return &reservation.Answer, nil
 	case ledger.OutcomeRunning:
@@ -202,17 +207,11 @@
 	return nil
 }
 
-// refuseDispatch answers for a dispatch that failed before any answer.
-func (r *run) refuseDispatch(ctx context.Context, err error) *Refusal {
-	var status *backend.StatusError
-	if errors.As(err, &status) || errors.Is(err, backend.ErrNotSent) {
-		r.dispatched = false
-		r.release(ctx)
-		return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
-	}
-	r.server.Log.Warn("dispatch failed with an unclear outcome", "server", r.lease.Name, "err", err)
-	_ = r.settle(ctx, r.tokens, ledger.Answer{})
-	return unknownOutcome()
+// refuse gives everything back after a backend server did not run the request.
+func (r *run) refuse(ctx context.Context) *Refusal {
+	r.dispatched = false
+	r.release(ctx)
+	return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
 }
 
 func (r *run) span(ctx context.Context, name string) (context.Context, trace.Span) {
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -29,24 +30,16 @@
 	}
 	path := servicePath(r, service)
 	a.target = r.Method + " " + path
-	ctx, cancel := context.WithTimeout(ctx, a.work.DeadlineOr())
+	ctx, cancel := a.bound(ctx)
 	defer cancel()
-	run, kept, refusal := s.start(ctx, a, a.work.CallTokens)
-	if refusal != nil {
-		refusal.write(w)
-		return
-	}
-	if kept != nil {
-		writeAnswer(w, *kept)
-		return
-	}
-	defer run.lease.Release()
-	s.dispatchCall(ctx, w, run, backend.Call{
+	c := &call{server: s, accepted: a, w: w, tried: make(map[string]bool)}
+	c.call = backend.Call{
 		Method:      r.Method,
 		Path:        path,
 		ContentType: r.Header.Get("Content-Type"),
 		Body:        a.body,
-	})
+	}
+	c.serve(ctx)
 }
 
 func servicePath(r *http.Request, service string) string {
@@ -60,29 +53,111 @@
 	return path
 }
 
-func (s *Server) dispatchCall(ctx context.Context, w http.ResponseWriter, run *run, call backend.Call) {
-	dispatchCtx, span := run.span(ctx, "dispatch")
+// call brings one plain service's answer to its caller.
+type call struct {
+	server   *Server
+	accepted *accepted
+	w        http.ResponseWriter
+	call     backend.Call
+	run      *run
+	tried    map[string]bool
+	// dispatches counts the tries that ended without an answer.
+	dispatches int
+}
+
+// serve makes the call, at another backend server when nothing was sent.
+func (c *call) serve(ctx context.Context) {
+	for {
+		run, kept, refusal := c.server.start(ctx, c.accepted, c.accepted.work.CallTokens, c.tried)
+		if refusal != nil {
+			refusal.write(c.w)
+			return
+		}
+		if kept != nil {
+			writeAnswer(c.w, *kept)
+			return
+		}
+		c.run = run
+		refusal = c.dispatch(ctx)
+		c.run.lease.Release()
+		if refusal == nil {
+			return
+		}
+		if !c.retries(ctx) {
+			refusal.write(c.w)
+			return
+		}
+	}
+}
+
+func (c *call) retries(ctx context.Context) bool {
+	c.tried[c.run.lease.Name] = true
+	c.dispatches++
+	return c.dispatches < maxDispatches && hasTime(ctx) && c.server.Pool.Retry()
+}
+
+// dispatch makes the call and answers the caller, or returns the refusal when
+// nothing was sent.
+func (c *call) dispatch(ctx context.Context) *Refusal {
+	spanCtx, span := c.run.span(ctx, "dispatch")
 	defer span.End()
-	call.Address = run.lease.Address
-	call.Attempt = run.attempt
-	call.IdempotencyKey = run.key
-	run.dispatched = true
-	result, err := s.Backend.Do(dispatchCtx, call)
-	if errors.Is(err, backend.ErrNotSent) {
-		run.refuseDispatch(ctx, err).write(w)
-		return
+	c.run.dispatched = true
+	result, err := c.do(spanCtx)
+	sent := !errors.Is(err, backend.ErrNotSent)
+	for err != nil && sent && c.restarts(ctx) {
+		result, err = c.do(spanCtx)
 	}
+	if !sent {
+		return c.run.refuse(ctx)
+	}
+	c.finish(ctx, result, err)
+	return nil
+}
+
+// do makes one call; one that may be repeated leaves time for another try.
+func (c *call) do(ctx context.Context) (backend.Answer, error) {
+	deadline, bounded := ctx.Deadline()
+	if bounded && c.accepted.repeatable && c.dispatches < maxDispatches-1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+	}
+	c.call.Address = c.run.lease.Address
+	c.call.Attempt = c.run.attempt
+	c.call.IdempotencyKey = c.run.key
+	return c.server.Backend.Do(ctx, c.call)
+}
+
+// restarts moves a repeatable call to another backend server. The reservation
+// stays, so that the request is billed once.
+func (c *call) restarts(ctx context.Context) bool {
+	if !c.accepted.repeatable || !c.retries(ctx) {
+		return false
+	}
+	lease, found := c.server.acquire(ctx, c.accepted, c.tried)
+	if !found {
+		lease, found = c.server.acquire(ctx, c.accepted, nil)
+	}
+	if !found {
+		return false
+	}
+	c.run.lease.Release()
+	c.run.lease = lease
+	return true
+}
+
+func (c *call) finish(ctx context.Context, result backend.Answer, err error) {
 	if err != nil {
-		s.Log.Warn("call failed with an unclear outcome", "server", run.lease.Name, "err", err)
-		_ = run.settle(ctx, run.tokens, ledger.Answer{})
-		unknownOutcome().write(w)
+		c.server.Log.Warn("call failed with an unclear outcome", "server", c.run.lease.Name, "err", err)
+		_ = c.run.settle(ctx, c.run.tokens, ledger.Answer{})
+		unknownOutcome().write(c.w)
 		return
 	}
 	answer := ledger.Answer{Status: result.Status, ContentType: result.ContentType, Body: result.Body}
-	err = run.settle(ctx, run.tokens, answer)
+	err = c.run.settle(ctx, c.run.tokens, answer)
 	if err != nil {
-		unknownOutcome().write(w)
+		unknownOutcome().write(c.w)
 		return
 	}
-	writeAnswer(w, answer)
+	writeAnswer(c.w, answer)
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -45,6 +45,8 @@
 	mu       sync.Mutex
 	attempts map[string]*generation
 	order    []string
+	// buried holds attempts that were cancelled before they arrived.
+	buried   map[string]bool
 	waiting  []*generation
 	running  int
 	draining bool
@@ -170,14 +172,25 @@
 	return engineAttempt{State: state, PromptTokens: g.prompt, CompletionTokens: g.tokens}
 }
 
-// serveCancel ends a generation and tells what it generated.
+// serveCancel ends a generation and tells what it generated. One that has not
+// arrived is refused when it does.
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	attempt := r.PathValue("attempt")
 	e.mu.Lock()
 	g := e.attempts[attempt]
+	if g == nil {
+		e.bury(attempt)
+	}
 	e.mu.Unlock()
 	if g != nil {
 		e.cancel(g)
 	}
 	e.serveAttempt(w, r)
 }
+
+func (e *Engine) bury(attempt string) {
+	if e.buried == nil || len(e.buried) >= orDefault(e.KeptAttempts, defaultKeptAttempts) {
+		e.buried = make(map[string]bool)
+	}
+	e.buried[attempt] = true
+}
--- a/internal/fake/generation.go
+++ b/internal/fake/generation.go
@@ -32,7 +32,7 @@
 func (e *Engine) accept(request engineRequest, attempt, priority string) (*generation, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.draining {
+	if e.draining || e.buried[attempt] {
 		return nil, false
 	}
 	known := e.attempts[attempt]
--- a/test/site_test.go
+++ b/test/site_test.go
@@ -30,9 +30,11 @@
 // site is a whole fleet in one process over a network and disks in memory. It
 // lives inside a synctest bubble.
 type site struct {
-	t        *testing.T
-	network  *fake.Network
-	domains  []string
+	t       *testing.T
+	network *fake.Network
+	domains []string
+	// backends are the failure domains that have backend servers.
+	backends []string
 	controls map[string]*process.Control
 	entries  map[string]*process.Entry
 	disks    map[string]*fake.Disk
@@ -46,10 +48,16 @@
 // newSite starts a control instance, an entry, an engine and a service in each
 // failure domain, with tokens deposited.
 func newSite(t *testing.T, tokens int64, domains ...string) *site {
+	return newSiteWith(t, tokens, nil, domains...)
+}
+
+// newSiteWith is newSite with failure domains that hold backend servers only.
+func newSiteWith(t *testing.T, tokens int64, bare []string, domains ...string) *site {
 	s := &site{
 		t:        t,
 		network:  &fake.Network{},
 		domains:  domains,
+		backends: append(append([]string(nil), domains...), bare...),
 		controls: make(map[string]*process.Control),
 		entries:  make(map[string]*process.Entry),
 		disks:    make(map[string]*fake.Disk),
@@ -59,8 +67,10 @@
 	}
 	s.check = &invariant.Checker{Fatal: func(err error) { t.Errorf("%v", err) }}
 	s.writeSettings(tokens)
-	for i, domain := range domains {
+	for i, domain := range s.backends {
 		s.startFakes(i, domain)
+	}
+	for _, domain := range domains {
 		s.disks["control-"+domain] = &fake.Disk{}
 	}
 	for _, domain := range domains {
@@ -127,7 +137,7 @@
 		},
 	}
 	var engines, services []string
-	for i, domain := range s.domains {
+	for i, domain := range s.backends {
 		engine := "engine-" + domain
 		service := "service-" + domain
 		document.BackendServers[engine] = config.BackendServer{Address: address(i, 7000), FailureDomain: domain, Kind: config.KindModel}
