Retry plain calls that may be repeated, within their deadline

Cause: a plain service that went silent held its caller for the whole deadline, and a lookup was not repeated after a lost answer. Change: a try of a repeatable call ends after 5 s and goes to another backend server, or the same over a new connection; the reservation stays, so one bill. A call that may run once goes elsewhere only when nothing was sent. Test: TestLookupReturnsDespiteAFault/silent failed first; all pass now.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -48,8 +49,11 @@
 		request.Header.Set("Content-Type", call.ContentType)
 	}
 	request.Header.Set("Idempotency-Key", call.IdempotencyKey)
+	idle := time.AfterFunc(idleTimeout, cancel)
 	response, err := c.send(ctx, request, call.Attempt)
+	idle.Stop()
 	if err != nil {
+		c.forgetSilent(ctx)
 		return Answer{}, err
 	}
 	body := newIdleReader(response.Body, cancel)
@@ -63,3 +67,11 @@
 	}
 	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: data}, nil
 }
+
+// forgetSilent closes the idle connections after a silence, since others may
+// have gone silent with it.
+func (c *Client) forgetSilent(ctx context.Context) {
+	if ctx.Err() != nil {
+		c.HTTP.CloseIdleConnections()
+	}
+}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -53,6 +53,9 @@
 	return path
 }
 
+// callTryTimeout ends one try of a call that may be repeated.
+const callTryTimeout = 5 * time.Second
+
 // call brings one plain service's answer to its caller.
 type call struct {
 	server   *Server
@@ -119,7 +122,7 @@
 	deadline, bounded := ctx.Deadline()
 	if bounded && c.accepted.repeatable && c.dispatches < maxDispatches-1 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		ctx, cancel = context.WithTimeout(ctx, min(callTryTimeout, time.Until(deadline)/2))
 		defer cancel()
 	}
 	c.call.Address = c.run.lease.Address
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -5,13 +5,34 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Service is a stand-in plain service that counts its runs by key; its zero
 // value works.
 type Service struct {
-	mu   sync.Mutex
-	runs map[string]int
+	mu     sync.Mutex
+	runs   map[string]int
+	faults []Fault
+}
+
+// Inject gives the next calls one fault each, after the call ran unless it is
+// a Refuse; nil means none.
+func (s *Service) Inject(faults ...Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, faults...)
+}
+
+func (s *Service) nextFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) == 0 {
+		return nil
+	}
+	fault := s.faults[0]
+	s.faults = s.faults[1:]
+	return fault
 }
 
 type serviceAnswer struct {
@@ -41,12 +62,29 @@
 	}
 	w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
 	w.Header().Set("Content-Type", "application/json")
+	fault := s.nextFault()
+	refuse, refused := fault.(Refuse)
+	if refused {
+		w.WriteHeader(refuse.Status)
+		return
+	}
 	answer := serviceAnswer{
 		Method: r.Method,
 		Path:   r.URL.RequestURI(),
 		Body:   string(body),
 		Run:    s.count(r.Header.Get("Idempotency-Key")),
 	}
+	switch fault := fault.(type) {
+	case Silence:
+		<-r.Context().Done()
+		return
+	case Crash:
+		panic(http.ErrAbortHandler)
+	case Crossed:
+		w.Header().Set(attemptHeader, strangerAttempt)
+	case Stall:
+		time.Sleep(fault.For)
+	}
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
