Route by corrected load, admit by class, share and deadline

Cause: an entry took the least of its own counts, saw neither other entries' load nor draining, had no queue and no order between works. Change: internal/route keeps reported load corrected by own dispatches, prefix affinity by bounded rendezvous, two choices, own failure domain first, ejection with slow return, a subset at the large size and a retry budget; internal/admit queues by class, workspace share and deadline and refuses at once with the time to come back; the pool drives both, a poller brings load. Ruled out: waiting for a place when no server is left to try; it held the caller (seen in TestRefusedRequestRunsElsewhere), so it is refused at once.

--- /dev/null
+++ b/internal/admit/controller.go
@@ -0,0 +1,209 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/route"
+)
+
+const (
+	defaultQueueLimit = 1024
+	// holdShare is the weight of the newest request in the mean hold time.
+	holdShare     = 0.05
+	minRetryAfter = time.Second
+	maxRetryAfter = 60 * time.Second
+)
+
+// Decision is what becomes of a request: one of Placed, Queued and Refused.
+type Decision interface {
+	isDecision()
+}
+
+// Placed has a place at a backend server. Call Finish once.
+type Placed struct {
+	Server *route.Server
+}
+
+// Queued waits until Placement or Expire names it.
+type Queued struct {
+	// GiveUp is when the deadline can no longer be met.
+	GiveUp time.Time
+}
+
+// Refused is final and was not dispatched.
+type Refused struct {
+	// RetryAfter tells when to come back.
+	RetryAfter time.Duration
+}
+
+func (Placed) isDecision()  {}
+func (Queued) isDecision()  {}
+func (Refused) isDecision() {}
+
+// Controller admits requests to backend servers. Its zero value works; its
+// user guards it against use by several goroutines at once.
+type Controller struct {
+	// Policy picks servers; nil means route.Balanced.
+	Policy        route.Policy
+	FailureDomain string
+	// QueueLimit bounds the requests that wait; 0 means the default.
+	QueueLimit int
+	// Query carries the source of random numbers, for tests.
+	Query route.Query
+
+	queue queue
+	// holds are the mean times that requests hold a place, by work.
+	holds   map[string]time.Duration
+	mean    time.Duration
+	running int
+}
+
+// Offer decides on a new request. The second result is a waiting request that
+// is refused in its favour, or nil.
+func (c *Controller) Offer(r *Request, now time.Time) (Decision, *Request) {
+	if !route.Exists(r.Servers, r.Tried) {
+		return Refused{RetryAfter: minRetryAfter}, nil
+	}
+	if c.mayOvertake(r) {
+		server := c.pick(r, now)
+		if server != nil {
+			return c.place(server, now), nil
+		}
+	}
+	wait := c.wait(r)
+	late := now.Add(wait + c.hold(r.Work)).Sub(r.Deadline)
+	if late > 0 {
+		return Refused{RetryAfter: retryAfter(late)}, nil
+	}
+	if c.queue.length < orDefault(c.QueueLimit, defaultQueueLimit) {
+		return c.enqueue(r, now), nil
+	}
+	victim := c.queue.victim(r)
+	if victim == nil {
+		return Refused{RetryAfter: retryAfter(wait)}, nil
+	}
+	c.queue.remove(victim)
+	return c.enqueue(r, now), victim
+}
+
+// mayOvertake tells whether nothing at least as urgent waits for the same
+// servers.
+func (c *Controller) mayOvertake(r *Request) bool {
+	counts := c.queue.waiting[r.set()]
+	if counts == nil {
+		return true
+	}
+	for class := range r.Class + 1 {
+		if counts[class] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) enqueue(r *Request, now time.Time) Queued {
+	r.since = now
+	c.queue.push(r)
+	return Queued{GiveUp: c.giveUp(r)}
+}
+
+func (c *Controller) giveUp(r *Request) time.Time {
+	return r.Deadline.Add(-c.hold(r.Work))
+}
+
+func (c *Controller) pick(r *Request, now time.Time) *route.Server {
+	c.Query.Now = now
+	c.Query.FailureDomain = c.FailureDomain
+	c.Query.Prefix = r.Prefix
+	c.Query.Tried = r.Tried
+	return route.Pick(c.Policy, r.Servers, &c.Query)
+}
+
+func (c *Controller) place(server *route.Server, now time.Time) Placed {
+	server.Dispatch(now)
+	c.running++
+	return Placed{Server: server}
+}
+
+// Finish gives a place back and learns how long the work held it.
+func (c *Controller) Finish(server *route.Server, work string, held time.Duration, now time.Time) {
+	server.Finish(now)
+	c.running--
+	if c.holds == nil {
+		c.holds = make(map[string]time.Duration)
+	}
+	c.holds[work] = blend(c.holds[work], held)
+	c.mean = blend(c.mean, held)
+}
+
+func blend(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(holdShare*float64(sample-mean))
+}
+
+// Next places the waiting request that is served next, or returns nil when
+// none fits. Call it until it returns nil after a place was given back.
+func (c *Controller) Next(now time.Time) (*Request, *route.Server) {
+	var server *route.Server
+	var full []**route.Server
+	r := c.queue.pop(func(r *Request) bool {
+		if slices.Contains(full, r.set()) {
+			return false
+		}
+		server = c.pick(r, now)
+		if server == nil && r.Tried == nil {
+			full = append(full, r.set())
+		}
+		return server != nil
+	})
+	if r == nil {
+		return nil, nil
+	}
+	c.place(server, now)
+	return r, server
+}
+
+// Expire removes a waiting request and returns when its caller should come
+// back.
+func (c *Controller) Expire(r *Request) time.Duration {
+	c.queue.remove(r)
+	return retryAfter(c.wait(r))
+}
+
+// Remove takes out a waiting request whose caller left.
+func (c *Controller) Remove(r *Request) {
+	c.queue.remove(r)
+}
+
+// Waiting returns the number of requests that wait.
+func (c *Controller) Waiting() int {
+	return c.queue.length
+}
+
+// wait estimates how long a new request would wait: the requests served before
+// it, at the pace at which the places held now come free.
+func (c *Controller) wait(r *Request) time.Duration {
+	if c.mean == 0 {
+		return 0
+	}
+	pace := float64(c.mean) / float64(max(1, c.running))
+	return time.Duration((c.queue.ahead(r) + 1) * pace)
+}
+
+func (c *Controller) hold(work string) time.Duration {
+	return c.holds[work]
+}
+
+func retryAfter(wait time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, wait))
+}
+
+func orDefault(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/backend/poller.go
@@ -0,0 +1,138 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/route"
+)
+
+const (
+	pollInterval = time.Second
+	pollTimeout  = 500 * time.Millisecond
+	pollWorkers  = 4
+	pollSlots    = 1024
+	loadPath     = "/load"
+)
+
+// loadReport is a backend server's answer to a poll.
+type loadReport struct {
+	Running  int   `json:"running"`
+	Waiting  int   `json:"waiting"`
+	MaxBatch int   `json:"max_batch"`
+	Draining bool  `json:"draining"`
+	AgeMS    int64 `json:"age_ms"`
+}
+
+// Poller asks the backend servers of a Pool for their load.
+type Poller struct {
+	Pool   *Pool
+	Client *Client
+	// Document returns the active configuration, or nil.
+	Document func() *config.Document
+
+	targets chan target
+	workers sync.WaitGroup
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// Start begins to poll.
+func (p *Poller) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	p.done = make(chan struct{})
+	p.targets = make(chan target, pollSlots)
+	for range pollWorkers {
+		p.workers.Add(1)
+		go p.loop(ctx)
+	}
+	go p.run(ctx)
+}
+
+// Done is closed once the poller has ended.
+func (p *Poller) Done() <-chan struct{} {
+	return p.done
+}
+
+// Close ends the polls.
+func (p *Poller) Close() {
+	p.stop()
+	<-p.done
+}
+
+// run queues every server once an interval. One that finds no slot is polled
+// the next time.
+func (p *Poller) run(ctx context.Context) {
+	defer close(p.done)
+	defer p.workers.Wait()
+	defer close(p.targets)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		p.Pool.Update(p.Document())
+		for _, t := range p.Pool.targets() {
+			select {
+			case p.targets <- t:
+			default:
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loop polls the queued servers.
+func (p *Poller) loop(ctx context.Context) {
+	defer p.workers.Done()
+	for t := range p.targets {
+		report, err := p.poll(ctx, t.address)
+		if ctx.Err() != nil {
+			continue
+		}
+		p.Pool.report(t.server, report, err)
+	}
+}
+
+func (p *Poller) poll(ctx context.Context, address string) (route.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+loadPath, nil)
+	if err != nil {
+		return route.Report{}, errors.Newf("new request: %w", err)
+	}
+	sent := time.Now()
+	response, err := p.Client.HTTP.Do(request)
+	if err != nil {
+		return route.Report{}, errors.Newf("poll load: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotFound {
+		return route.Report{}, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return route.Report{}, &StatusError{Status: response.StatusCode}
+	}
+	var load loadReport
+	err = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&load)
+	if err != nil {
+		return route.Report{}, errors.Newf("decode load: %w", err)
+	}
+	return route.Report{
+		At:       sent.Add(-time.Duration(load.AgeMS) * time.Millisecond),
+		Running:  load.Running,
+		Waiting:  load.Waiting,
+		MaxBatch: load.MaxBatch,
+		Draining: load.Draining,
+	}, nil
+}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/route"
 )
 
 // messageOverheadTokens bounds what an engine's template adds to a message.
@@ -84,6 +85,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	a.prefix = route.Prefix(a.work.Model, chat.Messages[0])
 	return chat, nil
 }
 
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -88,7 +88,7 @@
 		err = d.receive(spanCtx)
 	}
 	if isRefused(err) {
-		return d.run.refuse(ctx)
+		return d.run.refuse(ctx, err)
 	}
 	d.finish(ctx, err)
 	return nil
@@ -180,11 +180,12 @@
 	if !d.retries(ctx) {
 		return false
 	}
-	lease, found := d.server.acquire(ctx, d.accepted, d.tried)
-	if !found {
+	lease, busy := d.server.acquire(ctx, d.accepted, d.run.tokens, d.tried)
+	if busy != nil {
 		return false
 	}
 	d.cancelDetached(ctx)
+	d.run.lease.Result.Failed = true
 	d.run.lease.Release()
 	d.run.lease = lease
 	d.sink.reset()
@@ -197,6 +198,7 @@
 		d.breakOff(ctx, err)
 		return
 	}
+	d.run.lease.Result.Gap = d.sink.gap()
 	answer := d.sink.answer(d.accepted.work.Model)
 	err = d.run.settle(ctx, d.sink.billable(d.run.tokens), answer)
 	if err != nil {
@@ -209,6 +211,7 @@
 // breakOff cancels what runs, bills what was generated and ends the answer
 // with an explicit error.
 func (d *delivery) breakOff(ctx context.Context, err error) {
+	d.run.lease.Result.Failed = ctx.Err() == nil
 	d.server.Log.Warn("answer broke off", "server", d.run.lease.Name, "err", err)
 	refusal := brokenOff(ctx)
 	d.sink.fail(refusal)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -47,9 +47,9 @@
 	if r.key == "" {
 		r.key = "entry-" + r.attempt
 	}
-	lease, found := s.acquire(ctx, a, tried)
-	if !found {
-		return nil, nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
+	lease, busy := s.acquire(ctx, a, tokens, tried)
+	if busy != nil {
+		return nil, nil, noCapacity(busy)
 	}
 	r.lease = lease
 	kept, refusal := r.reserve(ctx)
@@ -67,8 +67,19 @@
 }
 
 // acquire takes a place at a backend server that was not tried.
-func (s *Server) acquire(_ context.Context, a *accepted, tried map[string]bool) (*backend.Lease, bool) {
-	return s.Pool.Acquire(a.document, a.work, s.FailureDomain, tried)
+func (s *Server) acquire(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*backend.Lease, *backend.Busy) {
+	return s.Pool.Acquire(ctx, backend.Ask{
+		Document:  a.document,
+		Workspace: a.workspace,
+		WorkName:  a.workName,
+		Prefix:    a.prefix,
+		Cost:      tokens,
+		Tried:     tried,
+	})
+}
+
+func noCapacity(busy *backend.Busy) *Refusal {
+	return notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server can run the request before its deadline", max(retrySoon, busy.RetryAfter))
 }
 
 func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
@@ -208,7 +219,9 @@
 }
 
 // refuse gives everything back after a backend server did not run the request.
-func (r *run) refuse(ctx context.Context) *Refusal {
+func (r *run) refuse(ctx context.Context, err error) *Refusal {
+	r.lease.Result.Failed = errors.Is(err, backend.ErrNotSent)
+	r.lease.Result.Refused = !r.lease.Result.Failed
 	r.dispatched = false
 	r.release(ctx)
 	return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -107,6 +107,8 @@
 	body      []byte
 	// target is a plain service's method and path.
 	target string
+	// prefix is the prompt's affinity to backend servers; 0 is none.
+	prefix uint64
 	// repeatable is false when the request may run once only.
 	repeatable bool
 }
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -111,7 +111,7 @@
 		result, err = c.do(spanCtx)
 	}
 	if !sent {
-		return c.run.refuse(ctx)
+		return c.run.refuse(ctx, err)
 	}
 	c.finish(ctx, result, err)
 	return nil
@@ -137,13 +137,14 @@
 	if !c.accepted.repeatable || !c.retries(ctx) {
 		return false
 	}
-	lease, found := c.server.acquire(ctx, c.accepted, c.tried)
-	if !found {
-		lease, found = c.server.acquire(ctx, c.accepted, nil)
+	lease, busy := c.server.acquire(ctx, c.accepted, c.run.tokens, c.tried)
+	if busy != nil {
+		lease, busy = c.server.acquire(ctx, c.accepted, c.run.tokens, nil)
 	}
-	if !found {
+	if busy != nil {
 		return false
 	}
+	c.run.lease.Result.Failed = true
 	c.run.lease.Release()
 	c.run.lease = lease
 	return true
@@ -151,6 +152,7 @@
 
 func (c *call) finish(ctx context.Context, result backend.Answer, err error) {
 	if err != nil {
+		c.run.lease.Result.Failed = ctx.Err() == nil
 		c.server.Log.Warn("call failed with an unclear outcome", "server", c.run.lease.Name, "err", err)
 		_ = c.run.settle(ctx, c.run.tokens, ledger.Answer{})
 		unknownOutcome().write(c.w)
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,6 +24,9 @@
 	seen   int
 	// offset is where the text of the next chunk is expected.
 	offset int
+	// first and latest are when the first and the latest chunk came.
+	first  time.Time
+	latest time.Time
 	tokens int64
 	usage  *backend.Usage
 	last   backend.Chunk
@@ -45,6 +49,10 @@
 		return s.compare(event)
 	}
 	s.events++
+	s.latest = time.Now()
+	if s.events == 1 {
+		s.first = s.latest
+	}
 	s.last = event.Chunk
 	if event.Chunk.Usage != nil {
 		s.usage = event.Chunk.Usage
@@ -105,6 +113,14 @@
 	return nil
 }
 
+// gap returns the mean time between tokens.
+func (s *sink) gap() time.Duration {
+	if s.tokens < 2 {
+		return 0
+	}
+	return s.latest.Sub(s.first) / time.Duration(s.tokens-1)
+}
+
 func (s *sink) start() {
 	if s.events > 1 {
 		return
--- a/internal/fake/load.go
+++ b/internal/fake/load.go
@@ -10,11 +10,11 @@
 
 // engineLoad is what an engine reports.
 type engineLoad struct {
-	Running     int  `json:"running"`
-	Waiting     int  `json:"waiting"`
-	MaxBatch    int  `json:"max_batch"`
-	Draining    bool `json:"draining"`
-	AgeMillisec int  `json:"age_ms"`
+	Running  int  `json:"running"`
+	Waiting  int  `json:"waiting"`
+	MaxBatch int  `json:"max_batch"`
+	Draining bool `json:"draining"`
+	AgeMS    int  `json:"age_ms"`
 }
 
 type timedLoad struct {
@@ -48,7 +48,7 @@
 		e.reports = e.reports[1:]
 	}
 	load.Draining = e.draining
-	load.AgeMillisec = int(e.LoadLag / time.Millisecond)
+	load.AgeMS = int(e.LoadLag / time.Millisecond)
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(load)
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -11,9 +11,10 @@
 // Service is a stand-in plain service that counts its runs by key; its zero
 // value works.
 type Service struct {
-	mu     sync.Mutex
-	runs   map[string]int
-	faults []Fault
+	mu      sync.Mutex
+	runs    map[string]int
+	running int
+	faults  []Fault
 }
 
 // Inject gives the next calls one fault each, after the call ran unless it is
@@ -55,6 +56,12 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/load" {
+		s.serveLoad(w)
+		return
+	}
+	s.enter(1)
+	defer s.enter(-1)
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	if err != nil {
 		http.Error(w, "bad request", http.StatusBadRequest)
@@ -97,3 +104,17 @@
 	s.runs[key]++
 	return s.runs[key]
 }
+
+func (s *Service) enter(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += change
+}
+
+func (s *Service) serveLoad(w http.ResponseWriter) {
+	s.mu.Lock()
+	load := engineLoad{Running: s.running}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(load)
+}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/caller"
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
@@ -41,7 +42,7 @@
 		newClaimer,
 		newLedgerClient,
 		newBackendClient,
-		func() *backend.Pool { return &backend.Pool{} },
+		newPool,
 		newCallerServer,
 	)
 	if err != nil {
@@ -76,7 +77,22 @@
 }
 
 func newBackendClient(environment Environment) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network)}
+	return &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
+}
+
+func newPool(s *settings.Settings, environment Environment) *backend.Pool {
+	return &backend.Pool{FailureDomain: s.FailureDomain, Instance: s.InstanceID, Check: environment.Check}
+}
+
+// startPoller keeps the pool's view of the backend servers' load.
+func (e *Entry) startPoller(server *caller.Server, watcher *group.Watcher) {
+	poller := &backend.Poller{
+		Pool:     server.Pool,
+		Client:   server.Backend,
+		Document: func() *config.Document { return watcher.Active().Document },
+	}
+	poller.Start()
+	e.parts.add(poller.Close)
 }
 
 func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
@@ -98,6 +114,7 @@
 func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
 	e.Server = server
 	e.Watcher = watcher
+	e.startPoller(server, watcher)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
