--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -43,13 +43,13 @@
 
 // start acquires what a dispatch needs. It returns a kept answer instead when
 // the request ran before.
-func (s *Server) start(ctx context.Context, a *accepted, tokens int64) (*run, *ledger.Answer, *Refusal) {
+func (s *Server) start(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*run, *ledger.Answer, *Refusal) {
 	r := &run{server: s, accepted: a, key: a.key, attempt: rand.Text(), tokens: tokens}
 	if r.key == "" {
 		r.key = "entry-" + r.attempt
 	}
 	for {
-		kept, refusal := r.take(ctx)
+		kept, refusal := r.take(ctx, tried)
 		if r.isWaiting(kept, refusal) {
 			kept, refusal = r.await(ctx)
 			if kept == nil && refusal == nil {
@@ -70,11 +70,10 @@
 }
 
 // take acquires a place at a backend server and the reservation for it.
-func (r *run) take(ctx context.Context) (*ledger.Answer, *Refusal) {
-	a := r.accepted
-	lease, found := r.server.Pool.Acquire(a.document, a.work, r.server.FailureDomain, nil)
-	if !found {
-		return nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
+func (r *run) take(ctx context.Context, tried map[string]bool) (*ledger.Answer, *Refusal) {
+	lease, busy := r.server.acquire(ctx, r.accepted, r.tokens, tried)
+	if busy != nil {
+		return nil, noCapacity(busy)
 	}
 	r.lease = lease
 	kept, refusal := r.reserve(ctx)
@@ -115,6 +114,22 @@
 	}
 }
 
+// acquire takes a place at a backend server that was not tried.
+func (s *Server) acquire(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*backend.Lease, *backend.Busy) {
+	return s.Pool.Acquire(ctx, backend.Ask{
+		Document:  a.document,
+		Workspace: a.workspace,
+		WorkName:  a.workName,
+		Prefix:    a.prefix,
+		Cost:      tokens,
+		Tried:     tried,
+	})
+}
+
+func noCapacity(busy *backend.Busy) *Refusal {
+	return notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server can run the request before its deadline", max(retrySoon, busy.RetryAfter))
+}
+
 func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
 	ctx, span := r.span(ctx, "reserve")
 	defer span.End()
@@ -156,7 +171,7 @@
 		return nil, nil
 	case ledger.OutcomeSettled:
 		if reservation.Answer.Status == 0 {
-			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was too large to keep"}
+			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was not kept"}
 		}
 		return &reservation.Answer, nil
 	case ledger.OutcomeRunning:
@@ -259,17 +274,13 @@
 	return nil
 }
 
-// refuseDispatch answers for a dispatch that failed before any answer.
-func (r *run) refuseDispatch(ctx context.Context, err error) *Refusal {
-	var status *backend.StatusError
-	if errors.As(err, &status) || errors.Is(err, backend.ErrNotSent) {
-		r.dispatched = false
-		r.release(ctx)
-		return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
-	}
-	r.server.Log.Warn("dispatch failed with an unclear outcome", "server", r.lease.Name, "err", err)
-	_ = r.settle(ctx, r.tokens, ledger.Answer{})
-	return unknownOutcome()
+// refuse gives everything back after a backend server did not run the request.
+func (r *run) refuse(ctx context.Context, err error) *Refusal {
+	r.lease.Result.Failed = errors.Is(err, backend.ErrNotSent)
+	r.lease.Result.Refused = !r.lease.Result.Failed
+	r.dispatched = false
+	r.release(ctx)
+	return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
 }
 
 func (r *run) span(ctx context.Context, name string) (context.Context, trace.Span) {
