--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/caller"
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
@@ -40,8 +42,10 @@
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
+		newIncarnation,
+		e.startOutbox,
 		newBackendClient,
-		func() *backend.Pool { return &backend.Pool{} },
+		newPool,
 		newCallerServer,
 	)
 	if err != nil {
@@ -80,13 +84,50 @@
 	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
 }
 
+// incarnation is an entry's id and start; later starts sort after earlier ones.
+type incarnation string
+
+func newIncarnation(s *settings.Settings) incarnation {
+	return incarnation(fmt.Sprintf("%s/%016x-%s", s.InstanceID, time.Now().UnixNano(), rand.Text()))
+}
+
+func (e *Entry) startOutbox(environment Environment, own incarnation, ledgers *ledger.Client, claimer *group.Claimer) *caller.Outbox {
+	outbox := &caller.Outbox{
+		Entry:   string(own),
+		Ledger:  ledgers,
+		Claimer: claimer,
+		Log:     environment.Telemetry.Log,
+		Scope:   environment.Telemetry.Scope,
+	}
+	ledgers.Uncertain = outbox.GiveUp
+	outbox.Start()
+	e.parts.add(outbox.Close)
+	return outbox
+}
+
 func newBackendClient(environment Environment) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network)}
+	return &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
+}
+
+func newPool(s *settings.Settings, environment Environment) *backend.Pool {
+	return &backend.Pool{FailureDomain: s.FailureDomain, Instance: s.InstanceID, Check: environment.Check}
+}
+
+// startPoller keeps the pool's view of the backend servers' load.
+func (e *Entry) startPoller(server *caller.Server, watcher *group.Watcher) {
+	poller := &backend.Poller{
+		Pool:     server.Pool,
+		Client:   server.Backend,
+		Document: func() *config.Document { return watcher.Active().Document },
+	}
+	poller.Start()
+	e.parts.add(poller.Close)
 }
 
-func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
+func newCallerServer(s *settings.Settings, environment Environment, own incarnation, outbox *caller.Outbox, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
 	return &caller.Server{
-		Instance:      s.InstanceID + "/" + rand.Text(),
+		Instance:      string(own),
+		Outbox:        outbox,
 		FailureDomain: s.FailureDomain,
 		Watcher:       watcher,
 		Claimer:       claimer,
@@ -103,6 +144,7 @@
 func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
 	e.Server = server
 	e.Watcher = watcher
+	e.startPoller(server, watcher)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
