Backend servers that leave: configuration, load report or platform's list

Cause: only the configuration took a server out, and a request that had read an older version could still be sent to it. The platform's list was not read.

Change: platform.Watcher polls the list, twice a second and less often after failures; platform.Departures holds the three sources by address, any one is enough. The pool passes leaving servers over and backend.Client asserts invariant.LeavingServer right before each new dispatch and refuses it as not sent. A server that the list drops stays out until it is listed live again; a server that the list never named is left to what the entry sees. Stand-in: fake.Platform with a lag, cactusbay fake platform, settings field platform.

Ruled out: taking servers out that are missing from the list, because the list lags behind new ones.

--- /dev/null
+++ b/internal/backend/departure.go
@@ -0,0 +1,28 @@
+package backend
+
+import "github.com/cockroachdb/errors"
+
+// Departures knows which backend servers are leaving.
+type Departures interface {
+	// IsLeaving tells whether the backend server at address is leaving.
+	IsLeaving(address string) bool
+	// CheckDispatch asserts that a new request may be sent to address.
+	CheckDispatch(address string) error
+}
+
+// checkDeparture refuses a new request to a backend server that is leaving;
+// its running requests are not touched.
+func (c *Client) checkDeparture(address string) error {
+	if c.Departures == nil {
+		return nil
+	}
+	err := c.Departures.CheckDispatch(address)
+	if err != nil {
+		return errors.Newf("%w: %w", ErrNotSent, err)
+	}
+	return nil
+}
+
+func (p *Pool) isLeaving(address string) bool {
+	return p.Departures != nil && p.Departures.IsLeaving(address)
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -35,6 +35,8 @@
 // Client sends requests to backend servers.
 type Client struct {
 	HTTP *http.Client
+	// Departures keeps new requests off leaving servers; nil means none leave.
+	Departures Departures
 }
 
 // send sends request and checks that the answer is to attempt. Errors wrap
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -87,6 +87,10 @@
 // Open dispatches chat. Errors wrap ErrNotSent, ErrUnclear, ErrCrossed or are
 // a *StatusError, after which the engine has not run the request.
 func (c *Client) Open(ctx context.Context, chat Chat) (*Stream, error) {
+	departed := c.checkDeparture(chat.Address)
+	if departed != nil {
+		return nil, departed
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+chat.Address+chatPath, bytes.NewReader(chat.Body))
 	if err != nil {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -15,6 +15,9 @@
 // Pool counts an entry's requests in progress at each backend server; its zero
 // value works.
 type Pool struct {
+	// Departures keeps new requests off leaving servers; nil means none leave.
+	Departures Departures
+
 	mu      sync.Mutex
 	running map[string]int
 }
@@ -58,7 +61,7 @@
 			FailureDomain: server.FailureDomain,
 			Running:       p.running[name],
 			Limit:         limit,
-			Excluded:      server.IsLeaving() || tried[name],
+			Excluded:      server.IsLeaving() || p.isLeaving(server.Address) || tried[name],
 		})
 	}
 	return candidates
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -38,6 +38,10 @@
 // Do calls a plain service and reads its whole answer. Errors wrap ErrNotSent,
 // ErrUnclear, ErrCrossed, ErrTruncated or ErrTooLarge.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	departed := c.checkDeparture(call.Address)
+	if departed != nil {
+		return Answer{}, departed
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -23,6 +23,12 @@
 			Flags:  []cli.Flag{settingsFlag},
 			Action: runFake(func(f *settings.Fake) http.Handler { return (&fake.Engine{StepTime: f.StepTime.Or(0)}).Handler() }),
 		},
+		{
+			Name:   "platform",
+			Usage:  "runs a stand-in of the platform's list of instances",
+			Flags:  []cli.Flag{settingsFlag},
+			Action: runFake(func(f *settings.Fake) http.Handler { return (&fake.Platform{Lag: f.Lag.Or(0)}).Handler() }),
+		},
 		{
 			Name:   "service",
 			Usage:  "runs a stand-in plain service",
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -67,6 +67,9 @@
 	Check     *invariant.Checker
 	// Scope counts what the watch costs; nil means not counted.
 	Scope tally.Scope
+	// Installed is called with each version before it is in force; nil means
+	// not called.
+	Installed func(*config.Document)
 	// Instance, Incarnation and FailureDomain stand in the heartbeats.
 	Instance      string
 	Incarnation   string
@@ -247,6 +250,9 @@
 	if err != nil {
 		return err
 	}
+	if w.Installed != nil {
+		w.Installed(parsed)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	err = w.Check.Check(response.Number > w.active.Number, invariant.VersionMonotonic, "version %d after %d", response.Number, w.active.Number)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -13,6 +13,7 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/platform"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
@@ -37,11 +38,12 @@
 		func() Environment { return environment },
 		newPeerSecret,
 		newPeerClient,
+		newDepartures,
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
 		newBackendClient,
-		func() *backend.Pool { return &backend.Pool{} },
+		func(departures *platform.Departures) *backend.Pool { return &backend.Pool{Departures: departures} },
 		newCallerServer,
 	)
 	if err != nil {
@@ -55,13 +57,33 @@
 	return e, nil
 }
 
-func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client) *group.Watcher {
+func newDepartures(environment Environment) *platform.Departures {
+	return &platform.Departures{Check: environment.Check}
+}
+
+// startPlatform polls the platform's list when the settings name a platform.
+func (e *Entry) startPlatform(departures *platform.Departures) {
+	if e.settings.Platform == nil {
+		return
+	}
+	watcher := &platform.Watcher{
+		Address:    e.settings.Platform.Address,
+		HTTP:       transport.Client(e.telemetry.Network),
+		Log:        e.telemetry.Telemetry.Log,
+		Departures: departures,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+}
+
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
 		Scope:     environment.Telemetry.Scope,
+		Installed: departures.ReportConfiguration,
 
 		Instance:      s.InstanceID,
 		Incarnation:   rand.Text(),
@@ -80,8 +102,8 @@
 	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
 }
 
-func newBackendClient(environment Environment) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network)}
+func newBackendClient(environment Environment, departures *platform.Departures) *backend.Client {
+	return &backend.Client{HTTP: transport.Client(environment.Network), Departures: departures}
 }
 
 func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
@@ -100,9 +122,10 @@
 	}
 }
 
-func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
+func (e *Entry) serve(server *caller.Server, watcher *group.Watcher, departures *platform.Departures) error {
 	e.Server = server
 	e.Watcher = watcher
+	e.startPlatform(departures)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
--- a/internal/settings/fake.go
+++ b/internal/settings/fake.go
@@ -15,6 +15,8 @@
 	Address       string `json:"address"`
 	// StepTime is an engine's time between two tokens.
 	StepTime *check.Duration `json:"step_time,omitempty"`
+	// Lag is how old a platform's list is.
+	Lag *check.Duration `json:"lag,omitempty"`
 }
 
 // LoadFake reads and checks a stand-in's settings file.
@@ -29,6 +31,7 @@
 	required("instance_id", f.InstanceID, "a name of its own for the stand-in", faults)
 	checkAddress("address", f.Address, faults)
 	faults.Positive("step_time", f.StepTime)
+	faults.Positive("lag", f.Lag)
 	err = faults.Err()
 	if err != nil {
 		return nil, errors.Newf("settings %s are not valid:\n%w", path, err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,8 @@
 	Configuration string `json:"configuration,omitempty"`
 	// Deposits are made once on a new site.
 	Deposits []Deposit `json:"deposits,omitempty"`
+	// Platform is where an entry reads the list of live and leaving instances.
+	Platform *Platform `json:"platform,omitempty"`
 	Log      Log       `json:"log,omitzero"`
 	Trace    Trace     `json:"trace,omitzero"`
 	Shutdown Shutdown  `json:"shutdown,omitzero"`
@@ -68,6 +70,12 @@
 	Key  Secret `json:"key"`
 }
 
+// Platform is the platform's list of instances.
+type Platform struct {
+	// Address is an IP number and a port.
+	Address string `json:"address"`
+}
+
 // Deposit is a first deposit of a new site.
 type Deposit struct {
 	ID        string `json:"id"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -26,6 +26,9 @@
 	if s.PeerSecret != nil {
 		s.PeerSecret.validate("peer_secret", faults)
 	}
+	if s.Platform != nil {
+		checkAddress("platform.address", s.Platform.Address, faults)
+	}
 	oneOf("log.level", s.Log.Level, faults, "debug", "info", "warn", "error")
 	oneOf("log.format", s.Log.Format, faults, "text", "json")
 	if s.Trace.OTLPAddress != "" {
--- /dev/null
+++ b/test/leaving_test.go
@@ -0,0 +1,98 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+)
+
+// leavingWithin is how long a leaving backend server may get new requests.
+const leavingWithin = 3 * time.Second
+
+// startPlatform gives the entry of a failure domain a platform's list.
+func (s *site) startPlatform(domain string, lag time.Duration) *fake.Platform {
+	platform := &fake.Platform{Lag: lag}
+	at := address(50, 7002)
+	started, err := process.StartFake(s.network.Host("platform"), at, platform.Handler())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.fakes = append(s.fakes, started)
+	s.entries[domain].Close()
+	s.settings["entry-"+domain].Platform = &settings.Platform{Address: at}
+	s.startEntry(domain)
+	<-s.entries[domain].Watcher.Ready()
+	return platform
+}
+
+// patch submits a patch against the current version at a control instance.
+func (s *site) patch(domain, id, patch string) {
+	s.t.Helper()
+	g := s.controls[domain].Group
+	current, _ := g.Current()
+	command := group.PatchConfiguration{ID: id, Against: current.Number, Patch: []byte(patch)}
+	result, err := group.Propose(context.Background(), s.controls[domain].Quorum, command)
+	if err != nil || result.Code != group.CodeDone {
+		s.t.Fatalf("patch %s: %+v %v", id, result, err)
+	}
+}
+
+// countRuns calls a service and returns which failure domain's ran it.
+func (s *site) countRuns(entry, prefix string, calls int) map[string]int {
+	runs := make(map[string]int)
+	for i := range calls {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		got := s.call(entry, "/services/records/x", key, "")
+		if got.status != http.StatusOK {
+			s.t.Errorf("call %s: %+v", key, got)
+		}
+		for domain, service := range s.services {
+			runs[domain] += service.Runs(key)
+		}
+	}
+	return runs
+}
+
+func TestLeavingServerGetsNoNewRequest(t *testing.T) {
+	const lag = 10 * time.Second
+	for _, source := range []string{"platform", "configuration"} {
+		t.Run(source, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 1_000_000, "a", "b")
+				defer s.close()
+				platform := s.startPlatform("a", lag)
+				before := s.countRuns("a", "before", 10)
+				if before["a"] == 0 {
+					t.Fatalf("the server in the entry's failure domain got nothing: %v", before)
+				}
+				long := make(chan answer, 1)
+				go func() { long <- s.chat("a", "", 1000) }()
+				time.Sleep(100 * time.Millisecond)
+				if source == "platform" {
+					platform.Set(address(0, 7000), "leaving")
+					platform.Set(address(0, 7001), "leaving")
+					time.Sleep(lag)
+				} else {
+					s.patch("a", "drain", `{"backend_servers":{"service-a":{"state":"leaving"},"engine-a":{"state":"leaving"}}}`)
+				}
+				time.Sleep(leavingWithin)
+				after := s.countRuns("a", "after", 20)
+				if after["a"] != 0 || after["b"] != 20 {
+					t.Errorf("runs after the bound: %v", after)
+				}
+				got := <-long
+				if got.status != http.StatusOK {
+					t.Errorf("running request: %+v", got)
+				}
+			})
+		})
+	}
+}
