Graceful shutdown of entry and control without cutting idle connections

Cause: after the lag http.Server.Shutdown closed idle keep-alive connections under requests on their way; the status listener's readiness stayed true; the lag defaulted to nothing; a control instance held entries' watch calls open until they timed out, and ended in 10 s whatever was in progress.

Change: a draining listener asks callers to leave with Connection: close, serves new connections for shutdown.lag (5 s by default), then takes no new ones and waits until every connection has been idle for a second and no request is in progress, without a limit unless shutdown.limit is set; a second signal cuts at once. Heartbeats say that the instance leaves; a control instance ends its watch calls with a word to go elsewhere, then closes quorum last.

Ruled out: http.Server.SetKeepAlivesEnabled(false), which also closes idle connections at once.

Tests: TestRollingRestartCutsNothing (three entries restarted in turn, 6 clients, 600 whole answers, streams longer than the lag) and TestShutdownCutsNoRequestInFlight pass. A trial with the old shutdown put back passes both too: the network in memory never has bytes in flight, so the fault in the cause was found by reading net/http and not brought about. TestSecondSignalEndsAtOnce passes.

--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -39,7 +39,9 @@
 		return err
 	}
 	<-ctx.Done()
-	environment.Telemetry.Log.Info("shutting down")
-	control.Close()
+	environment.Telemetry.Log.Info("shutting down; calls in progress are finished first")
+	limited, stop := untilSecondSignal(s)
+	defer stop()
+	control.Shutdown(limited)
 	return nil
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,10 +25,9 @@
 )
 
 const (
-	initialPatchID  = "initial"
-	initialRetry    = 200 * time.Millisecond
-	initialTimeout  = time.Second
-	controlShutdown = 10 * time.Second
+	initialPatchID = "initial"
+	initialRetry   = 200 * time.Millisecond
+	initialTimeout = time.Second
 )
 
 // Environment is what a process stands on; tests put stand-ins in its place.
@@ -46,9 +47,12 @@
 	settings *settings.Settings
 	log      group.Log
 
-	parts parts
-	stop  context.CancelFunc
-	done  chan struct{}
+	parts     parts
+	listeners []*listener
+	leaving   atomic.Bool
+
+	stop context.CancelFunc
+	done chan struct{}
 }
 
 // StartControl opens the durable state of a control instance and serves it.
@@ -173,7 +177,7 @@
 		return err
 	}
 	if c.settings.StatusAddress != "" {
-		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return true }))
+		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return !c.leaving.Load() }))
 		if err != nil {
 			return err
 		}
@@ -190,11 +194,8 @@
 	if err != nil {
 		return err
 	}
-	c.parts.add(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), controlShutdown)
-		defer cancel()
-		l.shutdown(ctx)
-	})
+	c.listeners = append(c.listeners, l)
+	c.parts.add(l.close)
 	return nil
 }
 
@@ -249,7 +250,21 @@
 	return group.Propose(ctx, c.log, command)
 }
 
-// Close ends the instance after the calls in progress.
+// Shutdown ends readiness and sends the entries to other control instances,
+// serves on while the balancer lags, waits for the calls in progress until ctx
+// ends and hands the leadership over.
+func (c *Control) Shutdown(ctx context.Context) {
+	c.leaving.Store(true)
+	c.Group.Drain()
+	var ending sync.WaitGroup
+	for _, l := range c.listeners {
+		ending.Go(func() { l.shutdown(ctx, c.settings.Shutdown.Lag.Or(defaultLag)) })
+	}
+	ending.Wait()
+	c.Close()
+}
+
+// Close ends the instance at once; a leader hands the leadership over first.
 func (c *Control) Close() {
 	c.stop()
 	<-c.done
--- a/internal/process/dev.go
+++ b/internal/process/dev.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/check"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/fake"
 	"github.com/cactusbay/cactusbay/internal/settings"
@@ -34,6 +35,8 @@
 	devDomain      = "a"
 	devFileMode    = 0o600
 	devReadyWithin = 5 * time.Second
+	// devLag is short, because no balancer stands before a development site.
+	devLag = time.Millisecond
 )
 
 // DevAddresses are where a development site listens.
@@ -153,12 +156,14 @@
 		Configuration:   documentPath,
 		Deposits:        []settings.Deposit{{ID: "first", Workspace: devWorkspace, Tokens: devDeposit}},
 	}
+	lag := check.Duration(devLag)
 	entry = &settings.Settings{
 		InstanceID:    "entry-1",
 		Role:          settings.RoleEntry,
 		FailureDomain: devDomain,
 		CallerAddress: d.Addresses.Entry,
 		Controls:      controls,
+		Shutdown:      settings.Shutdown{Lag: &lag},
 	}
 	return control, entry, nil
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +28,13 @@
 	telemetry Environment
 	callers   *listener
 	parts     parts
+	leaving   atomic.Bool
 }
 
+// defaultLag is how long an instance that ends still takes new connections
+// when its settings name no lag.
+const defaultLag = 5 * time.Second
+
 // StartEntry starts to serve callers.
 func StartEntry(s *settings.Settings, environment Environment) (*Entry, error) {
 	container := dig.New()
@@ -133,7 +139,7 @@
 	e.callers = callers
 	e.parts.add(callers.close)
 	if e.settings.StatusAddress != "" {
-		ready := func() bool { return watcher.Active().Document != nil }
+		ready := func() bool { return watcher.Active().Document != nil && !e.leaving.Load() }
 		status, err := listen(e.telemetry.Network, e.settings.StatusAddress, statusHandler(e.telemetry.Telemetry, ready))
 		if err != nil {
 			return err
@@ -152,12 +158,10 @@
 // Shutdown ends readiness, serves on while the balancer lags, then waits for
 // the requests in progress until ctx ends.
 func (e *Entry) Shutdown(ctx context.Context) {
+	e.leaving.Store(true)
 	e.Server.Drain()
-	select {
-	case <-time.After(e.settings.Shutdown.Lag.Or(0)):
-	case <-ctx.Done():
-	}
-	e.callers.shutdown(ctx)
+	e.Watcher.Leave()
+	e.callers.shutdown(ctx, e.settings.Shutdown.Lag.Or(defaultLag))
 	e.parts.close()
 }
 
--- /dev/null
+++ b/internal/process/listener.go
@@ -0,0 +1,139 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// idleQuiet is how long a connection must have been idle before a graceful
+	// shutdown closes it.
+	idleQuiet = time.Second
+	drainPoll = 50 * time.Millisecond
+)
+
+// listener is an HTTP server on one address.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+	done   chan struct{}
+	// draining asks callers to use another connection after each answer.
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]connection
+}
+
+// connection is the state of an accepted connection.
+type connection struct {
+	state http.ConnState
+	since time.Time
+}
+
+// listen starts to serve handler on address.
+func listen(network transport.Network, address string, handler http.Handler) (*listener, error) {
+	socket, err := network.Listen(address)
+	if err != nil {
+		return nil, errors.Newf("start listener: %w", err)
+	}
+	l := &listener{
+		socket: socket,
+		done:   make(chan struct{}),
+		conns:  make(map[net.Conn]connection),
+	}
+	l.server = &http.Server{
+		Handler:           l.closing(handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         l.track,
+	}
+	go l.run()
+	return l, nil
+}
+
+func (l *listener) run() {
+	defer close(l.done)
+	_ = l.server.Serve(l.socket)
+}
+
+// closing makes the answers of a draining listener close their connections.
+func (l *listener) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (l *listener) track(conn net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(l.conns, conn)
+		return
+	}
+	l.conns[conn] = connection{state: state, since: time.Now()}
+}
+
+// isQuiet tells whether no request is in progress and none is likely to come.
+func (l *listener) isQuiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c.state == http.StateActive || time.Since(c.since) < idleQuiet {
+			return false
+		}
+	}
+	return true
+}
+
+// address returns the address that the listener has.
+func (l *listener) address() string {
+	return l.socket.Addr().String()
+}
+
+// shutdown serves on for lag, takes no new connections from then on and waits
+// until the requests in progress have ended and the connections are idle. It
+// cuts what is left when ctx ends.
+func (l *listener) shutdown(ctx context.Context, lag time.Duration) {
+	l.draining.Store(true)
+	wait(ctx, lag)
+	_ = l.socket.Close()
+	for ctx.Err() == nil && !l.isQuiet() {
+		wait(ctx, drainPoll)
+	}
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		_ = l.server.Close()
+	}
+	<-l.done
+}
+
+// close cuts all connections.
+func (l *listener) close() {
+	_ = l.server.Close()
+	<-l.done
+}
+
+// wait returns after the time or when ctx ends.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/test/restart_test.go
@@ -0,0 +1,217 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/check"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	restartClients = 6
+	balancerLag    = 2 * time.Second
+)
+
+// balancer sends clients to entries that it saw ready up to balancerLag ago.
+type balancer struct {
+	site  *site
+	mu    sync.Mutex
+	ready []string
+	turn  int
+	whole int
+	stop  chan struct{}
+	done  chan struct{}
+}
+
+func newBalancer(s *site) *balancer {
+	b := &balancer{site: s, stop: make(chan struct{}), done: make(chan struct{})}
+	b.check()
+	go b.run()
+	return b
+}
+
+func (b *balancer) run() {
+	defer close(b.done)
+	for {
+		select {
+		case <-time.After(balancerLag):
+			b.check()
+		case <-b.stop:
+			return
+		}
+	}
+}
+
+func (b *balancer) check() {
+	client := transport.Client(b.site.network.Host("balancer"))
+	defer client.CloseIdleConnections()
+	var ready []string
+	for _, domain := range b.site.domains {
+		at := b.site.settings["entry-"+domain].CallerAddress
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/readyz", nil)
+		if err != nil {
+			b.site.t.Error(err)
+		}
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				ready = append(ready, at)
+			}
+		}
+		cancel()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) next() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	return b.ready[b.turn%len(b.ready)]
+}
+
+// load keeps sending requests over keep-alive connections until stop.
+func (b *balancer) load(client *http.Client, stop <-chan struct{}) error {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(time.Duration(37+i%300) * time.Millisecond):
+		}
+		// Every tenth stream runs for longer than a restart's lag.
+		tokens := 8
+		if i%10 == 9 {
+			tokens = 4000
+		}
+		body := fmt.Sprintf(`{"model":"demo","stream":true,"messages":[{"role":"user","content":"hi"}],"max_tokens":%d}`, tokens)
+		request, err := http.NewRequest(http.MethodPost, "http://"+b.next()+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		request.Header.Set("Authorization", "Bearer "+siteKey)
+		response, err := client.Do(request)
+		if err != nil {
+			return err
+		}
+		data, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return err
+		}
+		if response.StatusCode != http.StatusOK || !strings.HasSuffix(string(data), "[DONE]\n\n") {
+			return fmt.Errorf("answer %d: %.200s", response.StatusCode, data)
+		}
+		b.mu.Lock()
+		b.whole++
+		b.mu.Unlock()
+	}
+}
+
+func TestRollingRestartCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000_000, "a", "b", "c")
+		defer s.close()
+		lag := check.Duration(2 * balancerLag)
+		for _, domain := range s.domains {
+			s.settings["entry-"+domain].Shutdown.Lag = &lag
+			s.entries[domain].Close()
+			s.startEntry(domain)
+			<-s.entries[domain].Watcher.Ready()
+		}
+		b := newBalancer(s)
+		stop := make(chan struct{})
+		failures := make(chan error, restartClients)
+		for i := range restartClients {
+			client := transport.Client(s.network.Host(fmt.Sprintf("client-%d", i)))
+			defer client.CloseIdleConnections()
+			go func() { failures <- b.load(client, stop) }()
+		}
+		for _, domain := range s.domains {
+			time.Sleep(3 * balancerLag)
+			s.entries[domain].Shutdown(context.Background())
+			s.startEntry(domain)
+		}
+		close(stop)
+		for range restartClients {
+			err := <-failures
+			if err != nil {
+				t.Errorf("a request was cut or refused: %v", err)
+			}
+		}
+		close(b.stop)
+		<-b.done
+		if b.whole < restartClients*10 {
+			t.Errorf("only %d requests were made", b.whole)
+		}
+		t.Logf("%d whole answers", b.whole)
+	})
+}
+
+// TestSecondSignalEndsAtOnce ends a shutdown whose request has hours to run.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000_000, "a")
+		// Handlers that were cut still settle for a moment.
+		defer time.Sleep(callTimeout)
+		defer s.close()
+		long := make(chan answer, 1)
+		go func() { long <- s.chat("a", "", 1000) }()
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		start := time.Now()
+		s.entries["a"].Shutdown(ctx)
+		if time.Since(start) > time.Second {
+			t.Errorf("ended after %s", time.Since(start))
+		}
+		<-long
+	})
+}
+
+// TestShutdownCutsNoRequestInFlight keeps sending to an entry that ends, over
+// keep-alive connections of a slow network: a request is answered whole or its
+// connection is refused, but never cut.
+func TestShutdownCutsNoRequestInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000_000, "a")
+		defer s.close()
+		s.network.SetDelay(5 * time.Millisecond)
+		lag := check.Duration(time.Second)
+		s.settings["entry-a"].Shutdown.Lag = &lag
+		s.entries["a"].Close()
+		s.startEntry("a")
+		<-s.entries["a"].Watcher.Ready()
+		failures := make(chan error, restartClients)
+		for i := range restartClients {
+			client := transport.Client(s.network.Host(fmt.Sprintf("client-%d", i)))
+			defer client.CloseIdleConnections()
+			go func() {
+				b := &balancer{site: s, ready: []string{s.settings["entry-a"].CallerAddress}}
+				failures <- b.load(client, nil)
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		s.entries["a"].Shutdown(context.Background())
+		for range restartClients {
+			err := <-failures
+			if !errors.Is(err, fake.ErrRefused) {
+				t.Errorf("a request was cut: %v", err)
+			}
+		}
+	})
+}
