--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -115,6 +115,7 @@
 		Folder:  environment.Folder,
 		Machine: machine,
 		Client:  client,
+		Check:   environment.Check,
 	})
 	if err != nil {
 		return nil, err
@@ -268,5 +269,6 @@
 func (c *Control) Close() {
 	c.stop()
 	<-c.done
+	c.Quorum.HandOver()
 	c.parts.close()
 }
