--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,9 @@
 	// Instance decides the subset of servers at the large size.
 	Instance string
 	Check    *invariant.Checker
+	// Departures says which servers are leaving; nil means none but those of the
+	// configuration.
+	Departures Departures
 
 	mu       sync.Mutex
 	document *config.Document
@@ -28,7 +31,6 @@
 	// candidates are the servers of each work.
 	candidates  map[string][]*route.Server
 	controllers map[string]*admit.Controller
-	leaving     map[string]bool
 	retries     route.RetryBudget
 }
 
--- a/internal/backend/servers.go
+++ b/internal/backend/servers.go
@@ -7,7 +7,7 @@
 	"github.com/cactusbay/cactusbay/internal/route"
 )
 
-// Update takes a configuration in.
+// Update takes in a configuration and which backend servers are leaving.
 func (p *Pool) Update(document *config.Document) {
 	if document == nil {
 		return
@@ -15,16 +15,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sync(document)
-	p.wake(time.Now())
-}
-
-// SetLeaving takes out the backend servers that the platform's list names as
-// leaving, beside those of the configuration and of their own reports.
-func (p *Pool) SetLeaving(names map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leaving = names
 	p.markLeaving()
+	p.wake(time.Now())
 }
 
 // sync follows the configuration; mu is held. What is known of a server is
@@ -66,9 +58,10 @@
 	}
 }
 
+// markLeaving takes leaving servers out; mu is held.
 func (p *Pool) markLeaving() {
 	for name, server := range p.servers {
-		server.Leaving = p.document.BackendServers[name].IsLeaving() || p.leaving[name]
+		server.Leaving = p.document.BackendServers[name].IsLeaving() || p.isLeaving(server.Address)
 	}
 }
 
@@ -112,6 +105,9 @@
 		server.Failed(now)
 		return
 	}
+	if p.Departures != nil {
+		p.Departures.ReportLoad(server.Address, report.Draining)
+	}
 	server.SetReport(report)
 	p.wake(now)
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -4,11 +4,14 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
 
+	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/group"
@@ -23,10 +26,9 @@
 )
 
 const (
-	initialPatchID  = "initial"
-	initialRetry    = 200 * time.Millisecond
-	initialTimeout  = time.Second
-	controlShutdown = 10 * time.Second
+	initialPatchID = "initial"
+	initialRetry   = 200 * time.Millisecond
+	initialTimeout = time.Second
 )
 
 // Environment is what a process stands on; tests put stand-ins in its place.
@@ -46,9 +48,12 @@
 	settings *settings.Settings
 	log      group.Log
 
-	parts parts
-	stop  context.CancelFunc
-	done  chan struct{}
+	parts     parts
+	listeners []*listener
+	leaving   atomic.Bool
+
+	stop context.CancelFunc
+	done chan struct{}
 }
 
 // StartControl opens the durable state of a control instance and serves it.
@@ -134,7 +139,7 @@
 		Group:         log,
 		Peers:         others,
 		Client:        client,
-		Attempts:      &attempts{group: machine, backend: newBackendClient(environment)},
+		Attempts:      &attempts{group: machine, backend: &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}},
 		Scope:         environment.Telemetry.Scope,
 		Log:           environment.Telemetry.Log,
 		Check:         environment.Check,
@@ -184,7 +189,7 @@
 		return err
 	}
 	if c.settings.StatusAddress != "" {
-		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return true }))
+		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return !c.leaving.Load() }))
 		if err != nil {
 			return err
 		}
@@ -201,11 +206,8 @@
 	if err != nil {
 		return err
 	}
-	c.parts.add(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), controlShutdown)
-		defer cancel()
-		l.shutdown(ctx)
-	})
+	c.listeners = append(c.listeners, l)
+	c.parts.add(l.close)
 	return nil
 }
 
@@ -260,7 +262,21 @@
 	return group.Propose(ctx, c.log, command)
 }
 
-// Close ends the instance after the calls in progress.
+// Shutdown ends readiness and sends the entries to other control instances,
+// serves on while the balancer lags, waits for the calls in progress until ctx
+// ends and hands the leadership over.
+func (c *Control) Shutdown(ctx context.Context) {
+	c.leaving.Store(true)
+	c.Group.Drain()
+	var ending sync.WaitGroup
+	for _, l := range c.listeners {
+		ending.Go(func() { l.shutdown(ctx, c.settings.Shutdown.Lag.Or(defaultLag)) })
+	}
+	ending.Wait()
+	c.Close()
+}
+
+// Close ends the instance at once; a leader hands the leadership over first.
 func (c *Control) Close() {
 	c.stop()
 	<-c.done
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/platform"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
@@ -28,8 +30,13 @@
 	telemetry Environment
 	callers   *listener
 	parts     parts
+	leaving   atomic.Bool
 }
 
+// defaultLag is how long an instance that ends still takes new connections
+// when its settings name no lag.
+const defaultLag = 5 * time.Second
+
 // StartEntry starts to serve callers.
 func StartEntry(s *settings.Settings, environment Environment) (*Entry, error) {
 	container := dig.New()
@@ -39,6 +46,7 @@
 		func() Environment { return environment },
 		newPeerSecret,
 		newPeerClient,
+		newDepartures,
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
@@ -59,13 +67,33 @@
 	return e, nil
 }
 
-func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client) *group.Watcher {
+func newDepartures(environment Environment) *platform.Departures {
+	return &platform.Departures{Check: environment.Check}
+}
+
+// startPlatform polls the platform's list when the settings name a platform.
+func (e *Entry) startPlatform(departures *platform.Departures) {
+	if e.settings.Platform == nil {
+		return
+	}
+	watcher := &platform.Watcher{
+		Address:    e.settings.Platform.Address,
+		HTTP:       transport.Client(e.telemetry.Network),
+		Log:        e.telemetry.Telemetry.Log,
+		Departures: departures,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+}
+
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
 		Scope:     environment.Telemetry.Scope,
+		Installed: departures.ReportConfiguration,
 
 		Instance:      s.InstanceID,
 		Incarnation:   rand.Text(),
@@ -105,12 +133,21 @@
 	return outbox
 }
 
-func newBackendClient(environment Environment) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
+func newBackendClient(environment Environment, departures *platform.Departures) *backend.Client {
+	return &backend.Client{
+		HTTP:       transport.Client(environment.Network),
+		Check:      environment.Check,
+		Departures: departures,
+	}
 }
 
-func newPool(s *settings.Settings, environment Environment) *backend.Pool {
-	return &backend.Pool{FailureDomain: s.FailureDomain, Instance: s.InstanceID, Check: environment.Check}
+func newPool(s *settings.Settings, environment Environment, departures *platform.Departures) *backend.Pool {
+	return &backend.Pool{
+		FailureDomain: s.FailureDomain,
+		Instance:      s.InstanceID,
+		Check:         environment.Check,
+		Departures:    departures,
+	}
 }
 
 // startPoller keeps the pool's view of the backend servers' load.
@@ -141,10 +178,11 @@
 	}
 }
 
-func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
+func (e *Entry) serve(server *caller.Server, watcher *group.Watcher, departures *platform.Departures) error {
 	e.Server = server
 	e.Watcher = watcher
 	e.startPoller(server, watcher)
+	e.startPlatform(departures)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
@@ -152,7 +190,7 @@
 	e.callers = callers
 	e.parts.add(callers.close)
 	if e.settings.StatusAddress != "" {
-		ready := func() bool { return watcher.Active().Document != nil }
+		ready := func() bool { return watcher.Active().Document != nil && !e.leaving.Load() }
 		status, err := listen(e.telemetry.Network, e.settings.StatusAddress, statusHandler(e.telemetry.Telemetry, ready))
 		if err != nil {
 			return err
@@ -171,12 +209,10 @@
 // Shutdown ends readiness, serves on while the balancer lags, then waits for
 // the requests in progress until ctx ends.
 func (e *Entry) Shutdown(ctx context.Context) {
+	e.leaving.Store(true)
 	e.Server.Drain()
-	select {
-	case <-time.After(e.settings.Shutdown.Lag.Or(0)):
-	case <-ctx.Done():
-	}
-	e.callers.shutdown(ctx)
+	e.Watcher.Leave()
+	e.callers.shutdown(ctx, e.settings.Shutdown.Lag.Or(defaultLag))
 	e.parts.close()
 }
 
