Sizing of grants: follow demand, keep a pool, recall idle tokens

Cause: a ledger drew four requests' worth at each shortage, so that a domain that is cut off holds next to nothing, and nothing ever came back. Not joined to the ledger yet.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TEST_TIMEOUT = 8m
 
-.PHONY: build test lint fmt bench bench-policy soak capacity
+.PHONY: build test lint fmt bench bench-policy bench-sizing soak capacity
 
 build:
 	go build -o bin/cactusbay .
@@ -16,3 +16,11 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+bench-sizing:
+	go test -count=1 -timeout 280s -run TestSizingTable -v ./internal/budget -sizing
+
+COMMIT = $(shell git rev-parse --short HEAD)
+
+capacity:
+	go run ./internal/tool/capacity -output docs/capacity.json -commit $(COMMIT)
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -34,6 +34,8 @@
 	Closed bool `cbor:"3,keyasint,omitempty" json:"closed,omitempty"`
 	// Released went back to the pool by an operator's decision after Closed.
 	Released int64 `cbor:"4,keyasint,omitempty" json:"released,omitempty"`
+	// Demand is the ledger's estimate in tokens an hour.
+	Demand int64 `cbor:"5,keyasint,omitempty" json:"demand,omitempty"`
 }
 
 // Held returns the tokens that are in the grant, spent or not.
--- /dev/null
+++ b/internal/budget/sizing.go
@@ -0,0 +1,104 @@
+package budget
+
+const (
+	// poolDivisor keeps this part of what is left in the pool for those who
+	// can reach the control group.
+	poolDivisor = 8
+	// idleDivisor is the part of its target that a ledger may hold above the
+	// target before it gives the rest back.
+	idleDivisor = 8
+	// lowDivisor is the part of its target below which a ledger draws ahead.
+	lowDivisor = 8
+	// demandFloor stands for ledgers that ask without any past demand, in
+	// tokens an hour.
+	demandFloor = 1
+	// minimumTarget is the least target; below it every reservation goes
+	// through the pool, so that the last tokens lie in one place.
+	minimumTarget = 8 << 10
+	// minimumDraw bounds what a short request draws for those after it, in tokens.
+	minimumDraw = 16 << 10
+)
+
+// Ask is what a ledger asks of the pool.
+type Ask struct {
+	// Need is the tokens that requests wait for.
+	Need int64
+	// Ahead lets the pool give up to the ledger's target.
+	Ahead bool
+	// Demand is the ledger's estimate in tokens an hour.
+	Demand int64
+}
+
+// DrawFor moves tokens from the pool to the grant of epoch. It returns the
+// cumulative grant and the unspent tokens that the ledger should hold. As with
+// Draw, a total that is not the current one makes it change nothing.
+func (a *Account) DrawFor(epoch string, known int64, ask Ask) (granted, target int64) {
+	grant := a.Grants[epoch]
+	if grant.Closed || known != grant.Granted {
+		return grant.Granted, a.Target(epoch)
+	}
+	if grant.Demand != ask.Demand {
+		grant.Demand = ask.Demand
+		a.put(epoch, grant)
+	}
+	target = a.Target(epoch)
+	want := ask.Need
+	if ask.Ahead {
+		want = max(want, target-grant.Unspent())
+	}
+	return a.Draw(epoch, known, want), target
+}
+
+// Target returns the unspent tokens that epoch should hold: its part, by
+// demand, of all that is left, less the part that stays in the pool. It
+// shrinks as the budget runs out.
+func (a *Account) Target(epoch string) int64 {
+	left := float64(a.Pool)
+	var demand float64
+	for _, grant := range a.Grants {
+		if grant.Closed {
+			continue
+		}
+		left += float64(grant.Unspent())
+		demand += float64(max(grant.Demand, demandFloor))
+	}
+	grant := a.Grants[epoch]
+	if grant.Closed || demand == 0 {
+		return 0
+	}
+	part := float64(max(grant.Demand, demandFloor)) / demand
+	target := int64((left - left/poolDivisor) * part)
+	if target < minimumTarget {
+		return 0
+	}
+	return target
+}
+
+// Idle returns the tokens that a ledger with this target gives back.
+func (e Escrow) Idle(target int64) int64 {
+	excess := e.Available() + e.Reserved - target
+	if excess <= target/idleDivisor {
+		return 0
+	}
+	return max(0, min(excess, e.Available()))
+}
+
+// Low tells whether a ledger with this target should draw ahead.
+func (e Escrow) Low(target int64) bool {
+	held := e.Available() + e.Reserved
+	return held < target-target/lowDivisor
+}
+
+// Return gives tokens back to the pool; false means that too few are left.
+func (e *Escrow) Return(tokens int64) bool {
+	if tokens < 0 || tokens > e.Available() {
+		return false
+	}
+	e.Returned += tokens
+	return true
+}
+
+// Deposit adds tokens that this ledger accepted.
+func (e *Escrow) Deposit(tokens int64) {
+	e.Deposited += tokens
+}
--- a/internal/ledger/draw.go
+++ b/internal/ledger/draw.go
@@ -34,7 +34,7 @@
 		Epoch:     l.Epoch(),
 		Workspace: workspace,
 		Known:     escrow.Granted,
-		Want:      budget.DrawSize(needed, escrow),
+		Want:      budget.DrawSize(needed, 1, escrow),
 	})
 	if err != nil {
 		return errors.Newf("draw: %w", err)
