--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -1,12 +1,11 @@
 package group
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
-	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/invariant"
 )
 
@@ -17,14 +16,6 @@
 	Closed        bool   `cbor:"3,keyasint,omitempty" json:"closed,omitempty"`
 }
 
-// Version is one accepted configuration.
-type Version struct {
-	Number   uint64 `cbor:"1,keyasint" json:"number"`
-	Document []byte `cbor:"2,keyasint" json:"-"`
-	Patch    string `cbor:"3,keyasint" json:"patch_id"`
-	Operator string `cbor:"4,keyasint,omitempty" json:"operator,omitempty"`
-}
-
 // answer is the kept result of an operator's command, found by its id.
 type answer struct {
 	BodyHash string `cbor:"1,keyasint"`
@@ -36,16 +27,18 @@
 	Holder    string `cbor:"1,keyasint"`
 	BodyHash  []byte `cbor:"2,keyasint"`
 	Abandoned bool   `cbor:"3,keyasint,omitempty"`
+	// Gone are the latest attempts that gave up, whose late claims are refused.
+	Gone []string `cbor:"4,keyasint,omitempty"`
 }
 
 // state is what the replicated log drives. Its fields are exported for the
 // snapshot's encoding.
 type state struct {
-	Versions []Version                 `cbor:"1,keyasint"`
-	Accounts map[string]budget.Account `cbor:"2,keyasint"`
-	Epochs   map[string]Epoch          `cbor:"3,keyasint"`
-	Answers  map[string]answer         `cbor:"4,keyasint"`
-	Claims   map[string]claim          `cbor:"5,keyasint"`
+	Configuration configuration             `cbor:"1,keyasint"`
+	Accounts      map[string]budget.Account `cbor:"2,keyasint"`
+	Epochs        map[string]Epoch          `cbor:"3,keyasint"`
+	Answers       map[string]answer         `cbor:"4,keyasint"`
+	Claims        map[string]claim          `cbor:"5,keyasint"`
 }
 
 func newState() *state {
@@ -57,20 +50,11 @@
 	}
 }
 
-// current returns the newest version; number 0 with an empty document stands
-// before the first patch.
-func (s *state) current() Version {
-	if len(s.Versions) == 0 {
-		return Version{Document: []byte("{}")}
-	}
-	return s.Versions[len(s.Versions)-1]
-}
-
 // apply executes one command. It depends only on the state and the command.
 func (s *state) apply(command Command, check *invariant.Checker) Result {
 	switch c := command.(type) {
 	case PatchConfiguration:
-		return s.once("patch/"+c.ID, fingerprint(c), func() Result { return s.patch(c) })
+		return s.Configuration.patch(c)
 	case Deposit:
 		return s.once("deposit/"+c.ID, fingerprint(c), func() Result { return s.deposit(c, check) })
 	case ReleaseInDoubt:
@@ -106,34 +90,21 @@
 	return result
 }
 
-func (s *state) patch(c PatchConfiguration) Result {
-	current := s.current()
-	if c.Against != current.Number {
-		return Result{Code: CodeConflict, Detail: "the configuration has changed: read it and make the patch again", Version: current.Number}
-	}
-	document, err := config.Merge(current.Document, c.Patch)
-	if err != nil {
-		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
-	}
-	next := Version{Number: current.Number + 1, Document: document, Patch: c.ID, Operator: c.Operator}
-	s.Versions = append(s.Versions, next)
-	return Result{Code: CodeDone, Version: next.Number}
-}
-
 func (s *state) deposit(c Deposit, check *invariant.Checker) Result {
 	if c.Tokens <= 0 {
 		return Result{Code: CodeInvalid, Detail: "a deposit must be above zero tokens"}
 	}
-	account := s.Accounts[c.Workspace]
+	account := s.account(c.Workspace)
 	account.Deposit(c.Tokens)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: c.Tokens})
 }
 
 func (s *state) release(c ReleaseInDoubt, check *invariant.Checker) Result {
-	account, found := s.Accounts[c.Workspace]
+	_, found := s.Accounts[c.Workspace]
 	if !found || !s.Epochs[c.Epoch].Closed {
 		return Result{Code: CodeNotFound, Detail: "the workspace has no closed ledger epoch of that name"}
 	}
+	account := s.account(c.Workspace)
 	tokens := account.Release(c.Epoch)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Tokens: tokens})
 }
@@ -154,7 +125,8 @@
 	}
 	epoch.Closed = true
 	s.Epochs[c.Epoch] = epoch
-	for workspace, account := range s.Accounts {
+	for workspace := range s.Accounts {
+		account := s.account(workspace)
 		_, granted := account.Grants[c.Epoch]
 		if granted {
 			account.Close(c.Epoch)
@@ -169,17 +141,18 @@
 	if !found || epoch.Closed {
 		return Result{Code: CodeNotFound, Detail: "the ledger epoch is not open"}
 	}
-	account := s.Accounts[c.Workspace]
+	account := s.account(c.Workspace)
 	granted := account.Draw(c.Epoch, c.Known, c.Want)
 	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Granted: granted})
 }
 
 func (s *state) report(c Report, check *invariant.Checker) Result {
 	for workspace, counters := range c.Counters {
-		account, found := s.Accounts[workspace]
+		_, found := s.Accounts[workspace]
 		if !found && counters.Deposited == 0 {
 			continue
 		}
+		account := s.account(workspace)
 		err := account.Report(c.Epoch, counters)
 		if err != nil {
 			_ = check.Check(false, invariant.WithinGrant, "workspace %s: %v", workspace, err)
@@ -190,28 +163,12 @@
 	return Result{Code: CodeDone}
 }
 
-func (s *state) claim(c Claim) Result {
-	id := c.Workspace + "/" + c.Key
-	held, found := s.Claims[id]
-	if found && !bytes.Equal(held.BodyHash, c.BodyHash) {
-		return Result{Code: CodeIDReused, Detail: "the key was used for another request"}
-	}
-	if found && !held.Abandoned && held.Holder != c.Holder {
-		return Result{Code: CodeHeld, Holder: held.Holder}
-	}
-	s.Claims[id] = claim{Holder: c.Holder, BodyHash: c.BodyHash}
-	return Result{Code: CodeDone, Holder: c.Holder}
-}
-
-func (s *state) abandonClaim(c AbandonClaim) Result {
-	id := c.Workspace + "/" + c.Key
-	held, found := s.Claims[id]
-	if !found || held.Holder != c.Holder {
-		return Result{Code: CodeNotFound}
-	}
-	held.Abandoned = true
-	s.Claims[id] = held
-	return Result{Code: CodeDone}
+// account returns a copy of a workspace's account, so that a change that is
+// refused in the end leaves the state as it was.
+func (s *state) account(workspace string) budget.Account {
+	account := s.Accounts[workspace]
+	account.Grants = maps.Clone(account.Grants)
+	return account
 }
 
 // store keeps an account that adds up and refuses one that does not.
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -22,6 +22,12 @@
 // ErrTooLarge reports a payload above MaxRecordBytes.
 var ErrTooLarge = errors.New("journal record is too large")
 
+// AppendRecord appends the framed payload to buffer. The payload must be
+// within MaxRecordBytes.
+func AppendRecord(buffer, payload []byte) []byte {
+	return appendRecord(buffer, payload)
+}
+
 // appendRecord appends the framed payload: length, checksum, payload.
 func appendRecord(buffer, payload []byte) []byte {
 	var header [headerBytes]byte
@@ -31,6 +37,17 @@
 	return append(buffer, payload...)
 }
 
+// Encode frames a payload of any size as records of at most MaxRecordBytes.
+func Encode(payload []byte) []byte {
+	var framed []byte
+	for len(payload) > 0 {
+		size := min(len(payload), MaxRecordBytes)
+		framed = appendRecord(framed, payload[:size])
+		payload = payload[size:]
+	}
+	return framed
+}
+
 func checksum(length, payload []byte) uint32 {
 	sum := crc32.Update(0, castagnoli, length)
 	return crc32.Update(sum, castagnoli, payload)
