Ledger: follow demand, draw ahead, give idle tokens back, wait for settlements; deposits by failure domain; capacity measurements

Cause: 64 callers at once on a budget with room got 429 (seen in the first run of the latency program): the tokens that one request drew were taken by another, and each request drew once only. Change: draws provide for all that wait, a request draws again and waits within its deadline while reservations are held; a round each second draws up to the group's target and returns what is idle, journaled before it is reported; a deposit that names a failure domain is accepted by its ledger, once by id. Group answers draws and reports with targets. Also: internal/capacity and the programs behind make capacity. Tests: concurrent reservations, wait for a settlement, target and recall, deposit by id over a restart.

--- /dev/null
+++ b/internal/capacity/configuration.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/backend"
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	changesPerSize  = 4
+	acquiresPerSize = 2000
+	changeTimeout   = 20 * time.Second
+	modelCount      = 16
+	workspaceCount  = 200
+	domainCount     = 16
+	serversPerHost  = 200
+)
+
+var (
+	serverSizes = []int{25, 200, 750, 3000, 12_000}
+	viewSizes   = []int{25, 200, 750, 3000}
+	entrySizes  = []int{24, 96, 192}
+)
+
+// documentOf returns a configuration with a number of backend servers spread
+// over the works and failure domains of the large size.
+func documentOf(servers int) *config.Document {
+	d := &config.Document{
+		Workspaces:     make(map[string]config.Workspace),
+		BackendServers: make(map[string]config.BackendServer),
+		Works:          make(map[string]config.Work),
+		Routes:         make(map[string]config.Route),
+	}
+	members := make([][]string, modelCount)
+	for i := range servers {
+		name := fmt.Sprintf("engine-%05d", i)
+		d.BackendServers[name] = config.BackendServer{
+			Address:       fmt.Sprintf("10.%d.%d.%d:8000", i/serversPerHost/serversPerHost, i/serversPerHost%serversPerHost, i%serversPerHost+1),
+			FailureDomain: fmt.Sprintf("domain-%02d", i%domainCount),
+			Kind:          config.KindModel,
+			Concurrency:   64,
+		}
+		members[i%modelCount] = append(members[i%modelCount], name)
+	}
+	var works []string
+	for i, names := range members {
+		work := fmt.Sprintf("model-%02d", i)
+		works = append(works, work)
+		d.Works[work] = config.Work{Kind: config.KindModel, Model: work, BackendServers: names}
+		d.Routes[work] = config.Route{Work: work}
+	}
+	for i := range workspaceCount {
+		name := fmt.Sprintf("%s%03d", workspacePrefix, i)
+		d.Workspaces[name] = config.Workspace{KeyHashes: []string{config.HashKey(name)}, Works: works}
+	}
+	return d
+}
+
+// change is one patch of one backend server.
+func change(number uint64) group.PatchConfiguration {
+	state := config.StateLeaving
+	if number%2 == 0 {
+		state = config.StateActive
+	}
+	return group.PatchConfiguration{
+		ID:      fmt.Sprintf("patch-%d", number),
+		Against: number,
+		Patch:   fmt.Appendf(nil, `{"backend_servers":{"engine-00007":{"state":%q}}}`, state),
+	}
+}
+
+// measureChanges returns the cost of a configuration change by the number of
+// backend servers.
+func measureChanges(report *Report) error {
+	points := make(map[string][]Point)
+	for _, size := range serverSizes {
+		err := measureChangeSize(size, points)
+		if err != nil {
+			return errors.Newf("configuration of %d servers: %w", size, err)
+		}
+	}
+	report.add(Fit("configuration_document", "bytes", "backend server", points["document"]))
+	report.add(Fit("change_group_processor", "s", "backend server", points["group"]))
+	report.add(Fit("change_entry_processor", "s", "backend server, one watcher and its call", points["entry"]))
+	report.add(Fit("change_entry_wire", "bytes", "backend server", points["wire"]))
+	report.add(Fit("change_group_memory", "bytes", "backend server, kept for each version", points["memory"]))
+	report.add(Fit("entry_configuration_memory", "bytes", "backend server", points["parsed"]))
+	return nil
+}
+
+func measureChangeSize(size int, points map[string][]Point) error {
+	add := func(name string, cost float64) {
+		points[name] = append(points[name], Point{Size: float64(size), Cost: cost})
+	}
+	data, err := json.Marshal(documentOf(size))
+	if err != nil {
+		return errors.Newf("encode document: %w", err)
+	}
+	before := heap()
+	parsed, err := config.Parse(data)
+	if err != nil {
+		return err
+	}
+	add("parsed", float64(heap())-float64(before))
+	add("document", float64(len(data)))
+	g := group.New(nil)
+	mux := http.NewServeMux()
+	g.Handle(mux, "", directLog{group: g})
+	s, err := serve(mux)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	propose := func(patch group.PatchConfiguration) error {
+		result, err := group.Propose(context.Background(), directLog{group: g}, patch)
+		if err == nil && result.Code != group.CodeDone {
+			err = errors.Newf("patch: %s: %s", result.Code, result.Detail)
+		}
+		return err
+	}
+	err = propose(group.PatchConfiguration{ID: "first", Patch: data})
+	if err != nil {
+		return err
+	}
+	metered := &network{}
+	watcher := &group.Watcher{Addresses: []string{s.address}, Client: &peer.Client{HTTP: transport.Client(metered)}, Log: log.New(io.Discard)}
+	quiet, memory := measureUsage(), heap()
+	for i := range changesPerSize {
+		err = propose(change(uint64(i) + 1))
+		if err != nil {
+			return err
+		}
+	}
+	processor, _, _ := measureUsage().since(quiet)
+	add("group", processor.Seconds()/changesPerSize)
+	add("memory", (float64(heap())-float64(memory))/changesPerSize)
+	watcher.Start()
+	defer watcher.Close()
+	<-watcher.Ready()
+	wire := metered.counter(s.address).Load()
+	start := measureUsage()
+	for i := range changesPerSize {
+		err = propose(change(uint64(changesPerSize+i) + 1))
+		if err != nil {
+			return err
+		}
+		err = awaitVersion(watcher, uint64(changesPerSize+i)+2)
+		if err != nil {
+			return err
+		}
+	}
+	both, _, _ := measureUsage().since(start)
+	add("entry", max(0, both.Seconds()-processor.Seconds())/changesPerSize)
+	add("wire", float64(metered.counter(s.address).Load()-wire)/changesPerSize)
+	if len(parsed.BackendServers) != size {
+		return errors.Newf("parsed %d servers", len(parsed.BackendServers))
+	}
+	return nil
+}
+
+func awaitVersion(watcher *group.Watcher, number uint64) error {
+	limit := time.Now().Add(changeTimeout)
+	for watcher.Active().Number < number {
+		if time.Now().After(limit) {
+			return errors.Newf("version %d did not arrive", number)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// measureRoute returns the time to pick among a number of backend servers.
+func measureRoute(report *Report) error {
+	var points []Point
+	for _, size := range viewSizes {
+		d := documentOf(size * modelCount)
+		work := d.Works["model-00"]
+		pool := &backend.Pool{}
+		before := measureUsage()
+		for range acquiresPerSize {
+			lease, found := pool.Acquire(d, work, "domain-03", nil)
+			if !found {
+				return errors.New("no backend server found")
+			}
+			lease.Release()
+		}
+		processor, _, _ := measureUsage().since(before)
+		points = append(points, Point{Size: float64(size), Cost: processor.Seconds() / acquiresPerSize})
+	}
+	report.add(Fit("route_processor", "s", "backend server of the work in view", points))
+	return nil
+}
+
+// measureWatches returns the cost of idle entries at one control instance.
+func measureWatches(report *Report) error {
+	const window = 10 * time.Second
+	var processors, bytes []Point
+	for _, size := range entrySizes {
+		processor, wire, err := measureIdle(size, window)
+		if err != nil {
+			return errors.Newf("%d idle entries: %w", size, err)
+		}
+		processors = append(processors, Point{Size: float64(size), Cost: processor / window.Seconds()})
+		bytes = append(bytes, Point{Size: float64(size), Cost: wire / window.Seconds()})
+	}
+	report.add(Fit("idle_entry_processor", "s/s", "idle entry, both ends of its watch", processors))
+	report.add(Fit("idle_entry_wire", "bytes/s", "idle entry", bytes))
+	return nil
+}
+
+func measureIdle(entries int, window time.Duration) (processor, wire float64, err error) {
+	g := group.New(nil)
+	mux := http.NewServeMux()
+	g.Handle(mux, "", directLog{group: g})
+	s, err := serve(mux)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.close()
+	data, err := json.Marshal(documentOf(25))
+	if err != nil {
+		return 0, 0, errors.Newf("encode document: %w", err)
+	}
+	_, err = group.Propose(context.Background(), directLog{group: g}, group.PatchConfiguration{ID: "first", Patch: data})
+	if err != nil {
+		return 0, 0, err
+	}
+	metered := &network{}
+	for range entries {
+		watcher := &group.Watcher{Addresses: []string{s.address}, Client: &peer.Client{HTTP: transport.Client(metered)}, Log: log.New(io.Discard)}
+		watcher.Start()
+		defer watcher.Close()
+		<-watcher.Ready()
+	}
+	start, sent := measureUsage(), metered.counter(s.address).Load()
+	time.Sleep(window)
+	used, _, _ := measureUsage().since(start)
+	return used.Seconds(), float64(metered.counter(s.address).Load() - sent), nil
+}
--- /dev/null
+++ b/internal/capacity/ledger.go
@@ -0,0 +1,233 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	ledgerCallers   = 64
+	reservedTokens  = 600
+	settledTokens   = 418
+	budgetTokens    = 1 << 40
+	answerBytes     = 256
+	workspacePrefix = "workspace-"
+)
+
+var (
+	requestSizes = []int{1000, 2000, 4000}
+	budgetSizes  = []int{1000, 100_000, 610_000}
+)
+
+// directLog commits at once at a group in the same process.
+type directLog struct {
+	group *group.Group
+}
+
+// Propose implements group.Log.
+func (l directLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	return l.group.Apply(command), nil
+}
+
+func openLedger(files disk.Folder, g *group.Group) (*ledger.Ledger, error) {
+	return ledger.Open(ledger.Options{
+		Instance:      "control-1",
+		FailureDomain: "a",
+		Folder:        files,
+		Group:         directLog{group: g},
+		Log:           log.New(io.Discard),
+	})
+}
+
+func deposit(g *group.Group, workspace string) error {
+	_, err := group.Propose(context.Background(), directLog{group: g}, group.Deposit{ID: workspace, Workspace: workspace, Tokens: budgetTokens})
+	return err
+}
+
+func reserveOf(workspace string, i int) ledger.Reserve {
+	key := fmt.Sprintf("request-%012d", i)
+	hash := sha256.Sum256([]byte(key))
+	return ledger.Reserve{Workspace: workspace, Key: key, BodyHash: hash[:], Tokens: reservedTokens, Attempt: key, Server: "engine-1", Entry: "entry-1", Repeatable: true}
+}
+
+func settleOf(workspace string, i int) ledger.Settle {
+	key := fmt.Sprintf("request-%012d", i)
+	return ledger.Settle{Workspace: workspace, Key: key, Attempt: key, Tokens: settledTokens, Answer: ledger.Answer{Status: http.StatusOK, ContentType: "text/event-stream", Body: make([]byte, answerBytes)}}
+}
+
+// spread runs call for each number below count from a bounded set of callers.
+func spread(count, callers int, call func(i int) error) error {
+	var group sync.WaitGroup
+	failures := make(chan error, callers)
+	for worker := range callers {
+		group.Go(func() {
+			for i := worker; i < count; i += callers {
+				err := call(i)
+				if err != nil {
+					failures <- err
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	close(failures)
+	return <-failures
+}
+
+// ledgerRun is one size of the measure of a ledger.
+type ledgerRun struct {
+	processor, allocations, wire, journal, syncs, memory, recovery float64
+	syncTime                                                       time.Duration
+}
+
+// measureLedgerRun reserves and settles count requests over loopback TCP.
+func measureLedgerRun(count int) (ledgerRun, error) {
+	path, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return ledgerRun{}, errors.Newf("make data folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(path) }()
+	files, err := disk.Open(path)
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	counted := &folder{Folder: files}
+	g := group.New(nil)
+	err = deposit(g, "workspace")
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	before := heap()
+	l, err := openLedger(counted, g)
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	run, err := driveLedger(l, counted, count)
+	run.memory = float64(heap()) - float64(before)
+	l.Close()
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	start := time.Now()
+	reopened, err := openLedger(files, g)
+	if err != nil {
+		return ledgerRun{}, errors.Newf("recover: %w", err)
+	}
+	run.recovery = time.Since(start).Seconds()
+	reopened.Close()
+	return run, nil
+}
+
+func driveLedger(l *ledger.Ledger, counted *folder, count int) (ledgerRun, error) {
+	mux := http.NewServeMux()
+	l.Handle(mux, "")
+	server, err := serve(mux)
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	defer server.close()
+	metered := &network{}
+	client := &ledger.Client{Addresses: []string{server.address}, Peer: &peer.Client{HTTP: transport.Client(metered)}}
+	ctx := context.Background()
+	before := measureUsage()
+	err = spread(count, ledgerCallers, func(i int) error {
+		held, err := client.Reserve(ctx, reserveOf("workspace", i))
+		if err != nil {
+			return err
+		}
+		if held.Outcome != ledger.OutcomeReserved {
+			return errors.Newf("reserve: outcome %s", held.Outcome)
+		}
+		return client.Settle(ctx, held.Address, settleOf("workspace", i))
+	})
+	if err != nil {
+		return ledgerRun{}, err
+	}
+	processor, allocations, _ := measureUsage().since(before)
+	return ledgerRun{
+		processor:   processor.Seconds(),
+		allocations: allocations,
+		wire:        float64(metered.counter(server.address).Load()),
+		journal:     float64(counted.written.Load()),
+		syncs:       float64(counted.syncs.Load()),
+		syncTime:    time.Duration(counted.syncTime.Load() / max(1, counted.syncs.Load())),
+	}, nil
+}
+
+// measureLedger returns the slopes by request of a ledger and of the entry's
+// calls to it.
+func measureLedger(report *Report) error {
+	points := make(map[string][]Point)
+	add := func(name string, size int, cost float64) {
+		points[name] = append(points[name], Point{Size: float64(size), Cost: cost})
+	}
+	for _, count := range requestSizes {
+		run, err := measureLedgerRun(count)
+		if err != nil {
+			return errors.Newf("ledger with %d requests: %w", count, err)
+		}
+		add("ledger_processor", count, run.processor)
+		add("ledger_allocations", count, run.allocations)
+		add("ledger_wire", count, run.wire)
+		add("ledger_journal", count, run.journal)
+		add("ledger_syncs", count, run.syncs)
+		add("ledger_memory", count, run.memory)
+		add("ledger_recovery", count, run.recovery)
+		report.SyncMillis = run.syncTime.Seconds() * 1000
+	}
+	units := map[string]string{"ledger_processor": "s", "ledger_allocations": "allocations", "ledger_wire": "bytes", "ledger_journal": "bytes", "ledger_syncs": "syncs", "ledger_memory": "bytes", "ledger_recovery": "s"}
+	for name, unit := range units {
+		report.add(Fit(name, unit, "reserve and settle, 64 callers", points[name]))
+	}
+	return nil
+}
+
+// measureBudgets returns the memory of a budget at a ledger and at the group.
+func measureBudgets(report *Report) error {
+	var atGroup, atLedger []Point
+	for _, count := range budgetSizes {
+		start := heap()
+		g := group.New(nil)
+		for i := range count {
+			err := deposit(g, fmt.Sprintf("%s%d", workspacePrefix, i))
+			if err != nil {
+				return err
+			}
+		}
+		deposited := heap()
+		l, err := openLedger(discard{}, g)
+		if err != nil {
+			return err
+		}
+		err = spread(count, ledgerCallers, func(i int) error {
+			_, err := l.Reserve(context.Background(), reserveOf(fmt.Sprintf("%s%d", workspacePrefix, i), i))
+			return err
+		})
+		if err != nil {
+			return errors.Newf("ledger with %d budgets: %w", count, err)
+		}
+		drawn := heap()
+		l.Close()
+		atGroup = append(atGroup, Point{Size: float64(count), Cost: float64(deposited) - float64(start)})
+		atLedger = append(atLedger, Point{Size: float64(count), Cost: float64(drawn) - float64(deposited)})
+	}
+	report.add(Fit("group_memory_per_budget", "bytes", "budget with one deposit, no grant", atGroup))
+	report.add(Fit("ledger_memory_per_budget", "bytes", "budget with one reservation, and its grant at the group", atLedger))
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/meter.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// usage is what the process has used so far.
+type usage struct {
+	processor   time.Duration
+	allocations uint64
+	allocated   uint64
+	wall        time.Time
+}
+
+func measureUsage() usage {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{
+		processor:   time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		allocations: m.Mallocs,
+		allocated:   m.TotalAlloc,
+		wall:        time.Now(),
+	}
+}
+
+func (u usage) since(before usage) (processor time.Duration, allocations, allocated float64) {
+	return u.processor - before.processor, float64(u.allocations - before.allocations), float64(u.allocated - before.allocated)
+}
+
+// heap returns the live heap in bytes.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// network is TCP that counts the bytes of dialled connections by address.
+type network struct {
+	transport.TCP
+
+	mu    sync.Mutex
+	bytes map[string]*atomic.Int64
+}
+
+func (n *network) counter(address string) *atomic.Int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.bytes == nil {
+		n.bytes = make(map[string]*atomic.Int64)
+	}
+	if n.bytes[address] == nil {
+		n.bytes[address] = &atomic.Int64{}
+	}
+	return n.bytes[address]
+}
+
+// DialContext implements transport.Network.
+func (n *network) DialContext(ctx context.Context, kind, address string) (net.Conn, error) {
+	conn, err := n.TCP.DialContext(ctx, kind, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, bytes: n.counter(address)}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// folder counts what is written to and synced in a data folder.
+type folder struct {
+	disk.Folder
+
+	written  atomic.Int64
+	syncs    atomic.Int64
+	syncTime atomic.Int64
+}
+
+// Append implements disk.Folder.
+func (f *folder) Append(name string) (disk.File, error) {
+	opened, err := f.Folder.Append(name)
+	if err != nil {
+		return nil, err
+	}
+	return &countedFile{File: opened, folder: f}, nil
+}
+
+type countedFile struct {
+	disk.File
+	folder *folder
+}
+
+func (f *countedFile) Write(p []byte) (int, error) {
+	f.folder.written.Add(int64(len(p)))
+	return f.File.Write(p)
+}
+
+func (f *countedFile) Sync() error {
+	start := time.Now()
+	err := f.File.Sync()
+	f.folder.syncTime.Add(int64(time.Since(start)))
+	f.folder.syncs.Add(1)
+	return err
+}
+
+// discard is a data folder that keeps nothing, for measures of memory.
+type discard struct{}
+
+type discardFile struct{}
+
+func (discard) ReadFile(string) ([]byte, error)  { return nil, disk.ErrNotExist }
+func (discard) Append(string) (disk.File, error) { return discardFile{}, nil }
+func (discard) WriteFile(string, []byte) error   { return nil }
+func (discard) Remove(string) error              { return nil }
+func (discard) List() ([]string, error)          { return nil, nil }
+func (discardFile) Write(p []byte) (int, error)  { return len(p), nil }
+func (discardFile) Sync() error                  { return nil }
+func (discardFile) Truncate(int64) error         { return nil }
+func (discardFile) Close() error                 { return nil }
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,52 @@
+package capacity
+
+import (
+	"runtime"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Report is the result of one run.
+type Report struct {
+	Commit    string    `json:"commit"`
+	Command   string    `json:"command"`
+	Started   time.Time `json:"started"`
+	GoVersion string    `json:"go_version"`
+	Cores     int       `json:"cores"`
+	// SyncMillis is the mean time of one disk sync in milliseconds.
+	SyncMillis float64 `json:"sync_millis"`
+	Slopes     []Slope `json:"slopes"`
+}
+
+func (r *Report) add(slope Slope) {
+	r.Slopes = append(r.Slopes, slope)
+}
+
+// Measure runs every measurement, one after the other, and calls done after
+// each with what is measured so far.
+func Measure(done func(step string, took time.Duration, report *Report)) (*Report, error) {
+	report := &Report{Started: time.Now().UTC(), GoVersion: runtime.Version(), Cores: runtime.NumCPU()}
+	steps := []struct {
+		name string
+		run  func(*Report) error
+	}{
+		{"requests through an entry", measureRequests},
+		{"requests at a ledger", measureLedger},
+		{"backend servers in view", measureRoute},
+		{"configuration changes", measureChanges},
+		{"budgets", measureBudgets},
+		{"idle entries", measureWatches},
+	}
+	for _, step := range steps {
+		start := time.Now()
+		err := step.run(report)
+		if err != nil {
+			return nil, errors.Newf("measure %s: %w", step.name, err)
+		}
+		done(step.name, time.Since(start), report)
+	}
+	sort.Slice(report.Slopes, func(i, j int) bool { return report.Slopes[i].Name < report.Slopes[j].Name })
+	return report, nil
+}
--- /dev/null
+++ b/internal/capacity/request.go
@@ -0,0 +1,256 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	requestCallers   = 64
+	requestsPerSize  = 320
+	warmRequests     = 128
+	requestTimeout   = 20 * time.Second
+	engineStep       = time.Nanosecond
+	latencyRequests  = 1000
+	portSearchFirst  = 20_000
+	portSearchLast   = 40_000
+	portsOfSite      = 14
+	portsPerSearch   = 16
+	benchmarkDeposit = 1 << 40
+)
+
+var answerSizes = []int{16, 64, 128}
+
+// Site is a development site on loopback whose parts are counted.
+type Site struct {
+	dev     *process.Dev
+	network *network
+	folder  *folder
+	path    string
+	client  *http.Client
+}
+
+// OpenSite starts a site with a stand-in engine that answers at once.
+func OpenSite() (*Site, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := process.DevAddressesFor(address)
+	if err != nil {
+		return nil, err
+	}
+	path, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, errors.Newf("make data folder: %w", err)
+	}
+	files, err := disk.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{network: &network{}, folder: &folder{Folder: files}, path: path, client: transport.Client(transport.TCP{})}
+	environment := process.Environment{Network: s.network, Folder: s.folder, Telemetry: observe.Discard()}
+	s.dev, err = process.StartDev(addresses, path, environment)
+	if err != nil {
+		return nil, errors.Newf("start site: %w", err)
+	}
+	s.dev.Engine.StepTime = engineStep
+	err = s.deposit()
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// deposit makes the demo workspace's budget larger than any run needs.
+func (s *Site) deposit() error {
+	body := fmt.Sprintf(`{"id":"capacity","workspace":"demo","tokens":%d}`, int64(benchmarkDeposit))
+	return s.post(s.dev.Addresses.Operator, "/v1/deposits", process.DevOperatorKey, body)
+}
+
+// Close ends the site.
+func (s *Site) Close() {
+	s.client.CloseIdleConnections()
+	s.dev.Close()
+	_ = os.RemoveAll(s.path)
+}
+
+// freeAddress finds a run of free ports for a site.
+func freeAddress() (string, error) {
+	for port := portSearchFirst; port < portSearchLast; port += portsPerSearch {
+		if allFree(port) {
+			return fmt.Sprintf("127.0.0.1:%d", port), nil
+		}
+	}
+	return "", errors.New("no free ports on loopback")
+}
+
+func allFree(first int) bool {
+	for port := first; port < first+portsOfSite; port++ {
+		socket, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = socket.Close()
+	}
+	return true
+}
+
+func (s *Site) post(address, path, key, body string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return errors.Newf("make request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("X-Request-Id", "capacity")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return errors.Newf("send request: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errors.Newf("status %d", response.StatusCode)
+	}
+	return err
+}
+
+// chat asks for a streamed answer of tokens at address.
+func (s *Site) chat(address string, tokens int) error {
+	body := fmt.Sprintf(`{"model":"demo","stream":true,"messages":[{"role":"user","content":"hello"}],"max_tokens":%d}`, tokens)
+	return s.post(address, "/v1/chat/completions", process.DevKey, body)
+}
+
+// measureRequests compares the path through an entry with direct calls to the
+// same stand-in. The difference is the entry, the ledger and their calls.
+func measureRequests(report *Report) error {
+	s, err := OpenSite()
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	points := make(map[string][]Point)
+	for _, tokens := range answerSizes {
+		err = s.measureAnswer(tokens, points)
+		if err != nil {
+			return errors.Newf("answers of %d tokens: %w", tokens, err)
+		}
+	}
+	report.add(Fit("request_path_processor", "s", "token of an answer; the intercept is by request", points["processor"]))
+	report.add(Fit("request_path_allocations", "allocations", "token of an answer; the intercept is by request", points["allocations"]))
+	report.add(Fit("request_path_allocated", "bytes", "token of an answer; the intercept is by request", points["allocated"]))
+	report.add(Fit("request_peer_wire", "bytes", "token of an answer; the intercept is by request", points["wire"]))
+	report.add(Fit("request_direct_processor", "s", "token of an answer, caller and stand-in engine alone", points["direct"]))
+	return nil
+}
+
+func (s *Site) measureAnswer(tokens int, points map[string][]Point) error {
+	add := func(name string, cost float64) {
+		points[name] = append(points[name], Point{Size: float64(tokens), Cost: cost / requestsPerSize})
+	}
+	run := func(address string, count int) error {
+		return spread(count, requestCallers, func(int) error { return s.chat(address, tokens) })
+	}
+	for _, address := range []string{s.dev.Addresses.Engine, s.dev.Addresses.Entry} {
+		err := run(address, warmRequests)
+		if err != nil {
+			return err
+		}
+	}
+	start := measureUsage()
+	err := run(s.dev.Addresses.Engine, requestsPerSize)
+	if err != nil {
+		return err
+	}
+	direct, directAllocations, directAllocated := measureUsage().since(start)
+	wire := s.network.counter(s.dev.Addresses.Peer).Load()
+	start = measureUsage()
+	err = run(s.dev.Addresses.Entry, requestsPerSize)
+	if err != nil {
+		return err
+	}
+	path, allocations, allocated := measureUsage().since(start)
+	add("direct", direct.Seconds())
+	add("processor", path.Seconds()-direct.Seconds())
+	add("allocations", allocations-directAllocations)
+	add("allocated", allocated-directAllocated)
+	add("wire", float64(s.network.counter(s.dev.Addresses.Peer).Load()-wire))
+	return nil
+}
+
+// Latency is the time of a path and of direct calls with some in flight.
+type Latency struct {
+	Callers                   int
+	DirectMedian, Direct99    time.Duration
+	PathMedian, Path99        time.Duration
+	Sync                      time.Duration
+	RequestsPerSecond         float64
+	Processor                 time.Duration
+	Allocations, AllocatedKiB float64
+}
+
+// MeasureLatency times calls of 16 tokens through the entry and direct.
+func (s *Site) MeasureLatency(callers int) (Latency, error) {
+	result := Latency{Callers: callers}
+	var err error
+	result.DirectMedian, result.Direct99, err = s.time(s.dev.Addresses.Engine, callers)
+	if err != nil {
+		return result, err
+	}
+	direct := measureUsage()
+	_, _, err = s.time(s.dev.Addresses.Engine, callers)
+	if err != nil {
+		return result, err
+	}
+	used, allocations, allocated := measureUsage().since(direct)
+	syncs, syncTime := s.folder.syncs.Load(), s.folder.syncTime.Load()
+	start := measureUsage()
+	result.PathMedian, result.Path99, err = s.time(s.dev.Addresses.Entry, callers)
+	if err != nil {
+		return result, err
+	}
+	end := measureUsage()
+	pathUsed, pathAllocations, pathAllocated := end.since(start)
+	result.Processor = (pathUsed - used) / latencyRequests
+	result.Allocations = (pathAllocations - allocations) / latencyRequests
+	result.AllocatedKiB = (pathAllocated - allocated) / latencyRequests / 1024
+	result.RequestsPerSecond = latencyRequests / end.wall.Sub(start.wall).Seconds()
+	result.Sync = time.Duration((s.folder.syncTime.Load() - syncTime) / max(1, s.folder.syncs.Load()-syncs))
+	return result, nil
+}
+
+func (s *Site) time(address string, callers int) (median, most time.Duration, err error) {
+	var mu sync.Mutex
+	var times []time.Duration
+	err = spread(latencyRequests, callers, func(int) error {
+		start := time.Now()
+		err := s.chat(address, 16)
+		mu.Lock()
+		defer mu.Unlock()
+		times = append(times, time.Since(start))
+		return err
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	return times[len(times)/2], times[len(times)*99/100], nil
+}
--- a/internal/group/command.go
+++ b/internal/group/command.go
@@ -59,6 +59,10 @@
 	// Known is the cumulative grant that the ledger knows of.
 	Known int64 `cbor:"3,keyasint"`
 	Want  int64 `cbor:"4,keyasint"`
+	// Ahead lets the pool give up to the ledger's target.
+	Ahead bool `cbor:"5,keyasint,omitempty"`
+	// Demand is the ledger's estimate in tokens an hour.
+	Demand int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Report takes in a ledger's cumulative counters by workspace.
--- a/internal/group/result.go
+++ b/internal/group/result.go
@@ -31,4 +31,7 @@
 	Tokens int64 `cbor:"5,keyasint,omitempty" json:"tokens,omitempty"`
 	// Holder is the attempt that holds a claim.
 	Holder string `cbor:"6,keyasint,omitempty" json:"holder,omitempty"`
+	// Targets are the unspent tokens by workspace that a ledger should hold,
+	// in the answer to its draws and reports.
+	Targets map[string]int64 `cbor:"7,keyasint,omitempty" json:"targets,omitempty"`
 }
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -142,11 +142,12 @@
 		return Result{Code: CodeNotFound, Detail: "the ledger epoch is not open"}
 	}
 	account := s.account(c.Workspace)
-	granted := account.Draw(c.Epoch, c.Known, c.Want)
-	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Granted: granted})
+	granted, target := account.DrawFor(c.Epoch, c.Known, budget.Ask{Need: c.Want, Ahead: c.Ahead, Demand: c.Demand})
+	return s.store(c.Workspace, account, check, Result{Code: CodeDone, Granted: granted, Targets: map[string]int64{c.Workspace: target}})
 }
 
 func (s *state) report(c Report, check *invariant.Checker) Result {
+	targets := make(map[string]int64, len(c.Counters))
 	for workspace, counters := range c.Counters {
 		_, found := s.Accounts[workspace]
 		if !found && counters.Deposited == 0 {
@@ -159,8 +160,9 @@
 			continue
 		}
 		s.store(workspace, account, check, Result{})
+		targets[workspace] = account.Target(c.Epoch)
 	}
-	return Result{Code: CodeDone}
+	return Result{Code: CodeDone, Targets: targets}
 }
 
 // account returns a copy of a workspace's account, so that a change that is
--- /dev/null
+++ b/internal/ledger/demand_test.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+)
+
+func TestConcurrentReservationsAreNotRefusedInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := open(t, &fake.Disk{}, fund(t, 1_000_000))
+		defer l.Close()
+		var callers sync.WaitGroup
+		for i := range 64 {
+			callers.Go(func() {
+				got := reserve(t, l, request(fmt.Sprint("key-", i), fmt.Sprint("attempt-", i)))
+				if got.Outcome != OutcomeReserved {
+					t.Errorf("request %d: %s although the budget has room", i, got.Outcome)
+				}
+			})
+		}
+		callers.Wait()
+	})
+}
+
+func TestReservationWaitsForASettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := open(t, &fake.Disk{}, fund(t, 150))
+		defer l.Close()
+		reserve(t, l, request("first", "one"))
+		timer := time.AfterFunc(time.Second, func() { _ = l.Settle(t.Context(), settle("first", "one")) })
+		defer timer.Stop()
+		got := reserve(t, l, request("second", "two"))
+		if got.Outcome != OutcomeReserved {
+			t.Errorf("got %s, want %s once 60 tokens came back", got.Outcome, OutcomeReserved)
+		}
+	})
+}
+
+func TestLedgerHoldsItsTargetAndReturnsTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		funded := fund(t, 1_000_000)
+		l := open(t, &fake.Disk{}, funded)
+		defer l.Close()
+		reserve(t, l, request("key", "one"))
+		_ = l.Settle(t.Context(), settle("key", "one"))
+		time.Sleep(2 * refreshInterval)
+		alone := l.Escrow("north").Available()
+		if alone < 800_000 {
+			t.Fatalf("the only ledger holds %d of 1000000", alone)
+		}
+		other := group.Draw{Epoch: "other", Workspace: "north", Ahead: true, Demand: 10_000}
+		for _, command := range []group.Command{group.OpenEpoch{Epoch: "other"}, other} {
+			_, err := group.Propose(t.Context(), funded, command)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * refreshInterval)
+		shared := l.Escrow("north").Available()
+		if shared >= alone/2 {
+			t.Errorf("the ledger still holds %d beside one with more demand", shared)
+		}
+		account, _ := funded.group.Account("north")
+		if account.Pool < alone/2 {
+			t.Errorf("pool of %d after the recall", account.Pool)
+		}
+	})
+}
+
+func TestDepositOfAFailureDomainCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := &fake.Disk{}
+		funded := fund(t, 100)
+		l := open(t, disk, funded)
+		deposit := Deposit{ID: "top-up", Workspace: "north", Tokens: 500}
+		for range 2 {
+			err := l.Deposit(t.Context(), deposit)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		deposit.Tokens = 600
+		err := l.Deposit(t.Context(), deposit)
+		if !errors.Is(err, ErrDepositReused) {
+			t.Errorf("another deposit under the id: %v", err)
+		}
+		l.Close()
+		l = open(t, disk, funded)
+		defer l.Close()
+		deposit.Tokens = 500
+		err = l.Deposit(t.Context(), deposit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l.Escrow("north").Deposited != 500 {
+			t.Errorf("deposited %d, want 500", l.Escrow("north").Deposited)
+		}
+		time.Sleep(2 * reportInterval)
+		account, _ := funded.group.Account("north")
+		if account.Deposited != 600 {
+			t.Errorf("the group counts %d deposited, want 600", account.Deposited)
+		}
+	})
+}
--- a/internal/ledger/draw.go
+++ b/internal/ledger/draw.go
@@ -10,9 +10,25 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 )
 
-// draw asks the group for enough tokens to reserve needed. One draw of a
-// workspace runs at a time; the others wait for it.
+// draw asks the group for the tokens that requests of a workspace wait for.
+// One draw of a workspace runs at a time; the others wait for it.
 func (l *Ledger) draw(ctx context.Context, workspace string, needed int64) error {
+	return l.proposeDraw(ctx, workspace, func(escrow budget.Escrow, f *demand) (group.Draw, bool) {
+		want := budget.DrawSize(max(needed, f.waiting), f.target, escrow)
+		return group.Draw{Want: want}, escrow.Available() < needed
+	})
+}
+
+// drawAhead fills the escrow up to its target before requests run short.
+func (l *Ledger) drawAhead(ctx context.Context, workspace string) error {
+	return l.proposeDraw(ctx, workspace, func(budget.Escrow, *demand) (group.Draw, bool) {
+		return group.Draw{Ahead: true}, true
+	})
+}
+
+// proposeDraw proposes the draw that decide makes of the state and installs its
+// result.
+func (l *Ledger) proposeDraw(ctx context.Context, workspace string, decide func(budget.Escrow, *demand) (group.Draw, bool)) error {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	slot := l.drawSlot(workspace)
@@ -26,25 +42,40 @@
 	if err != nil {
 		return err
 	}
-	escrow := l.Escrow(workspace)
-	if escrow.Available() >= needed {
+	draw, needed := l.makeDraw(workspace, decide)
+	if !needed {
 		return nil
 	}
-	result, err := group.Propose(ctx, l.options.Group, group.Draw{
-		Epoch:     l.Epoch(),
-		Workspace: workspace,
-		Known:     escrow.Granted,
-		Want:      budget.DrawSize(needed, 1, escrow),
-	})
+	result, err := group.Propose(ctx, l.options.Group, draw)
 	if err != nil {
 		return errors.Newf("draw: %w", err)
 	}
 	if result.Code != group.CodeDone {
 		return errors.Newf("draw: %s: %s", result.Code, result.Detail)
 	}
+	l.learn(result.Targets)
 	return l.install(workspace, result.Granted)
 }
 
+// makeDraw makes a draw of the state.
+func (l *Ledger) makeDraw(workspace string, decide func(budget.Escrow, *demand) (group.Draw, bool)) (group.Draw, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	followed := l.follow(workspace)
+	escrow := *l.state.account(workspace)
+	draw, needed := decide(escrow, followed)
+	now := time.Now()
+	draw.Epoch = l.state.epoch
+	draw.Workspace = workspace
+	draw.Known = escrow.Granted
+	draw.Demand = followed.spent.PerHour(now)
+	if needed {
+		followed.asked = now
+		followed.told = draw.Demand
+	}
+	return draw, needed
+}
+
 // install journals a grant without waiting for the sync: a grant that is
 // forgotten by a crash is learnt again from the group.
 func (l *Ledger) install(workspace string, total int64) error {
@@ -94,11 +125,15 @@
 // run reports the counters to the group at an interval.
 func (l *Ledger) run(ctx context.Context) {
 	defer close(l.done)
+	l.followHeld()
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	sent := make(map[string]budget.Counters)
 	for {
 		err := l.report(ctx, sent)
+		if err == nil {
+			err = l.size(ctx)
+		}
 		if err != nil && ctx.Err() == nil {
 			l.options.Log.Debug("report to the control group failed; retrying", "err", err)
 		}
@@ -126,10 +161,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = group.Propose(ctx, l.options.Group, group.Report{Epoch: l.Epoch(), Counters: changed})
+	result, err := group.Propose(ctx, l.options.Group, group.Report{Epoch: l.Epoch(), Counters: changed})
 	if err != nil {
 		return errors.Newf("report counters: %w", err)
 	}
+	l.learn(result.Targets)
 	for workspace, counters := range changed {
 		sent[workspace] = counters
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -70,6 +70,8 @@
 	state *state
 	// draws holds one slot a workspace, so that one draw runs at a time.
 	draws map[string]chan struct{}
+	// demands holds what is followed of the workspaces in use.
+	demands map[string]*demand
 	// registered tells that the group knows the epoch.
 	registered bool
 	entries    entries
@@ -160,6 +162,7 @@
 		failed <- err
 		return failed
 	}
+	l.observe(c)
 	return l.journal.Append(data)
 }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -40,6 +40,15 @@
 	Granted int64 `cbor:"2,keyasint"`
 }
 
+type returned struct {
+	Workspace string `cbor:"1,keyasint"`
+	Tokens    int64  `cbor:"2,keyasint"`
+}
+
+type deposited struct {
+	Deposit Deposit `cbor:"1,keyasint"`
+}
+
 // lost tells that the entry of an attempt ended.
 type lost struct {
 	Attempt Release `cbor:"1,keyasint"`
@@ -61,6 +70,8 @@
 func (settled) isChange()     {}
 func (released) isChange()    {}
 func (granted) isChange()     {}
+func (returned) isChange()    {}
+func (deposited) isChange()   {}
 func (lost) isChange()        {}
 func (voided) isChange()      {}
 func (forgotten) isChange()   {}
@@ -72,6 +83,8 @@
 	Settled     *settled     `cbor:"3,keyasint,omitempty"`
 	Released    *released    `cbor:"4,keyasint,omitempty"`
 	Granted     *granted     `cbor:"5,keyasint,omitempty"`
+	Returned    *returned    `cbor:"6,keyasint,omitempty"`
+	Deposited   *deposited   `cbor:"7,keyasint,omitempty"`
 	Lost        *lost        `cbor:"10,keyasint,omitempty"`
 	Voided      *voided      `cbor:"11,keyasint,omitempty"`
 	Forgotten   *forgotten   `cbor:"12,keyasint,omitempty"`
@@ -90,6 +103,10 @@
 		e.Released = &c
 	case granted:
 		e.Granted = &c
+	case returned:
+		e.Returned = &c
+	case deposited:
+		e.Deposited = &c
 	case lost:
 		e.Lost = &c
 	case voided:
@@ -119,6 +136,10 @@
 		return *e.Released, nil
 	case e.Granted != nil:
 		return *e.Granted, nil
+	case e.Returned != nil:
+		return *e.Returned, nil
+	case e.Deposited != nil:
+		return *e.Deposited, nil
 	case e.Lost != nil:
 		return *e.Lost, nil
 	case e.Voided != nil:
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -27,14 +27,7 @@
 // error that wraps peer.ErrUnavailable means that the caller must give the
 // attempt up.
 func (l *Ledger) Reserve(ctx context.Context, r Reserve) (Reservation, error) {
-	try := l.tryReserve(r)
-	if try.short {
-		err := l.draw(ctx, r.Workspace, r.Tokens)
-		if err != nil {
-			l.options.Log.Debug("draw failed", "workspace", r.Workspace, "err", err)
-		}
-		try = l.tryReserve(r)
-	}
+	try := l.acquire(ctx, r)
 	err := unavailable(<-try.synced)
 	if err != nil {
 		return Reservation{}, errors.Newf("reserve: %w", err)
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -30,6 +30,7 @@
 	Accounts   map[string]*budget.Escrow `cbor:"3,keyasint"`
 	Records    []recordImage             `cbor:"4,keyasint,omitempty"`
 	Gone       []goneImage               `cbor:"5,keyasint,omitempty"`
+	Deposits   map[string]Deposit        `cbor:"6,keyasint,omitempty"`
 }
 
 type recordImage struct {
@@ -53,7 +54,7 @@
 // image returns the state for a snapshot: ended records in the order of their
 // end, then the open ones.
 func (s *state) image(generation uint64) snapshotImage {
-	image := snapshotImage{Generation: generation, Epoch: s.epoch, Accounts: s.accounts}
+	image := snapshotImage{Generation: generation, Epoch: s.epoch, Accounts: s.accounts, Deposits: s.deposits}
 	written := make(map[recordID]bool)
 	for _, e := range s.endings {
 		if e.attempt != "" {
@@ -93,6 +94,9 @@
 	if image.Accounts != nil {
 		s.accounts = image.Accounts
 	}
+	if image.Deposits != nil {
+		s.deposits = image.Deposits
+	}
 	for _, gone := range image.Gone {
 		s.giveUp(recordID{workspace: gone.Workspace, key: gone.Key}, gone.Attempt, gone.At)
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -72,6 +72,8 @@
 	epoch    string
 	accounts map[string]*budget.Escrow
 	records  map[recordID]*record
+	// deposits are those that this ledger accepted, by id.
+	deposits map[string]Deposit
 	// open holds the records whose attempt may still run.
 	open map[recordID]*record
 	// gone holds attempts that were given up before they reserved.
@@ -87,6 +89,7 @@
 	return &state{
 		accounts: make(map[string]*budget.Escrow),
 		records:  make(map[recordID]*record),
+		deposits: make(map[string]Deposit),
 		open:     make(map[recordID]*record),
 		gone:     make(map[string]int64),
 	}
@@ -112,6 +115,10 @@
 		account := s.account(c.Workspace)
 		account.Granted = max(account.Granted, c.Granted)
 		return nil
+	case returned:
+		return s.applyReturn(c, check)
+	case deposited:
+		return s.applyDeposit(c.Deposit)
 	case reserved:
 		return s.applyReserve(c, check)
 	case settled:
--- /dev/null
+++ b/internal/tool/capacity/main.go
@@ -0,0 +1,42 @@
+// Command capacity measures the slopes of docs/CAPACITY.md and writes them.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/capacity"
+)
+
+const fileMode = 0o644
+
+func main() {
+	output := flag.String("output", "docs/capacity.json", "file to write")
+	commit := flag.String("commit", "", "commit that is measured")
+	flag.Parse()
+	printed := 0
+	report, err := capacity.Measure(func(step string, took time.Duration, report *capacity.Report) {
+		fmt.Printf("%s: %v\n", step, took.Round(time.Millisecond))
+		for _, slope := range report.Slopes[printed:] {
+			fmt.Printf("%-28s %12.5g +- %-10.3g %s per %s, from %.5g, r2 %.4f\n", slope.Name, slope.Slope, slope.Error, slope.Unit, slope.Per, slope.Intercept, slope.R2)
+		}
+		printed = len(report.Slopes)
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	report.Commit = *commit
+	report.Command = "make capacity"
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err == nil {
+		err = os.WriteFile(*output, append(data, '\n'), fileMode)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
