--- a/internal/cmd/cmd_budget.go
+++ b/internal/cmd/cmd_budget.go
@@ -26,7 +26,7 @@
 			Name:      "deposit",
 			Usage:     "adds prepaid tokens to a workspace",
 			ArgsUsage: "WORKSPACE",
-			Flags:     operatorFlags(idFlag("deposit"), &cli.Int64Flag{Name: "tokens", Required: true, Usage: "`TOKENS` to add"}),
+			Flags:     operatorFlags(idFlag("deposit"), &cli.Int64Flag{Name: "tokens", Required: true, Usage: "`TOKENS` to add"}, &cli.StringFlag{Name: "failure-domain", Usage: "failure `DOMAIN` whose ledger accepts them, also while it is cut off"}),
 			Action:    deposit,
 		},
 		{
@@ -73,7 +73,7 @@
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	id := idOf(command)
-	moved, err := client.Deposit(ctx, operator.Deposit{ID: id, Workspace: workspace, Tokens: tokens})
+	moved, err := client.Deposit(ctx, operator.Deposit{ID: id, Workspace: workspace, Tokens: tokens, FailureDomain: command.String("failure-domain")})
 	if err != nil {
 		return operatorError(err, id)
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -59,6 +59,9 @@
 	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Tokens    int64  `json:"tokens"`
+	// FailureDomain names the only ledger that accepts the deposit; empty
+	// means the control group.
+	FailureDomain string `json:"failure_domain"`
 }
 
 type releaseBody struct {
@@ -217,6 +220,10 @@
 		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "id and workspace are required"})
 		return
 	}
+	if body.FailureDomain != "" {
+		s.depositHere(w, r, body)
+		return
+	}
 	s.propose(w, r, group.Deposit{ID: body.ID, Workspace: body.Workspace, Tokens: body.Tokens})
 }
 
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -91,6 +91,9 @@
 	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Tokens    int64  `json:"tokens"`
+	// FailureDomain names the only ledger that accepts the deposit, also while
+	// it is cut off; empty means the control group.
+	FailureDomain string `json:"failure_domain,omitempty"`
 }
 
 // Release gives a closed ledger epoch's in-doubt tokens back.
