--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -154,7 +154,9 @@
 		if held.Outcome != ledger.OutcomeReserved {
 			return errors.Newf("reserve: outcome %s", held.Outcome)
 		}
-		return client.Settle(ctx, held.Address, settleOf("workspace", i))
+		settle := settleOf("workspace", i)
+		settle.Attempt = held.Attempt
+		return client.Settle(ctx, held.Address, settle)
 	})
 	if err != nil {
 		return ledgerRun{}, err
