--- /dev/null
+++ b/internal/capacity/cluster.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/backend"
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	acquiresPerSize  = 1000
+	idleWindow       = 6 * time.Second
+	settleWindow     = 3 * time.Second
+	idleControls     = 3
+	controlPortFirst = 22_000
+	controlPortSpan  = 1000
+)
+
+var (
+	viewSizes    = []int{25, 200, 750, 3000}
+	entrySizes   = []int{12, 24, 48}
+	pollSizes    = []int{25, 100, 200}
+	controlSizes = []int{3, 5, 7}
+)
+
+// measureRoute returns the time to pick among a number of backend servers.
+func measureRoute(report *Report) error {
+	var points []Point
+	for _, size := range viewSizes {
+		d := documentOf(size * modelCount)
+		pool := &backend.Pool{FailureDomain: "domain-03", Instance: "entry-1"}
+		pool.Update(d)
+		ask := backend.Ask{Document: d, Workspace: "workspace-000", WorkName: "model-00", Cost: reservedTokens}
+		before := measureUsage()
+		for range acquiresPerSize {
+			lease, busy := pool.Acquire(context.Background(), ask)
+			if busy != nil {
+				return errors.New("no backend server found")
+			}
+			lease.Release()
+		}
+		processor, _, _ := measureUsage().since(before)
+		points = append(points, Point{Size: float64(size), Cost: processor.Seconds() / acquiresPerSize})
+	}
+	report.add(Fit("route_processor", "s", "backend server of the work", points))
+	return nil
+}
+
+// measurePolls returns the cost of asking backend servers for their load.
+func measurePolls(report *Report) error {
+	var processors, bytes []Point
+	for _, size := range pollSizes {
+		processor, wire, err := measurePoll(size)
+		if err != nil {
+			return errors.Newf("%d polled servers: %w", size, err)
+		}
+		processors = append(processors, Point{Size: float64(size), Cost: processor})
+		bytes = append(bytes, Point{Size: float64(size), Cost: wire})
+	}
+	report.add(Fit("poll_processor", "s/s", "backend server in view, stand-in included", processors))
+	report.add(Fit("poll_wire", "bytes/s", "backend server in view", bytes))
+	return nil
+}
+
+func measurePoll(size int) (processor, wire float64, err error) {
+	s, err := serve((&fake.Engine{}).Handler())
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.close()
+	d := documentOf(size)
+	for name, server := range d.BackendServers {
+		server.Address = s.address
+		d.BackendServers[name] = server
+	}
+	metered := &network{}
+	poller := &backend.Poller{
+		Pool:     &backend.Pool{FailureDomain: "domain-00", Instance: "entry-1"},
+		Client:   &backend.Client{HTTP: transport.Client(metered)},
+		Document: func() *config.Document { return d },
+	}
+	poller.Start()
+	defer poller.Close()
+	processor, wire = overWindow([]*network{metered})
+	return processor, wire, nil
+}
+
+// overWindow returns the processor time and the bytes by second after the
+// start has settled.
+func overWindow(networks []*network) (processor, wire float64) {
+	time.Sleep(settleWindow)
+	start, sent := measureUsage(), total(networks)
+	time.Sleep(idleWindow)
+	end := measureUsage()
+	used, _, _ := end.since(start)
+	elapsed := end.wall.Sub(start.wall).Seconds()
+	return used.Seconds() / elapsed, float64(total(networks)-sent) / elapsed
+}
+
+func total(networks []*network) int64 {
+	var sum int64
+	for _, n := range networks {
+		n.mu.Lock()
+		for _, counter := range n.bytes {
+			sum += counter.Load()
+		}
+		n.mu.Unlock()
+	}
+	return sum
+}
+
+// measureWatches returns the cost of idle entries at three control instances.
+func measureWatches(report *Report) error {
+	var processors, bytes []Point
+	for _, size := range entrySizes {
+		processor, wire, err := measureIdle(size)
+		if err != nil {
+			return errors.Newf("%d idle entries: %w", size, err)
+		}
+		processors = append(processors, Point{Size: float64(size), Cost: processor})
+		bytes = append(bytes, Point{Size: float64(size), Cost: wire})
+	}
+	report.add(Fit("idle_entry_processor", "s/s", "idle entry, both ends of its watch and probes", processors))
+	report.add(Fit("idle_entry_wire", "bytes/s", "idle entry, watch and probes of 3 control instances", bytes))
+	return nil
+}
+
+func measureIdle(entries int) (processor, wire float64, err error) {
+	g := group.New(nil)
+	data, err := json.Marshal(documentOf(25))
+	if err != nil {
+		return 0, 0, errors.Newf("encode document: %w", err)
+	}
+	_, err = group.Propose(context.Background(), directLog{group: g}, group.PatchConfiguration{ID: "first", Patch: data})
+	if err != nil {
+		return 0, 0, err
+	}
+	var addresses []string
+	for range idleControls {
+		mux := http.NewServeMux()
+		g.Handle(mux, "", directLog{group: g})
+		s, err := serve(mux)
+		if err != nil {
+			return 0, 0, err
+		}
+		defer s.close()
+		addresses = append(addresses, s.address)
+	}
+	metered := &network{}
+	for i := range entries {
+		watcher := &group.Watcher{
+			Addresses:     addresses,
+			Client:        &peer.Client{HTTP: transport.Client(metered)},
+			Log:           log.New(io.Discard),
+			Instance:      fmt.Sprintf("entry-%03d", i),
+			Incarnation:   "0123456789",
+			FailureDomain: "domain-00",
+		}
+		watcher.Start()
+		defer watcher.Close()
+		<-watcher.Ready()
+	}
+	processor, wire = overWindow([]*network{metered})
+	return processor, wire, nil
+}
+
+// measureControls returns the cost of an idle control group.
+func measureControls(report *Report) error {
+	var processors, bytes []Point
+	for _, size := range controlSizes {
+		processor, wire, err := measureGroup(size)
+		if err != nil {
+			return errors.Newf("%d control instances: %w", size, err)
+		}
+		processors = append(processors, Point{Size: float64(size), Cost: processor})
+		bytes = append(bytes, Point{Size: float64(size), Cost: wire})
+	}
+	report.add(Fit("idle_group_processor", "s/s", "control instance of an idle group", processors))
+	report.add(Fit("idle_group_wire", "bytes/s", "control instance of an idle group", bytes))
+	return nil
+}
+
+func measureGroup(size int) (processor, wire float64, err error) {
+	var controls []settings.Control
+	for i := range size {
+		address, err := freeAddress(controlPortFirst + i*controlPortSpan)
+		if err != nil {
+			return 0, 0, err
+		}
+		controls = append(controls, settings.Control{InstanceID: fmt.Sprintf("control-%d", i), FailureDomain: fmt.Sprintf("domain-%02d", i), PeerAddress: address})
+	}
+	var networks []*network
+	for _, control := range controls {
+		metered := &network{}
+		networks = append(networks, metered)
+		started, err := process.StartControl(&settings.Settings{
+			InstanceID:      control.InstanceID,
+			Role:            settings.RoleControl,
+			FailureDomain:   control.FailureDomain,
+			PeerAddress:     control.PeerAddress,
+			OperatorAddress: "127.0.0.1:0",
+			DataFolder:      "memory",
+			Controls:        controls,
+		}, process.Environment{Network: metered, Folder: &fake.Disk{}, Telemetry: observe.Discard()})
+		if err != nil {
+			return 0, 0, err
+		}
+		defer started.Close()
+	}
+	processor, wire = overWindow(networks)
+	return processor, wire, nil
+}
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -11,7 +11,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/peer"
@@ -19,19 +18,16 @@
 )
 
 const (
-	changesPerSize  = 4
-	acquiresPerSize = 2000
-	changeTimeout   = 20 * time.Second
-	modelCount      = 16
-	workspaceCount  = 200
-	domainCount     = 16
-	serversPerHost  = 200
+	changesPerSize = 4
+	changeTimeout  = 20 * time.Second
+	modelCount     = 16
+	workspaceCount = 200
+	domainCount    = 16
+	serversPerHost = 200
 )
 
 var (
 	serverSizes = []int{25, 200, 750, 3000, 12_000}
-	viewSizes   = []int{25, 200, 750, 3000}
-	entrySizes  = []int{24, 96, 192}
 )
 
 // documentOf returns a configuration with a number of backend servers spread
@@ -180,72 +176,3 @@
 	}
 	return nil
 }
-
-// measureRoute returns the time to pick among a number of backend servers.
-func measureRoute(report *Report) error {
-	var points []Point
-	for _, size := range viewSizes {
-		d := documentOf(size * modelCount)
-		work := d.Works["model-00"]
-		pool := &backend.Pool{}
-		before := measureUsage()
-		for range acquiresPerSize {
-			lease, found := pool.Acquire(d, work, "domain-03", nil)
-			if !found {
-				return errors.New("no backend server found")
-			}
-			lease.Release()
-		}
-		processor, _, _ := measureUsage().since(before)
-		points = append(points, Point{Size: float64(size), Cost: processor.Seconds() / acquiresPerSize})
-	}
-	report.add(Fit("route_processor", "s", "backend server of the work in view", points))
-	return nil
-}
-
-// measureWatches returns the cost of idle entries at one control instance.
-func measureWatches(report *Report) error {
-	const window = 10 * time.Second
-	var processors, bytes []Point
-	for _, size := range entrySizes {
-		processor, wire, err := measureIdle(size, window)
-		if err != nil {
-			return errors.Newf("%d idle entries: %w", size, err)
-		}
-		processors = append(processors, Point{Size: float64(size), Cost: processor / window.Seconds()})
-		bytes = append(bytes, Point{Size: float64(size), Cost: wire / window.Seconds()})
-	}
-	report.add(Fit("idle_entry_processor", "s/s", "idle entry, both ends of its watch", processors))
-	report.add(Fit("idle_entry_wire", "bytes/s", "idle entry", bytes))
-	return nil
-}
-
-func measureIdle(entries int, window time.Duration) (processor, wire float64, err error) {
-	g := group.New(nil)
-	mux := http.NewServeMux()
-	g.Handle(mux, "", directLog{group: g})
-	s, err := serve(mux)
-	if err != nil {
-		return 0, 0, err
-	}
-	defer s.close()
-	data, err := json.Marshal(documentOf(25))
-	if err != nil {
-		return 0, 0, errors.Newf("encode document: %w", err)
-	}
-	_, err = group.Propose(context.Background(), directLog{group: g}, group.PatchConfiguration{ID: "first", Patch: data})
-	if err != nil {
-		return 0, 0, err
-	}
-	metered := &network{}
-	for range entries {
-		watcher := &group.Watcher{Addresses: []string{s.address}, Client: &peer.Client{HTTP: transport.Client(metered)}, Log: log.New(io.Discard)}
-		watcher.Start()
-		defer watcher.Close()
-		<-watcher.Ready()
-	}
-	start, sent := measureUsage(), metered.counter(s.address).Load()
-	time.Sleep(window)
-	used, _, _ := measureUsage().since(start)
-	return used.Seconds(), float64(metered.counter(s.address).Load() - sent), nil
-}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -38,6 +38,8 @@
 		{"configuration changes", measureChanges},
 		{"budgets", measureBudgets},
 		{"idle entries", measureWatches},
+		{"polls of backend servers", measurePolls},
+		{"idle control groups", measureControls},
 	}
 	for _, step := range steps {
 		start := time.Now()
--- a/internal/capacity/request.go
+++ b/internal/capacity/request.go
@@ -47,7 +47,7 @@
 
 // OpenSite starts a site with a stand-in engine that answers at once.
 func OpenSite() (*Site, error) {
-	address, err := freeAddress()
+	address, err := freeAddress(portSearchFirst)
 	if err != nil {
 		return nil, err
 	}
@@ -91,9 +91,9 @@
 	_ = os.RemoveAll(s.path)
 }
 
-// freeAddress finds a run of free ports for a site.
-func freeAddress() (string, error) {
-	for port := portSearchFirst; port < portSearchLast; port += portsPerSearch {
+// freeAddress finds a run of free ports for a site, from the port first on.
+func freeAddress(first int) (string, error) {
+	for port := first; port < portSearchLast; port += portsPerSearch {
 		if allFree(port) {
 			return fmt.Sprintf("127.0.0.1:%d", port), nil
 		}
