--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/budget"
 	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
@@ -31,6 +32,7 @@
 
 var (
 	requestSizes = []int{1000, 2000, 4000}
+	reportSizes  = []int{1000, 10_000, 50_000}
 	budgetSizes  = []int{1000, 100_000, 610_000}
 )
 
@@ -233,3 +235,55 @@
 	report.add(Fit("ledger_memory_per_budget", "bytes", "budget with one reservation, and its grant at the group", atLedger))
 	return nil
 }
+
+// countingLog counts the bytes of the commands that it commits.
+type countingLog struct {
+	directLog
+
+	bytes int
+}
+
+// Propose implements group.Log.
+func (l *countingLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	l.bytes += len(command)
+	return l.directLog.Propose(ctx, command)
+}
+
+// measureReports returns what a ledger's report costs the group by the number
+// of budgets that changed since the last one.
+func measureReports(report *Report) error {
+	const epoch = "control-1/0123456789abcdefghijklmnop"
+	var processors, bytes []Point
+	for _, size := range reportSizes {
+		g := group.New(nil)
+		counted := &countingLog{directLog: directLog{group: g}}
+		counters := make(map[string]budget.Counters, size)
+		for i := range size {
+			workspace := fmt.Sprintf("%s%d", workspacePrefix, i)
+			err := deposit(g, workspace)
+			if err != nil {
+				return err
+			}
+			draw := group.Draw{Epoch: epoch, Workspace: workspace, Want: budgetTokens / 2}
+			_, err = group.Propose(context.Background(), counted, group.OpenEpoch{Epoch: epoch})
+			if err == nil {
+				_, err = group.Propose(context.Background(), counted, draw)
+			}
+			if err != nil {
+				return err
+			}
+			counters[workspace] = budget.Counters{Billed: reservedTokens * int64(i+1), Reserved: reservedTokens}
+		}
+		sent, start := counted.bytes, measureUsage()
+		_, err := group.Propose(context.Background(), counted, group.Report{Epoch: epoch, Counters: counters})
+		if err != nil {
+			return err
+		}
+		processor, _, _ := measureUsage().since(start)
+		processors = append(processors, Point{Size: float64(size), Cost: processor.Seconds()})
+		bytes = append(bytes, Point{Size: float64(size), Cost: float64(counted.bytes - sent)})
+	}
+	report.add(Fit("report_processor", "s", "budget in one report, at one member", processors))
+	report.add(Fit("report_command", "bytes", "budget in one report", bytes))
+	return nil
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -37,6 +37,7 @@
 		{"backend servers in view", measureRoute},
 		{"configuration changes", measureChanges},
 		{"budgets", measureBudgets},
+		{"reports to the group", measureReports},
 		{"idle entries", measureWatches},
 		{"polls of backend servers", measurePolls},
 		{"idle control groups", measureControls},
