--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -24,8 +24,8 @@
 
 const (
 	acquiresPerSize  = 1000
-	idleWindow       = 6 * time.Second
-	settleWindow     = 3 * time.Second
+	idleWindow       = 4 * time.Second
+	settleWindow     = 2 * time.Second
 	idleControls     = 3
 	controlPortFirst = 22_000
 	controlPortSpan  = 1000
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -25,8 +25,8 @@
 }
 
 // Measure runs every measurement, one after the other, and calls done after
-// each with what is measured so far.
-func Measure(done func(step string, took time.Duration, report *Report)) (*Report, error) {
+// each with what is measured so far. A non-empty only picks one of them.
+func Measure(only string, done func(step string, took time.Duration, report *Report)) (*Report, error) {
 	report := &Report{Started: time.Now().UTC(), GoVersion: runtime.Version(), Cores: runtime.NumCPU()}
 	steps := []struct {
 		name string
@@ -43,6 +43,9 @@
 		{"idle control groups", measureControls},
 	}
 	for _, step := range steps {
+		if only != "" && only != step.name {
+			continue
+		}
 		start := time.Now()
 		err := step.run(report)
 		if err != nil {
--- a/internal/tool/capacity/main.go
+++ b/internal/tool/capacity/main.go
@@ -16,9 +16,10 @@
 func main() {
 	output := flag.String("output", "docs/capacity.json", "file to write")
 	commit := flag.String("commit", "", "commit that is measured")
+	only := flag.String("only", "", "the one measurement to run, as its progress line names it")
 	flag.Parse()
 	printed := 0
-	report, err := capacity.Measure(func(step string, took time.Duration, report *capacity.Report) {
+	report, err := capacity.Measure(*only, func(step string, took time.Duration, report *capacity.Report) {
 		fmt.Printf("%s: %v\n", step, took.Round(time.Millisecond))
 		for _, slope := range report.Slopes[printed:] {
 			fmt.Printf("%-28s %12.5g +- %-10.3g %s per %s, from %.5g, r2 %.4f\n", slope.Name, slope.Slope, slope.Error, slope.Unit, slope.Per, slope.Intercept, slope.R2)
