Wait for a new member's identity without the lock

Cause: Open held the node's lock while it waited for its second batch; the writer needs that lock after the first one, so both waited for ever when the first batch was written before the second was queued. Change: the batch is named under the lock and waited for without it.

--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -141,8 +141,12 @@
 }
 
 // identify names a folder that is new and admits the only member of a group
-// at once.
+// at once. The wait holds no lock, which the writer needs between two batches.
 func (n *Node) identify() error {
+	return n.writer.wait(n.writeIdentity())
+}
+
+func (n *Node) writeIdentity() *batch {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.identity.ID == "" {
@@ -152,7 +156,7 @@
 	if !n.identity.Admitted && n.isFirst() && len(n.options.Members) == 1 {
 		n.admit(map[string]string{n.options.ID: n.identity.Folder})
 	}
-	return n.writer.wait(n.writer.newest())
+	return n.writer.newest()
 }
 
 func (n *Node) start() {
