Scan 750 servers in one pass

Cause: a pick surveyed the servers up to four times and compared times and failure domains' names for each; the profile put a third on comparing names. Change: one survey into a reused list, times in nanoseconds, hashed failure domains, the fields that decisions read side by side.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,6 +25,8 @@
 	mu       sync.Mutex
 	document *config.Document
 	servers  map[string]*route.Server
+	// domains are the servers' failure domains.
+	domains map[string]string
 	// candidates are the servers of each work.
 	candidates  map[string][]*route.Server
 	controllers map[string]*admit.Controller
--- a/internal/backend/servers.go
+++ b/internal/backend/servers.go
@@ -35,18 +35,21 @@
 	}
 	p.document = document
 	servers := make(map[string]*route.Server, len(document.BackendServers))
+	domains := make(map[string]string, len(document.BackendServers))
 	for name, configured := range document.BackendServers {
 		server := p.servers[name]
-		if server == nil || server.Address != configured.Address {
+		old := p.domains[name]
+		if server == nil || server.Address != configured.Address || old != configured.FailureDomain {
 			server = route.NewServer(name, configured.FailureDomain)
 			server.Address = configured.Address
 		}
-		server.FailureDomain = configured.FailureDomain
+		domains[name] = configured.FailureDomain
 		server.Concurrency = configured.Concurrency
 		servers[name] = server
 	}
 	p.markGone(servers)
 	p.servers = servers
+	p.domains = domains
 	p.markLeaving()
 	p.candidates = make(map[string][]*route.Server, len(document.Works))
 	for name, work := range document.Works {
--- a/internal/route/hash.go
+++ b/internal/route/hash.go
@@ -52,9 +52,10 @@
 	}
 	ranked := append([]*Server(nil), servers...)
 	key := Hash(instance)
+	domain := Hash(failureDomain)
 	sort.Slice(ranked, func(i, j int) bool {
 		a, b := ranked[i], ranked[j]
-		aNear, bNear := a.FailureDomain == failureDomain, b.FailureDomain == failureDomain
+		aNear, bNear := a.domain == domain, b.domain == domain
 		if aNear != bNear {
 			return aNear
 		}
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -11,25 +11,10 @@
 	rampStart = 0.1
 )
 
-// health ejects a server after failures in a row and takes it back in slowly;
-// its zero value is healthy.
-type health struct {
-	failures  int
-	ejections int
-	until     time.Time
-}
-
-func (h *health) isEjected(now time.Time) bool {
-	return now.Before(h.until)
-}
-
 // ramp returns the part of the limit that is open after an ejection.
-func (h *health) ramp(now time.Time) float64 {
-	if h.until.IsZero() {
-		return 1
-	}
-	since := now.Sub(h.until)
-	if since >= rampTime {
+func (s *Server) ramp(now int64) float64 {
+	since := now - s.ejectedUntil
+	if s.ejectedUntil == 0 || since >= int64(rampTime) {
 		return 1
 	}
 	return max(rampStart, float64(since)/float64(rampTime))
@@ -37,24 +22,24 @@
 
 // Succeeded records an answer.
 func (s *Server) Succeeded(now time.Time) {
-	s.health.failures = 0
-	if !s.health.isEjected(now) && s.health.ramp(now) == 1 {
-		s.health.ejections = 0
+	s.failures = 0
+	if s.ramp(now.UnixNano()) == 1 {
+		s.ejections = 0
+		s.ejectedUntil = 0
 	}
 }
 
 // Failed records a failure that is the server's own. One that comes back is
 // ejected again at its first failure, for twice the time.
 func (s *Server) Failed(now time.Time) {
-	h := &s.health
-	if h.isEjected(now) {
+	if s.Ejected(now) {
 		return
 	}
-	h.failures++
-	if h.failures < failuresToEject && h.ramp(now) == 1 {
+	s.failures++
+	if s.failures < failuresToEject && s.ramp(now.UnixNano()) == 1 {
 		return
 	}
-	h.failures = 0
-	h.until = now.Add(min(maxEjection, firstEjection<<min(h.ejections, 8)))
-	h.ejections++
+	s.failures = 0
+	s.ejectedUntil = now.Add(min(maxEjection, firstEjection<<min(s.ejections, 8))).UnixNano()
+	s.ejections++
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -26,6 +26,9 @@
 	Tried map[string]bool
 	// Random picks between equals; nil means a random seed.
 	Random *rand.Rand
+
+	// candidates is reused by the next pick.
+	candidates []candidate
 }
 
 // Policy picks a server out of those that have room: one of Balanced,
@@ -64,121 +67,137 @@
 	return false
 }
 
+// candidate is a server that may be picked, as it is now.
+type candidate struct {
+	server *Server
+	load   int
+	limit  int
+	near   bool
+}
+
+func (c *candidate) isOpen() bool {
+	return c.load < c.limit
+}
+
+func (c *candidate) relative() float64 {
+	return float64(c.load+1) / float64(c.limit)
+}
+
+// sums add up candidates.
+type sums struct {
+	load  int
+	limit int
+	open  int
+}
+
+func (s *sums) add(c *candidate) {
+	s.load += c.load
+	s.limit += c.limit
+	if c.load < c.limit {
+		s.open++
+	}
+}
+
+func (s sums) relative() float64 {
+	return float64(s.load) / float64(max(1, s.limit))
+}
+
 func pickBalanced(servers []*Server, q *Query) *Server {
-	all := survey(servers, q, false, false)
-	if all.usable == 0 {
-		all = survey(servers, q, false, true)
+	near, all := survey(servers, q, false)
+	if len(q.candidates) == 0 {
+		near, all = survey(servers, q, true)
 	}
-	near := survey(servers, q, true, all.panic)
 	if near.open > 0 && (near.relative() < spillLoad || all.open == near.open) {
-		return choose(servers, q, near)
+		return choose(q, near, true)
 	}
 	if all.open == 0 {
 		return nil
 	}
-	return choose(servers, q, all)
-}
-
-// view is a set of candidates and their sums.
-type view struct {
-	nearOnly bool
-	// panic counts ejected servers in, since no other is left.
-	panic  bool
-	usable int
-	// open are the usable servers with room.
-	open  int
-	load  int
-	limit int
+	return choose(q, all, false)
 }
 
-func survey(servers []*Server, q *Query, nearOnly, panicking bool) view {
-	v := view{nearOnly: nearOnly, panic: panicking}
+// survey lists the candidates in q and adds up those of the own failure domain
+// and all. Ejected servers count only when no other is left.
+func survey(servers []*Server, q *Query, ejected bool) (near, all sums) {
+	if cap(q.candidates) < len(servers) {
+		q.candidates = make([]candidate, len(servers))
+	}
+	q.candidates = q.candidates[:len(servers)]
+	now := q.Now.UnixNano()
+	domain := Hash(q.FailureDomain)
+	n := 0
 	for _, s := range servers {
-		if !v.includes(s, q) {
+		if s.Leaving || s.draining || !ejected && now < s.ejectedUntil {
+			continue
+		}
+		if len(q.Tried) > 0 && q.Tried[s.Name] {
 			continue
 		}
-		load, limit := s.Load(q.Now), s.Limit(q.Now)
-		v.usable++
-		v.load += load
-		v.limit += limit
-		if load < limit {
-			v.open++
+		c := &q.candidates[n]
+		n++
+		c.server = s
+		c.load = s.load(now)
+		c.limit = s.limit(now)
+		c.near = s.domain == domain
+		all.add(c)
+		if c.near {
+			near.add(c)
 		}
 	}
-	return v
-}
-
-func (v view) includes(s *Server, q *Query) bool {
-	if v.nearOnly && s.FailureDomain != q.FailureDomain {
-		return false
-	}
-	if s.leaves() || q.Tried[s.Name] {
-		return false
-	}
-	return v.panic || !s.health.isEjected(q.Now)
-}
-
-func (v view) relative() float64 {
-	return float64(v.load) / float64(max(1, v.limit))
+	q.candidates = q.candidates[:n]
+	return near, all
 }
 
 // choose returns the server with the highest rendezvous weight that is not too
 // busy, else the less loaded of two random ones.
-func choose(servers []*Server, q *Query, v view) *Server {
+func choose(q *Query, s sums, nearOnly bool) *Server {
 	if q.Prefix != 0 {
-		s := chooseAffine(servers, q, v)
-		if s != nil {
-			return s
+		best := chooseAffine(q, s, nearOnly)
+		if best != nil {
+			return best
 		}
 	}
-	first := nth(servers, q, v, random(q, v.open))
-	second := nth(servers, q, v, random(q, v.open))
-	if relative(second, q.Now) < relative(first, q.Now) {
-		return second
+	first := nth(q, random(q, s.open), nearOnly)
+	second := nth(q, random(q, s.open), nearOnly)
+	if second.relative() < first.relative() {
+		return second.server
 	}
-	return first
+	return first.server
 }
 
-func chooseAffine(servers []*Server, q *Query, v view) *Server {
-	bound := v.relative()*affinityBound + affinitySlack
+func chooseAffine(q *Query, s sums, nearOnly bool) *Server {
+	bound := s.relative()*affinityBound + affinitySlack
 	var best *Server
 	var bestWeight uint64
-	for _, s := range servers {
-		if !v.includes(s, q) {
+	for i := range q.candidates {
+		c := &q.candidates[i]
+		if nearOnly && !c.near || !c.isOpen() || float64(c.load) > bound*float64(c.limit) {
 			continue
 		}
-		w := weight(s.hash, q.Prefix)
-		if best != nil && w <= bestWeight {
-			continue
+		w := weight(c.server.hash, q.Prefix)
+		if best == nil || w > bestWeight {
+			best = c.server
+			bestWeight = w
 		}
-		load, limit := s.Load(q.Now), s.Limit(q.Now)
-		if load >= limit || float64(load) > bound*float64(limit) {
-			continue
-		}
-		best = s
-		bestWeight = w
 	}
 	return best
 }
 
-// nth returns the nth server that is included and has room.
-func nth(servers []*Server, q *Query, v view, n int) *Server {
-	for _, s := range servers {
-		if !v.includes(s, q) || s.Load(q.Now) >= s.Limit(q.Now) {
+// nth returns the nth candidate that has room.
+func nth(q *Query, n int, nearOnly bool) *candidate {
+	for i := range q.candidates {
+		c := &q.candidates[i]
+		if nearOnly && !c.near || !c.isOpen() {
 			continue
 		}
 		if n == 0 {
-			return s
+			return c
 		}
 		n--
 	}
 	return nil
 }
 
-func relative(s *Server, now time.Time) float64 {
-	return float64(s.Load(now)+1) / float64(s.Limit(now))
-}
-
 func random(q *Query, n int) int {
 	if q.Random == nil {
 		return rand.IntN(n)
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -3,7 +3,6 @@
 package route
 
 import (
-	"math"
 	"time"
 )
 
@@ -28,24 +27,32 @@
 }
 
 // Server is what an instance knows of one backend server; make it with
-// NewServer.
+// NewServer. The fields that every decision reads come first.
 type Server struct {
-	Name          string
-	FailureDomain string
-	Address       string
+	// Leaving takes the server out.
+	Leaving  bool
+	draining bool
+	running  int
+	// others is the reported load without the own requests that it counts.
+	others int
+	// staleAt and ejectedUntil are times in nanoseconds; 0 is never.
+	staleAt      int64
+	ejectedUntil int64
+	maxBatch     int
 	// Concurrency is the configured bound; 0 means none.
 	Concurrency int
-	// Leaving takes the server out.
-	Leaving bool
-
-	hash    uint64
-	running int
-	changes []change
-	report  Report
-	// reported is the number of own requests that the report counts.
-	reported int
-	health   health
-	adapt    adaptiveLimit
+	adapt       adaptiveLimit
+	hash        uint64
+	// domain is the hash of the failure domain.
+	domain uint64
+
+	Name    string
+	Address string
+
+	failures  int
+	ejections int
+	report    Report
+	changes   []change
 }
 
 // change is the number of own requests in progress from a time on.
@@ -54,9 +61,10 @@
 	running int
 }
 
-// NewServer returns a server of which nothing is known but its name.
+// NewServer returns a server of which nothing is known but its name and its
+// failure domain.
 func NewServer(name, failureDomain string) *Server {
-	return &Server{Name: name, FailureDomain: failureDomain, hash: Hash(name)}
+	return &Server{Name: name, hash: Hash(name), domain: Hash(failureDomain)}
 }
 
 // Running returns the own requests in progress.
@@ -90,21 +98,28 @@
 		return
 	}
 	s.report = r
+	s.draining = r.Draining
+	s.maxBatch = r.MaxBatch
 	keep := 0
 	for keep+1 < len(s.changes) && !s.changes[keep+1].at.After(r.At) {
 		keep++
 	}
 	s.changes = append(s.changes[:0], s.changes[keep:]...)
-	s.reported = s.runningAt(r.At)
+	s.others = r.Running + r.Waiting - s.runningAt(r.At)
+	s.staleAt = r.At.Add(maxReportAge).UnixNano()
 }
 
 // Load returns the estimated requests at the server: what it reported, and the
 // own dispatches and ends since that report.
 func (s *Server) Load(now time.Time) int {
-	if s.report.At.IsZero() || now.Sub(s.report.At) > maxReportAge {
+	return s.load(now.UnixNano())
+}
+
+func (s *Server) load(now int64) int {
+	if now >= s.staleAt {
 		return s.running
 	}
-	return max(s.running, s.report.Running+s.report.Waiting+s.running-s.reported)
+	return max(s.running, s.running+s.others)
 }
 
 // runningAt returns the own requests in progress at a time in the past.
@@ -125,30 +140,41 @@
 // Limit returns the bound on Load: the smaller of the configured, the reported
 // and the adaptive one, less while the server is taken back in slowly.
 func (s *Server) Limit(now time.Time) int {
-	limit := defaultLimit
-	if s.report.MaxBatch > 0 {
-		limit = s.report.MaxBatch
+	return s.limit(now.UnixNano())
+}
+
+func (s *Server) limit(now int64) int {
+	limit := s.bound()
+	if s.adapt.allowed == 0 && s.ejectedUntil == 0 {
+		return limit
 	}
-	if s.Concurrency > 0 {
-		limit = min(limit, s.Concurrency)
-		if s.report.MaxBatch == 0 {
-			limit = s.Concurrency
-		}
+	return max(1, int(s.adapt.value(limit)*s.ramp(now)))
+}
+
+// bound returns the smaller of the configured and the reported limit.
+func (s *Server) bound() int {
+	switch {
+	case s.maxBatch > 0 && s.Concurrency > 0:
+		return min(s.maxBatch, s.Concurrency)
+	case s.maxBatch > 0:
+		return s.maxBatch
+	case s.Concurrency > 0:
+		return s.Concurrency
+	default:
+		return defaultLimit
 	}
-	allowed := s.adapt.value(limit) * s.health.ramp(now)
-	return max(1, int(math.Floor(allowed)))
 }
 
 // Usable tells whether new work may go to the server.
 func (s *Server) Usable(now time.Time) bool {
-	return !s.leaves() && !s.health.isEjected(now)
+	return !s.leaves() && !s.Ejected(now)
 }
 
 func (s *Server) leaves() bool {
-	return s.Leaving || s.report.Draining
+	return s.Leaving || s.draining
 }
 
 // Ejected tells whether the server is out because of its failures.
 func (s *Server) Ejected(now time.Time) bool {
-	return s.health.isEjected(now)
+	return now.UnixNano() < s.ejectedUntil
 }
