Compare routing policies in virtual time

Change: a discrete model of engines and callers drives the real route and admit code; make bench-policy prints scenarios against round robin, random and least reported load.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+bench-policy:
+	go run ./internal/bench/policy
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -43,6 +43,11 @@
 	since  time.Time
 }
 
+// Waits tells whether the request is queued.
+func (r *Request) Waits() bool {
+	return r.queued
+}
+
 // set identifies the candidates: requests of one work share their slice.
 func (r *Request) set() **route.Server {
 	return &r.Servers[0]
--- /dev/null
+++ b/internal/bench/engine.go
@@ -0,0 +1,193 @@
+package bench
+
+import "time"
+
+// Figures of the modelled engine.
+const (
+	engineBatch     = 48
+	stepBase        = 12 * time.Millisecond
+	stepGrowth      = 500 * time.Microsecond
+	promptTime      = 50 * time.Microsecond
+	promptChunk     = 128
+	cacheTokens     = 40_000
+	maxEngineQueue  = 256
+	reportsInMemory = 4096
+)
+
+// engine batches continuously and keeps the most recently used prefixes.
+type engine struct {
+	clock    *clock
+	name     string
+	domain   string
+	slowness int
+	down     bool
+	refuses  bool
+
+	batch   []*job
+	waiting []*job
+	busy    bool
+	cache   map[uint64]int64
+	used    map[uint64]int
+	tick    int
+	cached  int64
+	history []sample
+}
+
+// sample is the load at a time.
+type sample struct {
+	at      time.Time
+	running int
+	waiting int
+}
+
+// job is one dispatch of a request.
+type job struct {
+	request *request
+	prompt  int64
+	output  int64
+	// done is called at the last token, token at each and failed on a crash.
+	token  func()
+	done   func()
+	failed func()
+	gone   bool
+}
+
+// submit returns false when the engine refuses.
+func (e *engine) submit(j *job) bool {
+	if e.refuses || len(e.waiting) >= maxEngineQueue {
+		return false
+	}
+	e.waiting = append(e.waiting, j)
+	e.fill()
+	e.start()
+	return true
+}
+
+// fill admits waiting jobs, the most urgent first.
+func (e *engine) fill() {
+	for len(e.batch) < engineBatch && len(e.waiting) > 0 {
+		best := 0
+		for i, j := range e.waiting {
+			if j.request.work.class < e.waiting[best].request.work.class {
+				best = i
+			}
+		}
+		j := e.waiting[best]
+		e.waiting = append(e.waiting[:best], e.waiting[best+1:]...)
+		work := j.request.work
+		j.prompt = work.prompt - e.lookup(j.request.prefix, work.prefix)
+		j.output = j.request.output
+		e.batch = append(e.batch, j)
+	}
+	e.record()
+}
+
+// lookup returns the cached tokens of a prefix and caches it.
+func (e *engine) lookup(prefix uint64, tokens int64) int64 {
+	if e.cache == nil {
+		e.cache = make(map[uint64]int64)
+		e.used = make(map[uint64]int)
+	}
+	e.tick++
+	e.used[prefix] = e.tick
+	hit := e.cache[prefix]
+	if hit > 0 {
+		return hit
+	}
+	e.cache[prefix] = tokens
+	e.cached += tokens
+	for e.cached > cacheTokens {
+		e.evict()
+	}
+	return 0
+}
+
+func (e *engine) evict() {
+	oldest := uint64(0)
+	first := true
+	for prefix := range e.cache {
+		if first || e.used[prefix] < e.used[oldest] {
+			oldest = prefix
+			first = false
+		}
+	}
+	e.cached -= e.cache[oldest]
+	delete(e.cache, oldest)
+	delete(e.used, oldest)
+}
+
+func (e *engine) start() {
+	if e.busy || len(e.batch) == 0 || e.down {
+		return
+	}
+	e.busy = true
+	prompt := int64(0)
+	for _, j := range e.batch {
+		take := min(j.prompt, promptChunk-prompt)
+		j.prompt -= take
+		prompt += take
+	}
+	step := stepBase + time.Duration(len(e.batch))*stepGrowth + time.Duration(prompt)*promptTime
+	e.clock.after(step*time.Duration(max(1, e.slowness)), e.step)
+}
+
+// step ends one iteration of the batch.
+func (e *engine) step() {
+	e.busy = false
+	if e.down {
+		return
+	}
+	kept := e.batch[:0]
+	var ended []*job
+	for _, j := range e.batch {
+		if j.prompt == 0 {
+			j.output--
+			j.token()
+		}
+		if j.output > 0 && !j.gone {
+			kept = append(kept, j)
+			continue
+		}
+		ended = append(ended, j)
+	}
+	e.batch = kept
+	e.fill()
+	e.start()
+	for _, j := range ended {
+		j.done()
+	}
+}
+
+// crash fails every job.
+func (e *engine) crash() {
+	e.down = true
+	jobs := append(append([]*job(nil), e.batch...), e.waiting...)
+	e.batch = nil
+	e.waiting = nil
+	e.cache = nil
+	e.cached = 0
+	e.record()
+	for _, j := range jobs {
+		j.failed()
+	}
+}
+
+func (e *engine) record() {
+	e.history = append(e.history, sample{at: e.clock.now, running: len(e.batch), waiting: len(e.waiting)})
+	if len(e.history) > reportsInMemory {
+		e.history = e.history[1:]
+	}
+}
+
+// loadAt returns the load as it was at a time.
+func (e *engine) loadAt(at time.Time) sample {
+	found := sample{at: at}
+	for i := len(e.history) - 1; i >= 0; i-- {
+		if !e.history[i].at.After(at) {
+			found = e.history[i]
+			break
+		}
+	}
+	found.at = at
+	return found
+}
--- /dev/null
+++ b/internal/bench/policy/main.go
@@ -0,0 +1,35 @@
+// Command policy prints a table that compares routing policies.
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/admit"
+	"github.com/cactusbay/cactusbay/internal/bench"
+)
+
+const seed = 1
+
+func main() {
+	capacity := bench.Capacity(seed)
+	fmt.Printf("capacity of the modelled engines: %.1f requests/s; seed %d\n", capacity, seed)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "scenario\tpolicy\tfirst p95\tinteractive first p95\tgap p95\tgoodput tok/s\tinteractive in time\tstandard\tbatch\tbatch refused\tadded load")
+	policies := bench.Policies()
+	for _, scenario := range bench.Scenarios() {
+		for _, name := range []string{"balanced", "least reported", "random", "round robin"} {
+			f := bench.Run(scenario, policies[name], capacity, seed)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\n",
+				scenario.Name, name, milliseconds(f.FirstToken95()), milliseconds(f.InteractiveFirstToken95()), milliseconds(f.Gap95()), f.Goodput(),
+				100*f.InTime(admit.Interactive), 100*f.InTime(admit.Standard), 100*f.InTime(admit.Batch), 100*f.Refused(admit.Batch), 100*f.AddedLoad())
+		}
+	}
+	_ = w.Flush()
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%d ms", d.Milliseconds())
+}
