Cut a server's limit on slow first tokens and keep room for urgent work

Cause: under real overload (180%) prompts piled up inside the engines, where drafts held places without progress and were then late; and an interactive request waited for a draft to end when all places were taken. Change: the adaptive limit is cut too when the first token takes over 2 s from its dispatch; batch works leave 16% and standard works 8% of each limit free.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+func TestDraftsLeaveRoomForUrgentWork(t *testing.T) {
+	servers := oneServer(48)
+	c := &Controller{}
+	drafts := 0
+	for range 60 {
+		decision, _ := c.Offer(request(servers, Batch, "a"), start)
+		if _, placed := decision.(Placed); placed {
+			drafts++
+		}
+	}
+	decision, _ := c.Offer(request(servers, Interactive, "a"), start)
+	if _, placed := decision.(Placed); !placed || drafts < 40 {
+		t.Errorf("%d drafts run, urgent decision %+v", drafts, decision)
+	}
+}
+
 func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
 	servers := oneServer(1)
 	c := &Controller{QueueLimit: 2}
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -17,6 +17,10 @@
 	maxRetryAfter  = 60 * time.Second
 )
 
+// headroom is the part of each server's limit, in percent, that a class leaves
+// to more urgent ones.
+var headroom = [classes]int{Interactive: 0, Standard: 8, Batch: 16}
+
 // Decision is what becomes of a request: one of Placed, Queued and Refused.
 type Decision interface {
 	isDecision()
@@ -119,6 +123,7 @@
 	c.Query.FailureDomain = c.FailureDomain
 	c.Query.Prefix = r.Prefix
 	c.Query.Tried = r.Tried
+	c.Query.Headroom = headroom[r.Class]
 	return route.Pick(c.Policy, r.Servers, &c.Query)
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -59,6 +59,8 @@
 	Failed bool
 	// Refused is true when it refused for its load.
 	Refused bool
+	// First is the time from the dispatch to the first token; 0 is unknown.
+	First time.Duration
 	// Gap is the mean time between tokens; 0 is unknown.
 	Gap time.Duration
 }
@@ -202,8 +204,8 @@
 	default:
 		l.server.Succeeded(now)
 	}
-	if l.Result.Gap > 0 {
-		l.server.Observed(l.Result.Gap, now)
+	if l.Result.First > 0 {
+		l.server.Observed(l.Result.First, l.Result.Gap, now)
 	}
 }
 
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -38,6 +38,8 @@
 	sink   *sink
 	run    *run
 	tried  map[string]bool
+	// opened is when the present backend server was first sent the request.
+	opened time.Time
 }
 
 // serve runs the request, at another backend server when one refused it.
@@ -97,6 +99,7 @@
 // receive opens the stream, and resumes it at the same engine each time that
 // it breaks off.
 func (d *delivery) receive(ctx context.Context) error {
+	d.opened = time.Now()
 	err := d.follow(ctx, d.server.Backend.Open)
 	if isRefused(err) {
 		return err
@@ -198,6 +201,7 @@
 		d.breakOff(ctx, err)
 		return
 	}
+	d.run.lease.Result.First = d.sink.first.Sub(d.opened)
 	d.run.lease.Result.Gap = d.sink.gap()
 	answer := d.sink.answer(d.accepted.work.Model)
 	err = d.run.settle(ctx, d.sink.billable(d.run.tokens), answer)
--- a/internal/route/limit.go
+++ b/internal/route/limit.go
@@ -5,6 +5,9 @@
 const (
 	// targetGap is the time between tokens above which a server gets less.
 	targetGap = 42 * time.Millisecond
+	// targetFirst is the time from a dispatch to the first token above which a
+	// server gets less.
+	targetFirst = 2 * time.Second
 	// cutPause lets a cut take effect before the next.
 	cutPause  = time.Second
 	cutFactor = 0.85
@@ -26,9 +29,10 @@
 	return min(a.allowed, float64(limit))
 }
 
-// Observed records the mean time between the tokens of an answer.
-func (s *Server) Observed(gap time.Duration, now time.Time) {
-	if gap > targetGap {
+// Observed records the time from a dispatch to the first token and the mean
+// time between the tokens of an answer.
+func (s *Server) Observed(first, gap time.Duration, now time.Time) {
+	if gap > targetGap || first > targetFirst {
 		s.Overloaded(now)
 		return
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -22,6 +22,8 @@
 	FailureDomain string
 	// Prefix is the prompt's affinity; 0 is none.
 	Prefix uint64
+	// Headroom is the part of each limit, in percent, that stays free.
+	Headroom int
 	// Tried are names of servers that are left out.
 	Tried map[string]bool
 	// Random picks between equals; nil means a random seed.
@@ -138,6 +140,7 @@
 		c.server = s
 		c.load = s.load(now)
 		c.limit = s.limit(now)
+		c.limit -= c.limit * q.Headroom / 100
 		c.near = s.domain == domain
 		all.add(c)
 		if c.near {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -125,14 +125,14 @@
 
 func TestLimitFollowsTheGap(t *testing.T) {
 	s := NewServer("engine", "a")
-	s.Observed(2*targetGap, start)
+	s.Observed(0, 2*targetGap, start)
 	cut := s.Limit(start)
-	s.Observed(2*targetGap, start)
+	s.Observed(0, 2*targetGap, start)
 	if cut >= defaultLimit || s.Limit(start) != cut {
 		t.Errorf("limit %d, then %d", cut, s.Limit(start))
 	}
 	for range 1000 {
-		s.Observed(targetGap/2, start)
+		s.Observed(0, targetGap/2, start)
 	}
 	if s.Limit(start) != defaultLimit {
 		t.Errorf("limit %d after good answers", s.Limit(start))
