Quorum: identify waits for its writes without the node's lock

Cause: identify held the lock while it waited for its second batch; the writer's one goroutine was in synced of the first batch and needed the lock. A site of one control instance hung at its start now and then.

Seen: ./test timed out after 180 s and again after 40 s, in TestBrokenAnswerIsResumed: sync.Mutex.Lock quorum.(*Node).synced node.go:232 quorum.(*writer).wait in quorum.(*Node).identify Change: unlockDurably, as everywhere else. After: ./test ok in 32 s.

--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -144,7 +144,6 @@
 // at once.
 func (n *Node) identify() error {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.identity.ID == "" {
 		n.identity = identity{ID: n.options.ID, Folder: rand.Text()}
 		n.save(nil)
@@ -152,7 +151,7 @@
 	if !n.identity.Admitted && n.isFirst() && len(n.options.Members) == 1 {
 		n.admit(map[string]string{n.options.ID: n.identity.Folder})
 	}
-	return n.writer.wait(n.writer.newest())
+	return n.unlockDurably()
 }
 
 func (n *Node) start() {
