Ledger: a lost attempt's request may run again for one bill

Ruled out: resuming the engine's stream (the engine ends a generation that nobody follows, so the stream is not whole).

A request that may run once only stays unknown.

--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -19,6 +19,8 @@
 type reserved struct {
 	Reserve Reserve `cbor:"1,keyasint"`
 	At      int64   `cbor:"2,keyasint,omitempty"`
+	// Again takes the bill of an attempt back whose answer nobody got whole.
+	Again bool `cbor:"3,keyasint,omitempty"`
 }
 
 type settled struct {
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -63,23 +63,29 @@
 		try.contest = l.contests[id]
 		return try
 	}
-	if old != nil && old.state != stateReleased {
+	again := old != nil && old.mayRepeat()
+	if old != nil && old.state != stateReleased && !again {
 		return l.tell(known(old))
 	}
-	return l.hold(id, r)
+	c := reserved{Reserve: r, At: now(), Again: again}
+	available := l.state.account(r.Workspace).Available()
+	if again {
+		available += old.billed
+	}
+	return l.hold(id, c, available)
 }
 
 // hold reserves out of the escrow and, for a shared key, opens the contest in
 // the same step, so that no other ledger sees the one without the other.
-func (l *Ledger) hold(id recordID, r Reserve) attempted {
-	available := l.state.account(r.Workspace).Available()
+func (l *Ledger) hold(id recordID, c reserved, available int64) attempted {
+	r := c.Reserve
 	if available < r.Tokens {
 		try := l.tell(Reservation{Outcome: OutcomeInsufficient, Available: available})
 		try.short = true
 		return try
 	}
 	try := attempted{answer: Reservation{Outcome: OutcomeReserved, Attempt: r.Attempt, Server: r.Server}}
-	try.synced = l.commit(reserved{Reserve: r, At: now()})
+	try.synced = l.commit(c)
 	held := l.state.records[id]
 	if r.Shared && len(l.options.Peers) > 0 && held != nil && held.reserve.Attempt == r.Attempt {
 		try.contest = l.openContest(id, held)
@@ -96,6 +102,8 @@
 func known(old *record) Reservation {
 	answer := Reservation{Attempt: old.reserve.Attempt, Server: old.reserve.Server}
 	switch {
+	case old.mayRepeat():
+		answer.Outcome = OutcomeReleased
 	case old.state == stateReserved || (old.state == stateUnknown && old.reserve.Repeatable):
 		answer.Outcome = OutcomeRunning
 	case old.state == stateReleased:
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -59,6 +59,12 @@
 	return r.state == stateReserved || r.state == stateUnknown
 }
 
+// mayRepeat tells whether the request may run again under its key, in place of
+// an attempt that was billed after its entry ended and whose answer is lost.
+func (r *record) mayRepeat() bool {
+	return r.state == stateSettled && r.lostAt > 0 && r.answer.Status == 0 && r.reserve.Repeatable
+}
+
 // ending is a record or a given-up attempt in the order of its end.
 type ending struct {
 	at int64
@@ -138,14 +144,23 @@
 	if old != nil {
 		from = old.state
 	}
+	account := *s.account(r.Workspace)
+	if c.Again && old != nil {
+		to, err := next(from, eventVoid, check)
+		if err != nil {
+			return err
+		}
+		from = to
+		account.Voided += old.billed
+	}
 	to, err := next(from, eventReserve, check)
 	if err != nil {
 		return err
 	}
-	account := s.account(r.Workspace)
 	if !account.Reserve(r.Tokens) {
 		return check.Check(false, invariant.WithinGrant, "reserve %d of %d available", r.Tokens, account.Available())
 	}
+	*s.account(r.Workspace) = account
 	if old != nil {
 		s.giveUp(id, old.reserve.Attempt, c.At)
 	}
