Test a site's isolated and replaced control instances

Change: operators' reads at an isolated control instance, and a lost disk that is replaced under a new id, over the whole site in virtual time.

--- /dev/null
+++ b/internal/quorum/bench_test.go
@@ -0,0 +1,171 @@
+package quorum
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// countMachine only counts, so that a benchmark measures the log.
+type countMachine struct {
+	count int
+}
+
+func (m *countMachine) Apply([]byte) []byte {
+	m.count++
+	return nil
+}
+
+func (m *countMachine) Snapshot() ([]byte, error) {
+	return peer.Encode(m.count)
+}
+
+func (m *countMachine) Restore(data []byte) error {
+	return peer.Decode(data, &m.count)
+}
+
+const benchCommandBytes = 200
+
+// startRealGroup starts members on the operating system's disk and loopback
+// and returns the leader.
+func startRealGroup(b *testing.B, size int) *Node {
+	sockets := make([]net.Listener, size)
+	members := make([]Member, size)
+	for i := range size {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		sockets[i] = socket
+		members[i] = Member{ID: fmt.Sprint(i + 1), Address: socket.Addr().String()}
+	}
+	nodes := make([]*Node, size)
+	for i, socket := range sockets {
+		folder, err := disk.Open(b.TempDir())
+		if err != nil {
+			b.Fatal(err)
+		}
+		nodes[i], err = Open(Options{
+			ID:      members[i].ID,
+			Members: members,
+			Folder:  folder,
+			Machine: &countMachine{},
+			Client:  &peer.Client{HTTP: transport.Client(transport.TCP{})},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		mux := http.NewServeMux()
+		nodes[i].Handle(mux, "")
+		server := &http.Server{Handler: mux}
+		go func() { _ = server.Serve(socket) }()
+		b.Cleanup(func() {
+			nodes[i].end()
+			_ = server.Close()
+		})
+	}
+	return awaitLeader(b, nodes)
+}
+
+func awaitLeader(b *testing.B, nodes []*Node) *Node {
+	for range 1000 {
+		for _, n := range nodes {
+			if n.Status().Role == string(roleLeader) && n.Barrier(b.Context()) == nil {
+				return n
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.Fatal("no leader")
+	return nil
+}
+
+func BenchmarkProposeOneAtATime(b *testing.B) {
+	leader := startRealGroup(b, 3)
+	command := make([]byte, benchCommandBytes)
+	for b.Loop() {
+		_, err := leader.Propose(b.Context(), command)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkProposeParallel(b *testing.B) {
+	leader := startRealGroup(b, 3)
+	command := make([]byte, benchCommandBytes)
+	b.SetParallelism(16)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, err := leader.Propose(b.Context(), command)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+func BenchmarkBarrier(b *testing.B) {
+	leader := startRealGroup(b, 3)
+	for b.Loop() {
+		err := leader.Barrier(b.Context())
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkReopen reads a folder with many entries back and reports its bytes.
+func BenchmarkReopen(b *testing.B) {
+	for _, entries := range []int{500, 4000, 50_000} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) { benchmarkReopen(b, entries) })
+	}
+}
+
+func benchmarkReopen(b *testing.B, entries int) {
+	folder := &fake.Disk{}
+	options := Options{
+		ID:              "1",
+		Members:         []Member{memberOf("1")},
+		Folder:          folder,
+		Machine:         &countMachine{},
+		SnapshotEntries: 2 * entries,
+	}
+	n, err := Open(options)
+	if err != nil {
+		b.Fatal(err)
+	}
+	command := make([]byte, benchCommandBytes)
+	for range entries {
+		_, err = n.Propose(b.Context(), command)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	n.end()
+	data, err := folder.ReadFile(segmentName(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		n, err = Open(options)
+		if err != nil {
+			b.Fatal(err)
+		}
+		err = n.Barrier(b.Context())
+		if err != nil {
+			b.Fatal(err)
+		}
+		n.end()
+	}
+	b.ReportMetric(float64(len(data))/float64(entries), "log-bytes/entry")
+}
--- /dev/null
+++ b/test/control_test.go
@@ -0,0 +1,119 @@
+package test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/transport"
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+// repairWithin is longer than a new control instance takes to sync everything.
+const repairWithin = 10 * time.Second
+
+// operatorAt returns an operator's client of a domain's control instance.
+func (s *site) operatorAt(domain string) *operator.Client {
+	return &operator.Client{
+		Address: s.settings["control-"+domain].OperatorAddress,
+		Key:     siteOperatorKey,
+		HTTP:    transport.Client(s.network.Host("operator")),
+	}
+}
+
+// isolateControl cuts a control instance off from the others, or ends that.
+func (s *site) isolateControl(domain string, cut bool) {
+	for _, other := range s.domains {
+		for _, pair := range [][2]string{{domain, other}, {other, domain}} {
+			if pair[0] == pair[1] {
+				continue
+			}
+			if cut {
+				s.network.Cut("control-"+pair[0], "control-"+pair[1])
+			} else {
+				s.network.Heal("control-"+pair[0], "control-"+pair[1])
+			}
+		}
+	}
+}
+
+func TestIsolatedControlAnswersOnlyLocalReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a", "b", "c")
+		defer s.close()
+		client := s.operatorAt("a")
+		defer client.HTTP.CloseIdleConnections()
+		_, err := client.Configuration(t.Context(), 0)
+		if err != nil {
+			t.Fatalf("read while connected: %v", err)
+		}
+		s.isolateControl("a", true)
+		defer s.isolateControl("a", false)
+		_, err = client.Configuration(t.Context(), 0)
+		var problem *operator.Problem
+		if !errors.As(err, &problem) || problem.Status != http.StatusServiceUnavailable {
+			t.Errorf("read while isolated: %v", err)
+		}
+		client.Local = true
+		_, err = client.Budget(t.Context(), siteWorkspace)
+		if err != nil {
+			t.Errorf("local read while isolated: %v", err)
+		}
+	})
+}
+
+func TestLostControlIsReplacedUnderANewID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a", "b", "c")
+		defer s.close()
+		s.controls["a"].Close()
+		s.disks["control-a"].Erase()
+		client := s.operatorAt("b")
+		defer client.HTTP.CloseIdleConnections()
+		_, err := client.RemoveControlMember(t.Context(), "control-a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.startReplacement("a", "d")
+		_, err = client.AddControlMember(t.Context(), "control-d", address(3, 9000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(repairWithin)
+		group, err := client.ControlGroup(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, member := range group.Members {
+			if member.Learner || member.ID == "control-a" {
+				t.Errorf("%+v", group)
+			}
+		}
+		account, found := s.controls["a"].Group.Account(siteWorkspace)
+		if !found || account.Deposited != 100_000 {
+			t.Errorf("the new member knows %+v", account)
+		}
+	})
+}
+
+// startReplacement starts a control instance with an empty disk in the place
+// of a domain's old one.
+func (s *site) startReplacement(domain, name string) {
+	old := s.settings["control-"+domain]
+	id := "control-" + name
+	replacement := *old
+	replacement.InstanceID = id
+	replacement.PeerAddress = address(3, 9000)
+	replacement.OperatorAddress = address(3, 9001)
+	s.settings[id] = &replacement
+	s.disks[id] = &fake.Disk{}
+	control, err := process.StartControl(&replacement, s.environment(id))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.controls[domain] = control
+}
--- a/test/site_test.go
+++ b/test/site_test.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	siteKey       = "caller-key"
-	siteWorkspace = "north"
-	callTimeout   = 30 * time.Second
+	siteKey         = "caller-key"
+	siteOperatorKey = "operator-key"
+	siteWorkspace   = "north"
+	callTimeout     = 30 * time.Second
 )
 
 // site is a whole fleet in one process over a network and disks in memory. It
@@ -93,6 +94,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	keyPath := filepath.Join(s.t.TempDir(), "operator.key")
+	err = os.WriteFile(keyPath, []byte(siteOperatorKey), 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	var controls []settings.Control
 	for i, domain := range s.domains {
 		controls = append(controls, settings.Control{InstanceID: "control-" + domain, FailureDomain: domain, PeerAddress: address(i, 9000)})
@@ -108,6 +114,7 @@
 			Controls:        controls,
 			Configuration:   path,
 			Deposits:        []settings.Deposit{{ID: "first", Workspace: siteWorkspace, Tokens: tokens}},
+			Operators:       []settings.Operator{{Name: "test", Key: settings.Secret{File: keyPath}}},
 		}
 		s.settings["entry-"+domain] = &settings.Settings{
 			InstanceID:    "entry-" + domain,
