Bound the group log in memory by bytes

Cause: the log was cut by its number of entries only, so that large patches could hold gigabytes, and a large state was written again every 4096 entries however small they were. Benchmarks of proposals, barrier, heartbeat and reopening.

--- a/internal/quorum/bench_test.go
+++ b/internal/quorum/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 
 // startRealGroup starts members on the operating system's disk and loopback
 // and returns the leader.
-func startRealGroup(b *testing.B, size int) *Node {
+func startRealGroup(b *testing.B, size int, bytes *atomic.Int64) *Node {
 	sockets := make([]net.Listener, size)
 	members := make([]Member, size)
 	for i := range size {
@@ -65,7 +66,7 @@
 		mux := http.NewServeMux()
 		nodes[i].Handle(mux, "")
 		server := &http.Server{Handler: mux}
-		go func() { _ = server.Serve(socket) }()
+		go func() { _ = server.Serve(countingListener{Listener: socket, bytes: bytes}) }()
 		b.Cleanup(func() {
 			nodes[i].end()
 			_ = server.Close()
@@ -88,7 +89,7 @@
 }
 
 func BenchmarkProposeOneAtATime(b *testing.B) {
-	leader := startRealGroup(b, 3)
+	leader := startRealGroup(b, 3, &atomic.Int64{})
 	command := make([]byte, benchCommandBytes)
 	for b.Loop() {
 		_, err := leader.Propose(b.Context(), command)
@@ -99,7 +100,7 @@
 }
 
 func BenchmarkProposeParallel(b *testing.B) {
-	leader := startRealGroup(b, 3)
+	leader := startRealGroup(b, 3, &atomic.Int64{})
 	command := make([]byte, benchCommandBytes)
 	b.SetParallelism(16)
 	b.ResetTimer()
@@ -115,7 +116,7 @@
 }
 
 func BenchmarkBarrier(b *testing.B) {
-	leader := startRealGroup(b, 3)
+	leader := startRealGroup(b, 3, &atomic.Int64{})
 	for b.Loop() {
 		err := leader.Barrier(b.Context())
 		if err != nil {
@@ -124,6 +125,54 @@
 	}
 }
 
+// countingListener counts the bytes that its connections read and write.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{Conn: conn, bytes: l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	count, err := c.Conn.Read(p)
+	c.bytes.Add(int64(count))
+	return count, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	count, err := c.Conn.Write(p)
+	c.bytes.Add(int64(count))
+	return count, err
+}
+
+// BenchmarkHeartbeat sends one heartbeat to one member and reports its bytes
+// in both directions.
+func BenchmarkHeartbeat(b *testing.B) {
+	var bytes atomic.Int64
+	leader := startRealGroup(b, 3, &bytes)
+	leader.mu.Lock()
+	var p *replicator
+	for _, p = range leader.reign.peers {
+	}
+	leader.mu.Unlock()
+	bytes.Store(0)
+	for b.Loop() {
+		_, err := p.send()
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-bytes/op")
+}
+
 // BenchmarkReopen reads a folder with many entries back and reports its bytes.
 func BenchmarkReopen(b *testing.B) {
 	for _, entries := range []int{500, 4000, 50_000} {
--- a/internal/quorum/entry.go
+++ b/internal/quorum/entry.go
@@ -28,6 +28,10 @@
 	Data  []byte    `cbor:"4,keyasint,omitempty"`
 }
 
+func (e entry) size() int {
+	return len(e.Data) + entryOverhead
+}
+
 func (e entry) equal(other entry) bool {
 	return e.Index == other.Index && e.Term == other.Term && e.Kind == other.Kind && bytes.Equal(e.Data, other.Data)
 }
@@ -37,6 +41,8 @@
 	base     uint64
 	baseTerm uint64
 	entries  []entry
+	// size is the sum of the entries' sizes in bytes.
+	size int
 }
 
 func (l *entryLog) last() uint64 {
@@ -71,7 +77,7 @@
 	size := 0
 	for index := from + 1; index <= to && (size < limit || len(taken) == 0); index++ {
 		next := l.at(index)
-		size += len(next.Data) + entryOverhead
+		size += next.size()
 		taken = append(taken, next)
 	}
 	return taken
@@ -79,17 +85,29 @@
 
 // put appends e and drops whatever stood at its index and after.
 func (l *entryLog) put(e entry) {
-	l.entries = append(l.entries[:e.Index-l.base-1:e.Index-l.base-1], e)
+	keep := e.Index - l.base - 1
+	l.forget(l.entries[keep:])
+	l.entries = l.entries[:keep:keep]
+	l.add(e)
 }
 
 // add appends e, whose index must be the next.
 func (l *entryLog) add(e entry) {
 	l.entries = append(l.entries, e)
+	l.size += e.size()
+}
+
+// forget takes dropped entries out of the size.
+func (l *entryLog) forget(dropped []entry) {
+	for _, e := range dropped {
+		l.size -= e.size()
+	}
 }
 
 // compact drops the entries up to and including index.
 func (l *entryLog) compact(index uint64) {
 	term, _ := l.term(index)
+	l.forget(l.entries[:index-l.base])
 	l.entries = slices.Clone(l.entries[index-l.base:])
 	l.base = index
 	l.baseTerm = term
@@ -98,6 +116,7 @@
 // reset empties the log after a snapshot.
 func (l *entryLog) reset(index, term uint64) {
 	l.entries = nil
+	l.size = 0
 	l.base = index
 	l.baseTerm = term
 }
--- a/internal/quorum/fuzz_test.go
+++ b/internal/quorum/fuzz_test.go
@@ -36,11 +36,16 @@
 		if err != nil {
 			return
 		}
+		size := 0
 		for i, e := range d.log.entries {
+			size += e.size()
 			if e.Index != d.log.base+uint64(i)+1 {
 				t.Errorf("entry %d at position %d after %d", e.Index, i, d.log.base)
 			}
 		}
+		if d.log.size != size {
+			t.Errorf("size %d, want %d", d.log.size, size)
+		}
 	})
 }
 
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -73,6 +73,8 @@
 	// commitSaved is the commit index that the folder knows.
 	commitSaved uint64
 	applied     uint64
+	// snapshotSize is the size of the last snapshot's state in bytes.
+	snapshotSize int
 	// restoring is a snapshot that the applier has not restored yet.
 	restoring *snapshot
 	incoming  incomingSnapshot
@@ -137,6 +139,7 @@
 		return errors.Newf("restore snapshot: %w", err)
 	}
 	n.applied = d.snapshot.Index
+	n.snapshotSize = len(d.snapshot.Data)
 	return nil
 }
 
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -12,6 +12,8 @@
 
 const (
 	defaultSnapshotEntries = 4096
+	// maxLogBytes bounds the log in memory before a snapshot.
+	maxLogBytes = 64 << 20
 	// trailingShare is the part of the entries that stays in the log behind a
 	// snapshot for members that lag a little.
 	trailingShare = 4
@@ -52,7 +54,7 @@
 	n := a.node
 	n.mu.Lock()
 	index := n.applied
-	due := n.failed == nil && index >= n.log.base+uint64(n.options.SnapshotEntries)
+	due := n.failed == nil && index > n.log.base && n.isSnapshotDue(index)
 	n.mu.Unlock()
 	if !due {
 		return
@@ -70,11 +72,22 @@
 	n.compact(index, data)
 }
 
+// isSnapshotDue tells whether the log has outgrown the last snapshot, so that
+// the cost of snapshots stays in proportion to that of the log.
+func (n *Node) isSnapshotDue(applied uint64) bool {
+	many := applied >= n.log.base+uint64(n.options.SnapshotEntries)
+	return many && n.log.size >= n.snapshotSize || n.log.size >= maxLogBytes
+}
+
 func (n *Node) compact(index uint64, data []byte) {
 	s := snapshot{Index: index, Data: data}
+	n.snapshotSize = len(data)
 	s.Term, _ = n.log.term(index)
 	s.Configuration, _ = n.configurationAt(index)
-	cut := index - uint64(n.options.SnapshotEntries/trailingShare)
+	cut := index
+	if n.log.size < maxLogBytes {
+		cut -= min(cut, uint64(n.options.SnapshotEntries/trailingShare))
+	}
 	if cut > n.log.base {
 		n.baseConfiguration, _ = n.configurationAt(cut)
 		n.log.compact(cut)
@@ -248,6 +261,7 @@
 	} else {
 		n.log.reset(s.Index, s.Term)
 	}
+	n.snapshotSize = len(data)
 	n.baseConfiguration = s.Configuration
 	n.commit = s.Index
 	n.refreshConfiguration()
