--- a/internal/backend/departure.go
+++ b/internal/backend/departure.go
@@ -4,8 +4,8 @@
 
 // Departures knows which backend servers are leaving.
 type Departures interface {
-	// IsLeaving tells whether the backend server at address is leaving.
-	IsLeaving(address string) bool
+	// ReportLoad takes in what a backend server's own load report says.
+	ReportLoad(address string, leaving bool)
 	// CheckDispatch asserts that a new request may be sent to address.
 	CheckDispatch(address string) error
 }
@@ -18,11 +18,7 @@
 	}
 	err := c.Departures.CheckDispatch(address)
 	if err != nil {
-		return errors.Newf("%w: %w", ErrNotSent, err)
+		return errors.Mark(errors.Newf("dispatch: %w", err), ErrNotSent)
 	}
 	return nil
 }
-
-func (p *Pool) isLeaving(address string) bool {
-	return p.Departures != nil && p.Departures.IsLeaving(address)
-}
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -46,24 +47,35 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, errors.Newf("%w: %w", ErrNotSent, err)
+		return Answer{}, errors.Newf("%w: %v", ErrNotSent, err)
 	}
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
 	request.Header.Set("Idempotency-Key", call.IdempotencyKey)
+	idle := time.AfterFunc(idleTimeout, cancel)
 	response, err := c.send(ctx, request, call.Attempt)
+	idle.Stop()
 	if err != nil {
+		c.forgetSilent(ctx)
 		return Answer{}, err
 	}
 	body := newIdleReader(response.Body, cancel)
 	defer func() { _ = body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(body, maxServiceAnswerBytes+1))
 	if err != nil {
-		return Answer{}, errors.Newf("%w: %w", ErrTruncated, err)
+		return Answer{}, errors.Newf("%w: %v", ErrTruncated, err)
 	}
 	if len(data) > maxServiceAnswerBytes {
 		return Answer{}, ErrTooLarge
 	}
 	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: data}, nil
 }
+
+// forgetSilent closes the idle connections after a silence, since others may
+// have gone silent with it.
+func (c *Client) forgetSilent(ctx context.Context) {
+	if ctx.Err() != nil {
+		c.HTTP.CloseIdleConnections()
+	}
+}
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -19,8 +19,9 @@
 
 const (
 	ledgerTimeout = 3 * time.Second
-	settleTries   = 3
-	settlePause   = 50 * time.Millisecond
+	// endTimeout bounds the first try to settle, release or abandon.
+	endTimeout = time.Second
+	awaitPause = 100 * time.Millisecond
 	// maxKeptAnswerBytes bounds an answer that is kept for retries.
 	maxKeptAnswerBytes = 256 << 10
 )
@@ -42,33 +43,101 @@
 
 // start acquires what a dispatch needs. It returns a kept answer instead when
 // the request ran before.
-func (s *Server) start(ctx context.Context, a *accepted, tokens int64) (*run, *ledger.Answer, *Refusal) {
+func (s *Server) start(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*run, *ledger.Answer, *Refusal) {
 	r := &run{server: s, accepted: a, key: a.key, attempt: rand.Text(), tokens: tokens}
 	if r.key == "" {
 		r.key = "entry-" + r.attempt
 	}
-	lease, found := s.Pool.Acquire(a.document, a.work, s.FailureDomain, nil)
-	if !found {
-		return nil, nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server has room", retrySoon)
+	for {
+		kept, refusal := r.take(ctx, tried)
+		if r.isWaiting(kept, refusal) {
+			kept, refusal = r.await(ctx)
+			if kept == nil && refusal == nil {
+				continue
+			}
+		}
+		if kept != nil || refusal != nil {
+			return nil, kept, refusal
+		}
+		refusal = r.claim(ctx)
+		if refusal != nil {
+			r.release(ctx)
+			r.lease.Release()
+			return nil, nil, refusal
+		}
+		return r, nil, nil
+	}
+}
+
+// take acquires a place at a backend server and the reservation for it.
+func (r *run) take(ctx context.Context, tried map[string]bool) (*ledger.Answer, *Refusal) {
+	lease, busy := r.server.acquire(ctx, r.accepted, r.tokens, tried)
+	if busy != nil {
+		return nil, noCapacity(busy)
 	}
 	r.lease = lease
 	kept, refusal := r.reserve(ctx)
 	if kept != nil || refusal != nil {
 		lease.Release()
-		return nil, kept, refusal
 	}
-	refusal = r.claim(ctx)
-	if refusal != nil {
-		r.release(ctx)
-		lease.Release()
-		return nil, nil, refusal
+	return kept, refusal
+}
+
+// isWaiting tells whether the request is running under another attempt.
+func (r *run) isWaiting(kept *ledger.Answer, refusal *Refusal) bool {
+	return kept == nil && refusal != nil && refusal.Code == codeRunning
+}
+
+// await waits within the deadline for the running attempt of the same request
+// and returns its kept answer. Both results are nil when that attempt was
+// released, so that this one may run.
+func (r *run) await(ctx context.Context) (*ledger.Answer, *Refusal) {
+	ctx, span := r.span(ctx, "await")
+	defer span.End()
+	for {
+		reservation, err := r.server.Ledger.Await(ctx, r.held.Address, r.accepted.workspace, r.key)
+		if err == nil && reservation.Outcome == ledger.OutcomeReleased {
+			r.attempt = rand.Text()
+			return nil, nil
+		}
+		if err == nil && reservation.Outcome != ledger.OutcomeRunning {
+			return reservationAnswer(reservation)
+		}
+		if err != nil {
+			r.server.Log.Debug("wait for the running attempt failed; retrying", "err", err)
+		}
+		select {
+		case <-time.After(awaitPause):
+		case <-ctx.Done():
+			return reservationAnswer(ledger.Reservation{Outcome: ledger.OutcomeRunning})
+		}
 	}
-	return r, nil, nil
+}
+
+// acquire takes a place at a backend server that was not tried.
+func (s *Server) acquire(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*backend.Lease, *backend.Busy) {
+	return s.Pool.Acquire(ctx, backend.Ask{
+		Document:  a.document,
+		Workspace: a.workspace,
+		WorkName:  a.workName,
+		Prefix:    a.prefix,
+		Cost:      tokens,
+		Tried:     tried,
+	})
+}
+
+func noCapacity(busy *backend.Busy) *Refusal {
+	return notRun(http.StatusServiceUnavailable, codeNoCapacity, "no backend server can run the request before its deadline", max(retrySoon, busy.RetryAfter))
 }
 
 func (r *run) reserve(ctx context.Context) (*ledger.Answer, *Refusal) {
 	ctx, span := r.span(ctx, "reserve")
 	defer span.End()
+	within := ledgerTimeout
+	deadline, found := ctx.Deadline()
+	if found {
+		within = time.Until(deadline)
+	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	held, err := r.server.Ledger.Reserve(ctx, ledger.Reserve{
@@ -80,12 +149,17 @@
 		Server:     r.lease.Name,
 		Entry:      r.server.Instance,
 		Repeatable: r.accepted.repeatable,
+		Shared:     r.accepted.key != "",
+		Within:     within.Milliseconds(),
 	})
 	if err != nil {
 		r.server.Log.Warn("no ledger answered", "err", err)
 		return nil, notRun(http.StatusServiceUnavailable, codeNoLedger, "no ledger can be reached", retrySoon)
 	}
 	r.held = held
+	if held.Outcome == ledger.OutcomeReserved {
+		r.attempt = held.Attempt
+	}
 	return reservationAnswer(held.Reservation)
 }
 
@@ -97,7 +171,7 @@
 		return nil, nil
 	case ledger.OutcomeSettled:
 		if reservation.Answer.Status == 0 {
-			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was too large to keep"}
+			return nil, &Refusal{Status: http.StatusConflict, Code: codeAnswerNotKept, Message: "the request ran and was billed, but its answer was not kept"}
 		}
 		return &reservation.Answer, nil
 	case ledger.OutcomeRunning:
@@ -127,7 +201,7 @@
 		Holder:    r.attempt,
 	})
 	if err != nil {
-		r.abandon()
+		r.abandon(ctx)
 		return notRun(http.StatusServiceUnavailable, codeNoClaim, "a request that may run once only needs the control group, which cannot be reached", retryLater)
 	}
 	switch result.Code {
@@ -142,13 +216,14 @@
 }
 
 // abandon gives up a claim after which nothing was dispatched.
-func (r *run) abandon() {
-	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+func (r *run) abandon(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
 	abandoned := group.AbandonClaim{Workspace: r.accepted.workspace, Key: r.key, Holder: r.attempt}
 	err := r.server.Claimer.Abandon(ctx, abandoned)
 	if err != nil {
-		r.server.Log.Warn("claim was not abandoned", "err", err)
+		r.server.Log.Warn("claim was not abandoned; trying again in the background", "err", err)
+		r.server.Outbox.add(pendingAbandon{abandon: abandoned})
 	}
 }
 
@@ -156,25 +231,25 @@
 func (r *run) release(ctx context.Context) {
 	_ = r.server.Check.Check(!r.dispatched, invariant.NotRunHonest, "attempt %s was dispatched", r.attempt)
 	if r.claimed {
-		r.abandon()
+		r.abandon(ctx)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	err := r.server.Ledger.Release(ctx, r.held.Address, ledger.Release{
-		Workspace: r.accepted.workspace,
-		Key:       r.key,
-		Attempt:   r.attempt,
-	})
-	if err != nil {
-		r.server.Log.Warn("reservation was not released", "err", err)
+	release := ledger.Release{Workspace: r.accepted.workspace, Key: r.key, Attempt: r.attempt}
+	err := r.server.Ledger.Release(ctx, r.held.Address, release)
+	if err != nil && !ledger.IsFinal(err) {
+		r.server.Log.Warn("reservation was not released; trying again in the background", "err", err)
+		r.server.Outbox.GiveUp(r.held.Address, release)
 	}
 }
 
-// settle bills the tokens, and again until the ledger has them.
+// settle bills the tokens. A bill that the ledger does not take in time is
+// kept and sent again in the background: the reservation covers it until then.
+// The error is final: the ledger holds no reservation for the attempt.
 func (r *run) settle(ctx context.Context, tokens int64, answer ledger.Answer) error {
 	ctx, span := r.span(ctx, "settle")
 	defer span.End()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
 	if len(answer.Body) > maxKeptAnswerBytes {
 		answer = ledger.Answer{}
@@ -186,33 +261,26 @@
 		Tokens:    min(tokens, r.tokens),
 		Answer:    answer,
 	}
-	var err error
-	for range settleTries {
-		err = r.server.Ledger.Settle(ctx, r.held.Address, settle)
-		if err == nil || ledger.IsFinal(err) {
-			break
-		}
-		time.Sleep(settlePause)
+	err := r.server.Ledger.Settle(ctx, r.held.Address, settle)
+	if ledger.IsFinal(err) {
+		r.server.Log.Error("settlement was refused", "err", err)
+		return errors.Newf("settle: %w", err)
 	}
 	if err != nil {
-		r.server.Log.Error("settlement failed", "err", err)
-		return errors.Newf("settle: %w", err)
+		r.server.Log.Warn("settlement was not confirmed; trying again in the background", "err", err)
+		r.server.Outbox.add(pendingSettle{address: r.held.Address, settle: settle})
 	}
 	r.server.Scope.Tagged(map[string]string{"workspace": r.accepted.workspace}).Counter("billed_tokens").Inc(settle.Tokens)
 	return nil
 }
 
-// refuseDispatch answers for a dispatch that failed before any answer.
-func (r *run) refuseDispatch(ctx context.Context, err error) *Refusal {
-	var status *backend.StatusError
-	if errors.As(err, &status) || errors.Is(err, backend.ErrNotSent) {
-		r.dispatched = false
-		r.release(ctx)
-		return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
-	}
-	r.server.Log.Warn("dispatch failed with an unclear outcome", "server", r.lease.Name, "err", err)
-	_ = r.settle(ctx, r.tokens, ledger.Answer{})
-	return unknownOutcome()
+// refuse gives everything back after a backend server did not run the request.
+func (r *run) refuse(ctx context.Context, err error) *Refusal {
+	r.lease.Result.Failed = errors.Is(err, backend.ErrNotSent)
+	r.lease.Result.Refused = !r.lease.Result.Failed
+	r.dispatched = false
+	r.release(ctx)
+	return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
 }
 
 func (r *run) span(ctx context.Context, name string) (context.Context, trace.Span) {
@@ -233,6 +301,12 @@
 	return sum.Sum(nil)
 }
 
+// replayAnswer sends an answer that was kept from an earlier attempt.
+func replayAnswer(w http.ResponseWriter, answer ledger.Answer) {
+	w.Header().Set(ReplayedHeader, "true")
+	writeAnswer(w, answer)
+}
+
 func writeAnswer(w http.ResponseWriter, answer ledger.Answer) {
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.WriteHeader(answer.Status)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -35,6 +35,9 @@
 	// RepeatableHeader set to false marks a request that may run once only.
 	RepeatableHeader = "Cactusbay-Repeatable"
 
+	// ReplayedHeader marks an answer that was kept from an earlier attempt.
+	ReplayedHeader = "Cactusbay-Replayed"
+
 	maxKeyBytes = 256
 )
 
@@ -46,6 +49,7 @@
 	Watcher       *group.Watcher
 	Claimer       *group.Claimer
 	Ledger        *ledger.Client
+	Outbox        *Outbox
 	Backend       *backend.Client
 	Pool          *backend.Pool
 	Log           *log.Logger
@@ -107,6 +111,8 @@
 	body      []byte
 	// target is a plain service's method and path.
 	target string
+	// prefix is the prompt's affinity to backend servers; 0 is none.
+	prefix uint64
 	// repeatable is false when the request may run once only.
 	repeatable bool
 }
--- a/internal/platform/departures.go
+++ b/internal/platform/departures.go
@@ -33,6 +33,9 @@
 type Departures struct {
 	// Check asserts that no request goes to a leaving server.
 	Check *invariant.Checker
+	// Listed is called with the leaving addresses after each list of the
+	// platform; nil means not called.
+	Listed func(map[string]bool)
 
 	mu    sync.Mutex
 	since [sourceCount]map[string]time.Time
@@ -70,6 +73,13 @@
 // ReportPlatform takes in the platform's list, by address. A leaving server
 // that the list drops stays out until the list shows it live again.
 func (d *Departures) ReportPlatform(leaving map[string]bool) {
+	addresses := d.takeList(leaving)
+	if d.Listed != nil {
+		d.Listed(addresses)
+	}
+}
+
+func (d *Departures) takeList(leaving map[string]bool) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.listed == nil {
@@ -90,6 +100,11 @@
 			delete(d.listed, address)
 		}
 	}
+	addresses := make(map[string]bool, len(d.listed))
+	for address := range d.listed {
+		addresses[address] = true
+	}
+	return addresses
 }
 
 // set is called with mu held.
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/caller"
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
@@ -44,12 +46,14 @@
 		func() Environment { return environment },
 		newPeerSecret,
 		newPeerClient,
-		newDepartures,
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
+		newIncarnation,
+		e.startOutbox,
 		newBackendClient,
-		func(departures *platform.Departures) *backend.Pool { return &backend.Pool{Departures: departures} },
+		newDepartures,
+		newPool,
 		newCallerServer,
 	)
 	if err != nil {
@@ -63,33 +67,17 @@
 	return e, nil
 }
 
-func newDepartures(environment Environment) *platform.Departures {
-	return &platform.Departures{Check: environment.Check}
-}
-
-// startPlatform polls the platform's list when the settings name a platform.
-func (e *Entry) startPlatform(departures *platform.Departures) {
-	if e.settings.Platform == nil {
-		return
-	}
-	watcher := &platform.Watcher{
-		Address:    e.settings.Platform.Address,
-		HTTP:       transport.Client(e.telemetry.Network),
-		Log:        e.telemetry.Telemetry.Log,
-		Departures: departures,
-	}
-	watcher.Start()
-	e.parts.add(watcher.Close)
-}
-
-func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures) *group.Watcher {
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures, pool *backend.Pool) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
 		Scope:     environment.Telemetry.Scope,
-		Installed: departures.ReportConfiguration,
+		Installed: func(document *config.Document) {
+			departures.ReportConfiguration(document)
+			pool.Update(document)
+		},
 
 		Instance:      s.InstanceID,
 		Incarnation:   rand.Text(),
@@ -108,13 +96,80 @@
 	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
 }
 
+// incarnation is an entry's id and start; later starts sort after earlier ones.
+type incarnation string
+
+func newIncarnation(s *settings.Settings) incarnation {
+	return incarnation(fmt.Sprintf("%s/%016x-%s", s.InstanceID, time.Now().UnixNano(), rand.Text()))
+}
+
+func (e *Entry) startOutbox(environment Environment, own incarnation, ledgers *ledger.Client, claimer *group.Claimer) *caller.Outbox {
+	outbox := &caller.Outbox{
+		Entry:   string(own),
+		Ledger:  ledgers,
+		Claimer: claimer,
+		Log:     environment.Telemetry.Log,
+		Scope:   environment.Telemetry.Scope,
+	}
+	ledgers.Uncertain = outbox.GiveUp
+	outbox.Start()
+	e.parts.add(outbox.Close)
+	return outbox
+}
+
 func newBackendClient(environment Environment, departures *platform.Departures) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network), Departures: departures}
+	client := &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
+	if departures != nil {
+		client.Departures = departures
+	}
+	return client
+}
+
+func newDepartures(environment Environment) *platform.Departures {
+	return &platform.Departures{Check: environment.Check}
+}
+
+func newPool(s *settings.Settings, environment Environment, departures *platform.Departures) *backend.Pool {
+	pool := &backend.Pool{
+		FailureDomain: s.FailureDomain,
+		Instance:      s.InstanceID,
+		Check:         environment.Check,
+		Departures:    departures,
+	}
+	departures.Listed = pool.SetLeaving
+	return pool
+}
+
+// startPlatform polls the platform's list when the settings name a platform.
+func (e *Entry) startPlatform(departures *platform.Departures) {
+	if e.settings.Platform == nil {
+		return
+	}
+	watcher := &platform.Watcher{
+		Address:    e.settings.Platform.Address,
+		HTTP:       transport.Client(e.telemetry.Network),
+		Log:        e.telemetry.Telemetry.Log,
+		Departures: departures,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+}
+
+// startPoller keeps the pool's view of the backend servers' load.
+func (e *Entry) startPoller(server *caller.Server, watcher *group.Watcher) {
+	poller := &backend.Poller{
+		Pool:     server.Pool,
+		Client:   server.Backend,
+		Document: func() *config.Document { return watcher.Active().Document },
+	}
+	poller.Start()
+	e.parts.add(poller.Close)
 }
 
-func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
+func newCallerServer(s *settings.Settings, environment Environment, own incarnation, outbox *caller.Outbox, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
 	return &caller.Server{
-		Instance:      s.InstanceID + "/" + rand.Text(),
+		Instance:      string(own),
+		Outbox:        outbox,
 		FailureDomain: s.FailureDomain,
 		Watcher:       watcher,
 		Claimer:       claimer,
@@ -132,6 +187,7 @@
 	e.Server = server
 	e.Watcher = watcher
 	e.startPlatform(departures)
+	e.startPoller(server, watcher)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
