--- a/internal/backend/departure.go
+++ b/internal/backend/departure.go
@@ -4,7 +4,9 @@
 
 // Departures knows which backend servers are leaving.
 type Departures interface {
-	// ReportLoad takes in what a backend server's own load report says.
+	// IsLeaving tells whether the backend server at address is leaving.
+	IsLeaving(address string) bool
+	// ReportLoad takes in whether a load report says that the server leaves.
 	ReportLoad(address string, leaving bool)
 	// CheckDispatch asserts that a new request may be sent to address.
 	CheckDispatch(address string) error
@@ -22,3 +24,7 @@
 	}
 	return nil
 }
+
+func (p *Pool) isLeaving(address string) bool {
+	return p.Departures != nil && p.Departures.IsLeaving(address)
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,7 +21,8 @@
 	// Instance decides the subset of servers at the large size.
 	Instance string
 	Check    *invariant.Checker
-	// Departures hears what servers' own reports say; nil means nobody does.
+	// Departures says which servers are leaving; nil means none but those of the
+	// configuration.
 	Departures Departures
 
 	mu       sync.Mutex
@@ -30,9 +31,7 @@
 	// candidates are the servers of each work.
 	candidates  map[string][]*route.Server
 	controllers map[string]*admit.Controller
-	// leaving are addresses that the platform's list names.
-	leaving map[string]bool
-	retries route.RetryBudget
+	retries     route.RetryBudget
 }
 
 // Ask describes a request that needs a place.
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
 
+	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/group"
@@ -138,7 +139,7 @@
 		Group:         log,
 		Peers:         others,
 		Client:        client,
-		Attempts:      &attempts{group: machine, backend: newBackendClient(environment, nil)},
+		Attempts:      &attempts{group: machine, backend: &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}},
 		Scope:         environment.Telemetry.Scope,
 		Log:           environment.Telemetry.Log,
 		Check:         environment.Check,
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -46,13 +46,13 @@
 		func() Environment { return environment },
 		newPeerSecret,
 		newPeerClient,
+		newDepartures,
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
 		newIncarnation,
 		e.startOutbox,
 		newBackendClient,
-		newDepartures,
 		newPool,
 		newCallerServer,
 	)
@@ -67,6 +67,25 @@
 	return e, nil
 }
 
+func newDepartures(environment Environment) *platform.Departures {
+	return &platform.Departures{Check: environment.Check}
+}
+
+// startPlatform polls the platform's list when the settings name a platform.
+func (e *Entry) startPlatform(departures *platform.Departures) {
+	if e.settings.Platform == nil {
+		return
+	}
+	watcher := &platform.Watcher{
+		Address:    e.settings.Platform.Address,
+		HTTP:       transport.Client(e.telemetry.Network),
+		Log:        e.telemetry.Telemetry.Log,
+		Departures: departures,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+}
+
 func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures, pool *backend.Pool) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
@@ -118,41 +137,20 @@
 }
 
 func newBackendClient(environment Environment, departures *platform.Departures) *backend.Client {
-	client := &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
-	if departures != nil {
-		client.Departures = departures
+	return &backend.Client{
+		HTTP:       transport.Client(environment.Network),
+		Check:      environment.Check,
+		Departures: departures,
 	}
-	return client
-}
-
-func newDepartures(environment Environment) *platform.Departures {
-	return &platform.Departures{Check: environment.Check}
 }
 
 func newPool(s *settings.Settings, environment Environment, departures *platform.Departures) *backend.Pool {
-	pool := &backend.Pool{
+	return &backend.Pool{
 		FailureDomain: s.FailureDomain,
 		Instance:      s.InstanceID,
 		Check:         environment.Check,
 		Departures:    departures,
 	}
-	departures.Listed = pool.SetLeaving
-	return pool
-}
-
-// startPlatform polls the platform's list when the settings name a platform.
-func (e *Entry) startPlatform(departures *platform.Departures) {
-	if e.settings.Platform == nil {
-		return
-	}
-	watcher := &platform.Watcher{
-		Address:    e.settings.Platform.Address,
-		HTTP:       transport.Client(e.telemetry.Network),
-		Log:        e.telemetry.Telemetry.Log,
-		Departures: departures,
-	}
-	watcher.Start()
-	e.parts.add(watcher.Close)
 }
 
 // startPoller keeps the pool's view of the backend servers' load.
@@ -186,8 +184,8 @@
 func (e *Entry) serve(server *caller.Server, watcher *group.Watcher, departures *platform.Departures) error {
 	e.Server = server
 	e.Watcher = watcher
-	e.startPlatform(departures)
 	e.startPoller(server, watcher)
+	e.startPlatform(departures)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
