--- a/internal/backend/departure.go
+++ b/internal/backend/departure.go
@@ -20,7 +20,7 @@
 	}
 	err := c.Departures.CheckDispatch(address)
 	if err != nil {
-		return errors.Newf("%w: %w", ErrNotSent, err)
+		return errors.Mark(errors.Newf("dispatch: %w", err), ErrNotSent)
 	}
 	return nil
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -118,7 +118,9 @@
 	work := ask.Document.Works[ask.WorkName]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sync(ask.Document)
+	if p.document == nil {
+		p.sync(ask.Document)
+	}
 	if len(ask.Tried) == 0 {
 		p.retries.Request()
 	}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -86,14 +86,17 @@
 	e.parts.add(watcher.Close)
 }
 
-func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures) *group.Watcher {
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures, pool *backend.Pool) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
 		Scope:     environment.Telemetry.Scope,
-		Installed: departures.ReportConfiguration,
+		Installed: func(document *config.Document) {
+			departures.ReportConfiguration(document)
+			pool.Update(document)
+		},
 
 		Instance:      s.InstanceID,
 		Incarnation:   rand.Text(),
