--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -39,6 +39,8 @@
 type Client struct {
 	HTTP  *http.Client
 	Check *invariant.Checker
+	// Departures keeps new requests off leaving servers; nil means none leave.
+	Departures Departures
 }
 
 // send sends request and checks that the answer is to attempt. Errors wrap
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,9 @@
 	// Instance decides the subset of servers at the large size.
 	Instance string
 	Check    *invariant.Checker
+	// Departures says which servers are leaving; nil means none but those of the
+	// configuration.
+	Departures Departures
 
 	mu       sync.Mutex
 	document *config.Document
@@ -30,7 +33,6 @@
 	// candidates are the servers of each work.
 	candidates  map[string][]*route.Server
 	controllers map[string]*admit.Controller
-	leaving     map[string]bool
 	retries     route.RetryBudget
 }
 
@@ -118,7 +120,9 @@
 	work := ask.Document.Works[ask.WorkName]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sync(ask.Document)
+	if p.document == nil {
+		p.sync(ask.Document)
+	}
 	if len(ask.Tried) == 0 {
 		p.retries.Request()
 	}
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -52,7 +52,7 @@
 			return
 		}
 		if kept != nil {
-			writeAnswer(d.sink.w, *kept)
+			replayAnswer(d.sink.w, *kept)
 			return
 		}
 		d.run = run
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -77,7 +77,7 @@
 			return
 		}
 		if kept != nil {
-			writeAnswer(c.w, *kept)
+			replayAnswer(c.w, *kept)
 			return
 		}
 		c.run = run
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +16,7 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
 	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/platform"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
@@ -27,8 +30,13 @@
 	telemetry Environment
 	callers   *listener
 	parts     parts
+	leaving   atomic.Bool
 }
 
+// defaultLag is how long an instance that ends still takes new connections
+// when its settings name no lag.
+const defaultLag = 5 * time.Second
+
 // StartEntry starts to serve callers.
 func StartEntry(s *settings.Settings, environment Environment) (*Entry, error) {
 	container := dig.New()
@@ -38,9 +46,12 @@
 		func() Environment { return environment },
 		newPeerSecret,
 		newPeerClient,
+		newDepartures,
 		e.startWatcher,
 		newClaimer,
 		newLedgerClient,
+		newIncarnation,
+		e.startOutbox,
 		newBackendClient,
 		newPool,
 		newCallerServer,
@@ -56,13 +67,36 @@
 	return e, nil
 }
 
-func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client) *group.Watcher {
+func newDepartures(environment Environment) *platform.Departures {
+	return &platform.Departures{Check: environment.Check}
+}
+
+// startPlatform polls the platform's list when the settings name a platform.
+func (e *Entry) startPlatform(departures *platform.Departures) {
+	if e.settings.Platform == nil {
+		return
+	}
+	watcher := &platform.Watcher{
+		Address:    e.settings.Platform.Address,
+		HTTP:       transport.Client(e.telemetry.Network),
+		Log:        e.telemetry.Telemetry.Log,
+		Departures: departures,
+	}
+	watcher.Start()
+	e.parts.add(watcher.Close)
+}
+
+func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, departures *platform.Departures, pool *backend.Pool) *group.Watcher {
 	watcher := &group.Watcher{
 		Addresses: s.NearestControls(),
 		Client:    client,
 		Log:       environment.Telemetry.Log,
 		Check:     environment.Check,
 		Scope:     environment.Telemetry.Scope,
+		Installed: func(document *config.Document) {
+			departures.ReportConfiguration(document)
+			pool.Update(document)
+		},
 
 		Instance:      s.InstanceID,
 		Incarnation:   rand.Text(),
@@ -81,12 +115,42 @@
 	return &ledger.Client{Addresses: s.NearestControls(), Peer: client}
 }
 
-func newBackendClient(environment Environment) *backend.Client {
-	return &backend.Client{HTTP: transport.Client(environment.Network), Check: environment.Check}
+// incarnation is an entry's id and start; later starts sort after earlier ones.
+type incarnation string
+
+func newIncarnation(s *settings.Settings) incarnation {
+	return incarnation(fmt.Sprintf("%s/%016x-%s", s.InstanceID, time.Now().UnixNano(), rand.Text()))
 }
 
-func newPool(s *settings.Settings, environment Environment) *backend.Pool {
-	return &backend.Pool{FailureDomain: s.FailureDomain, Instance: s.InstanceID, Check: environment.Check}
+func (e *Entry) startOutbox(environment Environment, own incarnation, ledgers *ledger.Client, claimer *group.Claimer) *caller.Outbox {
+	outbox := &caller.Outbox{
+		Entry:   string(own),
+		Ledger:  ledgers,
+		Claimer: claimer,
+		Log:     environment.Telemetry.Log,
+		Scope:   environment.Telemetry.Scope,
+	}
+	ledgers.Uncertain = outbox.GiveUp
+	outbox.Start()
+	e.parts.add(outbox.Close)
+	return outbox
+}
+
+func newBackendClient(environment Environment, departures *platform.Departures) *backend.Client {
+	return &backend.Client{
+		HTTP:       transport.Client(environment.Network),
+		Check:      environment.Check,
+		Departures: departures,
+	}
+}
+
+func newPool(s *settings.Settings, environment Environment, departures *platform.Departures) *backend.Pool {
+	return &backend.Pool{
+		FailureDomain: s.FailureDomain,
+		Instance:      s.InstanceID,
+		Check:         environment.Check,
+		Departures:    departures,
+	}
 }
 
 // startPoller keeps the pool's view of the backend servers' load.
@@ -100,9 +164,10 @@
 	e.parts.add(poller.Close)
 }
 
-func newCallerServer(s *settings.Settings, environment Environment, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
+func newCallerServer(s *settings.Settings, environment Environment, own incarnation, outbox *caller.Outbox, watcher *group.Watcher, claimer *group.Claimer, ledgers *ledger.Client, client *backend.Client, pool *backend.Pool) *caller.Server {
 	return &caller.Server{
-		Instance:      s.InstanceID + "/" + rand.Text(),
+		Instance:      string(own),
+		Outbox:        outbox,
 		FailureDomain: s.FailureDomain,
 		Watcher:       watcher,
 		Claimer:       claimer,
@@ -116,10 +181,11 @@
 	}
 }
 
-func (e *Entry) serve(server *caller.Server, watcher *group.Watcher) error {
+func (e *Entry) serve(server *caller.Server, watcher *group.Watcher, departures *platform.Departures) error {
 	e.Server = server
 	e.Watcher = watcher
 	e.startPoller(server, watcher)
+	e.startPlatform(departures)
 	callers, err := listen(e.telemetry.Network, e.settings.CallerAddress, server.Handler())
 	if err != nil {
 		return err
@@ -127,7 +193,7 @@
 	e.callers = callers
 	e.parts.add(callers.close)
 	if e.settings.StatusAddress != "" {
-		ready := func() bool { return watcher.Active().Document != nil }
+		ready := func() bool { return watcher.Active().Document != nil && !e.leaving.Load() }
 		status, err := listen(e.telemetry.Network, e.settings.StatusAddress, statusHandler(e.telemetry.Telemetry, ready))
 		if err != nil {
 			return err
@@ -146,12 +212,10 @@
 // Shutdown ends readiness, serves on while the balancer lags, then waits for
 // the requests in progress until ctx ends.
 func (e *Entry) Shutdown(ctx context.Context) {
+	e.leaving.Store(true)
 	e.Server.Drain()
-	select {
-	case <-time.After(e.settings.Shutdown.Lag.Or(0)):
-	case <-ctx.Done():
-	}
-	e.callers.shutdown(ctx)
+	e.Watcher.Leave()
+	e.callers.shutdown(ctx, e.settings.Shutdown.Lag.Or(defaultLag))
 	e.parts.close()
 }
 
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -9,12 +9,15 @@
 	"testing"
 	"time"
 
+	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/fake"
 	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
+const syncDelay = 4 * time.Millisecond
+
 // listMachine keeps every command that was applied.
 type listMachine struct {
 	mu       sync.Mutex
@@ -47,6 +50,39 @@
 	return slices.Clone(m.commands)
 }
 
+// slowFolder is a disk whose syncs take a while, so that faults fall in
+// between.
+type slowFolder struct {
+	*fake.Disk
+
+	mu    sync.Mutex
+	delay time.Duration
+}
+
+type slowFile struct {
+	disk.File
+	folder *slowFolder
+}
+
+func (f *slowFolder) Append(name string) (disk.File, error) {
+	file, err := f.Disk.Append(name)
+	return slowFile{File: file, folder: f}, err
+}
+
+func (f *slowFolder) setDelay(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = delay
+}
+
+func (f slowFile) Sync() error {
+	f.folder.mu.Lock()
+	delay := f.folder.delay
+	f.folder.mu.Unlock()
+	time.Sleep(delay)
+	return f.File.Sync()
+}
+
 // instance is one running member.
 type instance struct {
 	node    *Node
@@ -61,9 +97,11 @@
 	network   *fake.Network
 	check     *invariant.Checker
 	first     []Member
-	disks     map[string]*fake.Disk
-	instances map[string]*instance
+	disks     map[string]*slowFolder
 	snapshots int
+
+	mu        sync.Mutex
+	instances map[string]*instance
 }
 
 func memberOf(id string) Member {
@@ -75,7 +113,7 @@
 	c := &cluster{
 		t:         t,
 		network:   &fake.Network{},
-		disks:     make(map[string]*fake.Disk),
+		disks:     make(map[string]*slowFolder),
 		instances: make(map[string]*instance),
 		snapshots: 20,
 	}
@@ -91,7 +129,7 @@
 
 func (c *cluster) open(id string) (*instance, error) {
 	if c.disks[id] == nil {
-		c.disks[id] = &fake.Disk{}
+		c.disks[id] = &slowFolder{Disk: &fake.Disk{}, delay: syncDelay}
 	}
 	i := &instance{machine: &listMachine{}, client: transport.Client(c.network.Host(id))}
 	node, err := Open(Options{
@@ -120,17 +158,28 @@
 	}
 	i.server = &http.Server{Handler: mux}
 	go func() { _ = i.server.Serve(socket) }()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.instances[id] = i
 }
 
+// get returns a running member, or nil.
+func (c *cluster) get(id string) *instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instances[id]
+}
+
 // kill ends a member at once; its disk keeps only the first keep bytes of what
 // was not synced.
 func (c *cluster) kill(id string, keep int) {
-	i := c.instances[id]
+	i := c.get(id)
 	if i == nil {
 		return
 	}
+	c.mu.Lock()
 	delete(c.instances, id)
+	c.mu.Unlock()
 	c.disks[id].Crash(keep)
 	c.network.Kill(id)
 	_ = i.server.Close()
@@ -145,6 +194,8 @@
 }
 
 func (c *cluster) ids() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var ids []string
 	for id := range c.instances {
 		ids = append(ids, id)
@@ -174,7 +225,7 @@
 func (c *cluster) propose(id, command string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	_, err := c.instances[id].node.Propose(ctx, []byte(command))
+	_, err := c.get(id).node.Propose(ctx, []byte(command))
 	return err
 }
 
@@ -187,30 +238,39 @@
 }
 
 func (c *cluster) barrier(id string) error {
-	return c.instances[id].node.Barrier(context.Background())
+	return c.get(id).node.Barrier(context.Background())
 }
 
-// leader waits until all running members but those left out agree on a leader.
+// leader waits until all running and admitted members but those left out agree
+// on a leader.
 func (c *cluster) leader(without ...string) string {
 	c.t.Helper()
 	for range 300 {
 		leaders := make(map[string]bool)
-		for id, i := range c.instances {
-			if !slices.Contains(without, id) {
-				leaders[i.node.Status().Leader] = true
+		for _, id := range c.ids() {
+			status := c.get(id).node.Status()
+			if status.Admitted && !slices.Contains(without, id) {
+				leaders[status.Leader] = true
 			}
 		}
 		for leader := range leaders {
-			if len(leaders) == 1 && leader != "" && !slices.Contains(without, leader) {
+			if len(leaders) == 1 && c.get(leader) != nil && !slices.Contains(without, leader) {
 				return leader
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	c.logStatus()
 	c.t.Fatal("no leader within 30s")
 	return ""
 }
 
+func (c *cluster) logStatus() {
+	for _, id := range c.ids() {
+		c.t.Logf("%+v", c.get(id).node.Status())
+	}
+}
+
 // follower returns a running member that does not lead.
 func (c *cluster) follower() string {
 	leader := c.leader()
@@ -227,7 +287,7 @@
 func (c *cluster) awaitVoter(id string) {
 	c.t.Helper()
 	for range 300 {
-		for _, member := range c.instances[id].node.Status().Members {
+		for _, member := range c.get(id).node.Status().Members {
 			if member.ID == id && !member.Learner {
 				return
 			}
@@ -245,9 +305,10 @@
 	for _, id := range c.ids() {
 		err := c.barrier(id)
 		if err != nil {
+			c.logStatus()
 			c.t.Fatalf("barrier at %s: %v", id, err)
 		}
-		got := c.instances[id].machine.list()
+		got := c.get(id).machine.list()
 		if want == nil {
 			want = got
 		}
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -60,7 +60,7 @@
 	}
 	response, err := peer.Call[memberRequest, memberResponse](ctx, n.options.Client, address, memberProcedure, request)
 	if err != nil {
-		return errors.Newf("forward to the leader: %w: %w", peer.ErrUnavailable, err)
+		return peer.Unavailable("forward to the leader", err)
 	}
 	if response.NotLeader {
 		return errNotLeader
@@ -133,12 +133,12 @@
 	if !found {
 		return c, false, nil
 	}
-	if request.Remove == leader {
-		return c, false, errors.Newf("the leader cannot be removed while no other member can lead: %w", peer.ErrUnavailable)
-	}
 	if !member.Learner && len(c.voters()) == 1 {
 		return c, false, errors.Newf("the last voter cannot be removed: %w", peer.ErrInvalid)
 	}
+	if request.Remove == leader {
+		return c, false, errors.Newf("the leader cannot be removed while no other member can lead: %w", peer.ErrUnavailable)
+	}
 	return c.without(request.Remove), true, nil
 }
 
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -52,9 +52,9 @@
 	applier *applier
 	stop    chan struct{}
 	workers sync.WaitGroup
-	once    sync.Once
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	ended bool
 	// failed is why the member takes no more part.
 	failed   error
 	identity identity
@@ -73,6 +73,8 @@
 	// commitSaved is the commit index that the folder knows.
 	commitSaved uint64
 	applied     uint64
+	// snapshotSize is the size of the last snapshot's state in bytes.
+	snapshotSize int
 	// restoring is a snapshot that the applier has not restored yet.
 	restoring *snapshot
 	incoming  incomingSnapshot
@@ -137,6 +139,7 @@
 		return errors.Newf("restore snapshot: %w", err)
 	}
 	n.applied = d.snapshot.Index
+	n.snapshotSize = len(d.snapshot.Data)
 	return nil
 }
 
@@ -187,15 +190,18 @@
 
 // Close hands a leadership over and ends the member.
 func (n *Node) Close() {
-	n.once.Do(func() {
-		n.HandOver()
-		n.end()
-	})
+	n.HandOver()
+	n.end()
 }
 
 // end stops the member without a word to the others.
 func (n *Node) end() {
 	n.mu.Lock()
+	if n.ended {
+		n.mu.Unlock()
+		return
+	}
+	n.ended = true
 	n.saveCommit()
 	n.resign("", eventStop)
 	if n.failed == nil {
@@ -227,7 +233,7 @@
 		return
 	}
 	n.resign("", eventStop)
-	n.failed = errors.Newf("group member stopped: %w: %w", peer.ErrUnavailable, err)
+	n.failed = peer.Unavailable("group member stopped", err)
 	n.broadcast()
 }
 
@@ -253,7 +259,7 @@
 	n.mu.Unlock()
 	err := n.writer.wait(newest)
 	if err != nil {
-		return errors.Newf("sync: %w: %w", peer.ErrUnavailable, err)
+		return peer.Unavailable("sync", err)
 	}
 	return nil
 }
@@ -283,7 +289,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return errors.Newf("wait for the group: %w: %w", peer.ErrUnavailable, ctx.Err())
+			return peer.Unavailable("wait for the group", ctx.Err())
 		}
 	}
 }
