--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	document *config.Document
 	servers  map[string]*route.Server
+	// domains are the servers' failure domains.
+	domains map[string]string
 	// candidates are the servers of each work.
 	candidates  map[string][]*route.Server
 	controllers map[string]*admit.Controller
@@ -59,6 +61,8 @@
 	Failed bool
 	// Refused is true when it refused for its load.
 	Refused bool
+	// First is the time from the dispatch to the first token; 0 is unknown.
+	First time.Duration
 	// Gap is the mean time between tokens; 0 is unknown.
 	Gap time.Duration
 }
@@ -116,7 +120,9 @@
 	work := ask.Document.Works[ask.WorkName]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sync(ask.Document)
+	if p.document == nil {
+		p.sync(ask.Document)
+	}
 	if len(ask.Tried) == 0 {
 		p.retries.Request()
 	}
@@ -202,8 +208,8 @@
 	default:
 		l.server.Succeeded(now)
 	}
-	if l.Result.Gap > 0 {
-		l.server.Observed(l.Result.Gap, now)
+	if l.Result.First > 0 {
+		l.server.Observed(l.Result.First, l.Result.Gap, now)
 	}
 }
 
