--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+	go run ./internal/tool/latency
 
 bench-sizing:
 	go test -count=1 -timeout 280s -run TestSizingTable -v ./internal/budget -sizing
