A retry follows the running attempt's stream at its engine

Cause: a retry after its entry was killed waited for the entry's silence to be noticed (10 s) and then ran the request again. Ruled out: the ledger's answer, which names attempt and backend server at once. Change: the retrying entry streams the attempt's answer from the start; the bill stays with the ledger.

--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -45,6 +45,7 @@
 // serve runs the request, at another backend server when one refused it.
 func (d *delivery) serve(ctx context.Context) {
 	d.tried = make(map[string]bool)
+	d.accepted.attach = d.attach
 	for {
 		run, kept, refusal := d.server.start(ctx, d.accepted, d.prompt+d.limit, d.tried)
 		if refusal != nil {
@@ -55,6 +56,9 @@
 			replayAnswer(d.sink.w, *kept)
 			return
 		}
+		if run == nil {
+			return
+		}
 		d.run = run
 		refusal = d.dispatch(ctx)
 		d.run.lease.Release()
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -42,7 +42,8 @@
 }
 
 // start acquires what a dispatch needs. It returns a kept answer instead when
-// the request ran before.
+// the request ran before, and nothing when the caller was served from a running
+// attempt.
 func (s *Server) start(ctx context.Context, a *accepted, tokens int64, tried map[string]bool) (*run, *ledger.Answer, *Refusal) {
 	r := &run{server: s, accepted: a, key: a.key, attempt: rand.Text(), tokens: tokens}
 	if r.key == "" {
@@ -51,6 +52,9 @@
 	for {
 		kept, refusal := r.take(ctx, tried)
 		if r.isWaiting(kept, refusal) {
+			if a.attach != nil && a.attach(ctx, r.held.Reservation) {
+				return nil, nil, nil
+			}
 			kept, refusal = r.await(ctx)
 			if kept == nil && refusal == nil {
 				continue
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -113,6 +113,9 @@
 	target string
 	// prefix is the prompt's affinity to backend servers; 0 is none.
 	prefix uint64
+	// attach serves a retry from the running attempt of the same request and
+	// returns whether it did; nil when that is impossible.
+	attach func(context.Context, ledger.Reservation) bool
 	// repeatable is false when the request may run once only.
 	repeatable bool
 }
--- a/test/live/site_test.go
+++ b/test/live/site_test.go
@@ -297,6 +297,11 @@
 	s.t.Helper()
 	var got answer
 	turn := 0
+	defer func() {
+		if !got.whole() {
+			s.t.Logf("last answer to %s: %+v", key, got)
+		}
+	}()
 	s.eventually("a whole answer to "+key, func() bool {
 		got = s.call(through[turn%len(through)], path, key, body)
 		turn++
