--- /dev/null
+++ b/internal/ledger/fuzz_test.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+// FuzzChange decodes journal records: no input may panic, and what decodes
+// must come back the same after another round.
+func FuzzChange(f *testing.F) {
+	for _, c := range []change{
+		epochOpened{Epoch: "a/1"},
+		reserved{Reserve: request("key", "one"), At: 1, Again: true},
+		settled{Settle: settle("key", "one"), At: 2, Unclear: true},
+		released{Release: Release{Workspace: "north", Key: "key", Attempt: "one"}, At: 3},
+		granted{Workspace: "north", Granted: 5},
+		lost{At: 4},
+		voided{},
+		forgotten{Before: 6},
+	} {
+		data, err := encodeChange(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := decodeChange(data)
+		if err != nil {
+			return
+		}
+		again, err := encodeChange(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := decodeChange(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		third, err := encodeChange(second)
+		if err != nil || !reflect.DeepEqual(again, third) {
+			t.Errorf("%+v came back as %+v, %v", first, second, err)
+		}
+		s := newState()
+		_ = s.apply(first, nil)
+		for name, account := range s.accounts {
+			if account.Reserved < 0 || account.Available() < 0 {
+				t.Errorf("%s: %+v after %+v", name, account, first)
+			}
+		}
+	})
+}
+
+// FuzzMessages decodes the peers' messages.
+func FuzzMessages(f *testing.F) {
+	for _, message := range []any{
+		reserveRequest{Reserve: request("key", "one")},
+		reserveResponse{Reservation: Reservation{Outcome: OutcomeSettled}},
+		settleRequest{Settle: settle("key", "one")},
+		contestRequest{Workspace: "north", Key: "key", Instance: "a"},
+		reconcileRequest{Instance: "a", Billed: []Release{{Workspace: "north", Key: "key"}}},
+	} {
+		data, err := peer.Encode(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		for _, message := range []any{
+			&reserveRequest{}, &reserveResponse{}, &settleRequest{}, &releaseRequest{}, &awaitRequest{},
+			&heartbeatRequest{}, &contestRequest{}, &contestResponse{}, &reconcileRequest{}, &reconcileResponse{},
+			&snapshotImage{},
+		} {
+			_ = peer.Decode(data, message)
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/random_test.go
@@ -0,0 +1,191 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/group"
+)
+
+// acknowledged is what callers of a ledger were told.
+type acknowledged struct {
+	billed   map[string]int64
+	released map[string]bool
+	// held are the attempts that got a reservation, by key.
+	held map[string]string
+}
+
+const randomSeeds = 200
+
+// randomStep is one step of a randomised run.
+type randomStep struct {
+	kind    int
+	key     int
+	tokens  int64
+	kept    int
+	failing bool
+}
+
+var randomSteps = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) randomStep {
+	return randomStep{
+		kind:    rapid.IntRange(0, 9).Draw(t, "kind"),
+		key:     rapid.IntRange(0, 5).Draw(t, "key"),
+		tokens:  rapid.Int64Range(0, 100).Draw(t, "tokens"),
+		kept:    rapid.IntRange(0, 200).Draw(t, "kept"),
+		failing: rapid.Bool().Draw(t, "failing"),
+	}
+}), 10, 60)
+
+// TestRandomRunsKeepWhatWasAcknowledged reserves, settles and releases at
+// random over a disk that crashes and fails. What was acknowledged must be
+// there after each recovery, and nobody may be billed twice.
+func TestRandomRunsKeepWhatWasAcknowledged(t *testing.T) {
+	for seed := range randomSeeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			steps := randomSteps.Example(seed)
+			synctest.Test(t, func(t *testing.T) { randomRun(t, steps) })
+		})
+	}
+}
+
+func randomRun(t *testing.T, steps []randomStep) {
+	folder := &fake.Disk{}
+	groupLog := fund(t, 1_000_000)
+	l := open(t, folder, groupLog)
+	defer func() { l.Close() }()
+	told := acknowledged{billed: make(map[string]int64), released: make(map[string]bool), held: make(map[string]string)}
+	for i, step := range steps {
+		key := fmt.Sprintf("key-%d", step.key)
+		switch step.kind {
+		case 0, 1, 2:
+			told.reserve(t, l, key, fmt.Sprintf("attempt-%d", i))
+		case 3, 4, 5:
+			told.settle(t, l, key, step.tokens)
+		case 6:
+			told.release(t, l, key)
+		case 7:
+			folder.SetFailing(step.failing)
+		case 8:
+			_ = l.rotate()
+		default:
+			l = crash(t, l, folder, groupLog, step.kept)
+			told.check(t, l)
+		}
+	}
+	l = crash(t, l, folder, groupLog, 0)
+	told.check(t, l)
+	checkRecovery(t, l, folder, groupLog)
+}
+
+func crash(t *testing.T, l *Ledger, folder *fake.Disk, groupLog group.Log, kept int) *Ledger {
+	folder.Crash(kept)
+	folder.SetFailing(false)
+	l.Close()
+	return open(t, folder, groupLog)
+}
+
+func (a *acknowledged) reserve(t *testing.T, l *Ledger, key, attempt string) {
+	got, err := l.Reserve(t.Context(), request(key, attempt))
+	if err == nil && got.Outcome == OutcomeReserved {
+		a.held[key] = attempt
+		delete(a.released, key)
+	}
+}
+
+func (a *acknowledged) settle(t *testing.T, l *Ledger, key string, tokens int64) {
+	attempt, found := a.held[key]
+	if !found {
+		return
+	}
+	s := settle(key, attempt)
+	s.Tokens = tokens
+	err := l.Settle(t.Context(), s)
+	_, billed := a.billed[key]
+	if err == nil && !billed {
+		a.billed[key] = l.state.records[recordID{workspace: "north", key: key}].billed
+	}
+}
+
+func (a *acknowledged) release(t *testing.T, l *Ledger, key string) {
+	attempt, found := a.held[key]
+	if found && l.Release(t.Context(), Release{Workspace: "north", Key: key, Attempt: attempt}) == nil {
+		a.released[key] = true
+	}
+}
+
+// check compares a recovered ledger with what was acknowledged. A step that
+// failed may have been kept, but nothing beyond it.
+func (a *acknowledged) check(t *testing.T, l *Ledger) {
+	for key, billed := range a.billed {
+		held := l.state.records[recordID{workspace: "north", key: key}]
+		if held == nil || held.state != stateSettled || held.billed != billed {
+			t.Fatalf("key %s: acknowledged bill of %d, recovered %+v", key, billed, held)
+		}
+	}
+	for key, attempt := range a.held {
+		held, err := l.state.held("north", key, attempt)
+		if err != nil {
+			held = l.state.records[recordID{workspace: "north", key: key}]
+			if held == nil || !a.released[key] {
+				t.Fatalf("key %s: acknowledged attempt %s is lost", key, attempt)
+			}
+		}
+		if a.released[key] && held.state == stateSettled {
+			t.Fatalf("key %s: released and billed", key)
+		}
+	}
+	a.checkSums(t, l)
+}
+
+func (a *acknowledged) checkSums(t *testing.T, l *Ledger) {
+	var open, billed int64
+	for _, held := range l.state.records {
+		if held.isOpen() {
+			open += held.reserve.Tokens
+		}
+		billed += held.billed
+	}
+	escrow := l.Escrow("north")
+	if escrow.Reserved != open || escrow.Billed != billed || escrow.Check() != nil {
+		t.Fatalf("escrow %+v, records reserve %d and bill %d", escrow, open, billed)
+	}
+}
+
+// checkRecovery opens the same folder once more and after a snapshot: the
+// state must be the same each time.
+func checkRecovery(t *testing.T, l *Ledger, folder *fake.Disk, groupLog group.Log) {
+	want := summary(l)
+	for _, snapshot := range []bool{false, true} {
+		if snapshot && l.rotate() != nil {
+			t.Fatal("no snapshot")
+		}
+		folder.Crash(0)
+		again := open(t, folder, groupLog)
+		got := summary(again)
+		again.Close()
+		if !maps.Equal(got, want) {
+			t.Fatalf("snapshot %t: recovered %v, want %v", snapshot, got, want)
+		}
+	}
+}
+
+// summary is a ledger's state in a form that can be compared.
+func summary(l *Ledger) map[string]string {
+	all := make(map[string]string)
+	for name, escrow := range l.state.accounts {
+		all["escrow "+name] = fmt.Sprintf("%+v", budget.Escrow(*escrow))
+	}
+	for id, held := range l.state.records {
+		all["record "+id.key] = fmt.Sprintf("%+v", held.image())
+	}
+	for attempt, at := range l.state.gone {
+		all["gone "+attempt] = fmt.Sprint(at)
+	}
+	return all
+}
