--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -102,6 +102,10 @@
 // Open dispatches chat. Errors wrap ErrNotSent, ErrUnclear, ErrCrossed or are
 // a *StatusError.
 func (c *Client) Open(ctx context.Context, chat Chat) (*Stream, error) {
+	departed := c.checkDeparture(chat.Address)
+	if departed != nil {
+		return nil, departed
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+chat.Address+chatPath, bytes.NewReader(chat.Body))
 	if err != nil {
 		return nil, errors.Newf("%w: %v", ErrNotSent, err)
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -73,6 +73,8 @@
 	// commitSaved is the commit index that the folder knows.
 	commitSaved uint64
 	applied     uint64
+	// snapshotSize is the size of the last snapshot's state in bytes.
+	snapshotSize int
 	// restoring is a snapshot that the applier has not restored yet.
 	restoring *snapshot
 	incoming  incomingSnapshot
@@ -137,13 +139,19 @@
 		return errors.Newf("restore snapshot: %w", err)
 	}
 	n.applied = d.snapshot.Index
+	n.snapshotSize = len(d.snapshot.Data)
 	return nil
 }
 
 // identify names a folder that is new and admits the only member of a group
-// at once.
+// at once. The wait holds no lock, which the writer needs between two batches.
 func (n *Node) identify() error {
+	return n.writer.wait(n.writeIdentity())
+}
+
+func (n *Node) writeIdentity() *batch {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.identity.ID == "" {
 		n.identity = identity{ID: n.options.ID, Folder: rand.Text()}
 		n.save(nil)
@@ -151,7 +159,7 @@
 	if !n.identity.Admitted && n.isFirst() && len(n.options.Members) == 1 {
 		n.admit(map[string]string{n.options.ID: n.identity.Folder})
 	}
-	return n.unlockDurably()
+	return n.writer.newest()
 }
 
 func (n *Node) start() {
