--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,5 @@
 
 capacity:
 	go run ./internal/tool/capacity -output docs/capacity.json -commit $(COMMIT)
+bench-policy:
+	go run ./internal/bench/policy
