Learn hold times from answers only

Cause: places that were given back without a dispatch, as when the budget was short, counted as answers of a few milliseconds: the estimated wait fell and requests that could not keep their deadline were queued. Change: a lease tells whether the request was sent; only answers are learned. Test: TestPoolLearnsNothingFromARequestThatWasNotSent.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -133,10 +133,14 @@
 	return Placed{Server: server}
 }
 
-// Finish gives a place back and learns how long the work held it.
+// Finish gives a place back and learns how long the work held it, unless held
+// is 0.
 func (c *Controller) Finish(server *route.Server, work string, held time.Duration, now time.Time) {
 	server.Finish(now)
 	c.running--
+	if held == 0 {
+		return
+	}
 	if c.holds == nil {
 		c.holds = make(map[string]holdTime)
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -57,6 +57,8 @@
 
 // Result is what a request showed of its backend server.
 type Result struct {
+	// Sent is true once the request may have been sent.
+	Sent bool
 	// Failed is true when the server is at fault.
 	Failed bool
 	// Refused is true when it refused for its load.
@@ -194,12 +196,23 @@
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.controller(l.kind).Finish(l.server, l.work, l.held(now), now)
 	l.learn(now)
-	p.controller(l.kind).Finish(l.server, l.work, now.Sub(l.since), now)
 	p.wake(now)
 }
 
+// held returns how long an answer took; 0 when there was none.
+func (l *Lease) held(now time.Time) time.Duration {
+	if !l.Result.Sent || l.Result.Failed || l.Result.Refused {
+		return 0
+	}
+	return now.Sub(l.since)
+}
+
 func (l *Lease) learn(now time.Time) {
+	if !l.Result.Sent {
+		return
+	}
 	switch {
 	case l.Result.Failed:
 		l.server.Failed(now)
--- a/internal/bench/site.go
+++ b/internal/bench/site.go
@@ -217,13 +217,12 @@
 	if d.tokens > 1 {
 		d.server.Observed(d.first.Sub(d.at), d.last.Sub(d.first)/time.Duration(d.tokens-1), now)
 	}
-	d.finish()
+	d.finish(now.Sub(d.at))
 	d.entry.site.figures.answered(d.request, now, d.job.gone)
 }
 
-func (d *dispatched) finish() {
-	now := d.entry.site.clock.now
-	d.entry.controller.Finish(d.server, d.request.work.name, now.Sub(d.at), now)
+func (d *dispatched) finish(held time.Duration) {
+	d.entry.controller.Finish(d.server, d.request.work.name, held, d.entry.site.clock.now)
 	d.entry.wake()
 }
 
@@ -235,7 +234,7 @@
 func (d *dispatched) retry(learn func(time.Time)) {
 	e := d.entry
 	learn(e.site.clock.now)
-	d.finish()
+	d.finish(0)
 	tried := map[string]bool{d.server.Name: true}
 	for name := range d.tried {
 		tried[name] = true
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -85,6 +85,7 @@
 	spanCtx, span := d.run.span(ctx, "dispatch")
 	defer span.End()
 	d.run.dispatched = true
+	d.run.lease.Result.Sent = true
 	err := d.receive(spanCtx)
 	for d.restarts(ctx, err) {
 		err = d.receive(spanCtx)
@@ -190,6 +191,7 @@
 	d.cancelDetached(ctx)
 	d.run.lease.Result.Failed = true
 	d.run.lease.Release()
+	lease.Result.Sent = true
 	d.run.lease = lease
 	d.sink.reset()
 	return true
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -105,6 +105,7 @@
 	spanCtx, span := c.run.span(ctx, "dispatch")
 	defer span.End()
 	c.run.dispatched = true
+	c.run.lease.Result.Sent = true
 	result, err := c.do(spanCtx)
 	sent := !errors.Is(err, backend.ErrNotSent)
 	for err != nil && sent && c.restarts(ctx) {
@@ -146,6 +147,7 @@
 	}
 	c.run.lease.Result.Failed = true
 	c.run.lease.Release()
+	lease.Result.Sent = true
 	c.run.lease = lease
 	return true
 }
