--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -79,6 +79,7 @@
 			cmdControl,
 			cmdDev,
 			cmdFake,
+			cmdLoad,
 			cmdStatus,
 			cmdBudget,
 			cmdConfig,
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,110 @@
+// Package load sends the users' mix of works to an entry, open loop, and
+// reports what the callers saw.
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/settings"
+)
+
+const (
+	defaultPromptWords = 50
+	defaultMaxTokens   = 64
+)
+
+// planned is one request of a run, decided by the seed.
+type planned struct {
+	work      *settings.LoadWork
+	caller    int
+	at        time.Duration
+	key       string
+	path      string
+	body      []byte
+	maxTokens int64
+}
+
+type chatBody struct {
+	Model     string        `json:"model"`
+	Stream    bool          `json:"stream"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int64         `json:"max_tokens"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// plan returns the requests of a run in the order of their times.
+func plan(l *settings.LoadRun, run string) []planned {
+	random := rand.New(rand.NewPCG(l.Seed, 0))
+	var requests []planned
+	at := time.Duration(0)
+	for len(requests) < l.MaxRequests {
+		at += time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second))
+		if at >= l.Duration.Or(0) {
+			break
+		}
+		requests = append(requests, newPlanned(l, random, at, fmt.Sprintf("load-%s-%d", run, len(requests))))
+	}
+	return requests
+}
+
+func newPlanned(l *settings.LoadRun, random *rand.Rand, at time.Duration, key string) planned {
+	work := pickWork(l.Works, random)
+	p := planned{work: work, caller: random.IntN(len(l.Callers)), at: at, key: key}
+	if work.Kind == settings.LoadService {
+		p.path = "/services/" + work.Route + work.Path
+		p.body = []byte(key)
+		return p
+	}
+	p.path = "/v1/chat/completions"
+	p.maxTokens = work.MaxTokens
+	if p.maxTokens == 0 {
+		p.maxTokens = defaultMaxTokens
+	}
+	p.body = chatOf(work, p.maxTokens, random)
+	return p
+}
+
+func pickWork(works []settings.LoadWork, random *rand.Rand) *settings.LoadWork {
+	total := 0.0
+	for i := range works {
+		total += works[i].Share
+	}
+	x := random.Float64() * total
+	for i := range works {
+		x -= works[i].Share
+		if x < 0 {
+			return &works[i]
+		}
+	}
+	return &works[len(works)-1]
+}
+
+func chatOf(work *settings.LoadWork, maxTokens int64, random *rand.Rand) []byte {
+	words := work.PromptWords
+	if words == 0 {
+		words = defaultPromptWords
+	}
+	shared := min(work.PrefixWords, words)
+	prefix := random.IntN(max(1, work.Prefixes))
+	body, err := json.Marshal(chatBody{
+		Model:  work.Route,
+		Stream: true,
+		Messages: []chatMessage{
+			{Role: "system", Content: strings.Repeat(fmt.Sprintf("%s-%d ", work.Name, prefix), max(1, shared))},
+			{Role: "user", Content: strings.Repeat(fmt.Sprintf("note-%d ", random.IntN(1_000_000)), max(1, words-shared))},
+		},
+		MaxTokens: maxTokens,
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/settings"
+)
+
+const (
+	maxInProgress = 2048
+	// graceTime is how long after a deadline an answer is still waited for.
+	graceTime      = 30 * time.Second
+	progressPeriod = time.Second
+)
+
+// Options configure a run.
+type Options struct {
+	Settings *settings.LoadRun
+	// Target is the URL of an entry on a loopback address.
+	Target string
+	HTTP   *http.Client
+	// Progress is called about once a second; nil means never.
+	Progress func(sent, ended int)
+}
+
+// generator sends the planned requests of one run.
+type generator struct {
+	options Options
+	target  string
+	keys    []string
+
+	slots   chan struct{}
+	callers sync.WaitGroup
+
+	mu     sync.Mutex
+	ended  int
+	report *Report
+	works  map[string]*Work
+}
+
+// Run sends the mix and returns what its callers saw.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	target, err := loopback(options.Target)
+	if err != nil {
+		return nil, err
+	}
+	g := &generator{
+		options: options,
+		target:  target,
+		slots:   make(chan struct{}, maxInProgress),
+		report:  &Report{Seed: options.Settings.Seed, Target: target, Rate: options.Settings.Rate},
+		works:   make(map[string]*Work),
+	}
+	for i := range options.Settings.Callers {
+		key, err := options.Settings.Callers[i].Key.Read()
+		if err != nil {
+			return nil, errors.Newf("read key of %s: %w", options.Settings.Callers[i].Workspace, err)
+		}
+		g.keys = append(g.keys, key)
+	}
+	began := time.Now()
+	g.send(ctx, plan(options.Settings, rand.Text()))
+	g.callers.Wait()
+	g.report.Seconds = time.Since(began).Seconds()
+	g.report.Works = make(map[string]Work)
+	for name, work := range g.works {
+		g.report.Works[name] = work.sum()
+	}
+	return g.report, nil
+}
+
+// loopback checks that the target is on this machine.
+func loopback(target string) (string, error) {
+	parsed, err := url.Parse(target)
+	if err != nil {
+		return "", errors.Newf("target %q is not a URL: %w", target, err)
+	}
+	address, err := netip.ParseAddrPort(parsed.Host)
+	if err != nil || parsed.Scheme != "http" || !address.Addr().IsLoopback() {
+		return "", errors.Newf("target %q must be a loopback address such as http://127.0.0.1:8080", target)
+	}
+	return "http://" + parsed.Host, nil
+}
+
+// send starts each request at its time, whether or not others have ended.
+func (g *generator) send(ctx context.Context, requests []planned) {
+	began := time.Now()
+	told := began
+	for i, p := range requests {
+		select {
+		case <-time.After(time.Until(began.Add(p.at))):
+		case <-ctx.Done():
+			return
+		}
+		g.start(ctx, p)
+		if time.Since(told) >= progressPeriod {
+			told = time.Now()
+			g.tell(i + 1)
+		}
+	}
+}
+
+func (g *generator) start(ctx context.Context, p planned) {
+	g.mu.Lock()
+	g.report.Requests++
+	g.mu.Unlock()
+	select {
+	case g.slots <- struct{}{}:
+	default:
+		g.mu.Lock()
+		g.report.Skipped++
+		g.mu.Unlock()
+		return
+	}
+	c := &call{generator: g, planned: p}
+	g.callers.Add(1)
+	go c.run(ctx)
+}
+
+func (g *generator) tell(sent int) {
+	if g.options.Progress == nil {
+		return
+	}
+	g.mu.Lock()
+	ended := g.ended
+	g.mu.Unlock()
+	g.options.Progress(sent, ended)
+}
+
+// call is one request and its retries.
+type call struct {
+	generator *generator
+	planned   planned
+}
+
+func (c *call) run(ctx context.Context) {
+	g := c.generator
+	defer g.callers.Done()
+	defer func() { <-g.slots }()
+	began := time.Now()
+	limit := c.planned.work.Deadline.Or(0)
+	ctx, cancel := context.WithTimeout(ctx, limit+graceTime)
+	defer cancel()
+	retries := 0
+	var refusals []time.Duration
+	for {
+		tried := time.Now()
+		o := c.try(ctx)
+		if o.notRun {
+			refusals = append(refusals, o.end.Sub(tried))
+		}
+		if !o.notRun || o.retryAfter == 0 || retries >= g.options.Settings.Retries || time.Since(began)+o.retryAfter > limit {
+			c.record(began, o, retries, refusals)
+			return
+		}
+		retries++
+		select {
+		case <-time.After(o.retryAfter):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// try sends the request once, always under the same key.
+func (c *call) try(ctx context.Context) outcome {
+	g := c.generator
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.target+c.planned.path, bytes.NewReader(c.planned.body))
+	if err != nil {
+		return outcome{err: err, end: time.Now()}
+	}
+	request.Header.Set("Authorization", "Bearer "+g.keys[c.planned.caller])
+	request.Header.Set("Idempotency-Key", c.planned.key)
+	request.Header.Set("Content-Type", "application/json")
+	if c.planned.work.Once {
+		request.Header.Set("Cactusbay-Repeatable", "false")
+	}
+	response, err := g.options.HTTP.Do(request)
+	if err != nil {
+		return outcome{err: err, end: time.Now()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(response)
+}
+
+func (c *call) record(began time.Time, o outcome, retries int, refusals []time.Duration) {
+	g := c.generator
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended++
+	work := g.works[c.planned.work.Name]
+	if work == nil {
+		work = newWork()
+		g.works[c.planned.work.Name] = work
+	}
+	work.Retries += retries
+	for _, refusal := range refusals {
+		record(work.refusal, refusal)
+	}
+	work.add(c.planned, began, o)
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/check"
+)
+
+// Kinds of a work that a load run sends.
+const (
+	LoadModel   = "model"
+	LoadService = "service"
+)
+
+// LoadRun configures a load run.
+type LoadRun struct {
+	// Seed decides every request and its time.
+	Seed uint64 `json:"seed,omitempty"`
+	// Rate is the requests a second; they arrive whether or not answers do.
+	Rate     float64         `json:"rate"`
+	Duration *check.Duration `json:"duration"`
+	// MaxRequests bounds the run beside its duration.
+	MaxRequests int `json:"max_requests"`
+	// Retries bounds how often a refused request comes back when told to.
+	Retries int        `json:"retries,omitempty"`
+	Callers []Caller   `json:"callers"`
+	Works   []LoadWork `json:"works"`
+}
+
+// Caller is a workspace's key that a load run uses.
+type Caller struct {
+	Workspace string `json:"workspace"`
+	Key       Secret `json:"key"`
+}
+
+// LoadWork is one kind of request of the mix.
+type LoadWork struct {
+	Name string `json:"name"`
+	// Kind is model or service.
+	Kind string `json:"kind"`
+	// Route is the public name of the model or the service.
+	Route string `json:"route"`
+	// Share is the work's part of the requests, against the other shares.
+	Share float64 `json:"share"`
+	// Deadline is when a whole answer counts as late.
+	Deadline *check.Duration `json:"deadline"`
+	// PromptWords are the words of a prompt, the first PrefixWords of which are
+	// one of Prefixes shared texts.
+	PromptWords int   `json:"prompt_words,omitempty"`
+	PrefixWords int   `json:"prefix_words,omitempty"`
+	Prefixes    int   `json:"prefixes,omitempty"`
+	MaxTokens   int64 `json:"max_tokens,omitempty"`
+	// Path is what a plain service is asked for.
+	Path string `json:"path,omitempty"`
+	// Once marks requests that may run once only.
+	Once bool `json:"once,omitempty"`
+}
+
+// ReadLoadRun reads and checks the settings of a load run.
+func ReadLoadRun(path string) (*LoadRun, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Newf("read settings: %w", err)
+	}
+	faults := &check.Faults{}
+	l := &LoadRun{}
+	check.Decode(data, l, faults)
+	l.validate(faults)
+	err = faults.Err()
+	if err != nil {
+		return nil, errors.Newf("settings %s are not valid:\n%w", path, err)
+	}
+	for i := range l.Callers {
+		l.Callers[i].Key.File = within(filepath.Dir(path), l.Callers[i].Key.File)
+	}
+	return l, nil
+}
+
+func (l *LoadRun) validate(faults *check.Faults) {
+	if l.Rate <= 0 {
+		faults.Add("rate", "must be above zero requests a second")
+	}
+	if l.MaxRequests <= 0 {
+		faults.Add("max_requests", "must be 1 or more")
+	}
+	if l.Retries < 0 {
+		faults.Add("retries", "must be 0 or more")
+	}
+	if l.Duration == nil {
+		faults.Add("duration", `is missing: write one such as "30s"`)
+	}
+	faults.Positive("duration", l.Duration)
+	if len(l.Callers) == 0 {
+		faults.Add("callers", "is missing: list workspaces and their keys")
+	}
+	for i, caller := range l.Callers {
+		path := fmt.Sprintf("callers[%d]", i)
+		required(path+".workspace", caller.Workspace, "the workspace's name", faults)
+		caller.Key.validate(path+".key", faults)
+	}
+	if len(l.Works) == 0 {
+		faults.Add("works", "is missing: list the works of the mix")
+	}
+	for i := range l.Works {
+		l.Works[i].validate(fmt.Sprintf("works[%d]", i), faults)
+	}
+}
+
+func (w *LoadWork) validate(path string, faults *check.Faults) {
+	required(path+".name", w.Name, "the work's name", faults)
+	required(path+".route", w.Route, "the public name that callers use", faults)
+	if w.Kind != LoadModel && w.Kind != LoadService {
+		faults.Add(path+".kind", "must be one of %q", []string{LoadModel, LoadService})
+	}
+	if w.Share <= 0 {
+		faults.Add(path+".share", "must be above zero")
+	}
+	if w.Deadline == nil {
+		faults.Add(path+".deadline", `is missing: write one such as "4s"`)
+	}
+	faults.Positive(path+".deadline", w.Deadline)
+	if w.PromptWords < 0 || w.PrefixWords < 0 || w.Prefixes < 0 || w.MaxTokens < 0 {
+		faults.Add(path, "must hold no numbers below zero")
+	}
+}
