--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -45,6 +45,7 @@
 // serve runs the request, at another backend server when one refused it.
 func (d *delivery) serve(ctx context.Context) {
 	d.tried = make(map[string]bool)
+	d.accepted.attach = d.attach
 	for {
 		run, kept, refusal := d.server.start(ctx, d.accepted, d.prompt+d.limit, d.tried)
 		if refusal != nil {
@@ -55,6 +56,9 @@
 			replayAnswer(d.sink.w, *kept)
 			return
 		}
+		if run == nil {
+			return
+		}
 		d.run = run
 		refusal = d.dispatch(ctx)
 		d.run.lease.Release()
@@ -85,6 +89,7 @@
 	spanCtx, span := d.run.span(ctx, "dispatch")
 	defer span.End()
 	d.run.dispatched = true
+	d.run.lease.Result.Sent = true
 	err := d.receive(spanCtx)
 	for d.restarts(ctx, err) {
 		err = d.receive(spanCtx)
@@ -190,6 +195,7 @@
 	d.cancelDetached(ctx)
 	d.run.lease.Result.Failed = true
 	d.run.lease.Release()
+	lease.Result.Sent = true
 	d.run.lease = lease
 	d.sink.reset()
 	return true
