Peer calls: compress only answers of 4 KiB and more

Cause: every small answer between processes was compressed: half of the bytes that a request allocated (pprof: compress/flate.NewWriter and NewReader).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,9 @@
 // admits everybody.
 type Secret string
 
+// compressMinBytes is the size from which an answer is compressed.
+const compressMinBytes = 4 << 10
+
 const bearerPrefix = "Bearer "
 
 // Handle serves procedure, such as "/ledger/reserve", on mux.
@@ -30,7 +33,7 @@
 		}
 		return connect.NewResponse(response), nil
 	}
-	handler := connect.NewUnaryHandler(procedure, unary, connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessageBytes))
+	handler := connect.NewUnaryHandler(procedure, unary, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(MaxMessageBytes))
 	mux.Handle(procedure, handler)
 }
 
