--- /dev/null
+++ b/test/deposit_test.go
@@ -0,0 +1,48 @@
+package test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cactusbay/cactusbay/pkg/operator"
+)
+
+// TestDepositReachesACutOffDomainOnce tops a budget up in a cut-off failure
+// domain, sends the same deposit again, and heals the cut.
+func TestDepositReachesACutOffDomainOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const first, topUp = 1000, 50_000
+		s := newSite(t, first, "a", "b", "c")
+		defer s.close()
+		s.cutDomain("c")
+		time.Sleep(reportWithin)
+		deposit := operator.Deposit{ID: "top-up", Workspace: siteWorkspace, Tokens: topUp, FailureDomain: "c"}
+		there, elsewhere := s.operatorAt("c"), s.operatorAt("a")
+		defer there.HTTP.CloseIdleConnections()
+		defer elsewhere.HTTP.CloseIdleConnections()
+		for range 2 {
+			_, err := there.Deposit(t.Context(), deposit)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, err := elsewhere.Deposit(t.Context(), deposit)
+		var problem *operator.Problem
+		if !errors.As(err, &problem) || problem.Status != http.StatusConflict {
+			t.Errorf("another domain's control instance: %v", err)
+		}
+		got := s.chat("c", "", 2000)
+		if got.status != http.StatusOK {
+			t.Errorf("the cut-off domain refused: %+v", got)
+		}
+		s.healDomain("c")
+		time.Sleep(10 * reportWithin)
+		account, _ := s.controls["a"].Group.Account(siteWorkspace)
+		if account.Deposited != first+topUp {
+			t.Errorf("the group counts %d deposited, want %d", account.Deposited, first+topUp)
+		}
+	})
+}
