Ledger: draw once more after a draw without an answer

Cause: a draw over a connection that went silent for good timed out after 1 s, and a request was refused for its budget although the pool had room: a false refusal. Ruled out: the sizing policy, which left the pool full.

--- a/internal/ledger/wait.go
+++ b/internal/ledger/wait.go
@@ -14,6 +14,9 @@
 	answerMargin = 200 * time.Millisecond
 	// drawPause is the time between two draws of one waiting request.
 	drawPause = 500 * time.Millisecond
+	// maxFailedDraws bounds the draws without an answer: the first one may have
+	// gone over a connection that is silent for good.
+	maxFailedDraws = 2
 )
 
 // acquire reserves r. While too few tokens are available it draws, and waits
@@ -28,14 +31,22 @@
 	defer cancel()
 	l.addWaiting(r.Workspace, r.Tokens)
 	defer l.addWaiting(r.Workspace, -r.Tokens)
+	failed := 0
 	for {
 		freed := l.freed(r.Workspace)
 		err := l.draw(ctx, r.Workspace, r.Tokens)
 		if err != nil {
+			failed++
 			l.options.Log.Debug("draw failed", "workspace", r.Workspace, "err", err)
 		}
 		try = l.tryReserve(r)
-		if !try.short || !l.mayBeFreed(r.Workspace) {
+		if !try.short {
+			return try
+		}
+		if err != nil && failed < maxFailedDraws && ctx.Err() == nil {
+			continue
+		}
+		if !l.mayBeFreed(r.Workspace) {
 			return try
 		}
 		select {
