--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,185 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/group"
+)
+
+func openForBenchmark(b *testing.B, folder disk.Folder, workspaces int) *Ledger {
+	b.Helper()
+	s := soloLog{group: group.New(nil)}
+	for i := range 10 {
+		name := fmt.Sprintf("workspace-%d", i)
+		_, err := group.Propose(context.Background(), s, group.Deposit{ID: name, Workspace: name, Tokens: 1 << 50})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	l, err := Open(Options{Instance: "control-a", Folder: folder, Group: s, Log: log.New(io.Discard)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range workspaces {
+		synced := l.commit(granted{Workspace: fmt.Sprintf("workspace-%d", i), Granted: 1 << 50})
+		if i%1000 == 999 {
+			err = <-synced
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	err = <-l.journal.Barrier()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return l
+}
+
+// BenchmarkReserveSettle reserves and settles on the real disk from many
+// goroutines.
+func BenchmarkReserveSettle(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) { benchmarkReserveSettle(b, callers) })
+	}
+}
+
+func benchmarkReserveSettle(b *testing.B, callers int) {
+	folder, err := disk.Open(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := openForBenchmark(b, folder, 0)
+	defer l.Close()
+	var next atomic.Int64
+	var mu sync.Mutex
+	var took []time.Duration
+	var workers sync.WaitGroup
+	syncs := l.journal.Syncs()
+	b.ResetTimer()
+	for range callers {
+		workers.Go(func() {
+			var own []time.Duration
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				start := time.Now()
+				reserveAndSettle(b, l, i)
+				own = append(own, time.Since(start))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			took = append(took, own...)
+		})
+	}
+	workers.Wait()
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(l.journal.Syncs()-syncs)/b.Elapsed().Seconds(), "syncs/s")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+func reserveAndSettle(b *testing.B, l *Ledger, i int64) {
+	r := request(fmt.Sprintf("key-%d", i), fmt.Sprintf("attempt-%d", i))
+	r.Workspace = fmt.Sprintf("workspace-%d", i%10)
+	_, err := l.Reserve(context.Background(), r)
+	if err == nil {
+		err = l.Settle(context.Background(), Settle{Workspace: r.Workspace, Key: r.Key, Attempt: r.Attempt, Tokens: 40})
+	}
+	if err != nil {
+		b.Error(err)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkBudgets measures the memory of a budget, and of the snapshot that
+// holds them.
+func BenchmarkBudgets(b *testing.B) {
+	for _, count := range []int{1_000, 100_000, 610_000} {
+		b.Run(fmt.Sprintf("budgets=%d", count), func(b *testing.B) {
+			for range b.N {
+				folder, err := disk.Open(b.TempDir())
+				if err != nil {
+					b.Fatal(err)
+				}
+				before := heap()
+				l := openForBenchmark(b, folder, count)
+				after := heap()
+				b.ReportMetric(float64(after-before)/float64(count), "B/budget")
+				start := time.Now()
+				err = l.rotate()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(time.Since(start).Milliseconds()), "snapshot-ms")
+				b.ReportMetric(float64(l.snapshot)/float64(count), "snapshot-B/budget")
+				l.Close()
+			}
+		})
+	}
+}
+
+// BenchmarkRecovery opens a ledger behind journals of several lengths and
+// measures the memory of a settled record without an answer.
+func BenchmarkRecovery(b *testing.B) {
+	for _, count := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprintf("requests=%d", count), func(b *testing.B) {
+			folder, err := disk.Open(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := openForBenchmark(b, folder, 10)
+			fillJournal(b, l, count)
+			size := l.journal.Size()
+			l.Close()
+			b.ResetTimer()
+			for range b.N {
+				before := heap()
+				start := time.Now()
+				again := openForBenchmark(b, folder, 0)
+				b.ReportMetric(float64(time.Since(start).Milliseconds()), "recovery-ms")
+				b.ReportMetric(float64(heap()-before)/float64(count), "B/record")
+				b.ReportMetric(float64(size)/(1<<20), "journal-MiB")
+				again.Close()
+			}
+		})
+	}
+}
+
+func fillJournal(b *testing.B, l *Ledger, count int) {
+	b.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range count {
+		r := request(fmt.Sprintf("key-%d", i), fmt.Sprintf("attempt-%d", i))
+		r.Workspace = "workspace-0"
+		l.commit(reserved{Reserve: r, At: now()})
+		synced := l.commit(settled{Settle: Settle{Workspace: r.Workspace, Key: r.Key, Attempt: r.Attempt, Tokens: 40}, At: now()})
+		if i%500 != 499 && i != count-1 {
+			continue
+		}
+		err := <-synced
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -21,9 +22,12 @@
 	// rotateFactor is how many times the size of the last snapshot a journal
 	// may reach.
 	rotateFactor = 2
+	// maxPartItems and maxPartBytes bound one part of a snapshot.
+	maxPartItems = 8192
+	maxPartBytes = 4 << 20
 )
 
-// snapshotImage is the whole state at the start of a journal.
+// snapshotImage is a part of the state at the start of a journal.
 type snapshotImage struct {
 	Generation uint64                    `cbor:"1,keyasint"`
 	Epoch      string                    `cbor:"2,keyasint"`
@@ -31,6 +35,63 @@
 	Records    []recordImage             `cbor:"4,keyasint,omitempty"`
 	Gone       []goneImage               `cbor:"5,keyasint,omitempty"`
 	Deposits   map[string]Deposit        `cbor:"6,keyasint,omitempty"`
+	// Last marks the part that ends a whole snapshot.
+	Last bool `cbor:"7,keyasint,omitempty"`
+}
+
+// snapshotWriter cuts a state into parts and frames them.
+type snapshotWriter struct {
+	part   snapshotImage
+	items  int
+	bytes  int
+	framed []byte
+	err    error
+}
+
+// add makes room for one more item with a body of so many bytes.
+func (w *snapshotWriter) add(bytes int) {
+	if w.items == maxPartItems || w.bytes > maxPartBytes {
+		w.flush()
+	}
+	w.items++
+	w.bytes += bytes
+}
+
+func (w *snapshotWriter) flush() {
+	data, err := peer.Encode(w.part)
+	if err != nil {
+		w.err = err
+	}
+	w.framed = append(w.framed, journal.Encode(data)...)
+	w.part = snapshotImage{Generation: w.part.Generation, Epoch: w.part.Epoch}
+	w.items = 0
+	w.bytes = 0
+}
+
+func (w *snapshotWriter) addAccount(name string, account *budget.Escrow) {
+	w.add(0)
+	if w.part.Accounts == nil {
+		w.part.Accounts = make(map[string]*budget.Escrow)
+	}
+	w.part.Accounts[name] = account
+}
+
+func (w *snapshotWriter) addDeposit(id string, deposit Deposit) {
+	w.add(0)
+	if w.part.Deposits == nil {
+		w.part.Deposits = make(map[string]Deposit)
+	}
+	w.part.Deposits[id] = deposit
+}
+
+func (w *snapshotWriter) addGone(gone goneImage) {
+	w.add(0)
+	w.part.Gone = append(w.part.Gone, gone)
+}
+
+func (w *snapshotWriter) addRecord(held *record) {
+	w.add(len(held.answer.Body))
+	w.part.Records = append(w.part.Records, held.image())
 }
 
 type recordImage struct {
@@ -51,14 +112,20 @@
 	At        int64  `cbor:"4,keyasint"`
 }
 
-// image returns the state for a snapshot: ended records in the order of their
+// encode returns the state as a snapshot: ended records in the order of their
 // end, then the open ones.
-func (s *state) image(generation uint64) snapshotImage {
-	image := snapshotImage{Generation: generation, Epoch: s.epoch, Accounts: s.accounts, Deposits: s.deposits}
+func (s *state) encode(generation uint64) ([]byte, error) {
+	w := &snapshotWriter{part: snapshotImage{Generation: generation, Epoch: s.epoch}}
+	for name, account := range s.accounts {
+		w.addAccount(name, account)
+	}
+	for id, deposit := range s.deposits {
+		w.addDeposit(id, deposit)
+	}
 	written := make(map[recordID]bool)
 	for _, e := range s.endings {
 		if e.attempt != "" {
-			image.Gone = append(image.Gone, goneImage{Workspace: e.id.workspace, Key: e.id.key, Attempt: e.attempt, At: e.at})
+			w.addGone(goneImage{Workspace: e.id.workspace, Key: e.id.key, Attempt: e.attempt, At: e.at})
 			continue
 		}
 		held := s.records[e.id]
@@ -66,12 +133,14 @@
 			continue
 		}
 		written[e.id] = true
-		image.Records = append(image.Records, held.image())
+		w.addRecord(held)
 	}
 	for _, held := range s.open {
-		image.Records = append(image.Records, held.image())
+		w.addRecord(held)
 	}
-	return image
+	w.part.Last = true
+	w.flush()
+	return w.framed, w.err
 }
 
 func (r *record) image() recordImage {
@@ -87,23 +156,17 @@
 	}
 }
 
-// restore returns the state that an image was made of.
-func (image *snapshotImage) restore() *state {
-	s := newState()
+// restore adds a part of a snapshot.
+func (s *state) restore(image *snapshotImage) {
 	s.epoch = image.Epoch
-	if image.Accounts != nil {
-		s.accounts = image.Accounts
-	}
-	if image.Deposits != nil {
-		s.deposits = image.Deposits
-	}
+	maps.Copy(s.accounts, image.Accounts)
+	maps.Copy(s.deposits, image.Deposits)
 	for _, gone := range image.Gone {
 		s.giveUp(recordID{workspace: gone.Workspace, key: gone.Key}, gone.Attempt, gone.At)
 	}
 	for _, r := range image.Records {
 		s.restoreRecord(r)
 	}
-	return s
 }
 
 func (s *state) restoreRecord(image recordImage) {
@@ -145,17 +208,18 @@
 	if err != nil {
 		return errors.Newf("read ledger snapshot: %w", err)
 	}
-	var whole []byte
-	for _, part := range records {
-		whole = append(whole, part...)
-	}
-	var image snapshotImage
-	err = peer.Decode(whole, &image)
-	if err != nil {
-		return errors.Newf("decode ledger snapshot: %w", err)
+	for i, part := range records {
+		var image snapshotImage
+		err = peer.Decode(part, &image)
+		if err == nil && image.Last != (i == len(records)-1) {
+			err = journal.ErrDamaged
+		}
+		if err != nil {
+			return errors.Newf("decode ledger snapshot: %w", err)
+		}
+		l.state.restore(&image)
+		l.generation = image.Generation
 	}
-	l.state = image.restore()
-	l.generation = image.Generation
 	l.snapshot = size
 	return nil
 }
@@ -170,11 +234,10 @@
 		return errors.Newf("sync journal before a snapshot: %w", err)
 	}
 	next := l.generation + 1
-	data, err := peer.Encode(l.state.image(next))
+	framed, err := l.state.encode(next)
 	if err != nil {
 		return errors.Newf("encode ledger snapshot: %w", err)
 	}
-	framed := journal.Encode(data)
 	file, _, err := journal.Open(l.options.Folder, journalName(next))
 	if err != nil {
 		return errors.Newf("open next journal: %w", err)
