--- a/internal/group/watcher_test.go
+++ b/internal/group/watcher_test.go
@@ -90,7 +90,11 @@
 }
 
 func (f *fleet) watch(host string) *group.Watcher {
-	client := transport.Client(f.network.Host(host))
+	return f.watchOver(f.network.Host(host))
+}
+
+func (f *fleet) watchOver(network transport.Network) *group.Watcher {
+	client := transport.Client(network)
 	w := &group.Watcher{
 		Addresses: f.addresses,
 		Client:    &peer.Client{HTTP: client},
