Reopen a group log in linear time

Cause: entryLog.put cut its slice with a limited capacity, so that each appended entry copied the whole log, on reopening and at followers. Ruled out: decoding of records (its allocations are a fifth of the rest).

--- a/internal/quorum/entry.go
+++ b/internal/quorum/entry.go
@@ -87,7 +87,7 @@
 func (l *entryLog) put(e entry) {
 	keep := e.Index - l.base - 1
 	l.forget(l.entries[keep:])
-	l.entries = l.entries[:keep:keep]
+	l.entries = l.entries[:keep]
 	l.add(e)
 }
 
