--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -4,6 +4,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/route"
@@ -59,7 +61,7 @@
 
 // queue holds the requests that wait: a line for each workspace in each class.
 type queue struct {
-	lines  [classes]map[string]*line
+	lines  [classes][]*line
 	clocks [classes]float64
 	counts [classes]int
 	length int
@@ -69,20 +71,18 @@
 
 // line is one workspace's requests in one class, the first come first.
 type line struct {
-	requests []*Request
+	workspace string
+	requests  []*Request
 	// start is the virtual time at which the workspace is served next.
 	start float64
 }
 
 // push adds a request.
 func (q *queue) push(r *Request) {
-	if q.lines[r.Class] == nil {
-		q.lines[r.Class] = make(map[string]*line)
-	}
-	l := q.lines[r.Class][r.Workspace]
+	l := q.line(r)
 	if l == nil {
-		l = &line{start: q.clocks[r.Class]}
-		q.lines[r.Class][r.Workspace] = l
+		l = &line{workspace: r.Workspace, start: q.clocks[r.Class]}
+		q.lines[r.Class] = append(q.lines[r.Class], l)
 	}
 	l.requests = append(l.requests, r)
 	q.count(r, 1)
@@ -105,33 +105,33 @@
 }
 
 func (q *queue) popClass(class Class, fits func(*Request) bool) *Request {
-	var best *Request
-	var bestLine *line
-	for name, l := range q.lines[class] {
-		if bestLine != nil && !l.before(bestLine, name, best.Workspace) {
-			continue
-		}
+	slices.SortFunc(q.lines[class], compareLines)
+	for _, l := range q.lines[class] {
 		r := l.first(fits)
-		if r != nil {
-			best = r
-			bestLine = l
+		if r == nil {
+			continue
 		}
+		q.clocks[class] = max(q.clocks[class], l.start)
+		l.start += float64(max(1, r.Cost)) / r.weight()
+		q.remove(r)
+		return r
 	}
-	if best == nil {
-		return nil
-	}
-	q.clocks[class] = max(q.clocks[class], bestLine.start)
-	bestLine.start += float64(max(1, best.Cost)) / best.weight()
-	q.remove(best)
-	return best
+	return nil
+}
+
+// compareLines orders by virtual time, and by name where that is equal.
+func compareLines(a, b *line) int {
+	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.workspace, b.workspace))
 }
 
-// before orders lines by virtual time, and by name where that is equal.
-func (l *line) before(other *line, name, otherName string) bool {
-	if l.start != other.start {
-		return l.start < other.start
+// line returns the line of r's class and workspace, or nil.
+func (q *queue) line(r *Request) *line {
+	for _, l := range q.lines[r.Class] {
+		if l.workspace == r.Workspace {
+			return l
+		}
 	}
-	return name < otherName
+	return nil
 }
 
 func (l *line) first(fits func(*Request) bool) *Request {
@@ -149,7 +149,7 @@
 	if !r.queued {
 		return
 	}
-	l := q.lines[r.Class][r.Workspace]
+	l := q.line(r)
 	for i, other := range l.requests {
 		if other == r {
 			l.requests = append(l.requests[:i], l.requests[i+1:]...)
@@ -180,11 +180,9 @@
 
 // forget drops idle lines that the class's clock has passed.
 func (q *queue) forget(class Class) {
-	for name, l := range q.lines[class] {
-		if len(l.requests) == 0 && (l.start <= q.clocks[class] || q.counts[class] == 0) {
-			delete(q.lines[class], name)
-		}
-	}
+	q.lines[class] = slices.DeleteFunc(q.lines[class], func(l *line) bool {
+		return len(l.requests) == 0 && (l.start <= q.clocks[class] || q.counts[class] == 0)
+	})
 }
 
 // ahead returns how many requests are served before a new one of r's class and
@@ -194,14 +192,14 @@
 	for class := range r.Class {
 		total += float64(q.counts[class])
 	}
-	own := q.lines[r.Class][r.Workspace]
+	own := q.line(r)
 	mine := 0.0
 	if own != nil {
 		mine = float64(len(own.requests))
 	}
 	shares := 0.0
-	for name, l := range q.lines[r.Class] {
-		if name != r.Workspace && len(l.requests) > 0 {
+	for _, l := range q.lines[r.Class] {
+		if l != own && len(l.requests) > 0 {
 			shares += l.requests[0].weight()
 		}
 	}
@@ -222,7 +220,7 @@
 		return nil
 	}
 	longest := q.longest(r.Class)
-	own := q.lines[r.Class][r.Workspace]
+	own := q.line(r)
 	mine := 1.0
 	if own != nil {
 		mine += float64(len(own.requests))
@@ -235,14 +233,12 @@
 
 func (q *queue) longest(class Class) *line {
 	var best *line
-	bestName := ""
-	for name, l := range q.lines[class] {
+	for _, l := range q.lines[class] {
 		if len(l.requests) == 0 {
 			continue
 		}
-		if best == nil || l.share() > best.share() || l.share() == best.share() && name < bestName {
+		if best == nil || l.share() > best.share() || l.share() == best.share() && l.workspace < best.workspace {
 			best = l
-			bestName = name
 		}
 	}
 	return best
