--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -74,7 +74,6 @@
 	server *Server
 	load   int
 	limit  int
-	near   bool
 }
 
 func (c *candidate) isOpen() bool {
@@ -105,22 +104,24 @@
 }
 
 func pickBalanced(servers []*Server, q *Query) *Server {
-	near, all := survey(servers, q, false)
-	if len(q.candidates) == 0 {
-		near, all = survey(servers, q, true)
+	near := survey(servers, q, true, false)
+	if near.open > 0 && near.relative() < spillLoad {
+		return choose(q, near)
 	}
-	if near.open > 0 && (near.relative() < spillLoad || all.open == near.open) {
-		return choose(q, near, true)
+	all := survey(servers, q, false, false)
+	if len(q.candidates) == 0 {
+		all = survey(servers, q, false, true)
 	}
 	if all.open == 0 {
 		return nil
 	}
-	return choose(q, all, false)
+	return choose(q, all)
 }
 
-// survey lists the candidates in q and adds up those of the own failure domain
-// and all. Ejected servers count only when no other is left.
-func survey(servers []*Server, q *Query, ejected bool) (near, all sums) {
+// survey lists the candidates in q, of the own failure domain only or all, and
+// adds them up. Ejected servers count only when no other is left.
+func survey(servers []*Server, q *Query, nearOnly, ejected bool) sums {
+	var total sums
 	if cap(q.candidates) < len(servers) {
 		q.candidates = make([]candidate, len(servers))
 	}
@@ -129,6 +130,9 @@
 	domain := Hash(q.FailureDomain)
 	n := 0
 	for _, s := range servers {
+		if nearOnly && s.domain != domain {
+			continue
+		}
 		if s.Leaving || s.draining || !ejected && now < s.ejectedUntil {
 			continue
 		}
@@ -141,40 +145,36 @@
 		c.load = s.load(now)
 		c.limit = s.limit(now)
 		c.limit -= c.limit * q.Headroom / 100
-		c.near = s.domain == domain
-		all.add(c)
-		if c.near {
-			near.add(c)
-		}
+		total.add(c)
 	}
 	q.candidates = q.candidates[:n]
-	return near, all
+	return total
 }
 
 // choose returns the server with the highest rendezvous weight that is not too
 // busy, else the less loaded of two random ones.
-func choose(q *Query, s sums, nearOnly bool) *Server {
+func choose(q *Query, s sums) *Server {
 	if q.Prefix != 0 {
-		best := chooseAffine(q, s, nearOnly)
+		best := chooseAffine(q, s)
 		if best != nil {
 			return best
 		}
 	}
-	first := nth(q, random(q, s.open), nearOnly)
-	second := nth(q, random(q, s.open), nearOnly)
+	first := nth(q, random(q, s.open))
+	second := nth(q, random(q, s.open))
 	if second.relative() < first.relative() {
 		return second.server
 	}
 	return first.server
 }
 
-func chooseAffine(q *Query, s sums, nearOnly bool) *Server {
+func chooseAffine(q *Query, s sums) *Server {
 	bound := s.relative()*affinityBound + affinitySlack
 	var best *Server
 	var bestWeight uint64
 	for i := range q.candidates {
 		c := &q.candidates[i]
-		if nearOnly && !c.near || !c.isOpen() || float64(c.load) > bound*float64(c.limit) {
+		if !c.isOpen() || float64(c.load) > bound*float64(c.limit) {
 			continue
 		}
 		w := weight(c.server.hash, q.Prefix)
@@ -187,10 +187,10 @@
 }
 
 // nth returns the nth candidate that has room.
-func nth(q *Query, n int, nearOnly bool) *candidate {
+func nth(q *Query, n int) *candidate {
 	for i := range q.candidates {
 		c := &q.candidates[i]
-		if nearOnly && !c.near || !c.isOpen() {
+		if !c.isOpen() {
 			continue
 		}
 		if n == 0 {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -168,19 +168,28 @@
 
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{75, 750} {
-		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
-			list := servers(n, "a", "b", "c")
-			q := query(0)
-			b.ReportAllocs()
-			for i := range b.N {
-				q.Prefix = uint64(i)
-				Pick(Balanced{}, list, q).Dispatch(q.Now)
-				if i%n == 0 {
-					for _, s := range list {
-						s.running = 0
-					}
-				}
+		for _, domain := range []string{"a", "full"} {
+			b.Run(fmt.Sprintf("servers=%d/domain=%s", n, domain), func(b *testing.B) {
+				benchmarkPick(b, n, domain)
+			})
+		}
+	}
+}
+
+// benchmarkPick picks among n servers of three failure domains. The own failure
+// domain full has no servers, so that all others are looked at.
+func benchmarkPick(b *testing.B, n int, domain string) {
+	list := servers(n, "a", "b", "c")
+	q := query(0)
+	q.FailureDomain = domain
+	b.ReportAllocs()
+	for i := range b.N {
+		q.Prefix = uint64(i)
+		Pick(Balanced{}, list, q).Dispatch(q.Now)
+		if i%n == 0 {
+			for _, s := range list {
+				s.running = 0
 			}
-		})
+		}
 	}
 }
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -29,6 +29,8 @@
 // Server is what an instance knows of one backend server; make it with
 // NewServer. The fields that every decision reads come first.
 type Server struct {
+	// domain is the hash of the failure domain.
+	domain uint64
 	// Leaving takes the server out.
 	Leaving  bool
 	draining bool
@@ -43,11 +45,8 @@
 	Concurrency int
 	adapt       adaptiveLimit
 	hash        uint64
-	// domain is the hash of the failure domain.
-	domain uint64
-
-	Name    string
-	Address string
+	Name        string
+	Address     string
 
 	failures  int
 	ejections int
