--- a/internal/cmd/cmd_fake.go
+++ b/internal/cmd/cmd_fake.go
@@ -21,7 +21,7 @@
 			Name:   "engine",
 			Usage:  "runs a stand-in model engine",
 			Flags:  []cli.Flag{settingsFlag},
-			Action: runFake(func(f *settings.Fake) http.Handler { return (&fake.Engine{StepTime: f.StepTime.Or(0)}).Handler() }),
+			Action: runFake(newFakeEngine),
 		},
 		{
 			Name:   "platform",
@@ -53,3 +53,17 @@
 		return nil
 	}
 }
+
+func newFakeEngine(f *settings.Fake) http.Handler {
+	engine := &fake.Engine{
+		StepTime:     f.StepTime.Or(0),
+		StepGrowth:   f.StepGrowth.Or(0),
+		PromptTime:   f.PromptTime.Or(0),
+		MaxBatch:     f.MaxBatch,
+		CacheBlocks:  f.CacheBlocks,
+		KeptAttempts: f.KeptAttempts,
+		KeepsRunning: f.KeepsRunning,
+		LoadLag:      f.LoadLag.Or(0),
+	}
+	return engine.Handler()
+}
