--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -127,8 +128,8 @@
 	})
 }
 
-// leave sends a request and hangs up after a while.
-func (s *site) leave(domain, key string, after time.Duration) {
+// leave sends a request and hangs up after a while. It returns what came.
+func (s *site) leave(domain, key string, after time.Duration) string {
 	client := transport.Client(s.network.Host("caller"))
 	defer client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), after)
@@ -142,10 +143,32 @@
 		request.Header.Set("Idempotency-Key", key)
 	}
 	response, err := client.Do(request)
-	if err == nil {
-		<-ctx.Done()
-		_ = response.Body.Close()
+	if err != nil {
+		return ""
 	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+func TestAnswerEndsInAnErrorAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a")
+		defer s.close()
+		s.engines["a"].StepTime = 9 * time.Second
+		s.engines["a"].KeepsRunning = true
+		began := time.Now()
+		body := s.leave("a", "", 2*time.Minute)
+		if !strings.Contains(body, `"code":"deadline_exceeded","not_run":false`) || strings.Contains(body, "[DONE]") {
+			t.Errorf("answer %s", body)
+		}
+		if took := time.Since(began); took > 62*time.Second {
+			t.Errorf("the error came after %v", took)
+		}
+		if billed := s.billed(); billed != 7 {
+			t.Errorf("billed %d, want the prompt and 6 tokens", billed)
+		}
+	})
 }
 
 func TestCallerThatLeavesIsBilledWhatWasGenerated(t *testing.T) {
