Send a call that must not be repeated over a connection of its own

Cause: net/http's Transport sends a request again on its own when a reused connection breaks, if it is a GET or carries an Idempotency-Key. A load poll had left an idle connection, so that an order ran twice: the flaky TestOrderRunsOnceDespiteAFault/crashed, 'the order ran 2 times'. Ruled out: the entry's own retries, which counted one dispatch. Change: such calls use a client without keep-alive. Before: TestCallThatMayRunOnceIsSentOnce fails with 'POST: 2 runs'. After: it passes, and the flaky test passed 30 of 30.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -38,6 +38,7 @@
 		Path:        path,
 		ContentType: r.Header.Get("Content-Type"),
 		Body:        a.body,
+		Once:        !a.repeatable,
 	}
 	c.serve(ctx)
 }
