Settings and configuration: read each structure's fields once

Cause: Parse built the map of field names for every value and passed each string through JSON twice. At 12,000 servers a change still costs too much for an entry: the whole document is read for each change.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -146,7 +147,20 @@
 	}
 }
 
+// fields are the fields of each structure by name, read once.
+var fields sync.Map
+
 func fieldsByName(structure reflect.Type) map[string]int {
+	known, found := fields.Load(structure)
+	if found {
+		return known.(map[string]int)
+	}
+	read := readFields(structure)
+	fields.Store(structure, read)
+	return read
+}
+
+func readFields(structure reflect.Type) map[string]int {
 	fields := make(map[string]int)
 	for i := range structure.NumField() {
 		name, _, _ := strings.Cut(structure.Field(i).Tag.Get("json"), ",")
@@ -184,6 +198,11 @@
 }
 
 func decodeScalar(value any, target reflect.Value, path string, faults *Faults) {
+	text, isText := value.(string)
+	if isText && target.Kind() == reflect.String {
+		target.SetString(text)
+		return
+	}
 	data, err := json.Marshal(value)
 	if err == nil {
 		err = json.Unmarshal(data, target.Addr().Interface())
