--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -215,3 +215,45 @@
 		}
 	})
 }
+
+// TestRollingRestartOfControlRefusesNothing ends the control instances in turn
+// while entries serve: ledgers, leadership and the watch move on.
+func TestRollingRestartOfControlRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000_000, "a", "b", "c")
+		defer time.Sleep(callTimeout)
+		defer s.close()
+		time.Sleep(reportWithin)
+		stop := make(chan struct{})
+		failures := make(chan error, len(s.domains))
+		for _, domain := range s.domains {
+			client := transport.Client(s.network.Host("client-" + domain))
+			defer client.CloseIdleConnections()
+			go func() {
+				b := &balancer{site: s, ready: []string{s.settings["entry-"+domain].CallerAddress}}
+				failures <- b.load(client, stop)
+			}()
+		}
+		for i, domain := range s.domains {
+			time.Sleep(3 * time.Second)
+			s.controls[domain].Shutdown(context.Background())
+			s.startControl(domain)
+			time.Sleep(3 * time.Second)
+			s.patch(domain, "during-"+domain, fmt.Sprintf(`{"limits":{"body_bytes":%d}}`, 100_000+i))
+			time.Sleep(5 * time.Second)
+			for _, entry := range s.domains {
+				got := s.entries[entry].Watcher.Active().Document.Limits.BodyBytes
+				if got != int64(100_000+i) {
+					t.Errorf("after the restart in %s the change is not in force in %s", domain, entry)
+				}
+			}
+		}
+		close(stop)
+		for range s.domains {
+			err := <-failures
+			if err != nil {
+				t.Errorf("a request was cut or refused: %v", err)
+			}
+		}
+	})
+}
