Call nothing not run after an unclear dispatch

Cause: a request that moved after an unclear dispatch and was then refused by the second engine was answered not_run: true and billed nothing, although the first engine had generated tokens. Found while re-reading dispatch. Change: a refusal after a move is an unknown outcome, billed by the counts of all engines that were sent the request; a request with no other server goes to the same one under the same attempt id; a probe that fails closes the idle connections, which may be silent too. Test: TestRefusalAfterAnUnclearDispatchIsNotCalledNotRun failed first (no_capacity with not_run: true, 0 billed) and passes; TestAnswerComesDespiteSilentConnections passes.

--- a/internal/backend/watchdog.go
+++ b/internal/backend/watchdog.go
@@ -60,6 +60,9 @@
 func (w *watchdog) run() {
 	before, _ := w.seen()
 	status, err := w.client.status(w.ctx, w.chat)
+	if err != nil {
+		w.client.HTTP.CloseIdleConnections()
+	}
 	received, since := w.seen()
 	if received != before {
 		return
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -38,6 +38,10 @@
 	sink   *sink
 	run    *run
 	tried  map[string]bool
+	// dispatches counts the tries that ended without an answer.
+	dispatches int
+	// left are dispatches whose outcome is unclear and which were moved.
+	left []backend.Chat
 	// opened is when the present backend server was first sent the request.
 	opened time.Time
 }
@@ -75,7 +79,8 @@
 // retries tells whether another backend server may be tried after a refusal.
 func (d *delivery) retries(ctx context.Context) bool {
 	d.tried[d.run.lease.Name] = true
-	return len(d.tried) < maxDispatches && hasTime(ctx) && d.server.Pool.Retry()
+	d.dispatches++
+	return d.dispatches < maxDispatches && hasTime(ctx) && d.server.Pool.Retry()
 }
 
 func hasTime(ctx context.Context) bool {
@@ -94,7 +99,7 @@
 	for d.restarts(ctx, err) {
 		err = d.receive(spanCtx)
 	}
-	if isRefused(err) {
+	if isRefused(err) && len(d.left) == 0 {
 		return d.run.refuse(ctx, err)
 	}
 	d.finish(ctx, err)
@@ -180,19 +185,26 @@
 }
 
 // restarts moves a repeatable request of which the caller has nothing to
-// another backend server. The reservation stays.
+// another backend server, or sends it to the same one under the same attempt id
+// when there is no other. The reservation stays.
 func (d *delivery) restarts(ctx context.Context, err error) bool {
-	if !isBroken(err) || !d.accepted.repeatable || !d.sink.restartable() {
+	unclear := isBroken(err) && !isRefused(err)
+	if !unclear || !d.accepted.repeatable || !d.sink.restartable() {
 		return false
 	}
 	if !d.retries(ctx) {
 		return false
 	}
 	lease, busy := d.server.acquire(ctx, d.accepted, d.run.tokens, d.tried)
+	if busy != nil {
+		lease, busy = d.server.acquire(ctx, d.accepted, d.run.tokens, nil)
+	}
 	if busy != nil {
 		return false
 	}
-	d.cancelDetached(ctx)
+	if lease.Name != d.run.lease.Name {
+		d.leave(ctx)
+	}
 	d.run.lease.Result.Failed = true
 	d.run.lease.Release()
 	lease.Result.Sent = true
@@ -228,22 +240,32 @@
 	_ = d.run.settle(ctx, d.generated(ctx), d.sink.partial(refusal))
 }
 
-// generated cancels the attempt and returns the tokens to bill: the engine's
-// count, or the worst case when it can't tell.
+// generated cancels every dispatch and returns the tokens to bill: the engines'
+// counts, or the worst case when one can't tell.
 func (d *delivery) generated(ctx context.Context) int64 {
 	ctx = context.WithoutCancel(ctx)
+	total := d.generatedBy(ctx, d.chat(), d.received())
+	for _, chat := range d.left {
+		total += d.generatedBy(ctx, chat, 0)
+	}
+	return total
+}
+
+// generatedBy returns what one engine generated, or received when it lost the
+// attempt.
+func (d *delivery) generatedBy(ctx context.Context, chat backend.Chat, received int64) int64 {
 	for try := range cancelTries {
 		if try > 0 {
 			sleep(ctx, cancelPause)
 		}
-		cancelled, err := d.server.Backend.Cancel(ctx, d.chat())
+		cancelled, err := d.server.Backend.Cancel(ctx, chat)
 		if err != nil {
 			continue
 		}
 		if cancelled.Ran {
 			return cancelled.Tokens
 		}
-		return d.received()
+		return received
 	}
 	return d.run.tokens
 }
@@ -257,8 +279,10 @@
 	return d.prompt + d.sink.tokens
 }
 
-// cancelDetached cancels the present attempt without waiting for the answer.
-func (d *delivery) cancelDetached(ctx context.Context) {
+// leave cancels the present dispatch without waiting for the engine, whose
+// count is asked for when nothing else is billed.
+func (d *delivery) leave(ctx context.Context) {
+	d.left = append(d.left, d.chat())
 	c := &cancellation{server: d.server, chat: d.chat()}
 	go c.run(context.WithoutCancel(ctx))
 }
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -203,3 +203,38 @@
 		}
 	})
 }
+
+func TestRefusalAfterAnUnclearDispatchIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSiteWith(t, 100_000, []string{"b"}, "a")
+		defer s.close()
+		s.engines["a"].Inject(fake.Crash{After: 5})
+		s.engines["b"].Inject(fake.Refuse{Status: http.StatusServiceUnavailable})
+		got := s.chat("a", "", 16)
+		if got.code() != "outcome_unknown" || strings.Contains(got.body, `"not_run":true`) {
+			t.Errorf("answer %+v", got)
+		}
+		if billed := s.billed(); billed < 6 || billed > 17 {
+			t.Errorf("billed %d, want what the first engine generated", billed)
+		}
+	})
+}
+
+func TestAnswerComesDespiteSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a")
+		defer s.close()
+		s.engines["a"].KeepsRunning = true
+		if got := s.stream("a", ""); !isWhole(got) {
+			t.Fatalf("answer %+v", got)
+		}
+		s.network.Blackhole()
+		got := s.stream("a", "")
+		for try := 0; try < 5 && got.code() == "ledger_unreachable"; try++ {
+			got = s.stream("a", "")
+		}
+		if !isWhole(got) {
+			t.Errorf("answer %+v", got)
+		}
+	})
+}
