--- a/test/service_test.go
+++ b/test/service_test.go
@@ -39,6 +39,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newSiteWith(t, 100_000, []string{"b"}, "a")
 				defer s.close()
+				s.call("a", "/services/records/door/7", "", "over a connection that is kept")
 				s.services["a"].Inject(fault)
 				first := s.call("a", "/services/orders/new", "order-1", "door 7")
 				if first.code() != "outcome_unknown" {
@@ -54,6 +55,19 @@
 	}
 }
 
+func TestEmptyOrderRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a")
+		defer s.close()
+		s.call("a", "/services/records/door/7", "", "over a connection that is kept")
+		s.services["a"].Inject(fake.Crash{})
+		first := s.call("a", "/services/orders/new", "order-1", "")
+		if first.code() != "outcome_unknown" || s.services["a"].Runs("order-1") != 1 {
+			t.Errorf("first %+v, runs %d", first, s.services["a"].Runs("order-1"))
+		}
+	})
+}
+
 func TestOrderRunsElsewhereWhenNothingWasSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSiteWith(t, 100_000, []string{"b"}, "a")
