Tests: a site's requests start after its first deposit

Cause: the first deposit is proposed after the first configuration; an entry that was ready at virtual time 0 could ask before it, and the refusal was true (draw answered, 0 granted). Seen twice in 24 repeats of the two answer tests (once as TestBrokenAnswerIsResumed, once as TestAnswerThatCannotBeResumedEndsInAnError); ruled out: a failed draw, tokens held elsewhere. Change: newSite waits for the deposit, bounded.

--- a/test/site_test.go
+++ b/test/site_test.go
@@ -87,9 +87,24 @@
 		s.startEntry(domain)
 		<-s.entries[domain].Watcher.Ready()
 	}
+	s.awaitDeposit(tokens)
 	return s
 }
 
+// awaitDeposit waits for the first deposit, which is committed after the first
+// configuration: a request before it is refused in truth.
+func (s *site) awaitDeposit(tokens int64) {
+	const poll = time.Millisecond
+	for waited := time.Duration(0); waited < callTimeout; waited += poll {
+		account, _ := s.controls[s.domains[0]].Group.Account(siteWorkspace)
+		if account.Deposited >= tokens {
+			return
+		}
+		time.Sleep(poll)
+	}
+	s.t.Fatal("the first deposit was not committed")
+}
+
 func address(host, port int) string {
 	return fmt.Sprintf("10.0.0.%d:%d", host+1, port)
 }
