Operators close the epoch of a lost ledger; raise the codec's element limit

Cause: nothing could close an epoch, so budget release had nothing to release.

Change: POST /v1/closed_epochs, Client.CloseEpoch and budget close-epoch; a bound of 2^24 elements beside the existing bound in bytes. Tests for both pass.

--- a/internal/cmd/cmd_budget.go
+++ b/internal/cmd/cmd_budget.go
@@ -36,6 +36,13 @@
 			Flags:     operatorFlags(idFlag("release"), &cli.StringFlag{Name: "epoch", Required: true, Usage: "closed ledger `EPOCH`, as status shows it"}),
 			Action:    release,
 		},
+		{
+			Name:      "close-epoch",
+			Usage:     "ends a ledger epoch whose disk is lost; its unspent tokens stay in doubt",
+			ArgsUsage: "EPOCH",
+			Flags:     operatorFlags(),
+			Action:    closeEpoch,
+		},
 	},
 }
 
@@ -98,3 +105,21 @@
 	}
 	return printResult(command, moved, fmt.Sprintf("released %d tokens", moved.Tokens))
 }
+
+func closeEpoch(ctx context.Context, command *cli.Command) error {
+	epoch, err := oneArgument(command, "epoch")
+	if err != nil {
+		return err
+	}
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	err = client.CloseEpoch(ctx, epoch)
+	if err != nil {
+		return operatorError(err, "")
+	}
+	return printResult(command, map[string]string{"epoch": epoch}, "closed "+epoch)
+}
--- a/internal/group/state_test.go
+++ b/internal/group/state_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
@@ -66,3 +67,22 @@
 		}
 	}
 }
+
+// TestSnapshotHoldsManyBudgets has more budgets than the codec takes in one
+// map unless told otherwise.
+func TestSnapshotHoldsManyBudgets(t *testing.T) {
+	const count = 140_000
+	g := New(nil)
+	for i := range count {
+		g.state.Accounts[strconv.Itoa(i)] = budget.Account{Deposited: 1, Pool: 1}
+	}
+	data, err := g.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New(nil)
+	err = restored.Restore(data)
+	if err != nil || len(restored.state.Accounts) != count {
+		t.Errorf("restored %d accounts, %v", len(restored.state.Accounts), err)
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -70,6 +70,10 @@
 	Workspace string `json:"workspace"`
 }
 
+type closeEpochBody struct {
+	Epoch string `json:"epoch"`
+}
+
 type versionBody struct {
 	Version  uint64          `json:"version"`
 	Document json.RawMessage `json:"configuration"`
@@ -122,6 +126,7 @@
 		r.Delete("/v1/control_members/{id}", s.serveRemoveMember)
 		r.Post("/v1/deposits", s.serveDeposit)
 		r.Post("/v1/releases", s.serveRelease)
+		r.Post("/v1/closed_epochs", s.serveCloseEpoch)
 	})
 	return router
 }
@@ -250,6 +255,20 @@
 	s.propose(w, r, group.ReleaseInDoubt{ID: body.ID, Epoch: body.Epoch, Workspace: body.Workspace})
 }
 
+// serveCloseEpoch ends a ledger epoch whose journal is lost. Only an operator
+// can know that: a lost ledger and one that is cut off look the same.
+func (s *Server) serveCloseEpoch(w http.ResponseWriter, r *http.Request) {
+	var body closeEpochBody
+	if !read(w, r, &body) {
+		return
+	}
+	if body.Epoch == "" {
+		write(w, http.StatusBadRequest, problem{Code: "invalid", Message: "epoch is required"})
+		return
+	}
+	s.propose(w, r, group.CloseEpoch{Epoch: body.Epoch})
+}
+
 // propose commits the command and answers with its result.
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, command group.Command) {
 	result, err := group.Propose(r.Context(), s.Log, command)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,6 +10,20 @@
 // codecName is the content subtype of every message.
 const codecName = "cbor"
 
+// maxElements bounds the elements of one array or map in a message or a
+// snapshot; the bytes of a message are bounded besides.
+const maxElements = 1 << 24
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 type codec struct{}
 
 func (codec) Name() string {
@@ -35,7 +49,7 @@
 
 // Decode reads CBOR into message.
 func Decode(data []byte, message any) error {
-	err := cbor.Unmarshal(data, message)
+	err := decoding.Unmarshal(data, message)
 	if err != nil {
 		return errors.Newf("decode message: %w", err)
 	}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -105,6 +105,10 @@
 	Workspace string `json:"workspace"`
 }
 
+type closedEpoch struct {
+	Epoch string `json:"epoch"`
+}
+
 // Moved is the answer to a deposit or a release.
 type Moved struct {
 	Tokens int64 `json:"tokens"`
@@ -183,6 +187,13 @@
 	return moved, err
 }
 
+// CloseEpoch ends a ledger epoch whose journal is lost: its unspent tokens are
+// in doubt from then on. A resend changes nothing.
+func (c *Client) CloseEpoch(ctx context.Context, epoch string) error {
+	var done json.RawMessage
+	return c.call(ctx, http.MethodPost, "/v1/closed_epochs", closedEpoch{Epoch: epoch}, &done)
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body, target any) error {
 	var reader io.Reader
 	if body != nil {
