--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -69,6 +70,7 @@
 	var took []time.Duration
 	var workers sync.WaitGroup
 	syncs := l.journal.Syncs()
+	spent := processorTime()
 	b.ResetTimer()
 	for range callers {
 		workers.Go(func() {
@@ -85,6 +87,7 @@
 	}
 	workers.Wait()
 	b.StopTimer()
+	b.ReportMetric(float64((processorTime()-spent).Microseconds())/float64(b.N), "cpu-µs/op")
 	slices.Sort(took)
 	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
 	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
@@ -92,6 +95,13 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
 
+// processorTime returns the process's user and system time.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func reserveAndSettle(b *testing.B, l *Ledger, i int64) {
 	r := request(fmt.Sprintf("key-%d", i), fmt.Sprintf("attempt-%d", i))
 	r.Workspace = fmt.Sprintf("workspace-%d", i%10)
