Test: send a close-epoch again while the group elects a leader

Cause: the killed control instance is the group's leader in some runs, so the command is refused as unavailable with the advice to send it again.

--- a/test/epoch_test.go
+++ b/test/epoch_test.go
@@ -10,6 +10,21 @@
 	"github.com/cactusbay/cactusbay/pkg/operator"
 )
 
+// closeEpoch sends the command again while the control group elects a leader,
+// as its refusal asks.
+func closeEpoch(t *testing.T, client *operator.Client, epoch string) {
+	t.Helper()
+	end := time.Now().Add(30 * time.Second)
+	err := client.CloseEpoch(t.Context(), epoch)
+	for err != nil && time.Now().Before(end) {
+		time.Sleep(time.Second)
+		err = client.CloseEpoch(t.Context(), epoch)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestLostLedgerStaysInDoubtUntilReleased replaces a ledger's disk: its grant
 // comes back by an operator's decision only, and bills stay.
 func TestLostLedgerStaysInDoubtUntilReleased(t *testing.T) {
@@ -28,10 +43,7 @@
 		}
 		s.killControl("c", 0)
 		for range 2 {
-			err = client.CloseEpoch(t.Context(), epoch)
-			if err != nil {
-				t.Fatal(err)
-			}
+			closeEpoch(t, client, epoch)
 		}
 		time.Sleep(time.Second)
 		before, _ := s.controls["a"].Group.Account(siteWorkspace)
