Never let http.Transport send a keyed request again by itself

Cause: http.Transport sends a request with an Idempotency-Key header once more when a reused connection breaks, also when the server ran it. Orders carry that header, so an order could run twice. Change: such a request goes out with a body that cannot be had again.

--- a/internal/transport/fresh.go
+++ b/internal/transport/fresh.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// fresh is a RoundTripper that drops its idle connections after a timeout.
+// replayHeaders make http.Transport send a request again by itself when its
+// connection breaks, whether or not the server ran it.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// fresh is a RoundTripper that drops its idle connections after a timeout and
+// sends no request that may run twice by itself.
 type fresh struct {
 	next *http.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
 func (f *fresh) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := f.next.RoundTrip(request)
+	response, err := f.next.RoundTrip(once(request))
 	if err != nil && errors.Is(request.Context().Err(), context.DeadlineExceeded) {
 		f.next.CloseIdleConnections()
 	}
@@ -25,3 +32,21 @@
 func (f *fresh) CloseIdleConnections() {
 	f.next.CloseIdleConnections()
 }
+
+// once returns a request that http.Transport cannot send again: one whose body
+// it cannot get a second time. The caller decides on retries.
+func once(request *http.Request) *http.Request {
+	marked := false
+	for _, name := range replayHeaders {
+		marked = marked || request.Header.Get(name) != ""
+	}
+	if !marked {
+		return request
+	}
+	single := request.Clone(request.Context())
+	single.GetBody = nil
+	if single.Body == nil || single.Body == http.NoBody {
+		single.Body = io.NopCloser(strings.NewReader(""))
+	}
+	return single
+}
