Wait for the first deposit before a scenario starts

Cause: a new site makes its first deposits after its first configuration, and the scenarios began at the configuration: TestEmptyOrderRunsOnce once, and TestRetryAttachesToTheRunningRequest once in three, got insufficient_budget at the site's first instant, while the machine was busy. That the deposit was not there yet is a reading of the code; 300 runs did not show it again. Change: newSite waits until each control instance knows of the deposit.

--- a/test/site_test.go
+++ b/test/site_test.go
@@ -87,9 +87,25 @@
 		s.startEntry(domain)
 		<-s.entries[domain].Watcher.Ready()
 	}
+	for _, domain := range domains {
+		s.awaitDeposit(domain, tokens)
+	}
 	return s
 }
 
+// awaitDeposit waits until a control instance knows of the first deposit, which
+// a new site makes after its first configuration.
+func (s *site) awaitDeposit(domain string, tokens int64) {
+	for range 1000 {
+		account, _ := s.controls[domain].Group.Account(siteWorkspace)
+		if account.Deposited >= tokens {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("the first deposit is not known in domain %s", domain)
+}
+
 func address(host, port int) string {
 	return fmt.Sprintf("10.0.0.%d:%d", host+1, port)
 }
