--- a/test/site_test.go
+++ b/test/site_test.go
@@ -87,22 +87,23 @@
 		s.startEntry(domain)
 		<-s.entries[domain].Watcher.Ready()
 	}
-	s.awaitDeposit(tokens)
+	for _, domain := range domains {
+		s.awaitDeposit(domain, tokens)
+	}
 	return s
 }
 
-// awaitDeposit waits for the first deposit, which is committed after the first
-// configuration: a request before it is refused in truth.
-func (s *site) awaitDeposit(tokens int64) {
-	const poll = time.Millisecond
-	for waited := time.Duration(0); waited < callTimeout; waited += poll {
-		account, _ := s.controls[s.domains[0]].Group.Account(siteWorkspace)
+// awaitDeposit waits until a control instance knows of the first deposit, which
+// a new site makes after its first configuration.
+func (s *site) awaitDeposit(domain string, tokens int64) {
+	for range 1000 {
+		account, _ := s.controls[domain].Group.Account(siteWorkspace)
 		if account.Deposited >= tokens {
 			return
 		}
-		time.Sleep(poll)
+		time.Sleep(time.Millisecond)
 	}
-	s.t.Fatal("the first deposit was not committed")
+	s.t.Fatalf("the first deposit is not known in domain %s", domain)
 }
 
 func address(host, port int) string {
