--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -385,3 +385,31 @@
 		c.settle(accepted)
 	})
 }
+
+// TestOldSnapshotIsNotSentAgainAtOnce sends a snapshot that ends before the
+// log begins, as while a newer one is being written: the member must wait.
+func TestOldSnapshotIsNotSentAgainAtOnce(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, c *cluster) {
+		leader := c.leader()
+		c.proposeMany(leader, 3*c.snapshots)
+		folder := c.disks[leader]
+		old, err := folder.ReadFile(snapshotFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.proposeMany(leader, 6*c.snapshots)
+		err = folder.WriteFile(snapshotFile, old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		node := c.get(leader).node
+		lagging := memberOf(c.follower())
+		node.mu.Lock()
+		p := &replicator{node: node, reign: node.reign, member: lagging, ctx: t.Context(), next: 1}
+		node.mu.Unlock()
+		more, err := p.send()
+		if more || !errors.Is(err, errOldSnapshot) {
+			t.Errorf("more %t, %v; the same snapshot is sent again without a pause", more, err)
+		}
+	})
+}
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -128,6 +128,10 @@
 	return buffer, nil
 }
 
+// errOldSnapshot reports a snapshot that ends before the log begins: the newer
+// one is still being written.
+var errOldSnapshot = errors.New("the snapshot on disk is older than the log")
+
 // sendSnapshot carries the newest snapshot to a member that is behind the log.
 func (p *replicator) sendSnapshot() (more bool, err error) {
 	n := p.node
@@ -162,6 +166,9 @@
 	p.match = max(p.match, s.Index)
 	p.next = p.match + 1
 	n.advanceCommit()
+	if p.next <= n.log.base {
+		return false, errOldSnapshot
+	}
 	return true, nil
 }
 
