Assert one dispatch of a request that may run once; one place that sends once

The invariant non_repeatable_dispatched_once was named but nowhere checked: a run now refuses to dispatch without its claim or a second time (test first failed to compile without run.mark, so it shows no failing run). backend.sendOnce and transport.once mended the same fault; the transport's stays, since it covers every client.

--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -1,9 +1,7 @@
 package backend
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -45,14 +43,6 @@
 	Departures Departures
 }
 
-// sendOnce keeps the HTTP transport from sending a request again by itself: it
-// repeats one that has an Idempotency-Key, or no body, when a connection that
-// was kept breaks before the answer.
-func sendOnce(request *http.Request, body []byte) {
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.GetBody = nil
-}
-
 // send sends request and checks that the answer is to attempt. Errors wrap
 // ErrNotSent, ErrUnclear or ErrCrossed.
 func (c *Client) send(ctx context.Context, request *http.Request, attempt string) (*http.Response, error) {
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -112,7 +112,6 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(priorityHeader, chat.Priority)
-	sendOnce(request, chat.Body)
 	return c.stream(ctx, request, chat)
 }
 
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -52,7 +52,6 @@
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
-	sendOnce(request, call.Body)
 	request.Header.Set("Idempotency-Key", call.IdempotencyKey)
 	idle := time.AfterFunc(idleTimeout, cancel)
 	response, err := c.send(ctx, request, call.Attempt)
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -93,9 +93,12 @@
 func (d *delivery) dispatch(ctx context.Context) *Refusal {
 	spanCtx, span := d.run.span(ctx, "dispatch")
 	defer span.End()
-	d.run.dispatched = true
+	err := d.run.mark()
+	if err != nil {
+		return d.run.refuse(ctx, err)
+	}
 	d.run.lease.Result.Sent = true
-	err := d.receive(spanCtx)
+	err = d.receive(spanCtx)
 	for d.restarts(ctx, err) {
 		err = d.receive(spanCtx)
 	}
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -219,6 +219,18 @@
 	}
 }
 
+// mark notes that the first byte may leave from now on. It refuses to dispatch
+// a request that may run once only without its claim, or a second time.
+func (r *run) mark() error {
+	once := r.accepted.repeatable || (r.claimed && !r.dispatched)
+	err := r.server.Check.Check(once, invariant.OneDispatch, "attempt %s: claimed %t, dispatched %t", r.attempt, r.claimed, r.dispatched)
+	if err != nil {
+		return errors.Newf("dispatch: %w", err)
+	}
+	r.dispatched = true
+	return nil
+}
+
 // abandon gives up a claim after which nothing was dispatched.
 func (r *run) abandon(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -104,7 +104,6 @@
 func (c *call) dispatch(ctx context.Context) *Refusal {
 	spanCtx, span := c.run.span(ctx, "dispatch")
 	defer span.End()
-	c.run.dispatched = true
 	c.run.lease.Result.Sent = true
 	result, err := c.do(spanCtx)
 	sent := !errors.Is(err, backend.ErrNotSent)
@@ -129,6 +128,10 @@
 	c.call.Address = c.run.lease.Address
 	c.call.Attempt = c.run.attempt
 	c.call.IdempotencyKey = c.run.key
+	err := c.run.mark()
+	if err != nil {
+		return backend.Answer{}, err
+	}
 	return c.server.Backend.Do(ctx, c.call)
 }
 
