--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -13,7 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/process"
 )
 
 var (
@@ -117,9 +120,15 @@
 			defer close(faults)
 			s.runFaults(random, stop)
 		}()
+		operators := make(chan struct{})
+		go func() {
+			defer close(operators)
+			s.runOperators(rand.New(rand.NewPCG(seed, 2)), stop)
+		}()
 		clients.Wait()
 		close(stop)
 		<-faults
+		<-operators
 		time.Sleep(soakSettle)
 		s.checkBills()
 		report.Rounds++
@@ -205,6 +214,66 @@
 	}
 }
 
+// runOperators tops the budget up and races patches under one number, also
+// while failure domains are cut off, and repeats each until it is answered.
+func (s *soak) runOperators(random *rand.Rand, stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-time.After(time.Duration(random.IntN(8_000)) * time.Millisecond):
+		case <-stop:
+			return
+		}
+		tokens := 100 + random.Int64N(5_000)
+		deposit := group.Deposit{ID: fmt.Sprintf("top-up-%d", i), Workspace: siteWorkspace, Tokens: tokens}
+		s.proposeUntilAnswered(random, deposit)
+		s.mu.Lock()
+		s.tokens += tokens
+		s.mu.Unlock()
+		s.racePatches(random, i)
+	}
+}
+
+// racePatches sends two patches under the current number; one of them wins.
+func (s *soak) racePatches(random *rand.Rand, round int) {
+	current, _ := s.control(s.domains[random.IntN(len(s.domains))]).Group.Current()
+	wins := 0
+	for i := range 2 {
+		result := s.proposeUntilAnswered(random, group.PatchConfiguration{
+			ID:      fmt.Sprintf("patch-%d-%d", round, i),
+			Against: current.Number,
+			Patch:   fmt.Appendf(nil, `{"limits":{"body_bytes":%d}}`, 100_000+2*round+i),
+		})
+		if result.Code == group.CodeDone {
+			wins++
+		}
+	}
+	if wins > 1 {
+		s.t.Errorf("%d patches won under version %d", wins, current.Number)
+	}
+}
+
+// proposeUntilAnswered sends a command through any control instance until its
+// answer is certain.
+func (s *soak) proposeUntilAnswered(random *rand.Rand, command group.Command) group.Result {
+	for {
+		control := s.control(s.domains[random.IntN(len(s.domains))])
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		result, err := group.Propose(ctx, control.Quorum, command)
+		cancel()
+		if err == nil {
+			return result
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// control returns the running or last control instance of a failure domain.
+func (s *soak) control(domain string) *process.Control {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.controls[domain]
+}
+
 // runClient sends requests one after another and repeats each through any
 // domain until it is answered.
 func (s *soak) runClient(client int) {
@@ -318,6 +387,10 @@
 		if err != nil {
 			s.t.Errorf("domain %s: %v", domain, err)
 		}
+		reserved := control.Ledger.Escrow(siteWorkspace).Reserved
+		if reserved != 0 {
+			s.t.Errorf("domain %s: %d tokens are still reserved", domain, reserved)
+		}
 		s.report.InDoubtTokens = max(s.report.InDoubtTokens, account.InDoubt())
 	}
 }
