--- /dev/null
+++ b/test/live/pages_test.go
@@ -0,0 +1,159 @@
+package live
+
+import (
+	"bufio"
+	"context"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// operatorOffset is how far above the entry's port operators are served.
+const operatorOffset = 10
+
+// codeOf returns the lines of a page's code blocks, without prompts.
+func codeOf(t *testing.T, path string) []string {
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	var lines []string
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		line, indented := strings.CutPrefix(scanner.Text(), "    ")
+		if indented {
+			lines = append(lines, strings.TrimPrefix(strings.TrimSpace(line), "$ "))
+		}
+	}
+	return lines
+}
+
+// TestReadmeCommandsRun runs the README's commands in their order against
+// cactusbay dev; go and make are CI's own.
+func TestReadmeCommandsRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := listener.Addr().String()
+	_ = listener.Close()
+	s := &site{t: t, folder: t.TempDir()}
+	ctx, cancel := context.WithCancel(context.Background())
+	dev := exec.CommandContext(ctx, program, "dev", "--listen", entry, "--data", s.folder)
+	var output strings.Builder
+	dev.Stdout = &output
+	err = dev.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		cancel()
+		_ = dev.Wait()
+	}()
+	s.eventually("the development site is ready", func() bool {
+		response, err := http.Get("http://" + entry + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	script := readmeScript(t, entry)
+	shell := exec.Command("bash", "-euc", script)
+	shell.Env = append(os.Environ(), "PATH="+filepath.Dir(program)+":"+os.Getenv("PATH"))
+	got, err := shell.CombinedOutput()
+	if err != nil {
+		t.Errorf("%v\n%s\n%s", err, script, got)
+	}
+	for _, want := range []string{"t15 ", `"run":1`, "deposited 500000 tokens", "version 2 accepted", "engine-1 is leaving", "engine-1 is active"} {
+		if !strings.Contains(string(got), want) {
+			t.Errorf("the output lacks %q:\n%s", want, got)
+		}
+	}
+}
+
+// readmeScript returns the README's commands with this run's addresses.
+func readmeScript(t *testing.T, entry string) string {
+	host, port, err := net.SplitHostPort(entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operators := strconv.Itoa(number + operatorOffset)
+	var lines []string
+	for _, line := range codeOf(t, "../../README.md") {
+		if strings.HasPrefix(line, "go ") || strings.HasPrefix(line, "make ") {
+			continue
+		}
+		line = strings.ReplaceAll(line, "127.0.0.1:8080", entry)
+		line = strings.ReplaceAll(line, "127.0.0.1:8090", net.JoinHostPort(host, operators))
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
+var (
+	commandPattern = regexp.MustCompile(`cactusbay((?: [a-z-]+)+)`)
+	flagPattern    = regexp.MustCompile(`--[a-z-]+`)
+)
+
+// TestPagesNameCommandsThatExist checks each command and option that the pages
+// show against the program's own help.
+func TestPagesNameCommandsThatExist(t *testing.T) {
+	checked := 0
+	for _, root := range []string{"../../docs", "../../man", "../../README.md"} {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != ".md" {
+				return err
+			}
+			for _, line := range codeOf(t, path) {
+				checked += checkCommand(t, path, line)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if checked == 0 {
+		t.Error("no command was found")
+	}
+}
+
+// checkCommand compares one line with the help of the command that it shows.
+func checkCommand(t *testing.T, path, line string) int {
+	found := commandPattern.FindStringSubmatch(line)
+	if found == nil || strings.Contains(found[1], " help") {
+		return 0
+	}
+	words := strings.Fields(found[1])
+	help := ""
+	for n := min(2, len(words)); n > 0 && help == ""; n-- {
+		output, err := exec.Command(program, append(words[:n:n], "--help")...).CombinedOutput()
+		if err == nil && !strings.Contains(string(output), "No help topic") {
+			help = string(output)
+		}
+	}
+	if help == "" {
+		t.Errorf("%s: no such command: %s", path, line)
+		return 1
+	}
+	for _, flag := range flagPattern.FindAllString(line, -1) {
+		if !strings.Contains(help, flag) && !strings.Contains(line, "|") {
+			t.Errorf("%s: %q has no option %s", path, line, flag)
+		}
+	}
+	return 1
+}
