Logs without stack traces, one place that dials a control instance, goleak

Cause: the log library formats an error with its stack, so that a warning filled 60 lines and showed the paths of the build machine. Change: the error's text is logged; every live test fails on a stack trace in a log. Operators' commands share dial. A development site over TCP leaves no goroutine (goleak).

--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -237,7 +237,7 @@
 // with an explicit error.
 func (d *delivery) breakOff(ctx context.Context, err error) {
 	d.run.lease.Result.Failed = ctx.Err() == nil
-	d.server.Log.Warn("answer broke off", "server", d.run.lease.Name, "err", err)
+	d.server.Log.Warn("answer broke off", "server", d.run.lease.Name, "err", err.Error())
 	refusal := brokenOff(ctx)
 	d.sink.fail(refusal)
 	_ = d.run.settle(ctx, d.generated(ctx), d.sink.partial(refusal))
@@ -299,7 +299,7 @@
 func (c *cancellation) run(ctx context.Context) {
 	_, err := c.server.Backend.Cancel(ctx, c.chat)
 	if err != nil {
-		c.server.Log.Debug("attempt was not cancelled", "err", err)
+		c.server.Log.Debug("attempt was not cancelled", "err", err.Error())
 	}
 }
 
--- a/internal/caller/outbox.go
+++ b/internal/caller/outbox.go
@@ -205,7 +205,7 @@
 	defer cancel()
 	err := o.Ledger.Heartbeat(ctx, address, o.Entry)
 	if err != nil && ctx.Err() == nil {
-		o.Log.Debug("heartbeat was not delivered", "address", address, "err", err)
+		o.Log.Debug("heartbeat was not delivered", "address", address, "err", err.Error())
 	}
 	<-slot
 }
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -108,7 +108,7 @@
 			return reservationAnswer(reservation)
 		}
 		if err != nil {
-			r.server.Log.Debug("wait for the running attempt failed; retrying", "err", err)
+			r.server.Log.Debug("wait for the running attempt failed; retrying", "err", err.Error())
 		}
 		select {
 		case <-time.After(awaitPause):
@@ -157,7 +157,7 @@
 		Within:     within.Milliseconds(),
 	})
 	if err != nil {
-		r.server.Log.Warn("no ledger answered", "err", err)
+		r.server.Log.Warn("no ledger answered", "err", err.Error())
 		return nil, notRun(http.StatusServiceUnavailable, codeNoLedger, "no ledger can be reached", retrySoon)
 	}
 	r.held = held
@@ -238,7 +238,7 @@
 	abandoned := group.AbandonClaim{Workspace: r.accepted.workspace, Key: r.key, Holder: r.attempt}
 	err := r.server.Claimer.Abandon(ctx, abandoned)
 	if err != nil {
-		r.server.Log.Warn("claim was not abandoned; trying again in the background", "err", err)
+		r.server.Log.Warn("claim was not abandoned; trying again in the background", "err", err.Error())
 		r.server.Outbox.add(pendingAbandon{abandon: abandoned})
 	}
 }
@@ -254,7 +254,7 @@
 	release := ledger.Release{Workspace: r.accepted.workspace, Key: r.key, Attempt: r.attempt}
 	err := r.server.Ledger.Release(ctx, r.held.Address, release)
 	if err != nil && !ledger.IsFinal(err) {
-		r.server.Log.Warn("reservation was not released; trying again in the background", "err", err)
+		r.server.Log.Warn("reservation was not released; trying again in the background", "err", err.Error())
 		r.server.Outbox.GiveUp(r.held.Address, release)
 	}
 }
@@ -279,11 +279,11 @@
 	}
 	err := r.server.Ledger.Settle(ctx, r.held.Address, settle)
 	if ledger.IsFinal(err) {
-		r.server.Log.Error("settlement was refused", "err", err)
+		r.server.Log.Error("settlement was refused", "err", err.Error())
 		return errors.Newf("settle: %w", err)
 	}
 	if err != nil {
-		r.server.Log.Warn("settlement was not confirmed; trying again in the background", "err", err)
+		r.server.Log.Warn("settlement was not confirmed; trying again in the background", "err", err.Error())
 		r.server.Outbox.add(pendingSettle{address: r.held.Address, settle: settle})
 	}
 	r.server.Scope.Tagged(map[string]string{"workspace": r.accepted.workspace}).Counter("billed_tokens").Inc(settle.Tokens)
--- a/internal/cmd/cmd_budget.go
+++ b/internal/cmd/cmd_budget.go
@@ -51,11 +51,10 @@
 	if err != nil {
 		return err
 	}
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	budget, err := client.Budget(ctx, workspace)
 	if err != nil {
@@ -73,11 +72,10 @@
 	if tokens <= 0 {
 		return usageError(errors.New("--tokens must be above zero"))
 	}
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	id := idOf(command)
 	moved, err := client.Deposit(ctx, operator.Deposit{ID: id, Workspace: workspace, Tokens: tokens, FailureDomain: command.String("failure-domain")})
@@ -92,11 +90,10 @@
 	if err != nil {
 		return err
 	}
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	id := idOf(command)
 	moved, err := client.Release(ctx, operator.Release{ID: id, Epoch: command.String("epoch"), Workspace: workspace})
@@ -111,11 +108,10 @@
 	if err != nil {
 		return err
 	}
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	err = client.CloseEpoch(ctx, epoch)
 	if err != nil {
--- a/internal/cmd/cmd_config.go
+++ b/internal/cmd/cmd_config.go
@@ -51,11 +51,10 @@
 }
 
 func showConfig(ctx context.Context, command *cli.Command) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	configuration, err := client.Configuration(ctx, command.Uint64("version"))
 	if err != nil {
@@ -73,11 +72,10 @@
 	if err != nil {
 		return usageError(err)
 	}
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	id := idOf(command)
 	accepted, err := client.Patch(ctx, operator.Patch{ID: id, Against: command.Uint64("against"), Patch: patch})
--- a/internal/cmd/cmd_config_history.go
+++ b/internal/cmd/cmd_config_history.go
@@ -11,11 +11,10 @@
 )
 
 func showHistory(ctx context.Context, command *cli.Command) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	history, err := client.History(ctx, command.Uint64("until"))
 	if err != nil {
@@ -33,11 +32,10 @@
 }
 
 func showDiff(ctx context.Context, command *cli.Command) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	diff, err := client.Diff(ctx, command.Uint64("from"), command.Uint64("to"))
 	if err != nil {
--- a/internal/cmd/cmd_control_members.go
+++ b/internal/cmd/cmd_control_members.go
@@ -63,11 +63,10 @@
 
 // withControlGroup makes one call and prints the group that it returns.
 func withControlGroup(ctx context.Context, command *cli.Command, call func(context.Context, *operator.Client) (operator.ControlGroup, error)) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	group, err := call(ctx, client)
 	if err != nil {
--- a/internal/cmd/cmd_server.go
+++ b/internal/cmd/cmd_server.go
@@ -53,11 +53,10 @@
 }
 
 func listServers(ctx context.Context, command *cli.Command) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	servers, _, err := readServers(ctx, client)
 	if err != nil {
@@ -105,11 +104,10 @@
 		if err != nil {
 			return err
 		}
-		client, err := newClient(command)
+		ctx, client, cancel, err := dial(ctx, command)
 		if err != nil {
 			return err
 		}
-		ctx, cancel := withTimeout(ctx)
 		defer cancel()
 		servers, version, err := readServers(ctx, client)
 		if err != nil {
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -15,11 +15,10 @@
 }
 
 func runStatus(ctx context.Context, command *cli.Command) error {
-	client, err := newClient(command)
+	ctx, client, cancel, err := dial(ctx, command)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withTimeout(ctx)
 	defer cancel()
 	status, err := client.Status(ctx)
 	if err != nil {
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -120,7 +120,13 @@
 	return command.Args().First(), nil
 }
 
-// withTimeout bounds a call to a control instance.
-func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, operatorTimeout)
+// dial returns a client of the control instance that the command line names
+// and a context that bounds the calls.
+func dial(ctx context.Context, command *cli.Command) (context.Context, *operator.Client, context.CancelFunc, error) {
+	client, err := newClient(command)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, operatorTimeout)
+	return bounded, client, cancel, nil
 }
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -178,7 +178,7 @@
 		return
 	}
 	if err != nil {
-		w.Log.Debug("configuration watch failed; trying the next control instance", "err", err)
+		w.Log.Debug("configuration watch failed; trying the next control instance", "err", err.Error())
 	}
 	w.moveFrom(source)
 	pause(ctx, watchRetry)
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -76,7 +76,7 @@
 	c.counts[name]++
 	c.mu.Unlock()
 	if c.Log != nil {
-		c.Log.Error("invariant broken", "invariant", name, "err", err)
+		c.Log.Error("invariant broken", "invariant", name, "err", err.Error())
 	}
 	if c.Scope != nil {
 		c.Scope.Tagged(map[string]string{"invariant": name}).Counter("invariant_broken").Inc(1)
--- a/internal/ledger/draw.go
+++ b/internal/ledger/draw.go
@@ -131,7 +131,7 @@
 	for {
 		err := l.reportAndSize(ctx)
 		if err != nil && ctx.Err() == nil {
-			l.options.Log.Debug("report to the control group failed; retrying", "err", err)
+			l.options.Log.Debug("report to the control group failed; retrying", "err", err.Error())
 		}
 		select {
 		case <-ticker.C:
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -266,7 +266,7 @@
 	}
 	err := l.rotate()
 	if err != nil {
-		l.options.Log.Error("ledger snapshot failed", "err", err)
+		l.options.Log.Error("ledger snapshot failed", "err", err.Error())
 	}
 }
 
--- a/internal/ledger/wait.go
+++ b/internal/ledger/wait.go
@@ -37,7 +37,7 @@
 		err := l.draw(ctx, r.Workspace, r.Tokens)
 		if err != nil {
 			failed++
-			l.options.Log.Debug("draw failed", "workspace", r.Workspace, "err", err)
+			l.options.Log.Debug("draw failed", "workspace", r.Workspace, "err", err.Error())
 		}
 		try = l.tryReserve(r)
 		if !try.short {
--- a/internal/operator/deposit.go
+++ b/internal/operator/deposit.go
@@ -27,7 +27,7 @@
 	case errors.Is(err, peer.ErrInvalid):
 		write(w, http.StatusUnprocessableEntity, problem{Code: string(group.CodeInvalid), Message: err.Error()})
 	default:
-		s.Logger.Warn("deposit was not journaled", "err", err)
+		s.Logger.Warn("deposit was not journaled", "err", err.Error())
 		w.Header().Set("Retry-After", "1")
 		write(w, http.StatusServiceUnavailable, problem{Code: "unavailable", Message: "the ledger did not answer: send the same id again"})
 	}
--- a/internal/operator/member.go
+++ b/internal/operator/member.go
@@ -38,7 +38,7 @@
 	case errors.Is(err, peer.ErrInvalid):
 		write(w, http.StatusUnprocessableEntity, problem{Code: "invalid", Message: err.Error()})
 	default:
-		s.Logger.Warn("control group's members were not changed", "err", err)
+		s.Logger.Warn("control group's members were not changed", "err", err.Error())
 		w.Header().Set("Retry-After", "1")
 		write(w, http.StatusServiceUnavailable, problem{Code: "unavailable", Message: "the control group did not confirm the change: look at its status and send the same again"})
 	}
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -28,7 +28,7 @@
 		}
 		err := s.Quorum.Barrier(r.Context())
 		if err != nil {
-			s.Logger.Warn("operator's read was not confirmed by a majority", "err", err)
+			s.Logger.Warn("operator's read was not confirmed by a majority", "err", err.Error())
 			w.Header().Set("Retry-After", "1")
 			write(w, http.StatusServiceUnavailable, problem{Code: "unavailable", Message: "no majority of the control group answers: retry, or ask with local=true for what this instance knows"})
 			return
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -273,7 +273,7 @@
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, command group.Command) {
 	result, err := group.Propose(r.Context(), s.Log, command)
 	if err != nil {
-		s.Logger.Warn("operator's command was not committed", "err", err)
+		s.Logger.Warn("operator's command was not committed", "err", err.Error())
 		w.Header().Set("Retry-After", "1")
 		write(w, http.StatusServiceUnavailable, problem{Code: "unavailable", Message: "the control group did not answer: send the same id again"})
 		return
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -80,7 +80,7 @@
 		if err == nil {
 			wait = pollInterval
 		} else {
-			w.Log.Debug("the platform's list could not be read", "err", err)
+			w.Log.Debug("the platform's list could not be read", "err", err.Error())
 			wait = min(2*wait, maxPollBackoff)
 		}
 		timer := time.NewTimer(wait)
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -216,7 +216,7 @@
 	defer close(c.done)
 	commands, err := c.initialCommands()
 	if err != nil {
-		environment.Telemetry.Log.Error("the first configuration cannot be read", "err", err)
+		environment.Telemetry.Log.Error("the first configuration cannot be read", "err", err.Error())
 		return
 	}
 	for _, command := range commands {
@@ -248,7 +248,7 @@
 			}
 			return
 		}
-		environment.Telemetry.Log.Debug("first proposal was not committed; retrying", "err", err)
+		environment.Telemetry.Log.Debug("first proposal was not committed; retrying", "err", err.Error())
 		select {
 		case <-time.After(initialRetry):
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/process/dev_test.go
@@ -0,0 +1,72 @@
+package process_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/cactusbay/cactusbay/internal/disk"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/observe"
+	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// freeAddress returns a loopback address whose port and those after it are
+// most likely free.
+func freeAddress(t *testing.T) string {
+	listener, err := transport.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	_ = listener.Close()
+	if address.Port() > 60_000 {
+		address = netip.AddrPortFrom(address.Addr(), address.Port()-1_000)
+	}
+	return address.String()
+}
+
+// TestDevLeavesNoGoroutine starts a whole site over TCP, serves a request and
+// ends it.
+func TestDevLeavesNoGoroutine(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	folder := t.TempDir()
+	opened, err := disk.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses, err := process.DevAddressesFor(freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dev, err := process.StartDev(addresses, folder, process.Environment{
+		Network:   transport.TCP{},
+		Folder:    opened,
+		Telemetry: observe.Discard(),
+		Check:     &invariant.Checker{Fatal: func(err error) { t.Error(err) }},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+addresses.Entry+"/services/records/one", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+process.DevKey)
+	client := transport.Client(transport.TCP{})
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("status %d", response.StatusCode)
+	}
+	client.CloseIdleConnections()
+	dev.Shutdown(context.Background())
+}
--- a/test/live/pages_test.go
+++ b/test/live/pages_test.go
@@ -105,7 +105,7 @@
 }
 
 var (
-	commandPattern = regexp.MustCompile(`cactusbay((?: [a-z-]+)+)`)
+	commandPattern = regexp.MustCompile(`cactusbay((?: [a-z][a-z-]*)+)`)
 	flagPattern    = regexp.MustCompile(`--[a-z-]+`)
 )
 
@@ -139,14 +139,8 @@
 		return 0
 	}
 	words := strings.Fields(found[1])
-	help := ""
-	for n := min(2, len(words)); n > 0 && help == ""; n-- {
-		output, err := exec.Command(program, append(words[:n:n], "--help")...).CombinedOutput()
-		if err == nil && !strings.Contains(string(output), "No help topic") {
-			help = string(output)
-		}
-	}
-	if help == "" {
+	help, known := helpOf(words)
+	if !known {
 		t.Errorf("%s: no such command: %s", path, line)
 		return 1
 	}
@@ -157,3 +151,20 @@
 	}
 	return 1
 }
+
+// helpOf returns the help of the command that words name, and false when there
+// is no such command.
+func helpOf(words []string) (help string, known bool) {
+	parent, err := exec.Command(program, words[0], "--help").CombinedOutput()
+	if err != nil {
+		return "", false
+	}
+	if len(words) == 1 || !strings.Contains(string(parent), "\nCOMMANDS:") {
+		return string(parent), true
+	}
+	if !strings.Contains(string(parent), "\n   "+words[1]+" ") {
+		return "", false
+	}
+	own, err := exec.Command(program, words[0], words[1], "--help").CombinedOutput()
+	return string(own), err == nil
+}
--- a/test/live/site_test.go
+++ b/test/live/site_test.go
@@ -219,11 +219,24 @@
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	}
+	s.checkLogs()
 	if s.t.Failed() {
 		s.showLogs()
 	}
 }
 
+// checkLogs fails on an error that is logged with its stack and so with the
+// paths of the machine that built the program.
+func (s *site) checkLogs() {
+	paths, _ := filepath.Glob(filepath.Join(s.folder, "*.log"))
+	for _, path := range paths {
+		data, _ := os.ReadFile(path)
+		if bytes.Contains(data, []byte("stack trace")) {
+			s.t.Errorf("%s holds a stack trace", filepath.Base(path))
+		}
+	}
+}
+
 func (s *site) showLogs() {
 	paths, _ := filepath.Glob(filepath.Join(s.folder, "*.log"))
 	for _, path := range paths {
