Ask other ledgers when the nearest is short of tokens

Ruled out: the pool, which was nearly full, and the sizing. Change: after a short ledger up to two more are asked; nothing was reserved at the first, so that nothing can run twice.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -16,6 +16,9 @@
 	// reserveTimeout bounds one ledger's answer, so that the next can be asked.
 	reserveTimeout = 1500 * time.Millisecond
 	maxRedirects   = 3
+	// maxShort bounds the ledgers that are asked for a budget that the nearest
+	// one cannot cover.
+	maxShort = 3
 )
 
 // Client calls ledgers from an entry.
@@ -37,20 +40,32 @@
 
 // Reserve asks the nearest reachable ledger and follows it to the one that
 // holds the key. Each ledger is asked with an attempt of its own; the answer
-// names the one that holds. The error wraps peer.ErrUnavailable when none
+// names the one that holds. Where one has too few tokens left, a few others are
+// asked: it may be cut off from the pool, or hold less than they do. The error wraps peer.ErrUnavailable when none
 // answered for certain; no attempt holds a reservation for long then.
 func (c *Client) Reserve(ctx context.Context, r Reserve) (Held, error) {
 	var last error
+	var short []Held
 	attempt := r.Attempt
 	for i, address := range c.Addresses {
 		if i > 0 {
 			r.Attempt = fmt.Sprintf("%s.%d", attempt, i)
 		}
 		held, err := c.reserveAt(ctx, address, r)
-		if err == nil {
+		if err == nil && held.Outcome != OutcomeInsufficient {
 			return held, nil
 		}
-		last = err
+		if err != nil {
+			last = err
+			continue
+		}
+		short = append(short, held)
+		if len(short) == maxShort {
+			break
+		}
+	}
+	if len(short) > 0 {
+		return short[0], nil
 	}
 	return Held{}, errors.Newf("no ledger answered: %w", errors.Mark(last, peer.ErrUnavailable))
 }
