Logs of a request name it; a span for the wait for a place

Both were asked for and missing: warnings of the caller path had no request id, and the trace had no queue span. Checked by the tests of ./test and internal/caller; the trace file itself was not looked at.

--- a/internal/caller/attach.go
+++ b/internal/caller/attach.go
@@ -30,7 +30,7 @@
 		d.sink.finish(d.sink.answer(d.accepted.work.Model))
 		return true
 	}
-	d.server.Log.Debug("running attempt was not followed to its end", "server", running.Server, "err", err.Error())
+	d.run.log().Debug("running attempt was not followed to its end", "server", running.Server, "err", err.Error())
 	if d.sink.restartable() {
 		d.sink.w.Header().Del(ReplayedHeader)
 		d.sink.reset()
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -237,7 +237,7 @@
 // with an explicit error.
 func (d *delivery) breakOff(ctx context.Context, err error) {
 	d.run.lease.Result.Failed = ctx.Err() == nil
-	d.server.Log.Warn("answer broke off", "server", d.run.lease.Name, "err", err.Error())
+	d.run.log().Warn("answer broke off", "server", d.run.lease.Name, "err", err.Error())
 	refusal := brokenOff(ctx)
 	d.sink.fail(refusal)
 	_ = d.run.settle(ctx, d.generated(ctx), d.sink.partial(refusal))
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -75,7 +76,9 @@
 
 // take acquires a place at a backend server and the reservation for it.
 func (r *run) take(ctx context.Context, tried map[string]bool) (*ledger.Answer, *Refusal) {
-	lease, busy := r.server.acquire(ctx, r.accepted, r.tokens, tried)
+	queueCtx, span := r.span(ctx, "queue")
+	lease, busy := r.server.acquire(queueCtx, r.accepted, r.tokens, tried)
+	span.End()
 	if busy != nil {
 		return nil, noCapacity(busy)
 	}
@@ -108,7 +111,7 @@
 			return reservationAnswer(reservation)
 		}
 		if err != nil {
-			r.server.Log.Debug("wait for the running attempt failed; retrying", "err", err.Error())
+			r.log().Debug("wait for the running attempt failed; retrying", "err", err.Error())
 		}
 		select {
 		case <-time.After(awaitPause):
@@ -157,7 +160,7 @@
 		Within:     within.Milliseconds(),
 	})
 	if err != nil {
-		r.server.Log.Warn("no ledger answered", "err", err.Error())
+		r.log().Warn("no ledger answered", "err", err.Error())
 		return nil, notRun(http.StatusServiceUnavailable, codeNoLedger, "no ledger can be reached", retrySoon)
 	}
 	r.held = held
@@ -238,7 +241,7 @@
 	abandoned := group.AbandonClaim{Workspace: r.accepted.workspace, Key: r.key, Holder: r.attempt}
 	err := r.server.Claimer.Abandon(ctx, abandoned)
 	if err != nil {
-		r.server.Log.Warn("claim was not abandoned; trying again in the background", "err", err.Error())
+		r.log().Warn("claim was not abandoned; trying again in the background", "err", err.Error())
 		r.server.Outbox.add(pendingAbandon{abandon: abandoned})
 	}
 }
@@ -254,7 +257,7 @@
 	release := ledger.Release{Workspace: r.accepted.workspace, Key: r.key, Attempt: r.attempt}
 	err := r.server.Ledger.Release(ctx, r.held.Address, release)
 	if err != nil && !ledger.IsFinal(err) {
-		r.server.Log.Warn("reservation was not released; trying again in the background", "err", err.Error())
+		r.log().Warn("reservation was not released; trying again in the background", "err", err.Error())
 		r.server.Outbox.GiveUp(r.held.Address, release)
 	}
 }
@@ -279,11 +282,11 @@
 	}
 	err := r.server.Ledger.Settle(ctx, r.held.Address, settle)
 	if ledger.IsFinal(err) {
-		r.server.Log.Error("settlement was refused", "err", err.Error())
+		r.log().Error("settlement was refused", "err", err.Error())
 		return errors.Newf("settle: %w", err)
 	}
 	if err != nil {
-		r.server.Log.Warn("settlement was not confirmed; trying again in the background", "err", err.Error())
+		r.log().Warn("settlement was not confirmed; trying again in the background", "err", err.Error())
 		r.server.Outbox.add(pendingSettle{address: r.held.Address, settle: settle})
 	}
 	r.server.Scope.Tagged(map[string]string{"workspace": r.accepted.workspace}).Counter("billed_tokens").Inc(settle.Tokens)
@@ -299,6 +302,11 @@
 	return notRun(http.StatusServiceUnavailable, codeBackendRefused, "the backend server refused the request", retrySoon)
 }
 
+// log returns a logger that names the request.
+func (r *run) log() *log.Logger {
+	return r.server.Log.With("request_id", r.attempt, "workspace", r.accepted.workspace)
+}
+
 func (r *run) span(ctx context.Context, name string) (context.Context, trace.Span) {
 	return r.server.Tracer.Start(ctx, name, trace.WithAttributes(
 		attribute.String("cactusbay.workspace", r.accepted.workspace),
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -158,7 +158,7 @@
 func (c *call) finish(ctx context.Context, result backend.Answer, err error) {
 	if err != nil {
 		c.run.lease.Result.Failed = ctx.Err() == nil
-		c.server.Log.Warn("call failed with an unclear outcome", "server", c.run.lease.Name, "err", err.Error())
+		c.run.log().Warn("call failed with an unclear outcome", "server", c.run.lease.Name, "err", err.Error())
 		_ = c.run.settle(ctx, c.run.tokens, ledger.Answer{})
 		unknownOutcome().write(c.w)
 		return
