One wait that a context ends

caller, process and group each had the same few lines under the names sleep, wait and pause, and the control process and the load tool wrote them out. They call sleep.For now. Behaviour is as before; found by reading the whole change. Left: backend.forgetSilent drops idle connections on any ended context, beside transport.fresh which does so on a deadline.

--- a/internal/caller/attach.go
+++ b/internal/caller/attach.go
@@ -6,6 +6,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 // attach serves a retry from the running attempt of the same request: the
@@ -49,6 +50,6 @@
 		if err == nil || !isBroken(err) || isGone(err) || d.sink.events == events || !hasTime(ctx) {
 			return err
 		}
-		sleep(ctx, resumePause)
+		sleep.For(ctx, resumePause)
 	}
 }
--- a/internal/caller/delivery.go
+++ b/internal/caller/delivery.go
@@ -11,6 +11,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/backend"
 	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 const (
@@ -119,7 +120,7 @@
 	}
 	pause := resumePause
 	for try := 0; try < resumeTries && isBroken(err) && hasTime(ctx); try++ {
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 		pause *= 2
 		events := d.sink.events
 		next := d.follow(ctx, d.server.Backend.Resume)
@@ -259,7 +260,7 @@
 func (d *delivery) generatedBy(ctx context.Context, chat backend.Chat, received int64) int64 {
 	for try := range cancelTries {
 		if try > 0 {
-			sleep(ctx, cancelPause)
+			sleep.For(ctx, cancelPause)
 		}
 		cancelled, err := d.server.Backend.Cancel(ctx, chat)
 		if err != nil {
@@ -330,13 +331,6 @@
 	return status.Status == http.StatusNotFound || status.Status == http.StatusGone
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-	}
-}
-
 // brokenOff returns the error of an answer that ended before its end.
 func brokenOff(ctx context.Context) *Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 // startWait is how long a starting instance waits for a majority of the
@@ -20,7 +22,7 @@
 func (p *prober) run(ctx context.Context) {
 	defer close(p.done)
 	for ctx.Err() == nil {
-		pause(ctx, probeInterval)
+		sleep.For(ctx, probeInterval)
 		index, found := p.choose()
 		if found && ctx.Err() == nil {
 			p.probe(ctx, index)
@@ -99,7 +101,7 @@
 				return
 			}
 		}
-		pause(ctx, watchRetry)
+		sleep.For(ctx, watchRetry)
 	}
 }
 
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 const (
@@ -181,7 +182,7 @@
 		w.Log.Debug("configuration watch failed; trying the next control instance", "err", err.Error())
 	}
 	w.moveFrom(source)
-	pause(ctx, watchRetry)
+	sleep.For(ctx, watchRetry)
 }
 
 // fetch asks a control instance for what follows the version in force and
@@ -326,13 +327,3 @@
 		w.Scope.Counter(name).Inc(change)
 	}
 }
-
-// pause waits unless ctx ends first.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 const (
@@ -163,10 +164,7 @@
 			return
 		}
 		retries++
-		select {
-		case <-time.After(o.retryAfter):
-		case <-ctx.Done():
-		}
+		sleep.For(ctx, o.retryAfter)
 	}
 }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -22,6 +22,7 @@
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/quorum"
 	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/sleep"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
@@ -249,10 +250,7 @@
 			return
 		}
 		environment.Telemetry.Log.Debug("first proposal was not committed; retrying", "err", err.Error())
-		select {
-		case <-time.After(initialRetry):
-		case <-ctx.Done():
-		}
+		sleep.For(ctx, initialRetry)
 	}
 }
 
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/sleep"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
@@ -110,10 +111,10 @@
 // cuts what is left when ctx ends.
 func (l *listener) shutdown(ctx context.Context, lag time.Duration) {
 	l.draining.Store(true)
-	wait(ctx, lag)
+	sleep.For(ctx, lag)
 	_ = l.socket.Close()
 	for ctx.Err() == nil && !l.isQuiet() {
-		wait(ctx, drainPoll)
+		sleep.For(ctx, drainPoll)
 	}
 	err := l.server.Shutdown(ctx)
 	if err != nil {
@@ -127,13 +128,3 @@
 	_ = l.server.Close()
 	<-l.done
 }
-
-// wait returns after the time or when ctx ends.
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
