Escrow: refresh holdings every second, floors, half of a budget stays in the pool

Cause: entries cut off from control ran dry, and tokens lay idle at entries that no longer saw the workspace's callers.

--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -54,7 +54,16 @@
 // demand, of all that is left, less the part that stays in the pool. It
 // shrinks as the budget runs out.
 func (a *Account) Target(epoch string) int64 {
-	left := float64(a.left())
+	left := a.left()
+	target := a.part(epoch, left-left/poolDivisor)
+	if target < minimumTarget {
+		return 0
+	}
+	return target
+}
+
+// part returns the part of tokens that epoch's demand makes in that of all.
+func (a *Account) part(epoch string, tokens int64) int64 {
 	var demand float64
 	for _, grant := range a.Grants {
 		if grant.Closed {
@@ -66,12 +75,7 @@
 	if grant.Closed || demand == 0 {
 		return 0
 	}
-	part := float64(max(grant.Demand, demandFloor)) / demand
-	target := int64((left - left/poolDivisor) * part)
-	if target < minimumTarget {
-		return 0
-	}
-	return target
+	return int64(float64(tokens) * float64(max(grant.Demand, demandFloor)) / demand)
 }
 
 // left returns the unspent tokens of the pool and of the open grants.
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -4,10 +4,22 @@
 	// reservePercent of a total stays in the pool, where any holder can draw
 	// it: a single request must fit into it.
 	reservePercent = 3
-	// horizonSeconds of its demand is the most that a holder holds, because
-	// the tokens of one that dies count as spent.
-	horizonSeconds = 4
+	// horizonSeconds of its demand is what a holder should hold, so that it can
+	// serve while it is cut off from the group. The tokens of one that dies
+	// count as spent.
+	horizonSeconds = 10
 	secondsPerHour = 3600
+	// floorDivisor is the part of what is left that all holders hold together,
+	// in equal shares, whatever their demand.
+	floorDivisor = 8
+	// expectedHolders stand for those that have not drawn yet.
+	expectedHolders = 4
+	// heldDivisor is the part of what is left that holders hold together by
+	// their demand. The rest stays in the pool: as a budget runs out, large
+	// requests fit into no single holding.
+	heldDivisor = 2
+	// minimumFloor is the least such share, in tokens.
+	minimumFloor = 4 << 10
 )
 
 // SetTotal makes total the sum of tokens that the workspace may ever spend. A
@@ -53,14 +65,31 @@
 	return a.Draw(epoch, known, want), target
 }
 
-// TargetWithin is Target bounded by the holder's demand within the horizon; it
-// is 0 once no more than the pool's reserve is left.
+// TargetWithin is Target bounded by the holder's demand within the horizon, but
+// at least an equal share of a part of what is left. It is 0 once no more than
+// the pool's reserve is left.
 func (a *Account) TargetWithin(epoch string) int64 {
-	if a.Left() <= a.reserve() {
+	spare := a.Left() - a.reserve()
+	if spare <= 0 {
 		return 0
 	}
+	floor := spare / (floorDivisor * max(expectedHolders, a.holders()))
+	if floor < minimumFloor {
+		floor = 0
+	}
 	demand := a.Grants[epoch].Demand * horizonSeconds / secondsPerHour
-	return min(a.Target(epoch), demand)
+	return max(floor, min(a.part(epoch, spare/heldDivisor), demand))
+}
+
+// holders returns how many open grants there are.
+func (a *Account) holders() int64 {
+	var count int64
+	for _, grant := range a.Grants {
+		if !grant.Closed {
+			count++
+		}
+	}
+	return count
 }
 
 // Left returns the unspent tokens of the pool and of the open grants, less
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -20,6 +20,9 @@
 	// reportInterval is the time between two exchanges that no request waits
 	// for.
 	reportInterval = 700 * time.Millisecond
+	// refreshInterval is the time after which a holding is compared with the
+	// group's, though nothing changed: what others need of it is returned.
+	refreshInterval = time.Second
 	// exchangeTimeout is above the time of a commit on slow disks.
 	exchangeTimeout = 1200 * time.Millisecond
 	// retryPause follows an exchange that failed.
@@ -61,7 +64,6 @@
 	target int64
 	// left is unspent in the whole group, as of the last exchange.
 	left   int64
-	known  bool
 	demand rate
 	// waiting are the tokens that requests wait for.
 	waiting int64
@@ -71,6 +73,8 @@
 	changed chan struct{}
 	// exchanges counts the exchanges that ended.
 	exchanges uint64
+	// exchanged is when the last of them ended.
+	exchanged time.Time
 }
 
 // Hold is a reservation of tokens. Call Settle once.
@@ -159,6 +163,33 @@
 	}
 }
 
+// Balance is what a holder knows of one workspace's budget, in tokens.
+type Balance struct {
+	Granted   int64
+	Available int64
+	Reserved  int64
+	Billed    int64
+	// Target is what the holder should hold unspent.
+	Target int64
+	// Left is unspent in the whole group, as of the last exchange.
+	Left int64
+}
+
+// Balance returns what the holder knows of a workspace's budget.
+func (h *Holder) Balance(workspace string) Balance {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.account(workspace)
+	return Balance{
+		Granted:   a.escrow.Granted,
+		Available: a.escrow.Available(),
+		Reserved:  a.escrow.Reserved,
+		Billed:    a.escrow.Billed,
+		Target:    a.target,
+		Left:      a.left,
+	}
+}
+
 // Settle bills the tokens that were spent and frees the others.
 func (s *Hold) Settle(actual int64) {
 	s.once.Do(func() {
@@ -173,6 +204,16 @@
 	return s.reserved
 }
 
+// Prepare draws tokens for workspaces before their first requests come.
+func (h *Holder) Prepare(workspaces []string) {
+	h.mu.Lock()
+	for _, workspace := range workspaces {
+		h.account(workspace)
+	}
+	h.mu.Unlock()
+	h.signal()
+}
+
 // account is called with mu held.
 func (h *Holder) account(workspace string) *account {
 	a := h.accounts[workspace]
@@ -237,7 +278,8 @@
 			a.escrow.Return(idle)
 		}
 		counters := a.escrow.Counters()
-		if a.waiting == 0 && counters == a.reported && !a.escrow.Low(a.target) {
+		fresh := a.exchanges > 0 && now.Sub(a.exchanged) < refreshInterval
+		if fresh && a.waiting == 0 && counters == a.reported && !a.escrow.Low(a.target) {
 			continue
 		}
 		items[workspace] = group.ExchangeItem{
@@ -267,6 +309,7 @@
 		a.left = share.Left
 		a.reported = item.Counters
 		a.exchanges++
+		a.exchanged = time.Now()
 		close(a.changed)
 		a.changed = make(chan struct{})
 	}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -21,6 +21,10 @@
 	if t.request == nil {
 		return
 	}
+	if refused.reason == reasonBudget || refused.reason == reasonNoTokens {
+		t.reportBalance(refused)
+		return
+	}
 	s.Log.Info("request ended without a whole answer",
 		"request", t.request.AttemptID,
 		"route", route,
@@ -36,3 +40,24 @@
 		"configuration", t.table.Version,
 	)
 }
+
+// reportBalance logs a refusal for want of tokens with the numbers behind it.
+func (t *task) reportBalance(refused *refusal) {
+	balance := t.server.Holder.Balance(t.workspace.Name)
+	t.server.Log.Info("request refused for want of tokens",
+		"request", t.request.AttemptID,
+		"route", t.route.Name,
+		"reason", string(refused.reason),
+		"status", refused.status,
+		"workspace", t.workspace.Name,
+		"needed", t.request.Prompt.Tokens+t.request.Prompt.Output,
+		"granted", balance.Granted,
+		"available", balance.Available,
+		"reserved", balance.Reserved,
+		"billed", balance.Billed,
+		"target", balance.Target,
+		"left", balance.Left,
+		"took_ms", time.Since(t.start).Milliseconds(),
+		"configuration", t.table.Version,
+	)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -23,8 +23,9 @@
 const (
 	// defaultBodyBytes bounds a body when the configuration names no bound.
 	defaultBodyBytes = 4 << 20
-	// reserveShare is the part of a request's time that it may wait for tokens.
-	reserveShare = 4
+	// reserveWait is how long a request waits for tokens: some commits of the
+	// control group, but no election.
+	reserveWait = 400 * time.Millisecond
 )
 
 // Server serves callers.
@@ -48,7 +49,9 @@
 
 // Install puts a configuration in force.
 func (s *Server) Install(version uint64, document *config.Document) {
-	s.table.Store(NewTable(version, document))
+	table := NewTable(version, document)
+	s.table.Store(table)
+	s.Holder.Prepare(table.budgeted())
 }
 
 // Table returns the configuration in force, or nil.
@@ -176,7 +179,7 @@
 	if prompt == nil || t.workspace == nil || !t.workspace.Budgeted {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Until(t.deadline)/reserveShare)
+	ctx, cancel := context.WithTimeout(ctx, reserveWait)
 	defer cancel()
 	hold, err := t.server.Holder.Reserve(ctx, t.workspace.Name, prompt.Tokens+prompt.Output)
 	switch {
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -88,6 +90,17 @@
 	return t.workspaces[config.HashKey(key)]
 }
 
+// budgeted returns the names of the workspaces that have budgets.
+func (t *Table) budgeted() []string {
+	named := make(map[string]bool)
+	for _, workspace := range t.workspaces {
+		if workspace.Budgeted {
+			named[workspace.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(named))
+}
+
 // Upstream draws one of the route's upstreams by their weights.
 func (r *Route) Upstream() string {
 	total := 0
--- a/internal/group/replace.go
+++ b/internal/group/replace.go
@@ -119,6 +119,7 @@
 		return Result{Code: CodeNotFound, Detail: "the epoch is closed"}
 	}
 	if !found {
+		s.closeEarlier(c.Instance)
 		s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain}
 	}
 	shares := make(map[string]Share, len(c.Workspaces))
@@ -138,6 +139,16 @@
 	return Result{Code: CodeDone, Shares: shares}
 }
 
+// closeEarlier closes the epochs of an instance's earlier starts, which have
+// ended. What they had not reported stays spent.
+func (s *state) closeEarlier(instance string) {
+	for name, epoch := range s.Epochs {
+		if epoch.Instance == instance && !epoch.Closed {
+			s.closeEpoch(CloseEpoch{Epoch: name})
+		}
+	}
+}
+
 func (s *state) exchangeOne(epoch, workspace string, item ExchangeItem, check *invariant.Checker) (Share, error) {
 	account := s.account(workspace)
 	err := account.Report(epoch, item.Counters)
