--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -27,7 +27,7 @@
 	// closeMargin is left of the shutdown's limit for the end of the process.
 	closeMargin = 400 * time.Millisecond
 	// acceptFor is how long new connections are served after readiness ended.
-	acceptFor = 3500 * time.Millisecond
+	acceptFor = 3200 * time.Millisecond
 )
 
 // Gateway is an entry instance of a seeded site.
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -89,16 +89,19 @@
 	l.conns[conn] = connection{state: state, since: time.Now()}
 }
 
-// isQuiet tells whether no request is in progress and none is likely to come.
-func (l *listener) isQuiet() bool {
+// closeQuiet closes the connections on which no request is in progress and none
+// is likely to come; it tells whether none are left.
+func (l *listener) closeQuiet() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range l.conns {
+	for conn, c := range l.conns {
 		if c.state == http.StateActive || time.Since(c.since) < idleQuiet {
-			return false
+			continue
 		}
+		_ = conn.Close()
+		delete(l.conns, conn)
 	}
-	return true
+	return len(l.conns) == 0
 }
 
 // address returns the address that the listener has.
@@ -106,14 +109,14 @@
 	return l.socket.Addr().String()
 }
 
-// shutdown serves on for lag, takes no new connections from then on and waits
-// until the requests in progress have ended and the connections are idle. It
+// shutdown serves on for lag, takes no new connections from then on, closes
+// those that are idle and waits until the requests in progress have ended. It
 // cuts what is left when ctx ends.
 func (l *listener) shutdown(ctx context.Context, lag time.Duration) {
 	l.draining.Store(true)
 	sleep.For(ctx, lag)
 	_ = l.socket.Close()
-	for ctx.Err() == nil && !l.isQuiet() {
+	for ctx.Err() == nil && !l.closeQuiet() {
 		sleep.For(ctx, drainPoll)
 	}
 	err := l.server.Shutdown(ctx)
--- /dev/null
+++ b/internal/process/listener_test.go
@@ -0,0 +1,68 @@
+package process
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// TestShutdownClosesIdleConnectionsBesideALongAnswer holds one answer open
+// while another connection is idle: the idle one must not stay open until the
+// long answer ends, because requests on it would be cut.
+func TestShutdownClosesIdleConnectionsBesideALongAnswer(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(started)
+			<-release
+		}
+	})
+	l, err := listen(transport.TCP{}, "127.0.0.1:0", handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	idle := request(t, l.address(), "/short")
+	long := request(t, l.address(), "/long")
+	<-started
+	_, err = http.ReadResponse(bufio.NewReader(idle), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.shutdown(context.Background(), time.Millisecond)
+	}()
+	_ = idle.SetReadDeadline(time.Now().Add(3 * idleQuiet))
+	_, err = idle.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	if err == nil || ok && timeout.Timeout() {
+		t.Errorf("the idle connection is open after %s: %v", 3*idleQuiet, err)
+	}
+	close(release)
+	answer, err := http.ReadResponse(bufio.NewReader(long), nil)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		t.Errorf("the long answer was cut: %v", err)
+	}
+	<-ended
+}
+
+func request(t *testing.T, address, path string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
