Budget: a holder with most of the demand holds more; refuse at once while control is out of reach

Cause: callers of a workspace meet one or two entries, which ran dry within seconds of a cut and then held each request for 400 ms.

--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -14,9 +14,10 @@
 	floorDivisor = 8
 	// expectedHolders stand for those that have not drawn yet.
 	expectedHolders = 4
-	// heldDivisor is the part of what is left that holders hold together by
-	// their demand. The rest stays in the pool: as a budget runs out, large
-	// requests fit into no single holding.
+	// heldDivisor is the part of what is left that several holders hold together
+	// by their demand. The rest stays in the pool: as a budget runs out, large
+	// requests fit into no single holding. One with most of the demand may hold
+	// more, because they fit into its own.
 	heldDivisor = 2
 	// minimumFloor is the least such share, in tokens.
 	minimumFloor = 4 << 10
@@ -78,7 +79,8 @@
 		floor = 0
 	}
 	demand := a.Grants[epoch].Demand * horizonSeconds / secondsPerHour
-	return max(floor, min(a.part(epoch, spare/heldDivisor), demand))
+	part := a.part(epoch, spare)
+	return max(floor, min(max(part/heldDivisor, a.part(epoch, part)), demand))
 }
 
 // holders returns how many open grants there are.
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -24,7 +24,7 @@
 	// group's, though nothing changed: what others need of it is returned.
 	refreshInterval = time.Second
 	// exchangeTimeout is above the time of a commit on slow disks.
-	exchangeTimeout = 1200 * time.Millisecond
+	exchangeTimeout = 800 * time.Millisecond
 	// retryPause follows an exchange that failed.
 	retryPause = 60 * time.Millisecond
 	// gatherPause lets requests that come together share an exchange.
@@ -52,7 +52,9 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	wake     chan struct{}
+	// failing tells that the last exchange failed.
+	failing bool
+	wake    chan struct{}
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -115,6 +117,10 @@
 		}
 		return &Hold{holder: h, workspace: workspace, reserved: tokens}, nil
 	}
+	if h.failing {
+		h.mu.Unlock()
+		return nil, ErrUnavailable
+	}
 	a.waiting += tokens
 	h.mu.Unlock()
 	err := h.await(ctx, workspace, tokens)
@@ -141,8 +147,8 @@
 		if a.escrow.Reserve(tokens) {
 			return nil
 		}
-		if err != nil {
-			return err
+		if err != nil || h.failing {
+			return ErrUnavailable
 		}
 		if a.exchanges < from+2 {
 			continue
@@ -259,6 +265,7 @@
 	shares, err := h.Exchanger.Exchange(ctx, request)
 	if err != nil {
 		h.Log.Warn("tokens could not be exchanged", "err", err.Error(), "workspaces", len(request.Workspaces))
+		h.fail()
 		sleep.For(ctx, retryPause)
 		h.signal()
 		return
@@ -295,6 +302,23 @@
 	return &group.Exchange{Epoch: h.Epoch, Instance: h.Instance, FailureDomain: h.FailureDomain, Workspaces: items}
 }
 
+// fail makes the requests that wait, and those that come before the next
+// exchange succeeds, go elsewhere at once.
+func (h *Holder) fail() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failing = true
+	for _, a := range h.accounts {
+		a.renew()
+	}
+}
+
+// renew wakes those that wait for an exchange.
+func (a *account) renew() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
 func (h *Holder) take(request *group.Exchange, shares map[string]group.Share) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -310,7 +334,7 @@
 		a.reported = item.Counters
 		a.exchanges++
 		a.exchanged = time.Now()
-		close(a.changed)
-		a.changed = make(chan struct{})
+		a.renew()
 	}
+	h.failing = false
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -40,6 +40,10 @@
 }
 
 const (
+	// retryElsewhere is short: the caller's next attempt meets another entry,
+	// which may hold tokens.
+	retryElsewhere = 50 * time.Millisecond
+
 	retrySoon  = 250 * time.Millisecond
 	retryLater = time.Second
 )
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -189,7 +189,7 @@
 	case errors.Is(err, escrow.ErrExhausted):
 		return &refusal{reason: reasonBudget, status: http.StatusPaymentRequired}
 	default:
-		return notRun(reasonNoTokens, retrySoon)
+		return notRun(reasonNoTokens, retryElsewhere)
 	}
 }
 
