--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,150 @@
+// Package gossip tells the other entries, in datagrams, which prompts this one
+// sends where, so that all see the work that waits at the engines. A datagram
+// that is lost costs a worse choice and nothing else.
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/place"
+)
+
+const (
+	// datagramsPerSecond bounds what an entry sends, to all others together.
+	datagramsPerSecond = 400
+	// minWork is the least work that is told: shorter prompts delay nobody.
+	minWork = 5 * time.Millisecond
+	// queueLength bounds the messages that wait to be sent.
+	queueLength = 64
+)
+
+// Spreader sends and receives the messages of one entry.
+type Spreader struct {
+	// Address is an IP number and a port for datagrams.
+	Address string
+	Fleet   *place.Fleet
+	Log     *log.Logger
+
+	socket  *net.UDPConn
+	peers   atomic.Pointer[[]netip.AddrPort]
+	queue   chan message
+	dropped atomic.Int64
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// Start opens the socket.
+func (s *Spreader) Start() error {
+	address, err := netip.ParseAddrPort(s.Address)
+	if err != nil {
+		return errors.Newf("gossip address %s: %w", s.Address, err)
+	}
+	s.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return errors.Newf("listen for datagrams: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.queue = make(chan message, queueLength)
+	s.done.Go(s.receiveLoop)
+	s.done.Go(func() { s.sendLoop(ctx) })
+	return nil
+}
+
+// Close ends both loops.
+func (s *Spreader) Close() {
+	s.stop()
+	_ = s.socket.Close()
+	s.done.Wait()
+}
+
+// SetPeers replaces the addresses of the other entries.
+func (s *Spreader) SetPeers(addresses []string) {
+	var peers []netip.AddrPort
+	for _, address := range addresses {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			s.Log.Warn("an entry's datagram address cannot be read", "address", address)
+			continue
+		}
+		if address != s.Address {
+			peers = append(peers, parsed)
+		}
+	}
+	s.peers.Store(&peers)
+}
+
+// Tell queues a message about a prompt; a full queue drops it.
+func (s *Spreader) Tell(server string, work time.Duration, parts []place.Part) {
+	if work < minWork {
+		return
+	}
+	select {
+	case s.queue <- message{server: server, work: work, parts: parts}:
+	default:
+		s.dropped.Add(1)
+	}
+}
+
+// sendLoop sends the queued messages within the bound on datagrams.
+func (s *Spreader) sendLoop(ctx context.Context) {
+	allowance := float64(datagramsPerSecond)
+	last := time.Now()
+	var buffer []byte
+	for {
+		var m message
+		select {
+		case m = <-s.queue:
+		case <-ctx.Done():
+			return
+		}
+		peers := s.peers.Load()
+		if peers == nil {
+			continue
+		}
+		now := time.Now()
+		allowance = min(datagramsPerSecond, allowance+now.Sub(last).Seconds()*datagramsPerSecond)
+		last = now
+		if allowance < float64(len(*peers)) {
+			s.dropped.Add(1)
+			continue
+		}
+		allowance -= float64(len(*peers))
+		buffer = m.append(buffer[:0])
+		for _, peer := range *peers {
+			_, err := s.socket.WriteToUDPAddrPort(buffer, peer)
+			if err != nil && ctx.Err() == nil {
+				s.Log.Debug("datagram not sent", "to", peer.String(), "err", err.Error())
+			}
+		}
+	}
+}
+
+// receiveLoop hands what others tell to the fleet until the socket is closed.
+func (s *Spreader) receiveLoop() {
+	buffer := make([]byte, maxMessage)
+	for {
+		n, _, err := s.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				s.Log.Error("datagrams can no longer be received", "err", err.Error())
+			}
+			return
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			s.Log.Debug("datagram dropped", "err", err.Error())
+			continue
+		}
+		s.Fleet.Elsewhere(m.server, m.work, m.parts, time.Now())
+	}
+}
--- a/internal/group/instance.go
+++ b/internal/group/instance.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"hash/fnv"
 	"sort"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 
 	heard   time.Time
 	started time.Time
+	// datagrams is where the instance takes datagrams, if it does.
+	datagrams string
 }
 
 // instanceTable is a bounded table of the instances that were heard; its zero
@@ -70,6 +73,7 @@
 	instance.FailureDomain = request.FailureDomain
 	instance.Version = max(instance.Version, request.Have)
 	instance.Basis = request.Basis
+	instance.datagrams = request.Datagrams
 	instance.heard = now
 	instance.move(request.event(), check)
 	if instance.State == "restarted" && now.Sub(instance.started) >= settleAfter {
@@ -138,6 +142,24 @@
 	return count
 }
 
+// peers returns where the live instances take datagrams, and the sum of that.
+func (t *instanceTable) peers() ([]string, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var addresses []string
+	for _, instance := range t.instances {
+		if instance.datagrams != "" && time.Since(instance.heard) < silentAfter {
+			addresses = append(addresses, instance.datagrams)
+		}
+	}
+	sort.Strings(addresses)
+	sum := fnv.New64a()
+	for _, address := range addresses {
+		_, _ = sum.Write([]byte(address + " "))
+	}
+	return addresses, sum.Sum64()
+}
+
 func (i *Instance) move(event statechart.Event, check *invariant.Checker) {
 	next, err := instanceChart.Next(i.State, event)
 	if err != nil {
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -46,6 +46,10 @@
 	ListingNumber uint64 `cbor:"10,keyasint,omitempty"`
 	// Listing asks for the listing of backend servers too.
 	Listing bool `cbor:"11,keyasint,omitempty"`
+	// Datagrams is where the instance takes datagrams of others like it, and
+	// KnownPeers the sum of the others that it knows.
+	Datagrams  string `cbor:"12,keyasint,omitempty"`
+	KnownPeers uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // watchResponse leads from the version that the instance has to Number, by
@@ -70,6 +74,10 @@
 	ListingAge int64 `cbor:"9,keyasint,omitempty"`
 	// Entries is how many instances were heard lately.
 	Entries int `cbor:"10,keyasint,omitempty"`
+	// Peers are where the live instances take datagrams, and PeersSum is their
+	// sum; they are left out when the instance knows them.
+	Peers    []string `cbor:"11,keyasint,omitempty"`
+	PeersSum uint64   `cbor:"12,keyasint,omitempty"`
 }
 
 // Handle serves entries on mux.
@@ -105,6 +113,10 @@
 	response := g.answerWatch(request)
 	response.Known = known
 	response.Entries = g.instances.live()
+	response.Peers, response.PeersSum = g.instances.peers()
+	if response.PeersSum == request.KnownPeers {
+		response.Peers = nil
+	}
 	if g.Members != nil {
 		response.Controls = g.Members()
 	}
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -76,6 +76,10 @@
 	Numbered func(uint64, *config.Document)
 	// View learns the list of backend servers; nil means that it is not asked.
 	View *instances.View
+	// Datagrams is where this instance takes datagrams, and Peers is called
+	// when the addresses of those like it change; nil means not called.
+	Datagrams string
+	Peers     func(addresses []string)
 	// Instance, Incarnation and FailureDomain stand in the heartbeats.
 	Instance      string
 	Incarnation   string
@@ -93,6 +97,8 @@
 	switched time.Time
 	missed   int
 	leaving  bool
+	// knownPeers is the sum of the addresses that Peers was called with.
+	knownPeers uint64
 	// entries is the most instances that any control instance heard lately.
 	entries int
 
@@ -234,6 +240,8 @@
 	w.mu.Lock()
 	request.Basis = w.basis()
 	request.Leaving = w.leaving
+	request.Datagrams = w.Datagrams
+	request.KnownPeers = w.knownPeers
 	w.mu.Unlock()
 	if w.View != nil {
 		request.Listing = true
@@ -249,6 +257,7 @@
 	w.mu.Unlock()
 	w.Directory.Learn(response.Controls)
 	w.learnListing(&request, response)
+	w.learnPeers(response)
 	w.countAnswer(response)
 	return response, request.Have, nil
 }
@@ -266,6 +275,17 @@
 	w.View.Confirm(request.ListingReader, request.ListingNumber, age)
 }
 
+// learnPeers hands the addresses of those like this instance on.
+func (w *Watcher) learnPeers(response *watchResponse) {
+	if w.Peers == nil || len(response.Peers) == 0 {
+		return
+	}
+	w.mu.Lock()
+	w.knownPeers = response.PeersSum
+	w.mu.Unlock()
+	w.Peers(response.Peers)
+}
+
 // Entries returns how many instances like this one the control instances hear.
 func (w *Watcher) Entries() int {
 	w.mu.Lock()
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -35,6 +35,10 @@
 type Fleet struct {
 	mu      sync.Mutex
 	servers map[string]*server
+	// Told is called with each prompt that is sent, to tell other entries; nil
+	// means not called.
+	Told func(server string, work time.Duration, parts []Part)
+
 	// gone remembers leaving servers that a late list may show again.
 	gone map[string]bool
 }
@@ -194,6 +198,9 @@
 		p.Cached = s.cached(q.Prompt)
 		p.Work = s.work(q.Prompt)
 		s.read(q.Prompt, p.Work, q.Now)
+		if f.Told != nil {
+			f.Told(s.id, p.Work, q.Prompt.Parts)
+		}
 	}
 	return p
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/forward"
+	"github.com/cactusbay/cactusbay/internal/gossip"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/peer"
@@ -68,7 +71,11 @@
 		Tracer:        environment.Telemetry.Tracer,
 	}
 	g.startHolder(environment, client, incarnation)
-	g.startWatcher(environment, dialect, client, incarnation)
+	spreader, err := g.startSpreader(environment)
+	if err != nil {
+		return err
+	}
+	g.startWatcher(environment, dialect, client, incarnation, spreader)
 	g.Server.Entries = g.Watcher.Entries
 	return g.serve(environment, dialect)
 }
@@ -89,7 +96,27 @@
 	g.parts.add(g.Server.Holder.Close)
 }
 
-func (g *Gateway) startWatcher(environment Environment, dialect Dialect, client *peer.Client, incarnation string) {
+// startSpreader tells the other entries of the prompts that this one sends.
+func (g *Gateway) startSpreader(environment Environment) (*gossip.Spreader, error) {
+	host, _, err := net.SplitHostPort(g.settings.CallerAddress)
+	if err != nil {
+		return nil, errors.Newf("caller address: %w", err)
+	}
+	spreader := &gossip.Spreader{
+		Address: net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
+		Fleet:   g.Server.Fleet,
+		Log:     environment.Telemetry.Log,
+	}
+	err = spreader.Start()
+	if err != nil {
+		return nil, err
+	}
+	g.parts.add(spreader.Close)
+	g.Server.Fleet.Told = spreader.Tell
+	return spreader, nil
+}
+
+func (g *Gateway) startWatcher(environment Environment, dialect Dialect, client *peer.Client, incarnation string, spreader *gossip.Spreader) {
 	view := &instances.View{
 		Lister:  dialect.Lister(transport.Client(environment.Network), g.settings.Seeded.InstanceList),
 		Log:     environment.Telemetry.Log,
@@ -104,6 +131,8 @@
 		Check:         environment.Check,
 		Scope:         environment.Telemetry.Scope,
 		View:          view,
+		Datagrams:     spreader.Address,
+		Peers:         spreader.SetPeers,
 		Instance:      g.settings.InstanceID,
 		Incarnation:   incarnation,
 		FailureDomain: g.settings.FailureDomain,
