--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -33,15 +33,21 @@
 	draining atomic.Bool
 
 	mu    sync.Mutex
-	conns map[net.Conn]connection
+	conns map[net.Conn]*connection
 }
 
-// connection is the state of an accepted connection.
+// connection is the state of an accepted connection, guarded by its listener.
 type connection struct {
 	state http.ConnState
 	since time.Time
+	// closed is set when the listener closed the connection as idle. A request
+	// that had been read by then must not be served: its answer would be lost.
+	closed bool
 }
 
+// connectionKey is where the context of a request holds its connection.
+type connectionKey struct{}
+
 // listen starts to serve handler on address.
 func listen(network transport.Network, address string, handler http.Handler) (*listener, error) {
 	socket, err := network.Listen(address)
@@ -51,7 +57,7 @@
 	l := &listener{
 		socket: socket,
 		done:   make(chan struct{}),
-		conns:  make(map[net.Conn]connection),
+		conns:  make(map[net.Conn]*connection),
 	}
 	l.server = &http.Server{
 		Handler:           l.closing(handler),
@@ -59,6 +65,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         l.track,
+		ConnContext:       l.remember,
 	}
 	go l.run()
 	return l, nil
@@ -74,6 +81,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
+			if l.isClosed(r) {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -86,7 +96,34 @@
 		delete(l.conns, conn)
 		return
 	}
-	l.conns[conn] = connection{state: state, since: time.Now()}
+	c := l.connection(conn)
+	c.state = state
+	c.since = time.Now()
+}
+
+// connection returns the state of a connection; it is called with mu held.
+func (l *listener) connection(conn net.Conn) *connection {
+	c := l.conns[conn]
+	if c == nil {
+		c = &connection{since: time.Now()}
+		l.conns[conn] = c
+	}
+	return c
+}
+
+// remember puts a connection's state into the context of its requests.
+func (l *listener) remember(ctx context.Context, conn net.Conn) context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return context.WithValue(ctx, connectionKey{}, l.connection(conn))
+}
+
+// isClosed tells whether the connection of a request was closed as idle.
+func (l *listener) isClosed(r *http.Request) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := r.Context().Value(connectionKey{}).(*connection)
+	return ok && c.closed
 }
 
 // closeQuiet closes the connections on which no request is in progress and none
@@ -98,6 +135,7 @@
 		if c.state == http.StateActive || time.Since(c.since) < idleQuiet {
 			continue
 		}
+		c.closed = true
 		_ = conn.Close()
 		delete(l.conns, conn)
 	}
--- a/internal/process/listener_test.go
+++ b/internal/process/listener_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -66,3 +67,26 @@
 	}
 	return conn
 }
+
+// TestRequestReadBeforeItsConnectionClosedIsNotServed closes a connection as
+// idle after its next request was read and before its handler starts.
+func TestRequestReadBeforeItsConnectionClosedIsNotServed(t *testing.T) {
+	served := false
+	l := &listener{conns: make(map[net.Conn]*connection)}
+	handler := l.closing(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served = true }))
+	conn, _ := net.Pipe()
+	ctx := l.remember(context.Background(), conn)
+	l.track(conn, http.StateIdle)
+	l.conns[conn].since = time.Now().Add(-2 * idleQuiet)
+	l.draining.Store(true)
+	if !l.closeQuiet() {
+		t.Fatal("the idle connection is still open")
+	}
+	l.track(conn, http.StateActive)
+	defer func() {
+		if recover() != http.ErrAbortHandler || served {
+			t.Error("a request on a closed connection was served")
+		}
+	}()
+	handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil))
+}
