Tests for the platform path; a margin of each total, probes beside each other, lagging control instances say so

Candidates mended: a probe that hangs no longer holds up the next, a control instance without a leader sends its entries on, tokens under way when a stream breaks are billed and a hundredth of a total stays back.

--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -1,6 +1,9 @@
 package budget
 
 const (
+	// marginDivisor is the part of a total that is never handed out: it covers
+	// tokens of answers that broke off, whose number is not known exactly.
+	marginDivisor = 100
 	// reservePercent of a total stays in the pool, where any holder can draw
 	// it: a single request must fit into it.
 	reservePercent = 3
@@ -23,10 +26,11 @@
 	minimumFloor = 4 << 10
 )
 
-// SetTotal makes total the sum of tokens that the workspace may ever spend. A
-// lower total takes from the pool, and what the pool lacks from later returns.
+// SetTotal makes total, less a margin, the sum of tokens that the workspace may
+// ever spend. A lower total takes from the pool, and what the pool lacks from
+// later returns.
 func (a *Account) SetTotal(total int64) {
-	change := total - a.Total
+	change := spendable(total) - spendable(a.Total)
 	a.Total = total
 	if change > 0 {
 		paid := min(change, a.Owed)
@@ -38,6 +42,10 @@
 	a.payOwed()
 }
 
+func spendable(total int64) int64 {
+	return total - total/marginDivisor
+}
+
 // payOwed takes what is owed out of the pool.
 func (a *Account) payOwed() {
 	paid := min(a.Owed, a.Pool)
--- /dev/null
+++ b/internal/budget/total_test.go
@@ -0,0 +1,111 @@
+package budget
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestTotalIsNeverOverspent plays holders that draw, spend, return and die
+// while the total goes up and down. What they can spend is never more than the
+// highest total.
+func TestTotalIsNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := &Account{}
+		highest := int64(0)
+		setTotal := func(total int64) {
+			account.SetTotal(total)
+			highest = max(highest, total)
+		}
+		setTotal(rapid.Int64Range(0, 2_000_000).Draw(t, "total"))
+		escrows := make(map[string]*Escrow)
+		var spent int64
+		names := []string{"a", "b", "c"}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "holder")
+			if escrows[name] == nil {
+				escrows[name] = &Escrow{}
+			}
+			e := escrows[name]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				e.Return(e.Idle(account.TargetWithin(name)))
+				err := account.Report(name, e.Counters())
+				if err != nil {
+					t.Fatal(err)
+				}
+				granted, _ := account.DrawWithin(name, e.Granted, Ask{Need: rapid.Int64Range(0, 80_000).Draw(t, "need"), Ahead: true, Demand: rapid.Int64Range(0, 1_000_000_000).Draw(t, "demand")})
+				e.Granted = granted
+			case 2, 3:
+				size := rapid.Int64Range(0, 80_000).Draw(t, "size")
+				if e.Reserve(size) {
+					spent += e.Settle(size, rapid.Int64Range(0, size).Draw(t, "actual"))
+				}
+			case 4:
+				account.Close(name)
+				delete(escrows, name)
+				names = append(names, name+"'")
+				names[0] = names[len(names)-1]
+			case 5:
+				setTotal(rapid.Int64Range(0, 2_000_000).Draw(t, "new total"))
+			}
+			if err := account.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if spent > highest {
+			t.Fatalf("spent %d of a total that was never above %d", spent, highest)
+		}
+	})
+}
+
+func TestLowerTotalIsPaidByReturns(t *testing.T) {
+	account := &Account{}
+	account.SetTotal(1000)
+	granted, _ := account.DrawWithin("a", 0, Ask{Need: 900})
+	account.SetTotal(500)
+	if account.Left() != 495 {
+		t.Errorf("%d left of a total of 500 less its margin", account.Left())
+	}
+	err := account.Report("a", Counters{Returned: granted})
+	if err != nil {
+		t.Fatal(err)
+	}
+	account.DrawWithin("a", granted, Ask{})
+	if account.Pool != 495 || account.Owed != 0 {
+		t.Errorf("pool %d, owed %d", account.Pool, account.Owed)
+	}
+}
+
+// TestLargeRequestFitsWhileMuchIsLeft spreads a budget over nine holders with
+// equal demand, which return what they hold above their targets as they do each
+// second: a large request must find its tokens in the pool.
+func TestLargeRequestFitsWhileMuchIsLeft(t *testing.T) {
+	const (
+		total   = 1_200_000
+		largest = 80_000
+	)
+	account := &Account{}
+	account.SetTotal(total)
+	escrows := make(map[string]*Escrow)
+	for range 3 {
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+			e := escrows[name]
+			if e == nil {
+				e = &Escrow{}
+				escrows[name] = e
+			}
+			e.Return(e.Idle(account.TargetWithin(name)))
+			err := account.Report(name, e.Counters())
+			if err != nil {
+				t.Fatal(err)
+			}
+			e.Granted, _ = account.DrawWithin(name, e.Granted, Ask{Ahead: true, Demand: 500_000_000})
+		}
+	}
+	before := escrows["a"].Granted
+	granted, _ := account.DrawWithin("a", before, Ask{Need: largest, Ahead: true, Demand: 500_000_000})
+	if granted-before < largest {
+		t.Errorf("a request of %d drew %d of a pool of %d", largest, granted-before, account.Pool)
+	}
+}
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -41,9 +41,15 @@
 // tokens.
 var ErrUnavailable = errors.New("no tokens could be drawn now")
 
+// Exchanger exchanges tokens with the control group. After an error the
+// exchange may have taken place or may yet do so.
+type Exchanger interface {
+	Exchange(ctx context.Context, exchange *group.Exchange) (map[string]group.Share, error)
+}
+
 // Holder holds the tokens of one entry.
 type Holder struct {
-	Exchanger *group.Exchanger
+	Exchanger Exchanger
 	Log       *log.Logger
 	// Epoch is the name of this start of the entry.
 	Epoch         string
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -72,6 +72,7 @@
 	if t.begun {
 		return &refusal{reason: reasonBrokenStream}, false
 	}
+	t.complete = true
 	t.begin(response)
 	if t.request.Method != http.MethodHead {
 		t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -113,6 +114,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
+		t.complete = true
 		response.Finish()
 		placement.Done(place.Served{}, now)
 		return nil, false
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -23,6 +23,9 @@
 const (
 	// defaultBodyBytes bounds a body when the configuration names no bound.
 	defaultBodyBytes = 4 << 20
+	// eventsUnderWay are the events that a server may have sent beyond those
+	// that were passed on before a stream broke off.
+	eventsUnderWay = 4
 	// reserveWait is how long a request waits for tokens: some commits of the
 	// control group, but no election.
 	reserveWait = 400 * time.Millisecond
@@ -200,7 +203,11 @@
 	}
 	var spent int64
 	if t.mayHaveRun || t.begun {
-		spent = t.request.Prompt.Tokens + t.events*max(1, t.route.EventTokens)
+		events := t.events
+		if !t.complete {
+			events += eventsUnderWay
+		}
+		spent = t.request.Prompt.Tokens + events*max(1, t.route.EventTokens)
 	}
 	t.hold.Settle(spent)
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -50,7 +50,9 @@
 	lastServer string
 
 	// begun is set once a part of an answer went to the caller.
-	begun     bool
+	begun bool
+	// complete is set once the whole answer of a server was read.
+	complete  bool
 	events    int64
 	lastEvent string
 	status    int
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -28,6 +28,9 @@
 	// Members returns the addresses of the control group's members, which
 	// watching instances learn; nil means that they learn none.
 	Members func() []string
+	// Lagging tells whether this instance may know less than others of its
+	// group; nil means that it is never asked.
+	Lagging func() bool
 	// Listings is the list of backend servers, which watching instances learn;
 	// nil means that there is none.
 	Listings *instances.Poller
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/sleep"
@@ -17,6 +18,9 @@
 type prober struct {
 	watcher *Watcher
 	last    string
+	// running are the probes in progress: one that hangs must not hold up the
+	// next.
+	running sync.WaitGroup
 	done    chan struct{}
 }
 
@@ -26,9 +30,10 @@
 		sleep.For(ctx, probeInterval)
 		address, found := p.choose()
 		if found && ctx.Err() == nil {
-			p.probe(ctx, address)
+			p.running.Go(func() { p.probe(ctx, address) })
 		}
 	}
+	p.running.Wait()
 }
 
 // choose returns the next control instance that is not the source.
@@ -49,7 +54,7 @@
 	w := p.watcher
 	before := w.Active().Number
 	response, err := w.fetch(ctx, address, watchRequest{}, probeTimeout)
-	if err != nil || response.Leaving {
+	if err != nil || response.Leaving || response.Lagging {
 		return
 	}
 	w.mu.Lock()
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -74,6 +74,9 @@
 	ListingAge int64 `cbor:"9,keyasint,omitempty"`
 	// Entries is how many instances were heard lately.
 	Entries int `cbor:"10,keyasint,omitempty"`
+	// Lagging tells that the control instance does not hear its leader and may
+	// know less than others.
+	Lagging bool `cbor:"13,keyasint,omitempty"`
 	// Peers are where the live instances take datagrams, and PeersSum is their
 	// sum; they are left out when the instance knows them.
 	Peers    []string `cbor:"11,keyasint,omitempty"`
@@ -104,7 +107,7 @@
 
 func (g *Group) serveWatch(ctx context.Context, request *watchRequest) (*watchResponse, error) {
 	known := g.instances.hear(request, g.Check)
-	if request.Wait {
+	if request.Wait && !g.isLagging() {
 		err := g.waitChange(ctx, request)
 		if err != nil {
 			return nil, err
@@ -112,6 +115,7 @@
 	}
 	response := g.answerWatch(request)
 	response.Known = known
+	response.Lagging = g.isLagging()
 	response.Entries = g.instances.live()
 	response.Peers, response.PeersSum = g.instances.peers()
 	if response.PeersSum == request.KnownPeers {
@@ -124,6 +128,10 @@
 	return response, nil
 }
 
+func (g *Group) isLagging() bool {
+	return g.Lagging != nil && g.Lagging()
+}
+
 // waitChange returns when there is something newer than the instance has,
 // after a short wait for more of it, or after watchWait.
 func (g *Group) waitChange(ctx context.Context, request *watchRequest) error {
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -23,7 +23,7 @@
 	watchRetry   = 250 * time.Millisecond
 	// probeInterval is the time between two probes of the control instances
 	// that are not the source.
-	probeInterval = time.Second
+	probeInterval = 500 * time.Millisecond
 	probeTimeout  = time.Second
 	// missedProbes is how many times in a row a probe must know more than the
 	// source before it becomes the source.
@@ -187,7 +187,7 @@
 	source := w.source
 	w.mu.Unlock()
 	response, err := w.fetch(ctx, source, watchRequest{Wait: true}, watchTimeout)
-	if err == nil && !response.Leaving && response.Number >= w.Active().Number {
+	if err == nil && !response.Leaving && !response.Lagging && response.Number >= w.Active().Number {
 		w.mu.Lock()
 		w.missed = 0
 		w.mu.Unlock()
--- a/internal/process/seeded.go
+++ b/internal/process/seeded.go
@@ -18,6 +18,10 @@
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
+// laggingAfter is the silence of the leader after which a control instance
+// sends those that follow it to another one: some heartbeats.
+const laggingAfter = 800 * time.Millisecond
+
 // Dialect speaks the words of a site's surroundings.
 type Dialect interface {
 	// Translator speaks to callers and backend servers.
@@ -94,6 +98,10 @@
 	}
 	m.joiner.Start()
 	m.parts.add(m.joiner.Close)
+	m.Group.Lagging = func() bool {
+		status := m.Quorum.Status()
+		return status.Role != "leader" && status.HeardAgo > laggingAfter.Seconds()
+	}
 	m.Group.Members = func() []string { return roster.Addresses(m.Quorum) }
 }
 
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -99,13 +100,21 @@
 	first     []Member
 	disks     map[string]*slowFolder
 	snapshots int
+	// voters bounds the members that vote; 0 means that all do.
+	voters int
 
 	mu        sync.Mutex
 	instances map[string]*instance
 }
 
+// hostOf returns the machine of a member: "3-b" is a later folder on "3".
+func hostOf(id string) string {
+	host, _, _ := strings.Cut(id, "-")
+	return host
+}
+
 func memberOf(id string) Member {
-	return Member{ID: id, Address: "10.0.0." + id + ":9000"}
+	return Member{ID: id, Address: "10.0.0." + hostOf(id) + ":9000"}
 }
 
 // newCluster starts a group of the members "1" to size.
@@ -131,7 +140,7 @@
 	if c.disks[id] == nil {
 		c.disks[id] = &slowFolder{Disk: &fake.Disk{}, delay: syncDelay}
 	}
-	i := &instance{machine: &listMachine{}, client: transport.Client(c.network.Host(id))}
+	i := &instance{machine: &listMachine{}, client: transport.Client(c.network.Host(hostOf(id)))}
 	node, err := Open(Options{
 		ID:              id,
 		Members:         c.first,
@@ -140,6 +149,7 @@
 		Client:          &peer.Client{HTTP: i.client},
 		Check:           c.check,
 		SnapshotEntries: c.snapshots,
+		Voters:          c.voters,
 	})
 	i.node = node
 	return i, err
@@ -152,7 +162,7 @@
 	}
 	mux := http.NewServeMux()
 	i.node.Handle(mux, "")
-	socket, err := c.network.Host(id).Listen(memberOf(id).Address)
+	socket, err := c.network.Host(hostOf(id)).Listen(memberOf(id).Address)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -181,7 +191,7 @@
 	delete(c.instances, id)
 	c.mu.Unlock()
 	c.disks[id].Crash(keep)
-	c.network.Kill(id)
+	c.network.Kill(hostOf(id))
 	_ = i.server.Close()
 	i.node.end()
 	i.client.CloseIdleConnections()
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -54,6 +54,9 @@
 // Take counts a repeat and tells whether the budget allows it, for one of
 // several entries.
 func (b *Budget) Take(upstream string, entries int, now time.Time) bool {
+	if b.Limits.Window <= 0 {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(upstream, now)
