--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -27,6 +27,8 @@
 	exchangeTimeout = 800 * time.Millisecond
 	// retryPause follows an exchange that failed.
 	retryPause = 60 * time.Millisecond
+	// returnPoll is the time between two looks at what is still held.
+	returnPoll = 20 * time.Millisecond
 	// gatherPause lets requests that come together share an exchange.
 	gatherPause = 4 * time.Millisecond
 	// demandMemory is the time over which the demand is averaged.
@@ -60,6 +62,8 @@
 	accounts map[string]*account
 	// failing tells that the last exchange failed.
 	failing bool
+	// leaving tells that the holder is about to end.
+	leaving bool
 	wake    chan struct{}
 
 	stop context.CancelFunc
@@ -109,6 +113,36 @@
 	<-h.done
 }
 
+// Leave makes the holder keep no more than its requests need, because what it
+// holds at its end is lost.
+func (h *Holder) Leave() {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	h.signal()
+}
+
+// ReturnAll gives back what no request has reserved, after Leave and before
+// Close.
+func (h *Holder) ReturnAll(ctx context.Context) {
+	for ctx.Err() == nil && h.holds() {
+		h.signal()
+		sleep.For(ctx, returnPoll)
+	}
+}
+
+// holds tells whether there are tokens that the group does not have back.
+func (h *Holder) holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range h.accounts {
+		if a.escrow.Available() > 0 || a.escrow.Counters() != a.reported {
+			return true
+		}
+	}
+	return false
+}
+
 // Reserve sets tokens aside, if need be after an exchange. Its errors wrap
 // ErrExhausted or ErrUnavailable.
 func (h *Holder) Reserve(ctx context.Context, workspace string, tokens int64) (*Hold, error) {
@@ -286,6 +320,9 @@
 	now := time.Now()
 	items := make(map[string]group.ExchangeItem)
 	for workspace, a := range h.accounts {
+		if h.leaving {
+			a.target = 0
+		}
 		idle := a.escrow.Idle(a.target)
 		if a.waiting == 0 && idle > 0 {
 			a.escrow.Return(idle)
@@ -299,7 +336,8 @@
 			Counters: counters,
 			Known:    a.escrow.Granted,
 			Need:     max(0, a.waiting-a.escrow.Available()),
-			Demand:   a.demand.perHour(now),
+			Demand:   h.demandOf(a, now),
+			Leaving:  h.leaving,
 		}
 	}
 	if len(items) == 0 {
@@ -325,6 +363,15 @@
 	a.changed = make(chan struct{})
 }
 
+// demandOf returns an account's demand in tokens an hour; a leaving holder has
+// none.
+func (h *Holder) demandOf(a *account, now time.Time) int64 {
+	if h.leaving {
+		return 0
+	}
+	return a.demand.perHour(now)
+}
+
 func (h *Holder) take(request *group.Exchange, shares map[string]group.Share) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return nil, err
 		}
-		granted, target := p.account.DrawWithin(exchange.Epoch, item.Known, budget.Ask{Need: item.Need, Ahead: true, Demand: item.Demand})
+		granted, target := p.account.DrawWithin(exchange.Epoch, item.Known, budget.Ask{Need: item.Need, Ahead: !item.Leaving, Demand: item.Demand})
 		shares[workspace] = group.Share{Granted: granted, Target: target, Left: p.account.Left()}
 	}
 	if p.lose > 0 {
@@ -186,3 +186,39 @@
 		hold.Settle(5000)
 	})
 }
+
+// TestLeavingHolderReturnsAll ends holders one after the other, as a rolling
+// restart does: nothing of the budget is lost with them.
+func TestLeavingHolderReturnsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 1_000_000
+		p := &pool{}
+		p.account.SetTotal(total)
+		var spent int64
+		for _, name := range []string{"one", "two", "three", "four"} {
+			h := holder(t, p, name)
+			for range 60 {
+				hold, err := h.Reserve(t.Context(), "w", 1000)
+				if err != nil {
+					t.Fatal(err)
+				}
+				hold.Settle(600)
+				spent += 600
+				time.Sleep(20 * time.Millisecond)
+			}
+			h.Leave()
+			hold, err := h.Reserve(t.Context(), "w", 1000)
+			if err != nil {
+				t.Fatalf("a leaving holder serves no more: %v", err)
+			}
+			hold.Settle(1000)
+			spent += 1000
+			h.ReturnAll(t.Context())
+		}
+		p.set(func() {
+			if lost := total - total/100 - spent - p.account.Pool; lost != 0 {
+				t.Errorf("%d tokens lost with the holders", lost)
+			}
+		})
+	})
+}
--- a/internal/group/replace.go
+++ b/internal/group/replace.go
@@ -100,6 +100,8 @@
 	Need int64 `cbor:"3,keyasint,omitempty"`
 	// Demand is the holder's estimate in tokens an hour.
 	Demand int64 `cbor:"4,keyasint,omitempty"`
+	// Leaving tells that the holder is about to end and holds nothing ahead.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Share is a workspace's part of the answer to an Exchange, in tokens.
@@ -155,7 +157,7 @@
 	if err != nil {
 		return Share{}, err
 	}
-	granted, target := account.DrawWithin(epoch, item.Known, budget.Ask{Need: item.Need, Ahead: true, Demand: item.Demand})
+	granted, target := account.DrawWithin(epoch, item.Known, budget.Ask{Need: item.Need, Ahead: !item.Leaving, Demand: item.Demand})
 	s.store(workspace, account, check, Result{})
 	return Share{Granted: granted, Target: target, Left: account.Left()}, nil
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -29,6 +29,8 @@
 	defaultRetryWindow = 10 * time.Second
 	// closeMargin is left of the shutdown's limit for the end of the process.
 	closeMargin = 400 * time.Millisecond
+	// returnWithin bounds the return of tokens after the last request.
+	returnWithin = closeMargin / 2
 	// acceptFor is how long new connections are served after readiness ended.
 	acceptFor = 3200 * time.Millisecond
 )
@@ -187,12 +189,16 @@
 	g.leaving.Store(true)
 	g.Server.Drain()
 	g.Watcher.Leave()
+	g.Server.Holder.Leave()
 	if deadline, limited := ctx.Deadline(); limited {
 		earlier, cancel := context.WithDeadline(ctx, deadline.Add(-closeMargin))
 		defer cancel()
 		ctx = earlier
 	}
 	g.callers.shutdown(ctx, acceptFor)
+	returning, cancel := context.WithTimeout(context.Background(), returnWithin)
+	defer cancel()
+	g.Server.Holder.ReturnAll(returning)
 	g.parts.close()
 }
 
