--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -13,7 +13,7 @@
 	horizonSeconds = 10
 	secondsPerHour = 3600
 	// floorDivisor is the part of what is left that all holders hold together,
-	// in equal shares, whatever their demand.
+	// in equal shares, whatever their demand, until half of the total is spent.
 	floorDivisor = 8
 	// expectedHolders stand for those that have not drawn yet.
 	expectedHolders = 4
@@ -83,7 +83,7 @@
 		return 0
 	}
 	floor := spare / (floorDivisor * max(expectedHolders, a.holders()))
-	if floor < minimumFloor {
+	if floor < minimumFloor || a.Left() < a.Deposited/2 {
 		floor = 0
 	}
 	demand := a.Grants[epoch].Demand * horizonSeconds / secondsPerHour
--- a/internal/quorum/role.go
+++ b/internal/quorum/role.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	heartbeatInterval  = 250 * time.Millisecond
-	minElectionTimeout = time.Second
-	maxElectionTimeout = 2 * time.Second
+	heartbeatInterval  = 200 * time.Millisecond
+	minElectionTimeout = 700 * time.Millisecond
+	maxElectionTimeout = 1400 * time.Millisecond
 )
 
 // States of a member; charts/member.json holds the transitions.
