Replaced documents are applied unread; watchers get one patch over several versions

The difference is now made once for those that ask, beside the log. First elections after a start come sooner.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -112,6 +112,17 @@
 	IdleTimeout *check.Duration `json:"idle_timeout,omitempty"`
 }
 
+// Budgets returns the totals of the workspaces that have one, in tokens.
+func (d *Document) Budgets() map[string]int64 {
+	budgets := make(map[string]int64)
+	for name, workspace := range d.Workspaces {
+		if workspace.Budget != nil {
+			budgets[name] = *workspace.Budget
+		}
+	}
+	return budgets
+}
+
 // IsRepeatable tells whether calls of the work may run more than once.
 func (w Work) IsRepeatable() bool {
 	return w.Repeatable == nil || *w.Repeatable
--- a/internal/group/configuration.go
+++ b/internal/group/configuration.go
@@ -128,11 +128,16 @@
 func (c *configuration) append(before Version, change Change) {
 	last := len(c.History) - 1
 	if last < 0 || len(c.History[last].Changes) >= segmentChanges || c.History[last].Bytes >= segmentBytes {
-		c.History = append(c.History, segment{Number: before.Number, Document: before.Document})
-		last++
+		c.startSegment(segment{Number: before.Number, Document: before.Document})
+		last = len(c.History) - 1
 	}
 	c.History[last].Changes = append(c.History[last].Changes, change)
 	c.History[last].Bytes += len(change.Patch)
+}
+
+// startSegment drops the oldest segment above the bound.
+func (c *configuration) startSegment(s segment) {
+	c.History = append(c.History, s)
 	if len(c.History) > maxSegments {
 		c.History = append([]segment(nil), c.History[1:]...)
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -46,6 +46,7 @@
 	leaving  bool
 
 	instances instanceTable
+	jumps     jumpCache
 }
 
 // New returns an empty group state.
--- a/internal/group/replace.go
+++ b/internal/group/replace.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,34 +17,50 @@
 // than the one in force. Any other valid one is taken without effect, so that
 // a resend and one that was overtaken do no harm.
 type ReplaceConfiguration struct {
-	// Document holds its release.
+	// Document is valid and encoded by this program: it is applied unread.
 	Document []byte `cbor:"1,keyasint"`
 	// Source is the operators' own text, which a read gives back.
 	Source []byte `cbor:"2,keyasint,omitempty"`
 	// SubmittedAt is when a control instance took the document in, in
 	// milliseconds since 1970.
 	SubmittedAt int64 `cbor:"3,keyasint,omitempty"`
+	// Release is the document's.
+	Release uint64 `cbor:"4,keyasint"`
+	// Budgets are the totals of the document's workspaces, in tokens.
+	Budgets map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
-// replace applies a whole document or changes nothing.
-func (c *configuration) replace(command ReplaceConfiguration) Result {
-	current := c.current()
-	document, parsed, err := config.Apply(command.Document, nil)
+// NewReplacement returns the command for a document, or an error when that is
+// not valid.
+func NewReplacement(document *config.Document, source []byte, at time.Time) (ReplaceConfiguration, error) {
+	data, err := json.Marshal(document)
 	if err != nil {
-		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
-	}
-	if parsed.Release <= c.Release {
-		return Result{Code: CodeDone, Version: current.Number, Release: c.Release}
+		return ReplaceConfiguration{}, errors.Newf("encode configuration: %w", err)
 	}
-	patch, err := config.Diff(current.Document, document)
+	valid, parsed, err := config.Apply(data, nil)
 	if err != nil {
-		return Result{Code: CodeInvalid, Detail: err.Error(), Version: current.Number}
+		return ReplaceConfiguration{}, err
 	}
-	c.append(current, Change{Number: current.Number + 1, Patch: patch, SubmittedAt: command.SubmittedAt})
-	c.Number = current.Number + 1
-	c.Document = document
-	c.Release = parsed.Release
+	return ReplaceConfiguration{
+		Document:    valid,
+		Source:      source,
+		SubmittedAt: at.UnixMilli(),
+		Release:     parsed.Release,
+		Budgets:     parsed.Budgets(),
+	}, nil
+}
+
+// replace applies a whole document or changes nothing. The history goes on
+// from the document, so that no difference is computed here.
+func (c *configuration) replace(command ReplaceConfiguration) Result {
+	if command.Release <= c.Release {
+		return Result{Code: CodeDone, Version: c.Number, Release: c.Release}
+	}
+	c.Number++
+	c.Document = command.Document
+	c.Release = command.Release
 	c.Source = command.Source
+	c.startSegment(segment{Number: c.Number, Document: command.Document})
 	return Result{Code: CodeDone, Version: c.Number, Release: c.Release}
 }
 
@@ -60,24 +78,40 @@
 	return Released{Release: g.state.Configuration.Release, Source: g.state.Configuration.Source}
 }
 
-// takeBudgets gives each workspace the total that the configuration names.
-func (s *state) takeBudgets(check *invariant.Checker) error {
+// replaceConfiguration takes a whole document and the budgets that it names.
+func (s *state) replaceConfiguration(command ReplaceConfiguration, check *invariant.Checker) Result {
+	before := s.Configuration.Number
+	result := s.Configuration.replace(command)
+	if s.Configuration.Number != before {
+		s.takeBudgets(command.Budgets, check)
+	}
+	return result
+}
+
+// patchConfiguration takes a patch and the budgets of what it leads to.
+func (s *state) patchConfiguration(command PatchConfiguration, check *invariant.Checker) Result {
+	result := s.Configuration.patch(command)
+	if result.Code != CodeDone {
+		return result
+	}
 	document, err := config.Parse(s.Configuration.Document)
 	if err != nil {
-		return errors.Newf("parse configuration: %w", err)
+		return Result{Code: CodeInvalid, Detail: err.Error()}
 	}
-	for name, workspace := range document.Workspaces {
-		if workspace.Budget == nil {
-			continue
-		}
+	s.takeBudgets(document.Budgets(), check)
+	return result
+}
+
+// takeBudgets gives each workspace the total that the configuration names.
+func (s *state) takeBudgets(totals map[string]int64, check *invariant.Checker) {
+	for name, total := range totals {
 		account := s.account(name)
-		if account.Total == *workspace.Budget {
+		if account.Total == total {
 			continue
 		}
-		account.SetTotal(*workspace.Budget)
+		account.SetTotal(total)
 		s.store(name, account, check, Result{})
 	}
-	return nil
 }
 
 const exchangeProcedure = "/group/exchange"
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -54,9 +54,9 @@
 func (s *state) apply(command Command, check *invariant.Checker) Result {
 	switch c := command.(type) {
 	case PatchConfiguration:
-		return s.configure(s.Configuration.patch(c), check)
+		return s.patchConfiguration(c, check)
 	case ReplaceConfiguration:
-		return s.configure(s.Configuration.replace(c), check)
+		return s.replaceConfiguration(c, check)
 	case Exchange:
 		return s.exchange(c, check)
 	case Deposit:
@@ -80,18 +80,6 @@
 	}
 }
 
-// configure takes the budgets of a configuration in force.
-func (s *state) configure(result Result, check *invariant.Checker) Result {
-	if result.Code != CodeDone {
-		return result
-	}
-	err := s.takeBudgets(check)
-	if err != nil {
-		return Result{Code: CodeInvalid, Detail: err.Error()}
-	}
-	return result
-}
-
 // once runs an operator's command unless its id was answered before.
 func (s *state) once(id, bodyHash string, run func() Result) Result {
 	kept, found := s.Answers[id]
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -53,7 +53,8 @@
 }
 
 // watchResponse leads from the version that the instance has to Number, by
-// one patch for each version or by a whole document.
+// one patch for each version, by one patch for all of them or by a whole
+// document.
 type watchResponse struct {
 	Number   uint64   `cbor:"1,keyasint"`
 	Patches  [][]byte `cbor:"2,keyasint,omitempty"`
@@ -77,6 +78,8 @@
 	// Lagging tells that the control instance does not hear its leader and may
 	// know less than others.
 	Lagging bool `cbor:"13,keyasint,omitempty"`
+	// Jump is a single patch that leads over several versions.
+	Jump []byte `cbor:"14,keyasint,omitempty"`
 	// Peers are where the live instances take datagrams, and PeersSum is their
 	// sum; they are left out when the instance knows them.
 	Peers    []string `cbor:"11,keyasint,omitempty"`
@@ -208,9 +211,24 @@
 	}
 }
 
-// answerWatch returns the changes after the version that the instance has, or
-// the whole document when it is smaller or the history is too short.
+// answerWatch returns what leads from the version that the instance has to the
+// newest: its changes, one patch over all of them or the whole document.
 func (g *Group) answerWatch(request *watchRequest) *watchResponse {
+	response := g.answerChanges(request)
+	if len(response.Document) == 0 || request.Have == 0 {
+		return response
+	}
+	jump := g.jump(request.Have, response.Number)
+	if len(jump) > 0 && len(jump) < len(response.Document) {
+		response.Jump = jump
+		response.Document = nil
+	}
+	return response
+}
+
+// answerChanges returns the changes after the version that the instance has, or
+// the whole document when it is smaller or the history is too short.
+func (g *Group) answerChanges(request *watchRequest) *watchResponse {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	current := g.state.Configuration.current()
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -333,7 +333,15 @@
 func (w *Watcher) assemble(response *watchResponse, have, active uint64) ([]byte, *config.Document, error) {
 	document := response.Document
 	var patches [][]byte
-	if len(document) == 0 {
+	switch {
+	case len(document) > 0:
+	case len(response.Jump) > 0:
+		if active != have {
+			return nil, nil, errGap
+		}
+		document = w.document
+		patches = [][]byte{response.Jump}
+	default:
 		if have+uint64(len(response.Patches)) != response.Number || active < have {
 			return nil, nil, errGap
 		}
@@ -369,7 +377,7 @@
 }
 
 func (w *Watcher) countAnswer(response *watchResponse) {
-	bytes := len(response.Document)
+	bytes := len(response.Document) + len(response.Jump)
 	for _, patch := range response.Patches {
 		bytes += len(patch)
 	}
--- a/internal/operator/releases.go
+++ b/internal/operator/releases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -37,11 +36,7 @@
 // Replace commits a document. Its errors wrap ErrInvalidDocument or
 // peer.ErrUnavailable; after the latter the document may be in force.
 func (r *Releases) Replace(ctx context.Context, document *config.Document, source []byte) error {
-	data, err := json.Marshal(document)
-	if err != nil {
-		return errors.Newf("encode configuration: %w", err)
-	}
-	_, err = config.Parse(data)
+	command, err := group.NewReplacement(document, source, time.Now())
 	if err != nil {
 		r.Log.Info("configuration refused", "release", document.Release, "err", err.Error())
 		return errors.Newf("%s: %w", err.Error(), ErrInvalidDocument)
@@ -49,7 +44,6 @@
 	if !r.mayAcknowledge() {
 		return errors.Newf("the control group is still growing: %w", peer.ErrUnavailable)
 	}
-	command := group.ReplaceConfiguration{Document: data, Source: source, SubmittedAt: time.Now().UnixMilli()}
 	result, err := group.Propose(ctx, r.Node, command)
 	if err != nil {
 		r.Log.Warn("configuration not confirmed", "release", document.Release, "err", err.Error())
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -12,6 +12,9 @@
 const (
 	voteProcedure = "/quorum/vote"
 	voteTimeout   = 500 * time.Millisecond
+	// firstElectionTimeout is short, because a member that starts beside a
+	// leader hears it at once, and pre-votes disturb nobody.
+	firstElectionTimeout = 300 * time.Millisecond
 )
 
 type voteRequest struct {
@@ -45,7 +48,7 @@
 		e.deadline = time.Now()
 		return e
 	}
-	e.postpone()
+	e.deadline = time.Now().Add(firstElectionTimeout + rand.N(firstElectionTimeout))
 	return e
 }
 
