--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -17,6 +17,12 @@
 	failurePenalty = 2 * time.Second
 	// occupiedPenalty is what a full server adds: the more run, the slower.
 	occupiedPenalty = 60 * time.Millisecond
+	// streamHarm is what one delayed stream weighs.
+	streamHarm = 40 * time.Millisecond
+	// stallFrom is the reading of prompts that streams bear without a late
+	// event, and after stallSpan more all of them have one.
+	stallFrom = 180 * time.Millisecond
+	stallSpan = 200 * time.Millisecond
 	// plainWork is the time that a request holds a slot of a plain server.
 	plainWork = 25 * time.Millisecond
 	// homePull is what the home server of a prompt's parts is preferred by, so
@@ -157,7 +163,22 @@
 		return cost + time.Duration(occupied*float64(plainWork))
 	}
 	cost += time.Duration(occupied * float64(occupiedPenalty))
-	return cost + max(0, s.busyUntil.Sub(q.Now)) + s.work(q.Prompt)
+	busy := max(0, s.busyUntil.Sub(q.Now))
+	work := s.work(q.Prompt)
+	return cost + busy + work + s.harm(busy, work, q.Now)
+}
+
+// harm is what a prompt costs the streams that run beside it: while an engine
+// reads prompts without a break, their events come late.
+func (s *server) harm(busy, work time.Duration, now time.Time) time.Duration {
+	added := stalled(busy+work) - stalled(busy)
+	return time.Duration(added * float64(s.occupied(now)) * float64(streamHarm))
+}
+
+// stalled tells how much of a stream's pause targets is missed, from 0 to 1,
+// when its engine reads prompts for a time without a break.
+func stalled(busy time.Duration) float64 {
+	return min(1, max(0, float64(busy-stallFrom)/float64(stallSpan)))
 }
 
 // home returns the server that all entries prefer for a prompt's last shared
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -180,3 +180,22 @@
 		t.Errorf("six requests at once went to %v", counts)
 	}
 }
+
+// TestLongPromptGoesWhereFewStreamsRun lets the home of a subject run many
+// streams: a prompt that would delay them all goes elsewhere, a short one stays.
+func TestLongPromptGoesWhereFewStreamsRun(t *testing.T) {
+	home := pick(t, fleet(engines(3)), prompt(1, 1000), start).ID
+	crowded := func() *place.Fleet {
+		f := fleet(engines(3))
+		p := pick(t, f, prompt(1, 1000), start)
+		p.Heard(place.Load{Running: 10, Slots: 64}, start)
+		return f
+	}
+	long := &place.Prompt{Tokens: 60_000, Output: 100, Parts: []place.Part{{ID: 1, Tokens: 500}}}
+	if got := pick(t, crowded(), long, start).ID; got == home {
+		t.Error("a long prompt delays ten streams though other engines are free")
+	}
+	if got := pick(t, crowded(), prompt(1, 1200), start).ID; got != home {
+		t.Error("a short prompt left the engine that keeps its parts")
+	}
+}
