--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 TEST_TIMEOUT = 8m
 
-.PHONY: build test lint fmt bench bench-policy bench-sizing soak capacity
+.PHONY: build build-deploy test lint fmt bench bench-policy bench-sizing soak capacity
 
 build:
 	go build -o bin/cactusbay .
 
+# build-deploy runs the build line of the deploy file.
+build-deploy:
+	bash script/build-deploy
+
 test:
 	bash script/test $(TEST_TIMEOUT)
 
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -43,7 +43,7 @@
 // openEnvironment returns what a process stands on; the caller closes its
 // telemetry.
 func openEnvironment(s *settings.Settings) (process.Environment, error) {
-	telemetry, err := observe.New(s, os.Stderr)
+	telemetry, err := observe.New(s, logOutput(s))
 	if err != nil {
 		return process.Environment{}, errors.Newf("open telemetry: %w", err)
 	}
@@ -54,6 +54,15 @@
 	}, nil
 }
 
+// logOutput returns where the log goes: to standard output on a seeded site,
+// whose surroundings collect it there.
+func logOutput(s *settings.Settings) *os.File {
+	if s.Seeded != nil {
+		return os.Stdout
+	}
+	return os.Stderr
+}
+
 // untilSecondSignal returns a context for the graceful shutdown that ends at
 // a second signal or at the limit of the settings.
 func untilSecondSignal(s *settings.Settings) (context.Context, context.CancelFunc) {
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -219,6 +219,8 @@
 	Target int64
 	// Left is unspent in the whole group, as of the last exchange.
 	Left int64
+	// Age is the time since the last exchange; 0 before the first.
+	Age time.Duration
 }
 
 // Balance returns what the holder knows of a workspace's budget.
@@ -226,7 +228,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.account(workspace)
+	var age time.Duration
+	if !a.exchanged.IsZero() {
+		age = time.Since(a.exchanged)
+	}
 	return Balance{
+		Age:       age,
 		Granted:   a.escrow.Granted,
 		Available: a.escrow.Available(),
 		Reserved:  a.escrow.Reserved,
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -37,11 +37,14 @@
 	if !verdict.Genuine {
 		response.Abandon()
 		placement.Done(place.Failed{}, time.Now())
-		return t.repeatOr(ctx, unclear(reasonBadAnswer))
+		refused, again = t.repeatOr(ctx, unclear(reasonBadAnswer))
+		t.reportAttempt(placement, "not_genuine", "the answer lacks the server's signature", again)
+		return refused, again
 	}
 	if failed && ctx.Err() == nil && t.mayRepeatNow() {
 		t.drop(response)
 		placement.Done(place.Failed{}, time.Now())
+		t.reportAttempt(placement, "failed", http.StatusText(response.Status), true)
 		return nil, true
 	}
 	if t.route.Repetition == config.RepeatStream && response.Status == http.StatusOK {
@@ -61,7 +64,9 @@
 			return &refusal{reason: reasonCallerLeft}, false
 		}
 		placement.Done(place.Failed{}, time.Now())
-		return t.repeatOr(ctx, unclear(reasonBadAnswer))
+		refused, again = t.repeatOr(ctx, unclear(reasonBadAnswer))
+		t.reportAttempt(placement, "broken_answer", err.Error(), again)
+		return refused, again
 	}
 	response.Finish()
 	var outcome place.Outcome = place.Served{}
@@ -129,7 +134,9 @@
 	}
 	response.Abandon()
 	placement.Done(place.Failed{}, now)
-	return t.repeatOr(ctx, &refusal{reason: reasonBrokenStream})
+	refused, again = t.repeatOr(ctx, &refusal{reason: reasonBrokenStream})
+	t.reportAttempt(placement, "broken_stream", err.Error(), again)
+	return refused, again
 }
 
 // errCallerWrite reports that the caller takes no more.
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -2,62 +2,90 @@
 
 import (
 	"time"
+
+	"github.com/cactusbay/cactusbay/internal/place"
 )
 
 // report logs and counts how a request ended.
 func (t *task) report(refused *refusal) {
 	s := t.server
-	took := time.Since(t.start)
-	route := ""
-	if t.route != nil {
-		route = t.route.Name
-	}
+	s.Scope.Timer("request_time").Record(time.Since(t.start))
 	if refused == nil {
-		s.Scope.Counter("forward_served").Inc(1)
-		s.Scope.Timer("forward_first_byte").Record(t.firstByte)
+		s.Scope.Counter("requests_served").Inc(1)
+		s.Scope.Timer("request_first_byte").Record(t.firstByte)
+		s.Log.Info("request served", append(t.fields(), "status", t.status, "first_byte_ms", t.firstByte.Milliseconds())...)
 		return
 	}
-	s.Scope.Counter("forward_" + string(refused.reason)).Inc(1)
+	s.Scope.Tagged(map[string]string{"reason": string(refused.reason)}).Counter("requests_ended").Inc(1)
 	if t.request == nil {
+		s.Log.Info("request refused unread", "reason", string(refused.reason), "status", refused.status)
 		return
 	}
+	fields := append(t.fields(), "reason", string(refused.reason), "status", refused.status, "retry_after_ms", refused.retryAfter.Milliseconds())
 	if refused.reason == reasonBudget || refused.reason == reasonNoTokens {
-		t.reportBalance(refused)
+		s.Log.Info("request refused for want of tokens", append(fields, t.balance()...)...)
 		return
 	}
-	s.Log.Info("request ended without a whole answer",
+	s.Log.Info("request ended without a whole answer", fields...)
+}
+
+// fields are what every last line of a request holds.
+func (t *task) fields() []any {
+	fields := []any{
 		"request", t.request.AttemptID,
-		"route", route,
-		"reason", string(refused.reason),
-		"status", refused.status,
-		"retry_after_ms", refused.retryAfter.Milliseconds(),
+		"route", "",
+		"workspace", "",
 		"upstream", t.upstream,
 		"server", t.lastServer,
 		"tried", len(t.tried),
 		"may_have_run", t.mayHaveRun,
 		"events", t.events,
-		"took_ms", took.Milliseconds(),
+		"took_ms", time.Since(t.start).Milliseconds(),
 		"configuration", t.table.Version,
-	)
+		"list_age_ms", t.server.listAge().Milliseconds(),
+	}
+	if t.route != nil {
+		fields[3] = t.route.Name
+	}
+	if t.workspace != nil {
+		fields[5] = t.workspace.Name
+	}
+	return fields
 }
 
-// reportBalance logs a refusal for want of tokens with the numbers behind it.
-func (t *task) reportBalance(refused *refusal) {
+// balance is what a refusal for want of tokens rests on.
+func (t *task) balance() []any {
 	balance := t.server.Holder.Balance(t.workspace.Name)
-	t.server.Log.Info("request refused for want of tokens",
-		"request", t.request.AttemptID,
-		"route", t.route.Name,
-		"reason", string(refused.reason),
-		"status", refused.status,
-		"workspace", t.workspace.Name,
-		"needed", t.request.Prompt.Tokens+t.request.Prompt.Output,
+	return []any{
+		"needed", t.request.Prompt.Tokens + t.request.Prompt.Output,
 		"granted", balance.Granted,
 		"available", balance.Available,
 		"reserved", balance.Reserved,
 		"billed", balance.Billed,
 		"target", balance.Target,
 		"left", balance.Left,
+		"exchange_age_ms", balance.Age.Milliseconds(),
+	}
+}
+
+// reportAttempt logs a send that brought no answer for the caller, and what was
+// decided on it.
+func (t *task) reportAttempt(placement *place.Placement, outcome string, cause string, again bool) {
+	t.server.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
+	decision := "end"
+	if again {
+		decision = "repeat"
+		t.server.Scope.Counter("attempts_repeated").Inc(1)
+	}
+	t.server.Log.Info("attempt failed",
+		"request", t.request.AttemptID,
+		"server", placement.ID,
+		"address", placement.Address,
+		"outcome", outcome,
+		"cause", cause,
+		"may_have_run", t.mayHaveRun,
+		"last_event", t.lastEvent,
+		"decision", decision,
 		"took_ms", time.Since(t.start).Milliseconds(),
-		"configuration", t.table.Version,
 	)
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -38,6 +38,8 @@
 	Fleet      *place.Fleet
 	Holder     *escrow.Holder
 	Retries    *retry.Budget
+	// ListAge returns the age of the list of backend servers; nil means unknown.
+	ListAge func() time.Duration
 	// Entries returns how many entries share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
@@ -72,6 +74,13 @@
 	s.leaving.Store(true)
 }
 
+func (s *Server) listAge() time.Duration {
+	if s.ListAge == nil {
+		return 0
+	}
+	return s.ListAge()
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -107,11 +107,15 @@
 		response.Abandon()
 		placement.Refuted()
 		placement.Done(place.Unreachable{}, time.Now())
-		return t.notTaken(reasonNotSent)
+		refused, again = t.notTaken(reasonNotSent)
+		t.reportAttempt(placement, "other_server", "another server has the address", again)
+		return refused, again
 	case verdict.NotRun:
 		t.drop(response)
 		placement.Done(place.Declined{}, time.Now())
-		return t.notTaken(reasonDeclined)
+		refused, again = t.notTaken(reasonDeclined)
+		t.reportAttempt(placement, "declined", "the server did not run it", again)
+		return refused, again
 	}
 	t.mayHaveRun = true
 	t.sends++
@@ -184,15 +188,17 @@
 		t.server.Upstream.Forget(placement.ID)
 		t.unsent++
 		if ctx.Err() != nil || t.unsent > maxUnsent {
-			return t.giveUp(reasonNotSent, retrySoon), false
+			refused = t.giveUp(reasonNotSent, retrySoon)
 		}
-		return nil, true
+		t.reportAttempt(placement, "not_sent", err.Error(), refused == nil)
+		return refused, refused == nil
 	}
 	placement.Done(place.Failed{}, now)
 	t.mayHaveRun = true
 	t.sends++
-	t.server.Log.Debug("no answer from backend server", "request", t.request.AttemptID, "server", placement.ID, "err", err.Error())
-	return t.repeatOr(ctx, unclear(reasonUnclear))
+	refused, again = t.repeatOr(ctx, unclear(reasonUnclear))
+	t.reportAttempt(placement, "no_answer", err.Error(), again)
+	return refused, again
 }
 
 // notTaken decides after a server refused the request without running it.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -46,7 +46,9 @@
 
 // New opens the log, metrics and traces of a process.
 func New(s *settings.Settings, output io.Writer) (*Telemetry, error) {
-	t := &Telemetry{Log: newLog(s, output)}
+	bounded := newBoundedWriter(output, s.Log.LinesPerSecond)
+	t := &Telemetry{Log: newLog(s, bounded)}
+	t.closers = append(t.closers, bounded.close)
 	err := t.openTrace(s)
 	if err != nil {
 		return nil, errors.Newf("open traces: %w", err)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -45,6 +45,10 @@
 	// means not called.
 	Told func(server string, work time.Duration, parts []Part)
 
+	// Changed is called when what is believed of a server changes; nil means
+	// not called. It must not call the fleet.
+	Changed func(Change)
+
 	// gone remembers leaving servers that a late list may show again.
 	gone map[string]bool
 }
@@ -82,13 +86,22 @@
 		if !listed[id] {
 			delete(f.servers, id)
 			f.gone[id] = s.leaving
+			f.changed(s, EventGone, 0)
 		}
 	}
 }
 
+func (f *Fleet) changed(s *server, event string, during time.Duration) {
+	if f.Changed == nil {
+		return
+	}
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Event: event, FailureRate: s.failureRate, For: during})
+}
+
 func (f *Fleet) take(instance instances.Instance) {
 	s := f.servers[instance.ID]
-	if s == nil || s.address != instance.Address || s.upstream != instance.Upstream {
+	known := s != nil && s.address == instance.Address && s.upstream == instance.Upstream
+	if !known {
 		s = &server{id: instance.ID, parts: make(map[uint64]time.Time)}
 		f.servers[instance.ID] = s
 	}
@@ -96,7 +109,16 @@
 	s.address = instance.Address
 	s.failureDomain = instance.FailureDomain
 	s.slots = max(1, instance.Slots)
-	s.leaving = s.leaving || instance.Leaving || f.gone[instance.ID]
+	leaving := s.leaving || instance.Leaving || f.gone[instance.ID]
+	if known && leaving == s.leaving {
+		return
+	}
+	s.leaving = leaving
+	if leaving {
+		f.changed(s, EventLeaving, 0)
+	} else {
+		f.changed(s, EventListed, 0)
+	}
 }
 
 // Has tells whether a server is listed.
@@ -261,7 +283,14 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.running--
+	wasOut, wasTrial := p.server.ejectedUntil, p.server.trial
 	p.server.learn(outcome, now)
+	if p.server.ejectedUntil != wasOut {
+		p.fleet.changed(p.server, EventEjected, p.server.ejectedUntil.Sub(now))
+	}
+	if wasTrial && !p.server.trial {
+		p.fleet.changed(p.server, EventBack, 0)
+	}
 	switch outcome.(type) {
 	case Declined, Unreachable:
 		p.undo(now)
@@ -282,6 +311,7 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.leaving = true
+	p.fleet.changed(p.server, EventReplaced, 0)
 }
 
 // Elsewhere notes a prompt that another entry sent to a server.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,6 +82,28 @@
 func (Unreachable) isOutcome() {}
 func (Abandoned) isOutcome()   {}
 
+// Events of a server.
+const (
+	EventListed   = "listed"
+	EventLeaving  = "leaving"
+	EventGone     = "gone"
+	EventEjected  = "ejected"
+	EventBack     = "back"
+	EventReplaced = "replaced at its address"
+)
+
+// Change is a change of what is believed of a server.
+type Change struct {
+	Server   string
+	Upstream string
+	Address  string
+	// Event is one of the events above.
+	Event       string
+	FailureRate float64
+	// For is how long an ejected server is left out.
+	For time.Duration
+}
+
 // Load is what a server says of itself.
 type Load struct {
 	Running int
--- /dev/null
+++ b/internal/process/beliefs.go
@@ -0,0 +1,37 @@
+package process
+
+import (
+	"fmt"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/quorum"
+)
+
+// beliefs logs each change of what a member believes of its group.
+type beliefs struct {
+	log     *log.Logger
+	leader  string
+	term    uint64
+	members string
+}
+
+func (b *beliefs) observe(status quorum.Status) {
+	if status.Leader != b.leader || status.Term != b.term {
+		b.log.Info("leader changed", "leader", status.Leader, "term", status.Term, "role", status.Role, "committed", status.Committed, "heard_ago_ms", int64(status.HeardAgo*1000))
+		b.leader = status.Leader
+		b.term = status.Term
+	}
+	members := ""
+	for _, member := range status.Members {
+		kind := "voter"
+		if member.Learner {
+			kind = "learner"
+		}
+		members += fmt.Sprintf("%s %s, ", member.ID, kind)
+	}
+	if members != b.members {
+		b.log.Info("membership changed", "members", members, "committed", status.Committed)
+		b.members = members
+	}
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -72,6 +72,7 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
+	g.Server.Fleet.Changed = g.logServer
 	g.startHolder(environment, client, incarnation)
 	spreader, err := g.startSpreader(environment)
 	if err != nil {
@@ -125,6 +126,7 @@
 		Changed: g.takeInstances,
 	}
 	view.Start()
+	g.Server.ListAge = view.Age
 	g.parts.add(view.Close)
 	g.Watcher = &group.Watcher{
 		Directory:     g.directory,
@@ -149,6 +151,11 @@
 	g.Server.Upstream.Keep(g.Server.Fleet.Has)
 }
 
+// logServer logs what the entry believes of a backend server.
+func (g *Gateway) logServer(change place.Change) {
+	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "failure_rate", change.FailureRate, "for_ms", change.For.Milliseconds())
+}
+
 func (g *Gateway) serve(environment Environment, dialect Dialect) error {
 	callers, err := listen(environment.Network, g.settings.CallerAddress, g.Server)
 	if err != nil {
@@ -164,6 +171,13 @@
 		return err
 	}
 	g.parts.add(status.close)
+	if g.settings.MetricsAddress != "" {
+		metrics, err := listen(environment.Network, g.settings.MetricsAddress, statusHandler(environment.Telemetry, g.isReady))
+		if err != nil {
+			return err
+		}
+		g.parts.add(metrics.close)
+	}
 	environment.Telemetry.Log.Info("entry instance serves", "caller_address", callers.address())
 	return nil
 }
--- a/internal/process/seeded.go
+++ b/internal/process/seeded.go
@@ -132,8 +132,8 @@
 		s.PeerAddress:     mux,
 		s.OperatorAddress: dialect.Operators(releases),
 	}
-	if s.StatusAddress != "" {
-		handlers[s.StatusAddress] = statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
+	if s.MetricsAddress != "" {
+		handlers[s.MetricsAddress] = statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
 	}
 	for address, handler := range handlers {
 		l, err := listen(environment.Network, address, handler)
--- a/internal/process/supervise.go
+++ b/internal/process/supervise.go
@@ -51,6 +51,7 @@
 	logger := s.Environment.Telemetry.Log
 	ticker := time.NewTicker(failurePoll)
 	defer ticker.Stop()
+	beliefs := &beliefs{log: logger}
 	for {
 		select {
 		case <-ctx.Done():
@@ -68,6 +69,7 @@
 			sleep.For(ctx, reopenPause)
 			return
 		case <-ticker.C:
+			beliefs.observe(member.Quorum.Status())
 			failure := member.Failure()
 			if failure == "" {
 				continue
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,9 @@
 	PeerAddress string `json:"peer_address,omitempty"`
 	// StatusAddress serves health, readiness and metrics.
 	StatusAddress string `json:"status_address,omitempty"`
+	// MetricsAddress serves health, readiness and metrics too, where the status
+	// address is asked by others.
+	MetricsAddress string `json:"metrics_address,omitempty"`
 	// DataFolder holds a control instance's durable state.
 	DataFolder string `json:"data_folder,omitempty"`
 	// Controls are the first members of the control group.
@@ -92,6 +95,8 @@
 	Level string `json:"level,omitempty"`
 	// Format is text or json.
 	Format string `json:"format,omitempty"`
+	// LinesPerSecond bounds the lines of each kind; 0 means the default.
+	LinesPerSecond int `json:"lines_per_second,omitempty"`
 }
 
 // Trace configures where spans go; empty means nowhere.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -92,9 +92,16 @@
 	unique("operator_address", s.OperatorAddress, used, faults)
 	unique("peer_address", s.PeerAddress, used, faults)
 	unique("status_address", s.StatusAddress, used, faults)
+	unique("metrics_address", s.MetricsAddress, used, faults)
 	if s.StatusAddress != "" {
 		checkAddress("status_address", s.StatusAddress, faults)
 	}
+	if s.MetricsAddress != "" {
+		checkAddress("metrics_address", s.MetricsAddress, faults)
+	}
+	if s.Log.LinesPerSecond < 0 {
+		faults.Add("log.lines_per_second", "must be 1 or more: remove it for the default")
+	}
 }
 
 func (s *Secret) validate(path string, faults *check.Faults) {
