--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -18,10 +18,11 @@
 	// expectedHolders stand for those that have not drawn yet.
 	expectedHolders = 4
 	// heldDivisor is the part of what is left that several holders hold together
-	// by their demand. The rest stays in the pool: as a budget runs out, large
-	// requests fit into no single holding. One with most of the demand may hold
-	// more, because they fit into its own.
-	heldDivisor = 2
+	// by their demand, and aloneDivisor that of a single one. The rest stays in
+	// the pool: it outlives the holders, and as a budget runs out, large requests
+	// fit into no single holding.
+	heldDivisor  = 3
+	aloneDivisor = 1.5
 	// minimumFloor is the least such share, in tokens.
 	minimumFloor = 4 << 10
 )
@@ -88,7 +89,7 @@
 	}
 	demand := a.Grants[epoch].Demand * horizonSeconds / secondsPerHour
 	part := a.part(epoch, spare)
-	return max(floor, min(max(part/heldDivisor, a.part(epoch, part)), demand))
+	return max(floor, min(max(part/heldDivisor, a.part(epoch, int64(float64(part)/aloneDivisor))), demand))
 }
 
 // holders returns how many open grants there are.
