--- /dev/null
+++ b/internal/group/relay_test.go
@@ -0,0 +1,84 @@
+package group
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/instances"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+// countingLister counts how often the source is read.
+type countingLister struct {
+	reads int
+	list  []instances.Instance
+}
+
+func (c *countingLister) List(context.Context) (instances.Reading, error) {
+	c.reads++
+	return instances.Reading{Instances: c.list}, nil
+}
+
+// TestRelayReadsTheSourceOnlyWithoutALeader takes the list from a leader that
+// has it, and from the source when the leader has none or does not answer.
+func TestRelayReadsTheSourceOnlyWithoutALeader(t *testing.T) {
+	upper := &countingLister{list: []instances.Instance{{ID: "from the leader"}}}
+	leader := New(nil)
+	leader.Listings = &instances.Poller{Lister: upper, Interval: time.Hour, Log: log.New(io.Discard)}
+	leader.Listings.Start()
+	defer leader.Listings.Close()
+	for {
+		_, age, changed := leader.Listings.Current()
+		if age >= 0 {
+			break
+		}
+		<-changed
+	}
+	address := serveGroup(t, leader)
+	empty := serveGroup(t, New(nil))
+	own := &countingLister{list: []instances.Instance{{ID: "from the source"}}}
+	at := ""
+	relay := &Relay{Client: &peer.Client{HTTP: http.DefaultClient}, Leader: func() string { return at }, Source: own}
+	for _, c := range []struct {
+		leader, want string
+		reads        int
+	}{
+		{address, "from the leader", 0},
+		{"", "from the source", 1},
+		{empty, "from the source", 2},
+		{"127.0.0.1:1", "from the source", 3},
+	} {
+		at = c.leader
+		relay.read = time.Time{}
+		reading, err := relay.List(t.Context())
+		if err != nil || len(reading.Instances) != 1 || reading.Instances[0].ID != c.want || own.reads != c.reads {
+			t.Errorf("leader %q: %+v, %v, %d reads", c.leader, reading, err, own.reads)
+		}
+		if at == "" {
+			again, err := relay.List(t.Context())
+			if err != nil || own.reads != c.reads || again.Age <= 0 {
+				t.Errorf("the source was read again at once: %d reads, %v", own.reads, err)
+			}
+		}
+	}
+}
+
+func serveGroup(t *testing.T, g *Group) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	g.Handle(mux, "", nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -2,7 +2,10 @@
 // keep: control instances read it and tell the entries.
 package instances
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Instance is one start of a backend server.
 type Instance struct {
@@ -18,9 +21,16 @@
 	Leaving bool `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
+// Reading is the whole list as it was some time ago.
+type Reading struct {
+	Instances []Instance
+	// Age is the time since the list was read at its source.
+	Age time.Duration
+}
+
 // Lister reads the whole list once.
 type Lister interface {
-	List(ctx context.Context) ([]Instance, error)
+	List(ctx context.Context) (Reading, error)
 }
 
 // Listing is the list as one reader last saw it.
--- a/internal/instances/poller.go
+++ b/internal/instances/poller.go
@@ -15,7 +15,7 @@
 const (
 	// DefaultInterval leaves room for the list's own lag within the time in
 	// which a leaving server may still be used.
-	DefaultInterval = time.Second
+	DefaultInterval = 500 * time.Millisecond
 	pollTimeout     = time.Second
 	maxBackoff      = 4 * time.Second
 )
@@ -90,17 +90,21 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	asked := time.Now()
-	list, err := p.Lister.List(ctx)
+	reading, err := p.Lister.List(ctx)
 	if err != nil {
 		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.read = asked
-	if p.listing.Number > 0 && slices.Equal(list, p.listing.Instances) {
+	at := asked.Add(-reading.Age)
+	if at.Before(p.read) {
 		return nil
 	}
-	p.listing.Instances = list
+	p.read = at
+	if p.listing.Number > 0 && slices.Equal(reading.Instances, p.listing.Instances) {
+		return nil
+	}
+	p.listing.Instances = reading.Instances
 	p.listing.Number++
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -108,10 +108,10 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	asked := time.Now()
-	list, err := v.Lister.List(ctx)
+	reading, err := v.Lister.List(ctx)
 	if err != nil {
 		v.Log.Warn("the list of instances could not be read by the entry itself", "err", err.Error(), "age_ms", v.Age().Milliseconds())
 		return
 	}
-	v.Offer(Listing{Instances: list}, time.Since(asked))
+	v.Offer(Listing{Instances: reading.Instances}, time.Since(asked)+reading.Age)
 }
--- a/internal/process/seeded.go
+++ b/internal/process/seeded.go
@@ -84,7 +84,7 @@
 	}
 	m.parts.add(m.Quorum.Close)
 	m.startJoiner(environment, identity, client)
-	m.startListings(environment, dialect)
+	m.startListings(environment, dialect, client)
 	return m.serve(environment, dialect)
 }
 
@@ -105,10 +105,14 @@
 	m.Group.Members = func() []string { return roster.Addresses(m.Quorum) }
 }
 
-func (m *Member) startListings(environment Environment, dialect Dialect) {
+func (m *Member) startListings(environment Environment, dialect Dialect, client *peer.Client) {
 	listings := &instances.Poller{
-		Lister: dialect.Lister(transport.Client(environment.Network), m.settings.Seeded.InstanceList),
-		Log:    environment.Telemetry.Log,
+		Lister: &group.Relay{
+			Client: client,
+			Leader: m.leaderElsewhere,
+			Source: dialect.Lister(transport.Client(environment.Network), m.settings.Seeded.InstanceList),
+		},
+		Log: environment.Telemetry.Log,
 	}
 	listings.Start()
 	m.parts.add(listings.Close)
@@ -146,6 +150,20 @@
 	return nil
 }
 
+// leaderElsewhere returns the address of a leader that was heard lately, or "".
+func (m *Member) leaderElsewhere() string {
+	status := m.Quorum.Status()
+	if status.Role == "leader" || status.HeardAgo > laggingAfter.Seconds() {
+		return ""
+	}
+	for _, member := range status.Members {
+		if member.ID == status.Leader {
+			return member.Address
+		}
+	}
+	return ""
+}
+
 // Retired is closed when the group has removed this member: its folder must
 // be erased before it starts again.
 func (m *Member) Retired() <-chan struct{} {
