--- /dev/null
+++ b/internal/forward/bench_test.go
@@ -0,0 +1,49 @@
+package forward_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// BenchmarkRequest measures what a request costs the whole test process: the
+// caller, the entry and the backend server together.
+func BenchmarkRequest(b *testing.B) {
+	replies := make([]reply, 0, 1<<20)
+	for range cap(replies) {
+		replies = append(replies, say(200, stamped, "done"))
+	}
+	s := newSite(b, once, replies...)
+	defer s.front.Close()
+	client := &http.Client{}
+	before := processorTime(b)
+	for b.Loop() {
+		request, err := http.NewRequest(http.MethodPost, s.front.URL+"/a/x", strings.NewReader("work"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Host = "one.example"
+		request.Header.Set("Id", "a1")
+		request.Header.Set("Key", "secret")
+		response, err := client.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "processor-us/op")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -66,7 +66,7 @@
 
 // site is an entry in front of scripted backend servers.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	server  *forward.Server
 	front   *httptest.Server
 	mu      sync.Mutex
@@ -76,7 +76,7 @@
 // reply plays one request at a backend server.
 type reply func(conn net.Conn, request *http.Request)
 
-func newSite(t *testing.T, route config.HostRoute, replies ...reply) *site {
+func newSite(t testing.TB, route config.HostRoute, replies ...reply) *site {
 	t.Helper()
 	s := &site{t: t}
 	var list []instances.Instance
@@ -102,7 +102,7 @@
 	return s
 }
 
-func document(t *testing.T, route config.HostRoute) *config.Document {
+func document(t testing.TB, route config.HostRoute) *config.Document {
 	t.Helper()
 	route.Host = "one.example"
 	route.PathPrefix = "/a/"
