--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -33,19 +33,24 @@
 // cumulative grant and the unspent tokens that the ledger should hold. As with
 // Draw, a total that is not the current one makes it change nothing.
 func (a *Account) DrawFor(epoch string, known int64, ask Ask) (granted, target int64) {
+	return a.drawFor(epoch, known, ask, a.Target, a.left()/poolDivisor)
+}
+
+// drawFor draws up to what targetOf gives the epoch and leaves reserve in the
+// pool, but for what requests wait for.
+func (a *Account) drawFor(epoch string, known int64, ask Ask, targetOf func(string) int64, reserve int64) (granted, target int64) {
 	grant, found := a.Grants[epoch]
 	if grant.Closed || known != grant.Granted {
-		return grant.Granted, a.Target(epoch)
+		return grant.Granted, targetOf(epoch)
 	}
 	if !found || grant.Demand != ask.Demand {
 		grant.Demand = ask.Demand
 		a.put(epoch, grant)
 	}
-	target = a.Target(epoch)
+	target = targetOf(epoch)
 	want := ask.Need
 	if ask.Ahead {
-		spare := a.Pool - a.left()/poolDivisor
-		want = max(want, min(target-grant.Unspent(), spare))
+		want = max(want, min(target-grant.Unspent(), a.Pool-reserve))
 	}
 	return a.Draw(epoch, known, want), target
 }
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -58,21 +58,7 @@
 // DrawWithin is DrawFor with targets that bound what is lost with a holder.
 func (a *Account) DrawWithin(epoch string, known int64, ask Ask) (granted, target int64) {
 	a.payOwed()
-	grant, found := a.Grants[epoch]
-	if grant.Closed || known != grant.Granted {
-		return grant.Granted, a.TargetWithin(epoch)
-	}
-	if !found || grant.Demand != ask.Demand {
-		grant.Demand = ask.Demand
-		a.put(epoch, grant)
-	}
-	target = a.TargetWithin(epoch)
-	want := ask.Need
-	if ask.Ahead {
-		spare := a.Pool - a.reserve()
-		want = max(want, min(ask.Need+target-grant.Unspent(), spare))
-	}
-	return a.Draw(epoch, known, want), target
+	return a.drawFor(epoch, known, ask, a.TargetWithin, a.reserve())
 }
 
 // TargetWithin is Target bounded by the holder's demand within the horizon, but
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -31,8 +31,10 @@
 	returnPoll = 20 * time.Millisecond
 	// gatherPause lets requests that come together share an exchange.
 	gatherPause = 4 * time.Millisecond
-	// demandMemory is the time over which the demand is averaged.
+	// demandMemory is the time over which the demand is averaged, and
+	// demandWarmUp what a first estimate rests on.
 	demandMemory = 5 * time.Second
+	demandWarmUp = time.Second
 )
 
 // ErrExhausted reports that the budget does not cover the request.
@@ -76,7 +78,7 @@
 	target int64
 	// left is unspent in the whole group, as of the last exchange.
 	left   int64
-	demand rate
+	demand budget.Demand
 	// waiting are the tokens that requests wait for.
 	waiting int64
 	// reported is what the group was told last.
@@ -148,7 +150,7 @@
 func (h *Holder) Reserve(ctx context.Context, workspace string, tokens int64) (*Hold, error) {
 	h.mu.Lock()
 	a := h.account(workspace)
-	a.demand.add(time.Now(), tokens)
+	a.demand.Observe(time.Now(), tokens)
 	if a.escrow.Reserve(tokens) {
 		low := a.escrow.Low(a.target)
 		h.mu.Unlock()
@@ -271,7 +273,7 @@
 func (h *Holder) account(workspace string) *account {
 	a := h.accounts[workspace]
 	if a == nil {
-		a = &account{changed: make(chan struct{})}
+		a = &account{demand: budget.Demand{Memory: demandMemory, WarmUp: demandWarmUp}, changed: make(chan struct{})}
 		h.accounts[workspace] = a
 	}
 	return a
@@ -376,7 +378,7 @@
 	if h.leaving {
 		return 0
 	}
-	return a.demand.perHour(now)
+	return a.demand.PerHour(now)
 }
 
 func (h *Holder) take(request *group.Exchange, shares map[string]group.Share) {
--- a/internal/group/replace_test.go
+++ b/internal/group/replace_test.go
@@ -118,7 +118,7 @@
 	if again.Shares["north"].Granted != granted {
 		t.Errorf("a resent exchange drew again: %d after %d", again.Shares["north"].Granted, granted)
 	}
-	exchange("start-1", ExchangeItem{Known: granted, Counters: budget.Counters{Billed: 300}})
+	granted = exchange("start-1", ExchangeItem{Known: granted, Counters: budget.Counters{Billed: 300}}).Shares["north"].Granted
 	exchange("start-2", ExchangeItem{Need: 10})
 	if !s.Epochs["start-1"].Closed {
 		t.Error("the epoch of an earlier start is still open")
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -69,11 +69,9 @@
 	Check     *invariant.Checker
 	// Scope counts what the watch costs; nil means not counted.
 	Scope tally.Scope
-	// Installed is called with each version before it is in force; nil means
-	// not called.
-	Installed func(*config.Document)
-	// Numbered is Installed with the version's number; nil means not called.
-	Numbered func(uint64, *config.Document)
+	// Installed is called with each version's number and document before it is
+	// in force; nil means not called.
+	Installed func(number uint64, document *config.Document)
 	// View learns the list of backend servers; nil means that it is not asked.
 	View *instances.View
 	// Datagrams is where this instance takes datagrams, and Peers is called
@@ -307,10 +305,7 @@
 		return err
 	}
 	if w.Installed != nil {
-		w.Installed(parsed)
-	}
-	if w.Numbered != nil {
-		w.Numbered(response.Number, parsed)
+		w.Installed(response.Number, parsed)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/forward"
 	"github.com/cactusbay/cactusbay/internal/gossip"
@@ -140,7 +139,7 @@
 		Instance:      g.settings.InstanceID,
 		Incarnation:   incarnation,
 		FailureDomain: g.settings.FailureDomain,
-		Numbered:      func(number uint64, document *config.Document) { g.Server.Install(number, document) },
+		Installed:     g.Server.Install,
 	}
 	g.Watcher.Start()
 	g.parts.add(g.Watcher.Close)
--- a/internal/process/seeded.go
+++ b/internal/process/member.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusbay/cactusbay/internal/forward"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/operator"
@@ -22,18 +21,6 @@
 // sends those that follow it to another one: some heartbeats.
 const laggingAfter = 800 * time.Millisecond
 
-// Dialect speaks the words of a site's surroundings.
-type Dialect interface {
-	// Translator speaks to callers and backend servers.
-	Translator() forward.Translator
-	// Operators serves operators.
-	Operators(releases *operator.Releases) http.Handler
-	// Lister reads the list of backend servers at an address.
-	Lister(client *http.Client, address string) instances.Lister
-	// ReadyPath is where the surroundings ask whether an entry is ready.
-	ReadyPath() string
-}
-
 // Member is a control instance of a seeded site.
 type Member struct {
 	Group  *group.Group
