--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -46,7 +46,7 @@
 	// sends counts the servers that may have begun to run the request.
 	sends      int
 	mayHaveRun bool
-	// lastSend is when the request was sent last.
+	// lastServer is the server that the request was placed at last.
 	lastServer string
 
 	// begun is set once a part of an answer went to the caller.
@@ -92,9 +92,9 @@
 	t.lastServer = placement.ID
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := t.limitFirstByte(cancel)
+	answered := t.limitFirstByte(cancel)
 	response, err := t.server.Upstream.Do(sending, placement.ID, placement.Address, t.upstreamRequest(placement))
-	limit.Stop()
+	answered()
 	if err != nil {
 		return t.sendFailed(ctx, placement, err)
 	}
@@ -136,16 +136,17 @@
 var errSlow = errors.New("the server did not answer in time")
 
 // limitFirstByte ends the wait for the first byte while another attempt could
-// still be made.
-func (t *task) limitFirstByte(cancel context.CancelCauseFunc) *time.Timer {
+// still be made. The function that it returns ends the limit.
+func (t *task) limitFirstByte(cancel context.CancelCauseFunc) (answered func()) {
 	if !t.route.mayRepeat() || t.sends+1 >= t.route.attempts() {
-		return time.AfterFunc(time.Hour, func() {})
+		return func() {}
 	}
 	limit := time.Duration(float64(time.Until(t.deadline)) / firstByteShare)
 	if t.request.Prompt != nil {
 		limit = firstByteStream
 	}
-	return time.AfterFunc(limit, func() { cancel(errSlow) })
+	timer := time.AfterFunc(limit, func() { cancel(errSlow) })
+	return func() { timer.Stop() }
 }
 
 func (t *task) upstreamRequest(placement *place.Placement) *upstream.Request {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,8 @@
 	// dialTimeout is short, because a sound server accepts within milliseconds.
 	dialTimeout = 700 * time.Millisecond
 	readBuffer  = 8 << 10
+	// headBytes is the room for a request line and header.
+	headBytes = 1 << 10
 	// maxForeign bounds the answers to earlier requests that are passed over.
 	maxForeign = 2
 	// inlineBody is the largest body that is written before the answer is read.
@@ -144,7 +146,7 @@
 // head returns the request line and header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body)*btoi(len(r.Body) <= inlineBody))
+	b.Grow(headBytes + min(len(r.Body), inlineBody))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -168,13 +170,6 @@
 	return b.Bytes()
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // bodyWriter writes a body beside the reading of its answer.
 type bodyWriter struct {
 	conn *conn
