--- /dev/null
+++ b/internal/instances/instances_test.go
@@ -0,0 +1,114 @@
+package instances_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/instances"
+)
+
+// source is a list that can change and fail.
+type source struct {
+	mu    sync.Mutex
+	list  []instances.Instance
+	fails bool
+	reads int
+}
+
+func (s *source) List(context.Context) (instances.Reading, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.fails {
+		return instances.Reading{}, errors.New("over the rate")
+	}
+	return instances.Reading{Instances: s.list}, nil
+}
+
+func (s *source) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+var quiet = log.New(io.Discard)
+
+func TestPollerTellsOfChangesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{list: []instances.Instance{{ID: "one"}}}
+		p := &instances.Poller{Lister: s, Interval: time.Second, Log: quiet}
+		p.Start()
+		defer p.Close()
+		time.Sleep(3500 * time.Millisecond)
+		listing, age, changed := p.Current()
+		if listing.Number != 1 || age > time.Second {
+			t.Errorf("listing %d, %s old", listing.Number, age)
+		}
+		s.set(func() { s.list = []instances.Instance{{ID: "one", Leaving: true}} })
+		<-changed
+		listing, _, _ = p.Current()
+		if listing.Number != 2 || !listing.Instances[0].Leaving {
+			t.Errorf("%+v", listing)
+		}
+	})
+}
+
+// TestPollerPressesNobodyInTrouble waits longer after each failure.
+func TestPollerPressesNobodyInTrouble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{fails: true}
+		p := &instances.Poller{Lister: s, Interval: time.Second, Log: quiet}
+		p.Start()
+		defer p.Close()
+		time.Sleep(30 * time.Second)
+		if count := s.count(); count > 10 {
+			t.Errorf("%d reads in 30 s", count)
+		}
+		if _, age, _ := p.Current(); age >= 0 {
+			t.Error("a list that was never read has an age")
+		}
+	})
+}
+
+// TestViewReadsTheListOnlyWhenNobodyTells lets control instances tell of the
+// list, fall silent and tell again.
+func TestViewReadsTheListOnlyWhenNobodyTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{list: []instances.Instance{{ID: "own"}}}
+		var last []instances.Instance
+		v := &instances.View{Lister: s, Log: quiet, Changed: func(list []instances.Instance) { last = list }}
+		v.Start()
+		defer v.Close()
+		listing := instances.Listing{Reader: "control", Number: 1, Instances: []instances.Instance{{ID: "told"}}}
+		v.Offer(listing, 200*time.Millisecond)
+		for range 20 {
+			time.Sleep(time.Second)
+			v.Confirm("control", 1, 300*time.Millisecond)
+		}
+		if s.count() != 0 || last[0].ID != "told" {
+			t.Fatalf("%d own reads, list %+v", s.count(), last)
+		}
+		time.Sleep(10 * time.Second)
+		if s.count() == 0 || s.count() > 5 {
+			t.Errorf("%d own reads in 10 s of silence", s.count())
+		}
+		v.Offer(listing, 5*time.Second)
+		synctest.Wait()
+		if last[0].ID != "own" {
+			t.Error("an older list took the place of a newer one")
+		}
+	})
+}
