Remove what nothing uses; one check for a further attempt

Found on a last reading: an unused reason, four unused methods and fields, a cancellation cause that nobody read, an option of the group log that it ignored, a doc comment that promised a result, and the same condition written three times.

--- a/internal/config/hostroute.go
+++ b/internal/config/hostroute.go
@@ -78,12 +78,6 @@
 	return host + pathPrefix
 }
 
-// IsRepeatable tells whether requests of the route may be sent again after one
-// of them may have run.
-func (r HostRoute) IsRepeatable() bool {
-	return r.Repetition == RepeatIdempotent
-}
-
 func (d *Document) validateHostRoutes(faults *check.Faults) {
 	for _, key := range sortedNames(d.HostRoutes) {
 		d.validateHostRoute("host_routes."+key, key, d.HostRoutes[key], faults)
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -254,11 +254,6 @@
 	})
 }
 
-// Reserved returns the tokens that are set aside.
-func (s *Hold) Reserved() int64 {
-	return s.reserved
-}
-
 // Prepare draws tokens for workspaces before their first requests come.
 func (h *Holder) Prepare(workspaces []string) {
 	h.mu.Lock()
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -100,6 +100,7 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
+	// A type that is set to nothing keeps net/http from guessing one.
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil
 	}
@@ -181,7 +182,7 @@
 // limitGap bounds the silence of a stream that can go on elsewhere.
 func (s *eventStream) limitGap() {
 	t := s.task
-	if !t.route.mayRepeat() || t.sends >= t.route.attempts() {
+	if !t.hasAttemptAfter(t.sends) {
 		return
 	}
 	until := time.Now().Add(gapLimit)
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,7 +25,6 @@
 	reasonNotSent         reason = "not_sent"
 	reasonUnclear         reason = "outcome_unclear"
 	reasonTimeout         reason = "timeout"
-	reasonTimeoutNotRun   reason = "timeout_not_run"
 	reasonBadAnswer       reason = "bad_answer"
 	reasonBrokenStream    reason = "stream_broken"
 	reasonCallerLeft      reason = "caller_left"
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/upstream"
@@ -90,8 +88,8 @@
 func (t *task) sendTo(ctx context.Context, placement *place.Placement) (refused *refusal, again bool) {
 	t.tried = append(t.tried, placement.ID)
 	t.lastServer = placement.ID
-	sending, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
 	answered := t.limitFirstByte(cancel)
 	response, err := t.server.Upstream.Do(sending, placement.ID, placement.Address, t.upstreamRequest(placement))
 	answered()
@@ -132,20 +130,17 @@
 	response.Finish()
 }
 
-// errSlow is the cause of an attempt that is given up for another one.
-var errSlow = errors.New("the server did not answer in time")
-
 // limitFirstByte ends the wait for the first byte while another attempt could
 // still be made. The function that it returns ends the limit.
-func (t *task) limitFirstByte(cancel context.CancelCauseFunc) (answered func()) {
-	if !t.route.mayRepeat() || t.sends+1 >= t.route.attempts() {
+func (t *task) limitFirstByte(cancel context.CancelFunc) (answered func()) {
+	if !t.hasAttemptAfter(t.sends + 1) {
 		return func() {}
 	}
 	limit := time.Duration(float64(time.Until(t.deadline)) / firstByteShare)
 	if t.request.Prompt != nil {
 		limit = firstByteStream
 	}
-	timer := time.AfterFunc(limit, func() { cancel(errSlow) })
+	timer := time.AfterFunc(limit, cancel)
 	return func() { timer.Stop() }
 }
 
@@ -223,8 +218,14 @@
 	return nil, true
 }
 
+// hasAttemptAfter tells whether the route allows another attempt after a number
+// of servers that may have begun.
+func (t *task) hasAttemptAfter(sends int) bool {
+	return t.route.mayRepeat() && sends < t.route.attempts()
+}
+
 func (t *task) mayRepeatNow() bool {
-	if !t.route.mayRepeat() || t.sends >= t.route.attempts() {
+	if !t.hasAttemptAfter(t.sends) {
 		return false
 	}
 	return t.server.Retries.Take(t.upstream, t.server.Entries(), time.Now())
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -57,8 +57,6 @@
 type Placement struct {
 	ID      string
 	Address string
-	// Domain is the server's failure domain.
-	Domain string
 	// Work is how long the engine was expected to read the prompt.
 	Work time.Duration
 	// Cached is how many tokens of the prompt it was expected to keep.
@@ -66,10 +64,9 @@
 
 	fleet  *Fleet
 	server *server
-	prompt *Prompt
 }
 
-// Update takes a newer list in and returns the ids that are not in it.
+// Update takes a newer list in.
 func (f *Fleet) Update(list []instances.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -235,7 +232,7 @@
 }
 
 func (f *Fleet) place(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Domain: s.failureDomain, fleet: f, server: s, prompt: q.Prompt}
+	p := &Placement{ID: s.id, Address: s.address, fleet: f, server: s}
 	s.running++
 	if q.Prompt != nil {
 		p.Cached = s.cached(q.Prompt)
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -57,14 +57,13 @@
 		return err
 	}
 	m.Quorum, err = quorum.Open(quorum.Options{
-		ID:            identity.Member.ID,
-		Members:       identity.Founders,
-		Folder:        environment.Folder,
-		Machine:       m.Group,
-		Client:        client,
-		Check:         environment.Check,
-		Voters:        s.Seeded.Tolerance.Voters(),
-		FailureDomain: s.FailureDomain,
+		ID:      identity.Member.ID,
+		Members: identity.Founders,
+		Folder:  environment.Folder,
+		Machine: m.Group,
+		Client:  client,
+		Check:   environment.Check,
+		Voters:  s.Seeded.Tolerance.Voters(),
 	})
 	if err != nil {
 		return err
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -42,8 +42,6 @@
 	// Voters bounds the members that vote; the others stay learners and take
 	// the place of a voter that is lost. 0 means that all vote.
 	Voters int
-	// FailureDomain is where this member is.
-	FailureDomain string
 	// SnapshotEntries is how many applied entries the log keeps before a
 	// snapshot replaces them; 0 means the default.
 	SnapshotEntries int
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -25,11 +25,6 @@
 	ended  bool
 }
 
-// Length returns the length of the body that the header names, or -1.
-func (r *Response) Length() int64 {
-	return r.parsed.ContentLength
-}
-
 // Read reads the body. An io.EOF means that it is complete; a body without a
 // length is complete when its connection was closed and not reset.
 func (r *Response) Read(p []byte) (int, error) {
