--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -38,6 +38,14 @@
 	Released int64 `cbor:"4,keyasint,omitempty" json:"released,omitempty"`
 	// Demand is the ledger's estimate in tokens an hour.
 	Demand int64 `cbor:"5,keyasint,omitempty" json:"demand,omitempty"`
+	// Pooled is the demand of other ledgers that this one holds tokens for, in
+	// tokens an hour.
+	Pooled int64 `cbor:"6,keyasint,omitempty" json:"pooled,omitempty"`
+}
+
+// demand returns the demand that the grant answers for, in tokens an hour.
+func (g Grant) demand() int64 {
+	return max(g.Demand+g.Pooled, demandFloor)
 }
 
 // Held returns the tokens that are in the grant, spent or not.
--- a/internal/budget/escrow.go
+++ b/internal/budget/escrow.go
@@ -12,11 +12,16 @@
 	Reserved  int64 `cbor:"5,keyasint,omitempty" json:"reserved"`
 	// Voided is the cumulative total of bills that were taken back.
 	Voided int64 `cbor:"10,keyasint,omitempty" json:"voided"`
+	// Borrowed is what other holders lent and is not spent yet. Bills are paid
+	// out of it first and count in Billed only beyond it.
+	Borrowed int64 `cbor:"11,keyasint,omitempty" json:"borrowed,omitempty"`
+	// Lent is the cumulative part of Billed that went to other holders.
+	Lent int64 `cbor:"12,keyasint,omitempty" json:"lent,omitempty"`
 }
 
 // Available returns the tokens that may still be reserved.
 func (e Escrow) Available() int64 {
-	return e.Granted + e.Deposited + e.Voided - e.Returned - e.Billed - e.Reserved
+	return e.Granted + e.Deposited + e.Voided + e.Borrowed - e.Returned - e.Billed - e.Reserved
 }
 
 // Counters returns the totals to report to the group.
@@ -43,8 +48,10 @@
 // reservation.
 func (e *Escrow) Settle(reserved, actual int64) int64 {
 	billed := max(0, min(actual, reserved))
+	paid := min(billed, e.Borrowed)
 	e.Reserved -= reserved
-	e.Billed += billed
+	e.Borrowed -= paid
+	e.Billed += billed - paid
 	return billed
 }
 
--- /dev/null
+++ b/internal/budget/loan_test.go
@@ -0,0 +1,67 @@
+package budget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+)
+
+// TestLoansMoveTokensAndMakeNone lends between escrows at random and reports
+// to the group in between: every escrow stays whole, and the tokens that were
+// spent never exceed those that were granted.
+func TestLoansMoveTokensAndMakeNone(t *testing.T) {
+	const total = 100_000
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		account := &budget.Account{}
+		account.SetTotal(total)
+		names := []string{"a", "b", "c"}
+		escrows := map[string]*budget.Escrow{"a": {}, "b": {}, "c": {}}
+		reserved := map[string][]int64{}
+		var spent int64
+		for range 300 {
+			name := names[random.IntN(len(names))]
+			e := escrows[name]
+			size := random.Int64N(8000)
+			switch random.IntN(6) {
+			case 0:
+				e.Granted = account.Draw(name, e.Granted, size)
+			case 1:
+				if e.Reserve(size) {
+					reserved[name] = append(reserved[name], size)
+				}
+			case 2:
+				if held := reserved[name]; len(held) > 0 {
+					actual := random.Int64N(held[0] + 1)
+					e.Settle(held[0], actual)
+					spent += actual
+					reserved[name] = held[1:]
+				}
+			case 3:
+				e.Return(min(size, e.Own()))
+			case 4:
+				other := names[random.IntN(len(names))]
+				if other != name && random.IntN(10) > 0 {
+					e.Borrow(escrows[other].Lend(size, random.Int64N(3_600_000)))
+				}
+			case 5:
+				if err := account.Report(name, e.Counters()); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+			if err := e.Check(); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			if e.Own() > max(0, e.Granted-e.Returned-e.Billed) {
+				t.Fatalf("seed %d: owns %d of %+v", seed, e.Own(), e)
+			}
+		}
+		if err := account.Check(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if spent > total {
+			t.Fatalf("seed %d: %d spent of %d", seed, spent, total)
+		}
+	}
+}
--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -27,6 +27,8 @@
 	Ahead bool
 	// Demand is the ledger's estimate in tokens an hour.
 	Demand int64
+	// Pooled is the demand of others that the ledger holds tokens for.
+	Pooled int64
 }
 
 // DrawFor moves tokens from the pool to the grant of epoch. It returns the
@@ -43,8 +45,9 @@
 	if grant.Closed || known != grant.Granted {
 		return grant.Granted, targetOf(epoch)
 	}
-	if !found || grant.Demand != ask.Demand {
+	if !found || grant.Demand != ask.Demand || grant.Pooled != ask.Pooled {
 		grant.Demand = ask.Demand
+		grant.Pooled = ask.Pooled
 		a.put(epoch, grant)
 	}
 	target = targetOf(epoch)
@@ -74,13 +77,13 @@
 		if grant.Closed {
 			continue
 		}
-		demand += float64(max(grant.Demand, demandFloor))
+		demand += float64(grant.demand())
 	}
 	grant := a.Grants[epoch]
 	if grant.Closed || demand == 0 {
 		return 0
 	}
-	return int64(float64(tokens) * float64(max(grant.Demand, demandFloor)) / demand)
+	return int64(float64(tokens) * float64(grant.demand()) / demand)
 }
 
 // left returns the unspent tokens of the pool and of the open grants.
@@ -100,7 +103,7 @@
 	if excess <= target/idleDivisor {
 		return 0
 	}
-	return max(0, min(excess, e.Available()))
+	return max(0, min(excess, e.Own()))
 }
 
 // Low tells whether a ledger with this target should draw ahead.
@@ -111,7 +114,7 @@
 
 // Return gives tokens back to the pool; false means that too few are left.
 func (e *Escrow) Return(tokens int64) bool {
-	if tokens < 0 || tokens > e.Available() {
+	if tokens < 0 || tokens > e.Own() {
 		return false
 	}
 	e.Returned += tokens
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -73,7 +73,8 @@
 	if floor < minimumFloor || a.Left() < a.Deposited/2 {
 		floor = 0
 	}
-	demand := a.Grants[epoch].Demand * horizonSeconds / secondsPerHour
+	grant := a.Grants[epoch]
+	demand := (grant.Demand + grant.Pooled) * horizonSeconds / secondsPerHour
 	part := a.part(epoch, spare)
 	return max(floor, min(max(part/heldDivisor, a.part(epoch, int64(float64(part)/aloneDivisor))), demand))
 }
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -35,6 +35,9 @@
 	// demandWarmUp what a first estimate rests on.
 	demandMemory = 5 * time.Second
 	demandWarmUp = time.Second
+	// promptLimit is above the time of a commit. After it other holders are
+	// asked.
+	promptLimit = 150 * time.Millisecond
 )
 
 // ErrExhausted reports that the budget does not cover the request.
@@ -59,11 +62,19 @@
 	Epoch         string
 	Instance      string
 	FailureDomain string
+	// Address is where this holder takes the datagrams of others.
+	Address string
+	// Borrow asks the holder at lender for tokens and waits a short time for
+	// them; what it lends comes in through TakeLoan. Nil means that nobody is
+	// asked.
+	Borrow func(ctx context.Context, lender, workspace string, tokens int64)
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// failing tells that the last exchange failed.
+	// failing tells that the last exchange failed, and overdue that requests
+	// waited too long for it.
 	failing bool
+	overdue bool
 	// leaving tells that the holder is about to end.
 	leaving bool
 	wake    chan struct{}
@@ -76,9 +87,11 @@
 type account struct {
 	escrow budget.Escrow
 	target int64
-	// left is unspent in the whole group, as of the last exchange.
-	left   int64
-	demand budget.Demand
+	// left is unspent in the whole group, and lenders are the addresses of those
+	// who hold most of it, as of the last exchange.
+	left    int64
+	lenders []string
+	demand  budget.Demand
 	// waiting are the tokens that requests wait for.
 	waiting int64
 	// reported is what the group was told last.
@@ -89,6 +102,10 @@
 	exchanges uint64
 	// exchanged is when the last of them ended.
 	exchanged time.Time
+	// round is the borrowing in progress, or nil.
+	round *round
+	// refused is when a round brought too little.
+	refused time.Time
 }
 
 // Hold is a reservation of tokens. Call Settle once.
@@ -138,7 +155,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, a := range h.accounts {
-		if a.escrow.Available() > 0 || a.escrow.Counters() != a.reported {
+		if a.escrow.Own() > 0 || a.escrow.Counters() != a.reported {
 			return true
 		}
 	}
@@ -159,26 +176,59 @@
 		}
 		return &Hold{holder: h, workspace: workspace, reserved: tokens}, nil
 	}
-	if h.failing {
-		h.mu.Unlock()
-		return nil, ErrUnavailable
-	}
 	a.waiting += tokens
 	h.mu.Unlock()
-	err := h.await(ctx, workspace, tokens)
+	defer h.stopWaiting(a, tokens)
+	err := h.obtain(ctx, workspace, a, tokens)
 	if err != nil {
 		return nil, err
 	}
 	return &Hold{holder: h, workspace: workspace, reserved: tokens}, nil
 }
 
-// await waits for exchanges until the tokens are there or the group has too
-// few. The first exchange that ends may have begun before the request came.
-func (h *Holder) await(ctx context.Context, workspace string, tokens int64) error {
+// obtain reserves tokens out of the next exchange, or out of what other holders
+// lend while the group is out of reach, slow or has handed all out.
+func (h *Holder) obtain(ctx context.Context, workspace string, a *account, tokens int64) error {
+	err := ErrUnavailable
+	if h.isPrompt() {
+		prompt, cancel := context.WithTimeout(ctx, promptLimit)
+		err = h.await(prompt, a, tokens)
+		cancel()
+	}
+	if errors.Is(err, ErrUnavailable) {
+		err = h.borrow(ctx, workspace, a, tokens)
+	}
+	if errors.Is(err, ErrUnavailable) && !h.isFailing() {
+		err = h.await(ctx, a, tokens)
+	}
+	return err
+}
+
+// isPrompt tells whether the group answers exchanges without delay.
+func (h *Holder) isPrompt() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.failing && !h.overdue
+}
+
+func (h *Holder) isFailing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failing
+}
+
+func (h *Holder) stopWaiting(a *account, tokens int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.waiting -= tokens
+}
+
+// await waits for exchanges until the tokens are there, the group has too few
+// or other holders are the sooner source. The first exchange that ends may have
+// begun before the request came.
+func (h *Holder) await(ctx context.Context, a *account, tokens int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a := h.account(workspace)
-	defer func() { a.waiting -= tokens }()
 	from := a.exchanges
 	for {
 		changed := a.changed
@@ -189,7 +239,11 @@
 		if a.escrow.Reserve(tokens) {
 			return nil
 		}
-		if err != nil || h.failing {
+		if err != nil {
+			h.overdue = true
+			return ErrUnavailable
+		}
+		if h.failing {
 			return ErrUnavailable
 		}
 		if a.exchanges < from+2 {
@@ -347,7 +401,7 @@
 	if len(items) == 0 {
 		return nil
 	}
-	return &group.Exchange{Epoch: h.Epoch, Instance: h.Instance, FailureDomain: h.FailureDomain, Workspaces: items}
+	return &group.Exchange{Epoch: h.Epoch, Instance: h.Instance, FailureDomain: h.FailureDomain, Address: h.Address, Workspaces: items}
 }
 
 // fail makes the requests that wait, and those that come before the next
@@ -388,10 +442,12 @@
 		a.escrow.Granted = max(a.escrow.Granted, share.Granted)
 		a.target = share.Target
 		a.left = share.Left
+		a.lenders = share.Lenders
 		a.reported = item.Counters
 		a.exchanges++
 		a.exchanged = time.Now()
 		a.renew()
 	}
 	h.failing = false
+	h.overdue = false
 }
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,8 @@
 	cut bool
 	// lose makes the next answers get lost after the exchange took place.
 	lose int
+	// lenders are those that every holder is told of.
+	lenders []string
 }
 
 func (p *pool) Exchange(ctx context.Context, exchange *group.Exchange) (map[string]group.Share, error) {
@@ -48,7 +51,7 @@
 			return nil, err
 		}
 		granted, target := p.account.DrawWithin(exchange.Epoch, item.Known, budget.Ask{Need: item.Need, Ahead: !item.Leaving, Demand: item.Demand})
-		shares[workspace] = group.Share{Granted: granted, Target: target, Left: p.account.Left()}
+		shares[workspace] = group.Share{Granted: granted, Target: target, Left: p.account.Left(), Lenders: p.othersThan(exchange.Epoch)}
 	}
 	if p.lose > 0 {
 		p.lose--
@@ -57,6 +60,16 @@
 	return shares, nil
 }
 
+func (p *pool) othersThan(epoch string) []string {
+	var others []string
+	for _, lender := range p.lenders {
+		if lender != epoch && !slices.Contains(others, lender) {
+			others = append(others, lender)
+		}
+	}
+	return others
+}
+
 func (p *pool) set(change func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,12 +1,14 @@
-// Package gossip tells the other entries, in datagrams, which prompts this one
-// sends where, so that all see the work that waits at the engines. A datagram
-// that is lost costs a worse choice and nothing else.
+// Package gossip speaks to the other entries in datagrams. It tells them which
+// prompts this one sends where, so that all see the work that waits at the
+// engines, and moves tokens between entries that cannot draw any. A datagram
+// that is lost costs a worse choice, or tokens that then count as spent.
 package gossip
 
 import (
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,12 +33,15 @@
 	// Address is an IP number and a port for datagrams.
 	Address string
 	Fleet   *place.Fleet
-	Log     *log.Logger
+	// Tokens are lent to other entries; nil means that none are.
+	Tokens Tokens
+	Log    *log.Logger
 
 	socket  *net.UDPConn
 	peers   atomic.Pointer[[]netip.AddrPort]
 	queue   chan message
 	dropped atomic.Int64
+	loans   loans
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -121,30 +126,64 @@
 		allowance -= float64(len(*peers))
 		buffer = m.append(buffer[:0])
 		for _, peer := range *peers {
-			_, err := s.socket.WriteToUDPAddrPort(buffer, peer)
-			if err != nil && ctx.Err() == nil {
-				s.Log.Debug("datagram not sent", "to", peer.String(), "err", err.Error())
-			}
+			s.send(buffer, peer)
 		}
 	}
 }
 
-// receiveLoop hands what others tell to the fleet until the socket is closed.
+func (s *Spreader) send(data []byte, to netip.AddrPort) {
+	_, err := s.socket.WriteToUDPAddrPort(data, to)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		s.Log.Debug("datagram not sent", "to", to.String(), "err", err.Error())
+	}
+}
+
+// receiveLoop takes in what others send until the socket is closed.
 func (s *Spreader) receiveLoop() {
 	buffer := make([]byte, maxMessage)
 	for {
-		n, _, err := s.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if !errors.Is(err, net.ErrClosed) {
 				s.Log.Error("datagrams can no longer be received", "err", err.Error())
 			}
 			return
 		}
-		m, err := decode(buffer[:n])
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		err = s.receive(buffer[:n], from)
 		if err != nil {
-			s.Log.Debug("datagram dropped", "err", err.Error())
-			continue
+			s.Log.Debug("datagram dropped", "from", from.String(), "err", err.Error())
+		}
+	}
+}
+
+// receive takes one datagram in. Loans are made only among the known entries.
+func (s *Spreader) receive(data []byte, from netip.AddrPort) error {
+	if len(data) == 0 {
+		return errMessage
+	}
+	if data[0] == formatPrompt {
+		m, err := decode(data)
+		if err != nil {
+			return err
 		}
 		s.Fleet.Elsewhere(m.server, m.work, m.parts, time.Now())
+		return nil
+	}
+	if s.Tokens == nil || !s.knows(from) {
+		return errors.Newf("a loan with an unknown entry: %w", errMessage)
 	}
+	switch data[0] {
+	case formatAsk:
+		return s.serveAsk(data, from)
+	case formatAnswer:
+		return s.takeAnswer(data, from)
+	default:
+		return errMessage
+	}
+}
+
+func (s *Spreader) knows(address netip.AddrPort) bool {
+	peers := s.peers.Load()
+	return peers != nil && slices.Contains(*peers, address)
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// format is the first byte of a message.
-	format = 1
+	// The first byte of a datagram tells what it holds.
+	formatPrompt = 1
+	formatAsk    = 2
+	formatAnswer = 3
 	// maxParts and maxName bound what a message holds.
 	maxParts   = 16
 	maxName    = 255
@@ -34,7 +36,7 @@
 func (m message) append(buffer []byte) []byte {
 	name := m.server[:min(len(m.server), maxName)]
 	parts := m.parts[:min(len(m.parts), maxParts)]
-	buffer = append(buffer, format, byte(len(name)))
+	buffer = append(buffer, formatPrompt, byte(len(name)))
 	buffer = append(buffer, name...)
 	micros := min(m.work.Microseconds(), math.MaxUint32)
 	buffer = binary.BigEndian.AppendUint32(buffer, uint32(micros))
@@ -47,7 +49,7 @@
 
 func decode(data []byte) (message, error) {
 	const fixed = 2 + 4 + 1
-	if len(data) < fixed || data[0] != format {
+	if len(data) < fixed || data[0] != formatPrompt {
 		return message{}, errMessage
 	}
 	length := int(data[1])
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -17,7 +17,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(message{server: "i", work: time.Second, parts: []place.Part{{ID: 9}}}.append(nil))
-	f.Add([]byte{format})
+	f.Add([]byte{formatPrompt})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := decode(data)
 		if err != nil {
--- /dev/null
+++ b/internal/group/exchange.go
@@ -0,0 +1,145 @@
+package group
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+	"github.com/cactusbay/cactusbay/internal/invariant"
+	"github.com/cactusbay/cactusbay/internal/peer"
+)
+
+const exchangeProcedure = "/group/exchange"
+
+// Exchange reports an escrow holder's counters and draws tokens for it, for
+// many workspaces at once. It opens the holder's epoch when that is new.
+type Exchange struct {
+	Epoch         string                  `cbor:"1,keyasint"`
+	Instance      string                  `cbor:"2,keyasint"`
+	FailureDomain string                  `cbor:"3,keyasint"`
+	Workspaces    map[string]ExchangeItem `cbor:"4,keyasint"`
+	// Address is where the holder takes the datagrams of other holders.
+	Address string `cbor:"5,keyasint,omitempty"`
+}
+
+// ExchangeItem is one workspace's part of an Exchange.
+type ExchangeItem struct {
+	Counters budget.Counters `cbor:"1,keyasint"`
+	// Known is the cumulative grant that the holder knows of.
+	Known int64 `cbor:"2,keyasint,omitempty"`
+	// Need is the tokens that requests wait for, beyond those held.
+	Need int64 `cbor:"3,keyasint,omitempty"`
+	// Demand is the holder's estimate in tokens an hour.
+	Demand int64 `cbor:"4,keyasint,omitempty"`
+	// Leaving tells that the holder is about to end and holds nothing ahead.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Share is a workspace's part of the answer to an Exchange, in tokens.
+type Share struct {
+	// Granted is the holder's cumulative grant.
+	Granted int64 `cbor:"1,keyasint,omitempty" json:"granted"`
+	// Target is what the holder should hold unspent.
+	Target int64 `cbor:"2,keyasint,omitempty" json:"target"`
+	// Left is unspent in the whole group, as far as it is known.
+	Left int64 `cbor:"3,keyasint,omitempty" json:"left"`
+	// Lenders are the addresses of other holders with the most unspent tokens,
+	// those of the holder's own failure domain first.
+	Lenders []string `cbor:"4,keyasint,omitempty" json:"lenders,omitempty"`
+}
+
+// exchange takes the reports first, so that what they return can be drawn.
+func (s *state) exchange(c Exchange, check *invariant.Checker) Result {
+	epoch, found := s.Epochs[c.Epoch]
+	if epoch.Closed {
+		return Result{Code: CodeNotFound, Detail: "the epoch is closed"}
+	}
+	if !found {
+		s.closeEarlier(c.Instance)
+		s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain, Address: c.Address}
+		s.homes = nil
+	}
+	shares := make(map[string]Share, len(c.Workspaces))
+	for workspace, item := range c.Workspaces {
+		_, found := s.Accounts[workspace]
+		if !found {
+			shares[workspace] = Share{}
+			continue
+		}
+		share, err := s.exchangeOne(c.Epoch, workspace, item, check)
+		if err != nil {
+			_ = check.Check(false, invariant.WithinGrant, "workspace %s: %v", workspace, err)
+			continue
+		}
+		shares[workspace] = share
+	}
+	return Result{Code: CodeDone, Shares: shares}
+}
+
+// closeEarlier closes the epochs of an instance's earlier starts, which have
+// ended. What they had not reported stays spent.
+func (s *state) closeEarlier(instance string) {
+	for name, epoch := range s.Epochs {
+		if epoch.Instance == instance && !epoch.Closed {
+			s.closeEpoch(CloseEpoch{Epoch: name})
+		}
+	}
+}
+
+func (s *state) exchangeOne(epoch, workspace string, item ExchangeItem, check *invariant.Checker) (Share, error) {
+	account := s.account(workspace)
+	err := account.Report(epoch, item.Counters)
+	if err != nil {
+		return Share{}, err
+	}
+	granted, target := account.DrawWithin(epoch, item.Known, budget.Ask{
+		Need:   item.Need,
+		Ahead:  !item.Leaving,
+		Demand: item.Demand,
+		Pooled: s.pooled(epoch, workspace, account),
+	})
+	s.store(workspace, account, check, Result{})
+	return Share{Granted: granted, Target: target, Left: account.Left()}, nil
+}
+
+func (g *Group) serveExchange(ctx context.Context, log Log, request *Exchange) (*Result, error) {
+	result, err := Propose(ctx, log, *request)
+	if err != nil {
+		return nil, err
+	}
+	for workspace, share := range result.Shares {
+		share.Lenders = g.lenders(request.Epoch, workspace)
+		result.Shares[workspace] = share
+	}
+	return &result, nil
+}
+
+// Exchanger makes exchanges with the control group.
+type Exchanger struct {
+	Directory *Directory
+	Client    *peer.Client
+	// preferred is the address that answered last.
+	preferred string
+}
+
+// Exchange sends one exchange to a control instance; after an error the next
+// call goes to another one. It is used by one goroutine.
+func (e *Exchanger) Exchange(ctx context.Context, exchange *Exchange) (map[string]Share, error) {
+	if e.preferred == "" {
+		e.turn()
+	}
+	result, err := peer.Call[Exchange, Result](ctx, e.Client, e.preferred, exchangeProcedure, exchange)
+	if err != nil {
+		e.turn()
+		return nil, peer.Unavailable("exchange with the control group", err)
+	}
+	if result.Code != CodeDone {
+		return nil, errors.Newf("exchange: %s: %s", result.Code, result.Detail)
+	}
+	return result.Shares, nil
+}
+
+func (e *Exchanger) turn() {
+	e.preferred, _ = e.Directory.after(e.preferred)
+}
--- /dev/null
+++ b/internal/group/lenders.go
@@ -0,0 +1,109 @@
+package group
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/cactusbay/cactusbay/internal/budget"
+)
+
+const (
+	// lendersNear and lendersFar bound the lenders that a holder is told of in
+	// its own failure domain and elsewhere.
+	lendersNear = 3
+	lendersFar  = 3
+	// homeCount is how many holders of a failure domain hold tokens for the
+	// small holders there: one may be gone.
+	homeCount = 2
+	// smallDemand is the demand, in tokens an hour, below which a holder's own
+	// tokens do not cover single large requests.
+	smallDemand = 3000 * 3600
+)
+
+// lender is a holder as others may borrow from it.
+type lender struct {
+	address string
+	near    bool
+	unspent int64
+}
+
+// lenders returns the addresses of the holders with the most unspent tokens of
+// a workspace, but for epoch's own.
+func (g *Group) lenders(epoch, workspace string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	domain := g.state.Epochs[epoch].FailureDomain
+	var found []lender
+	for name, grant := range g.state.Accounts[workspace].Grants {
+		other := g.state.Epochs[name]
+		if name == epoch || grant.Closed || other.Address == "" || grant.Unspent() <= 0 {
+			continue
+		}
+		found = append(found, lender{address: other.Address, near: other.FailureDomain == domain, unspent: grant.Unspent()})
+	}
+	slices.SortFunc(found, func(a, b lender) int { return cmp.Compare(b.unspent, a.unspent) })
+	return append(addressesOf(found, true, lendersNear), addressesOf(found, false, lendersFar)...)
+}
+
+func addressesOf(lenders []lender, near bool, limit int) []string {
+	var addresses []string
+	for _, l := range lenders {
+		if l.near == near && len(addresses) < limit {
+			addresses = append(addresses, l.address)
+		}
+	}
+	return addresses
+}
+
+// pooled returns the demand of the small holders of epoch's failure domain for
+// which epoch holds tokens, in tokens an hour: 0 unless it is a home of the
+// workspace there.
+func (s *state) pooled(epoch, workspace string, account budget.Account) int64 {
+	domain := s.Epochs[epoch].FailureDomain
+	holders := s.holdersOf(domain)
+	if !isHome(holders, epoch, workspace) {
+		return 0
+	}
+	var demand int64
+	for _, name := range holders {
+		grant := account.Grants[name]
+		if name != epoch && !grant.Closed && grant.Demand < smallDemand {
+			demand += grant.Demand
+		}
+	}
+	return demand / homeCount
+}
+
+// isHome tells whether epoch is one of the workspace's homes among holders. The
+// workspaces are spread over the holders.
+func isHome(holders []string, epoch, workspace string) bool {
+	if len(holders) <= homeCount {
+		return false
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(workspace))
+	first := int(hash.Sum32() % uint32(len(holders)))
+	for i := range homeCount {
+		if holders[(first+i)%len(holders)] == epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// holdersOf returns the open epochs of a failure domain in order.
+func (s *state) holdersOf(domain string) []string {
+	if s.homes == nil {
+		s.homes = make(map[string][]string)
+		for name, epoch := range s.Epochs {
+			if !epoch.Closed && epoch.Address != "" {
+				s.homes[epoch.FailureDomain] = append(s.homes[epoch.FailureDomain], name)
+			}
+		}
+		for _, names := range s.homes {
+			slices.Sort(names)
+		}
+	}
+	return s.homes[domain]
+}
--- a/internal/group/replace_test.go
+++ b/internal/group/replace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -111,7 +112,7 @@
 	}
 	first := exchange("start-1", ExchangeItem{Need: 5000})
 	granted := first.Shares["north"].Granted
-	if first.Code != CodeDone || granted < 5000 || first.Shares["unknown"] != (Share{}) {
+	if first.Code != CodeDone || granted < 5000 || !reflect.DeepEqual(first.Shares["unknown"], Share{}) {
 		t.Fatalf("%+v", first)
 	}
 	again := exchange("start-1", ExchangeItem{Need: 5000})
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -14,6 +14,8 @@
 	Instance      string `cbor:"1,keyasint" json:"instance"`
 	FailureDomain string `cbor:"2,keyasint" json:"failure_domain"`
 	Closed        bool   `cbor:"3,keyasint,omitempty" json:"closed,omitempty"`
+	// Address is where an escrow holder takes the datagrams of others.
+	Address string `cbor:"4,keyasint,omitempty" json:"address,omitempty"`
 }
 
 // answer is the kept result of an operator's command, found by its id.
@@ -39,6 +41,10 @@
 	Epochs        map[string]Epoch          `cbor:"3,keyasint"`
 	Answers       map[string]answer         `cbor:"4,keyasint"`
 	Claims        map[string]claim          `cbor:"5,keyasint"`
+
+	// homes are the open escrow holders of each failure domain, in order; nil
+	// after a change of the epochs.
+	homes map[string][]string
 }
 
 func newState() *state {
@@ -129,6 +135,7 @@
 	}
 	epoch.Closed = true
 	s.Epochs[c.Epoch] = epoch
+	s.homes = nil
 	for workspace := range s.Accounts {
 		account := s.account(workspace)
 		_, granted := account.Grants[c.Epoch]
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -93,7 +93,7 @@
 		return serveClaim(ctx, groupLog, request)
 	})
 	peer.Handle(mux, secret, exchangeProcedure, func(ctx context.Context, request *Exchange) (*Result, error) {
-		return serveExchange(ctx, groupLog, request)
+		return g.serveExchange(ctx, groupLog, request)
 	})
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -72,11 +72,17 @@
 		Tracer:        environment.Telemetry.Tracer,
 	}
 	g.Server.Fleet.Changed = g.logServer
-	g.startHolder(environment, client, incarnation)
-	spreader, err := g.startSpreader(environment)
+	spreader, err := g.newSpreader(environment)
 	if err != nil {
 		return err
 	}
+	g.startHolder(environment, client, incarnation, spreader)
+	err = spreader.Start()
+	if err != nil {
+		return err
+	}
+	g.parts.add(spreader.Close)
+	g.Server.Fleet.Told = spreader.Tell
 	g.startWatcher(environment, dialect, client, incarnation, spreader)
 	g.Server.Entries = g.Watcher.Entries
 	return g.serve(environment, dialect)
@@ -86,36 +92,32 @@
 	return retry.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Or(defaultRetryWindow)}
 }
 
-func (g *Gateway) startHolder(environment Environment, client *peer.Client, incarnation string) {
+func (g *Gateway) startHolder(environment Environment, client *peer.Client, incarnation string, spreader *gossip.Spreader) {
 	g.Server.Holder = &escrow.Holder{
 		Exchanger:     &group.Exchanger{Directory: g.directory, Client: client},
 		Log:           environment.Telemetry.Log,
 		Epoch:         g.settings.InstanceID + "/" + incarnation,
 		Instance:      g.settings.InstanceID,
 		FailureDomain: g.settings.FailureDomain,
+		Address:       spreader.Address,
+		Borrow:        spreader.Borrow,
 	}
+	spreader.Tokens = g.Server.Holder
 	g.Server.Holder.Start()
 	g.parts.add(g.Server.Holder.Close)
 }
 
-// startSpreader tells the other entries of the prompts that this one sends.
-func (g *Gateway) startSpreader(environment Environment) (*gossip.Spreader, error) {
+// newSpreader returns what speaks to the other entries.
+func (g *Gateway) newSpreader(environment Environment) (*gossip.Spreader, error) {
 	host, _, err := net.SplitHostPort(g.settings.CallerAddress)
 	if err != nil {
 		return nil, errors.Newf("caller address: %w", err)
 	}
-	spreader := &gossip.Spreader{
+	return &gossip.Spreader{
 		Address: net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
 		Fleet:   g.Server.Fleet,
 		Log:     environment.Telemetry.Log,
-	}
-	err = spreader.Start()
-	if err != nil {
-		return nil, err
-	}
-	g.parts.add(spreader.Close)
-	g.Server.Fleet.Told = spreader.Tell
-	return spreader, nil
+	}, nil
 }
 
 func (g *Gateway) startWatcher(environment Environment, dialect Dialect, client *peer.Client, incarnation string, spreader *gossip.Spreader) {
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -119,7 +119,7 @@
 		Started: time.Now(),
 	}
 	handlers := map[string]http.Handler{
-		s.PeerAddress:     mux,
+		s.PeerBind():      mux,
 		s.OperatorAddress: dialect.Operators(releases),
 	}
 	if s.MetricsAddress != "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,9 @@
 	OperatorAddress string `json:"operator_address,omitempty"`
 	// PeerAddress is where a control instance serves the fleet's processes.
 	PeerAddress string `json:"peer_address,omitempty"`
+	// PeerBindAddress is where the listener for the peer address is opened, when
+	// connections to that address are forwarded; empty means the same.
+	PeerBindAddress string `json:"peer_bind_address,omitempty"`
 	// StatusAddress serves health, readiness and metrics.
 	StatusAddress string `json:"status_address,omitempty"`
 	// MetricsAddress serves health, readiness and metrics too, where the status
@@ -186,6 +189,14 @@
 	return value, nil
 }
 
+// PeerBind returns where the listener for the fleet's processes is opened.
+func (s *Settings) PeerBind() string {
+	if s.PeerBindAddress != "" {
+		return s.PeerBindAddress
+	}
+	return s.PeerAddress
+}
+
 // NearestControls returns the peer addresses of the control instances, those
 // of the own failure domain first.
 func (s *Settings) NearestControls() []string {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -91,6 +91,10 @@
 	unique("caller_address", s.CallerAddress, used, faults)
 	unique("operator_address", s.OperatorAddress, used, faults)
 	unique("peer_address", s.PeerAddress, used, faults)
+	unique("peer_bind_address", s.PeerBindAddress, used, faults)
+	if s.PeerBindAddress != "" {
+		checkAddress("peer_bind_address", s.PeerBindAddress, faults)
+	}
 	unique("status_address", s.StatusAddress, used, faults)
 	unique("metrics_address", s.MetricsAddress, used, faults)
 	if s.StatusAddress != "" {
