Entries share their reads of the server list while control is out of reach; sizes in the log

Change: who reads first tells the others the sum of the list; the others read only when theirs differs. Test: ninety cut-off entries in virtual time.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -83,6 +83,7 @@
 		t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	t.w.WriteHeader(response.Status)
+	t.answerBytes = int64(len(body))
 	_, err = t.w.Write(body)
 	if err != nil {
 		return &refusal{reason: reasonCallerLeft}, false
@@ -197,6 +198,7 @@
 	if end == 0 {
 		return nil
 	}
+	s.task.answerBytes += int64(end)
 	_, err := s.task.w.Write(s.pending[:end])
 	if err == nil {
 		err = s.controller.Flush()
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -40,6 +40,8 @@
 		"tried", len(t.tried),
 		"may_have_run", t.mayHaveRun,
 		"events", t.events,
+		"request_bytes", len(t.request.Body),
+		"answer_bytes", t.answerBytes,
 		"took_ms", time.Since(t.start).Milliseconds(),
 		"configuration", t.table.Version,
 		"list_age_ms", t.server.listAge().Milliseconds(),
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -50,11 +50,13 @@
 	// begun is set once a part of an answer went to the caller.
 	begun bool
 	// complete is set once the whole answer of a server was read.
-	complete  bool
-	events    int64
-	lastEvent string
-	status    int
-	firstByte time.Duration
+	complete bool
+	events   int64
+	// answerBytes went to the caller.
+	answerBytes int64
+	lastEvent   string
+	status      int
+	firstByte   time.Duration
 }
 
 // attempt sends the request to one server. It returns the final refusal, or
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,9 @@
 	Fleet   *place.Fleet
 	// Tokens are lent to other entries; nil means that none are.
 	Tokens Tokens
+	// Listed is called with the sum and age of a list of backend servers that
+	// another entry read; nil means not called.
+	Listed func(sum uint64, age time.Duration)
 	Log    *log.Logger
 
 	socket  *net.UDPConn
@@ -157,7 +160,7 @@
 	}
 }
 
-// receive takes one datagram in. Loans are made only among the known entries.
+// receive takes one datagram in. All but prompts count only from known entries.
 func (s *Spreader) receive(data []byte, from netip.AddrPort) error {
 	if len(data) == 0 {
 		return errMessage
@@ -170,10 +173,12 @@
 		s.Fleet.Elsewhere(m.server, m.work, m.parts, time.Now())
 		return nil
 	}
-	if s.Tokens == nil || !s.knows(from) {
-		return errors.Newf("a loan with an unknown entry: %w", errMessage)
+	if !s.knows(from) {
+		return errors.Newf("it is from no known entry: %w", errMessage)
 	}
 	switch data[0] {
+	case formatList:
+		return s.takeList(data)
 	case formatAsk:
 		return s.serveAsk(data, from)
 	case formatAnswer:
@@ -183,6 +188,14 @@
 	}
 }
 
+func (s *Spreader) takeList(data []byte) error {
+	n, err := decodeList(data)
+	if err == nil && s.Listed != nil {
+		s.Listed(n.sum, n.age)
+	}
+	return err
+}
+
 func (s *Spreader) knows(address netip.AddrPort) bool {
 	peers := s.peers.Load()
 	return peers != nil && slices.Contains(*peers, address)
--- a/internal/gossip/loan.go
+++ b/internal/gossip/loan.go
@@ -204,7 +204,7 @@
 
 func (s *Spreader) serveAsk(data []byte, from netip.AddrPort) error {
 	a, err := decodeAsk(data)
-	if err != nil {
+	if err != nil || s.Tokens == nil {
 		return err
 	}
 	tokens := s.loans.give(a.id, time.Now(), func() int64 { return s.Tokens.Lend(a.workspace, a.tokens) })
@@ -214,7 +214,7 @@
 
 func (s *Spreader) takeAnswer(data []byte, from netip.AddrPort) error {
 	a, err := decodeAnswer(data)
-	if err != nil {
+	if err != nil || s.Tokens == nil {
 		return err
 	}
 	p := s.loans.close(a.id, from)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -15,6 +15,7 @@
 	formatPrompt = 1
 	formatAsk    = 2
 	formatAnswer = 3
+	formatList   = 4
 	// maxParts and maxName bound what a message holds.
 	maxParts   = 16
 	maxName    = 255
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,8 +89,8 @@
 func TestViewReadsTheListOnlyWhenNobodyTells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{list: []instances.Instance{{ID: "own"}}}
-		var last []instances.Instance
-		v := &instances.View{Lister: s, Log: quiet, Changed: func(list []instances.Instance) { last = list }}
+		var seen atomic.Pointer[string]
+		v := &instances.View{Lister: s, Log: quiet, Changed: func(list []instances.Instance) { seen.Store(&list[0].ID) }}
 		v.Start()
 		defer v.Close()
 		listing := instances.Listing{Reader: "control", Number: 1, Instances: []instances.Instance{{ID: "told"}}}
@@ -98,8 +99,8 @@
 			time.Sleep(time.Second)
 			v.Confirm("control", 1, 300*time.Millisecond)
 		}
-		if s.count() != 0 || last[0].ID != "told" {
-			t.Fatalf("%d own reads, list %+v", s.count(), last)
+		if s.count() != 0 || *seen.Load() != "told" {
+			t.Fatalf("%d own reads, first server %s", s.count(), *seen.Load())
 		}
 		time.Sleep(10 * time.Second)
 		if s.count() == 0 || s.count() > 5 {
@@ -107,8 +108,40 @@
 		}
 		v.Offer(listing, 5*time.Second)
 		synctest.Wait()
-		if last[0].ID != "own" {
+		if *seen.Load() != "own" {
 			t.Error("an older list took the place of a newer one")
 		}
 	})
 }
+
+// TestEntriesThatNobodyTellsShareTheirReads plays the load of ninety entries
+// that are cut off from the control group for eight seconds.
+func TestEntriesThatNobodyTellsShareTheirReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 90
+		s := &source{list: []instances.Instance{{ID: "same"}}}
+		var views []*instances.View
+		for range count {
+			views = append(views, &instances.View{Lister: s, Log: quiet, Entries: func() int { return count }})
+		}
+		for _, v := range views {
+			v.Tell = func(sum uint64, age time.Duration) {
+				for _, other := range views {
+					other.Hear(sum, age)
+				}
+			}
+			v.Offer(instances.Listing{Reader: "control", Number: 1, Instances: s.list}, 0)
+			v.Start()
+			defer v.Close()
+		}
+		time.Sleep(8 * time.Second)
+		if reads := s.count(); reads > 2*count/10 {
+			t.Errorf("%d reads by %d entries", reads, count)
+		}
+		for _, v := range views {
+			if v.Age() > 6*time.Second {
+				t.Errorf("a list is %s old", v.Age())
+			}
+		}
+	})
+}
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,6 +17,10 @@
 	// staleAfter is the age from which an entry reads the list by itself.
 	staleAfter    = 2500 * time.Millisecond
 	checkInterval = 500 * time.Millisecond
+	// spreadEach is added to the age at which entries read, for each of them:
+	// the first to read tells the others.
+	spreadEach = 30 * time.Millisecond
+	maxSpread  = 3 * time.Second
 )
 
 // View is an entry's newest knowledge of the list. It prefers what control
@@ -24,11 +31,18 @@
 	Log    *log.Logger
 	// Changed is called with each newer list; nil means not called.
 	Changed func([]Instance)
+	// Tell is called with the sum of a list that this entry read itself and the
+	// time since the list was current; nil means not called.
+	Tell func(sum uint64, age time.Duration)
+	// Entries returns how many entries there are; nil means one.
+	Entries func() int
 
 	mu        sync.Mutex
 	reader    string
 	number    uint64
 	confirmed time.Time
+	// sum is that of the list that the view holds.
+	sum uint64
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -75,6 +89,17 @@
 	}
 }
 
+// Hear takes notice of the sum of a list that another entry read: the same list
+// is still current.
+func (v *View) Hear(sum uint64, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := time.Now().Add(-age)
+	if v.sum == sum && !v.confirmed.IsZero() && at.After(v.confirmed) {
+		v.confirmed = at
+	}
+}
+
 // Offer takes a listing of an age in, unless the view is newer.
 func (v *View) Offer(listing Listing, age time.Duration) {
 	v.mu.Lock()
@@ -86,6 +111,7 @@
 	v.confirmed = at
 	v.reader = listing.Reader
 	v.number = listing.Number
+	v.sum = sumOf(listing.Instances)
 	v.mu.Unlock()
 	if v.Changed != nil {
 		v.Changed(listing.Instances)
@@ -96,7 +122,11 @@
 func (v *View) run(ctx context.Context) {
 	defer close(v.done)
 	for ctx.Err() == nil {
+		limit := staleAfter + v.spread()
 		sleep.For(ctx, checkInterval)
+		for age := v.Age(); age > staleAfter && age < limit && ctx.Err() == nil; age = v.Age() {
+			sleep.For(ctx, limit-age)
+		}
 		age := v.Age()
 		if v.Lister != nil && ctx.Err() == nil && (age < 0 || age > staleAfter) {
 			v.read(ctx)
@@ -104,6 +134,15 @@
 	}
 }
 
+// spread returns how much longer than others this entry waits before it reads
+// the list, a random part of what all together wait.
+func (v *View) spread() time.Duration {
+	if v.Entries == nil || v.Tell == nil {
+		return 0
+	}
+	return rand.N(min(maxSpread, time.Duration(v.Entries())*spreadEach) + 1)
+}
+
 func (v *View) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -113,5 +152,18 @@
 		v.Log.Warn("the list of instances could not be read by the entry itself", "err", err.Error(), "age_ms", v.Age().Milliseconds())
 		return
 	}
-	v.Offer(Listing{Instances: reading.Instances}, time.Since(asked)+reading.Age)
+	age := time.Since(asked) + reading.Age
+	v.Offer(Listing{Instances: reading.Instances}, age)
+	if v.Tell != nil {
+		v.Tell(sumOf(reading.Instances), age)
+	}
+}
+
+// sumOf returns a sum that differs between lists; their order counts.
+func sumOf(list []Instance) uint64 {
+	hash := fnv.New64a()
+	for _, i := range list {
+		_, _ = fmt.Fprintf(hash, "%s %s %s %s %d %t\n", i.ID, i.Upstream, i.Address, i.FailureDomain, i.Slots, i.Leaving)
+	}
+	return hash.Sum64()
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -77,13 +77,11 @@
 		return err
 	}
 	g.startHolder(environment, client, incarnation, spreader)
-	err = spreader.Start()
+	g.Server.Fleet.Told = spreader.Tell
+	err = g.startWatcher(environment, dialect, client, incarnation, spreader)
 	if err != nil {
 		return err
 	}
-	g.parts.add(spreader.Close)
-	g.Server.Fleet.Told = spreader.Tell
-	g.startWatcher(environment, dialect, client, incarnation, spreader)
 	g.Server.Entries = g.Watcher.Entries
 	return g.serve(environment, dialect)
 }
@@ -120,15 +118,17 @@
 	}, nil
 }
 
-func (g *Gateway) startWatcher(environment Environment, dialect Dialect, client *peer.Client, incarnation string, spreader *gossip.Spreader) {
+// startWatcher follows the configuration and the list of backend servers. The
+// spreader is started once all that it calls is in place.
+func (g *Gateway) startWatcher(environment Environment, dialect Dialect, client *peer.Client, incarnation string, spreader *gossip.Spreader) error {
 	view := &instances.View{
 		Lister:  dialect.Lister(transport.Client(environment.Network), g.settings.Seeded.InstanceList),
 		Log:     environment.Telemetry.Log,
 		Changed: g.takeInstances,
+		Tell:    spreader.TellList,
 	}
-	view.Start()
 	g.Server.ListAge = view.Age
-	g.parts.add(view.Close)
+	spreader.Listed = view.Hear
 	g.Watcher = &group.Watcher{
 		Directory:     g.directory,
 		Client:        client,
@@ -143,8 +143,17 @@
 		FailureDomain: g.settings.FailureDomain,
 		Installed:     g.Server.Install,
 	}
+	view.Entries = g.Watcher.Entries
+	err := spreader.Start()
+	if err != nil {
+		return err
+	}
+	g.parts.add(spreader.Close)
+	view.Start()
+	g.parts.add(view.Close)
 	g.Watcher.Start()
 	g.parts.add(g.Watcher.Close)
+	return nil
 }
 
 func (g *Gateway) takeInstances(list []instances.Instance) {
