--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -68,6 +68,15 @@
 	// Owed is taken out of the pool as soon as it holds tokens, after the
 	// total was lowered below what was granted.
 	Owed int64 `cbor:"5,keyasint,omitempty" json:"owed,omitempty"`
+	// Ended sums up the grants of epochs that are forgotten.
+	Ended Ended `cbor:"6,keyasint,omitempty" json:"ended,omitzero"`
+}
+
+// Ended is what forgotten epochs held to the end, and how much of it they had
+// billed.
+type Ended struct {
+	Held   int64 `cbor:"1,keyasint,omitempty" json:"held"`
+	Billed int64 `cbor:"2,keyasint,omitempty" json:"billed"`
 }
 
 // Deposit adds tokens to the pool.
@@ -119,6 +128,18 @@
 	a.put(epoch, grant)
 }
 
+// Forget ends an epoch for good: what it did not report as billed counts as
+// spent, and only the sums of its grant are kept.
+func (a *Account) Forget(epoch string) {
+	grant, found := a.Grants[epoch]
+	if !found {
+		return
+	}
+	a.Ended.Held += grant.Held()
+	a.Ended.Billed += grant.Counters.Billed - grant.Counters.Voided
+	delete(a.Grants, epoch)
+}
+
 // Release moves the in-doubt tokens of a closed epoch back to the pool and
 // returns how many they were.
 func (a *Account) Release(epoch string) int64 {
@@ -135,7 +156,7 @@
 
 // Billed returns the tokens that are known to be billed.
 func (a *Account) Billed() int64 {
-	var total int64
+	total := a.Ended.Billed
 	for _, grant := range a.Grants {
 		total += grant.Counters.Billed - grant.Counters.Voided
 	}
@@ -144,7 +165,7 @@
 
 // InDoubt returns the tokens held by closed epochs.
 func (a *Account) InDoubt() int64 {
-	var total int64
+	total := a.Ended.Held - a.Ended.Billed
 	for _, grant := range a.Grants {
 		if grant.Closed {
 			total += grant.Unspent()
@@ -156,7 +177,7 @@
 // Check returns an error that wraps ErrBroken unless the deposits equal the
 // pool plus all grants and nothing is negative.
 func (a *Account) Check() error {
-	sum := a.Pool
+	sum := a.Pool + a.Ended.Held
 	for _, epoch := range a.epochs() {
 		grant := a.Grants[epoch]
 		sum += grant.Held()
--- a/internal/budget/loan_test.go
+++ b/internal/budget/loan_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/budget"
 )
 
@@ -65,3 +67,39 @@
 		}
 	}
 }
+
+// TestBrokenReportChangesNothing reports more than was granted.
+func TestBrokenReportChangesNothing(t *testing.T) {
+	account := &budget.Account{}
+	account.SetTotal(100_000)
+	offer, err := account.Exchange("a", budget.Counters{}, 0, budget.Ask{Need: 1000})
+	if err != nil || offer.Granted != 1000 {
+		t.Fatalf("%+v, %v", offer, err)
+	}
+	before := account.Pool
+	_, err = account.Exchange("a", budget.Counters{Billed: 1001}, 1000, budget.Ask{Need: 500})
+	if !errors.Is(err, budget.ErrBroken) || account.Pool != before || account.Grants["a"].Counters.Billed != 0 {
+		t.Errorf("%v, %+v", err, account)
+	}
+}
+
+// TestForgottenEpochStaysSpent forgets an epoch that had reported a part.
+func TestForgottenEpochStaysSpent(t *testing.T) {
+	account := &budget.Account{}
+	account.SetTotal(100_000)
+	_, err := account.Exchange("a", budget.Counters{}, 0, budget.Ask{Need: 1000})
+	if err == nil {
+		_, err = account.Exchange("a", budget.Counters{Billed: 300}, 1000, budget.Ask{})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	account.Forget("a")
+	account.Forget("a")
+	if err := account.Check(); err != nil {
+		t.Error(err)
+	}
+	if account.Left() != 98_000 || account.Billed() != 300 || account.InDoubt() != 700 {
+		t.Errorf("left %d, billed %d, in doubt %d", account.Left(), account.Billed(), account.InDoubt())
+	}
+}
--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -35,25 +35,18 @@
 // cumulative grant and the unspent tokens that the ledger should hold. As with
 // Draw, a total that is not the current one makes it change nothing.
 func (a *Account) DrawFor(epoch string, known int64, ask Ask) (granted, target int64) {
-	return a.drawFor(epoch, known, ask, a.Target, a.left()/poolDivisor)
-}
-
-// drawFor draws up to what targetOf gives the epoch and leaves reserve in the
-// pool, but for what requests wait for.
-func (a *Account) drawFor(epoch string, known int64, ask Ask, targetOf func(string) int64, reserve int64) (granted, target int64) {
 	grant, found := a.Grants[epoch]
 	if grant.Closed || known != grant.Granted {
-		return grant.Granted, targetOf(epoch)
+		return grant.Granted, a.Target(epoch)
 	}
-	if !found || grant.Demand != ask.Demand || grant.Pooled != ask.Pooled {
+	if !found || grant.Demand != ask.Demand {
 		grant.Demand = ask.Demand
-		grant.Pooled = ask.Pooled
 		a.put(epoch, grant)
 	}
-	target = targetOf(epoch)
+	target = a.Target(epoch)
 	want := ask.Need
 	if ask.Ahead {
-		want = max(want, min(target-grant.Unspent(), a.Pool-reserve))
+		want = max(want, min(target-grant.Unspent(), a.Pool-a.left()/poolDivisor))
 	}
 	return a.Draw(epoch, known, want), target
 }
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -1,5 +1,7 @@
 package budget
 
+import "github.com/cockroachdb/errors"
+
 const (
 	// marginDivisor is the part of a total that is never handed out: it covers
 	// tokens of answers that broke off, whose number is not known exactly.
@@ -55,39 +57,108 @@
 	a.Deposited -= paid
 }
 
-// DrawWithin is DrawFor with targets that bound what is lost with a holder.
-func (a *Account) DrawWithin(epoch string, known int64, ask Ask) (granted, target int64) {
+// Offer is what an exchange leaves a holder with, in tokens.
+type Offer struct {
+	// Granted is the cumulative grant.
+	Granted int64
+	// Target is what the holder should hold unspent.
+	Target int64
+	// Left is unspent in the whole group, as far as it is known.
+	Left int64
+}
+
+// Exchange takes a holder's counters in and draws for it: up to a target that
+// bounds what is lost with it. As with Draw, a total that is not the current
+// one draws nothing. It changes nothing when it returns an error that wraps
+// ErrBroken.
+func (a *Account) Exchange(epoch string, counters Counters, known int64, ask Ask) (Offer, error) {
+	before := *a
+	grant, found := a.Grants[epoch]
+	err := a.Report(epoch, counters)
+	if err != nil {
+		return Offer{}, err
+	}
+	offer := a.drawWithin(epoch, known, ask)
+	// The grants of others are untouched: what they hold with the pool and this
+	// grant must make up the deposits as before.
+	if a.Pool < 0 || a.Deposited-a.Pool-a.Grants[epoch].Held() != before.Deposited-before.Pool-grant.Held() {
+		err = errors.Newf("exchange of epoch %s: pool %d, held %d: %w", epoch, a.Pool, a.Grants[epoch].Held(), ErrBroken)
+		*a = before
+		if found {
+			a.put(epoch, grant)
+		} else {
+			delete(a.Grants, epoch)
+		}
+		return Offer{}, err
+	}
+	return offer, nil
+}
+
+func (a *Account) drawWithin(epoch string, known int64, ask Ask) Offer {
 	a.payOwed()
-	return a.drawFor(epoch, known, ask, a.TargetWithin, a.reserve())
+	grant, found := a.Grants[epoch]
+	current := !grant.Closed && known == grant.Granted
+	if current && (!found || grant.Demand != ask.Demand || grant.Pooled != ask.Pooled) {
+		grant.Demand = ask.Demand
+		grant.Pooled = ask.Pooled
+		a.put(epoch, grant)
+	}
+	sums := a.sums()
+	offer := Offer{Granted: grant.Granted, Target: a.targetWithin(epoch, sums), Left: max(0, a.Pool+sums.unspent-a.Owed)}
+	if !current {
+		return offer
+	}
+	want := ask.Need
+	if ask.Ahead {
+		want = max(want, min(offer.Target-grant.Unspent(), a.Pool-a.reserve()))
+	}
+	offer.Granted = a.Draw(epoch, known, want)
+	return offer
+}
+
+// sums are those over the open grants.
+type sums struct {
+	holders int64
+	unspent int64
+	// demand is in tokens an hour.
+	demand float64
+}
+
+func (a *Account) sums() sums {
+	var s sums
+	for _, grant := range a.Grants {
+		if grant.Closed {
+			continue
+		}
+		s.holders++
+		s.unspent += grant.Unspent()
+		s.demand += float64(grant.demand())
+	}
+	return s
 }
 
 // TargetWithin is Target bounded by the holder's demand within the horizon, but
 // at least an equal share of a part of what is left. It is 0 once no more than
 // the pool's reserve is left.
 func (a *Account) TargetWithin(epoch string) int64 {
-	spare := a.Left() - a.reserve()
-	if spare <= 0 {
+	return a.targetWithin(epoch, a.sums())
+}
+
+func (a *Account) targetWithin(epoch string, s sums) int64 {
+	left := max(0, a.Pool+s.unspent-a.Owed)
+	spare := left - a.reserve()
+	grant := a.Grants[epoch]
+	if spare <= 0 || grant.Closed || s.demand == 0 {
 		return 0
 	}
-	floor := spare / (floorDivisor * max(expectedHolders, a.holders()))
-	if floor < minimumFloor || a.Left() < a.Deposited/2 {
+	floor := spare / (floorDivisor * max(expectedHolders, s.holders))
+	if floor < minimumFloor || left < a.Deposited/2 {
 		floor = 0
 	}
-	grant := a.Grants[epoch]
+	share := float64(grant.demand()) / s.demand
+	held := max(share/heldDivisor, share*share/aloneDivisor)
 	demand := (grant.Demand + grant.Pooled) * horizonSeconds / secondsPerHour
-	part := a.part(epoch, spare)
-	return max(floor, min(max(part/heldDivisor, a.part(epoch, int64(float64(part)/aloneDivisor))), demand))
-}
-
-// holders returns how many open grants there are.
-func (a *Account) holders() int64 {
-	var count int64
-	for _, grant := range a.Grants {
-		if !grant.Closed {
-			count++
-		}
-	}
-	return count
+	return max(floor, min(int64(float64(spare)*held), demand))
 }
 
 // Left returns the unspent tokens of the pool and of the open grants, less
--- a/internal/budget/total_test.go
+++ b/internal/budget/total_test.go
@@ -34,7 +34,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				granted, _ := account.DrawWithin(name, e.Granted, Ask{Need: rapid.Int64Range(0, 80_000).Draw(t, "need"), Ahead: true, Demand: rapid.Int64Range(0, 1_000_000_000).Draw(t, "demand")})
+				granted := account.drawWithin(name, e.Granted, Ask{Need: rapid.Int64Range(0, 80_000).Draw(t, "need"), Ahead: true, Demand: rapid.Int64Range(0, 1_000_000_000).Draw(t, "demand")}).Granted
 				e.Granted = granted
 			case 2, 3:
 				size := rapid.Int64Range(0, 80_000).Draw(t, "size")
@@ -62,7 +62,7 @@
 func TestLowerTotalIsPaidByReturns(t *testing.T) {
 	account := &Account{}
 	account.SetTotal(1000)
-	granted, _ := account.DrawWithin("a", 0, Ask{Need: 900})
+	granted := account.drawWithin("a", 0, Ask{Need: 900}).Granted
 	account.SetTotal(500)
 	if account.Left() != 495 {
 		t.Errorf("%d left of a total of 500 less its margin", account.Left())
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	account.DrawWithin("a", granted, Ask{})
+	account.drawWithin("a", granted, Ask{})
 	if account.Pool != 495 || account.Owed != 0 {
 		t.Errorf("pool %d, owed %d", account.Pool, account.Owed)
 	}
@@ -100,11 +100,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			e.Granted, _ = account.DrawWithin(name, e.Granted, Ask{Ahead: true, Demand: 500_000_000})
+			e.Granted = account.drawWithin(name, e.Granted, Ask{Ahead: true, Demand: 500_000_000}).Granted
 		}
 	}
 	before := escrows["a"].Granted
-	granted, _ := account.DrawWithin("a", before, Ask{Need: largest, Ahead: true, Demand: 500_000_000})
+	granted := account.drawWithin("a", before, Ask{Need: largest, Ahead: true, Demand: 500_000_000}).Granted
 	if granted-before < largest {
 		t.Errorf("a request of %d drew %d of a pool of %d", largest, granted-before, account.Pool)
 	}
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -46,12 +46,11 @@
 	defer p.mu.Unlock()
 	shares := make(map[string]group.Share)
 	for workspace, item := range exchange.Workspaces {
-		err := p.account.Report(exchange.Epoch, item.Counters)
+		offer, err := p.account.Exchange(exchange.Epoch, item.Counters, item.Known, budget.Ask{Need: item.Need, Ahead: !item.Leaving, Demand: item.Demand})
 		if err != nil {
 			return nil, err
 		}
-		granted, target := p.account.DrawWithin(exchange.Epoch, item.Known, budget.Ask{Need: item.Need, Ahead: !item.Leaving, Demand: item.Demand})
-		shares[workspace] = group.Share{Granted: granted, Target: target, Left: p.account.Left(), Lenders: p.othersThan(exchange.Epoch)}
+		shares[workspace] = group.Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left, Lenders: p.othersThan(exchange.Epoch)}
 	}
 	if p.lose > 0 {
 		p.lose--
--- a/internal/group/exchange.go
+++ b/internal/group/exchange.go
@@ -56,7 +56,7 @@
 		return Result{Code: CodeNotFound, Detail: "the epoch is closed"}
 	}
 	if !found {
-		s.closeEarlier(c.Instance)
+		s.closeEarlier(c.Instance, check)
 		s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain, Address: c.Address}
 		s.homes = nil
 	}
@@ -67,7 +67,7 @@
 			shares[workspace] = Share{}
 			continue
 		}
-		share, err := s.exchangeOne(c.Epoch, workspace, item, check)
+		share, err := s.exchangeOne(c.Epoch, workspace, item)
 		if err != nil {
 			_ = check.Check(false, invariant.WithinGrant, "workspace %s: %v", workspace, err)
 			continue
@@ -78,29 +78,36 @@
 }
 
 // closeEarlier closes the epochs of an instance's earlier starts, which have
-// ended. What they had not reported stays spent.
-func (s *state) closeEarlier(instance string) {
+// ended, and forgets them. What they had not reported stays spent.
+func (s *state) closeEarlier(instance string, check *invariant.Checker) {
 	for name, epoch := range s.Epochs {
-		if epoch.Instance == instance && !epoch.Closed {
-			s.closeEpoch(CloseEpoch{Epoch: name})
+		if epoch.Instance != instance || epoch.Closed {
+			continue
+		}
+		epoch.Closed = true
+		s.Epochs[name] = epoch
+		for workspace := range s.Accounts {
+			account := s.account(workspace)
+			account.Forget(name)
+			s.store(workspace, account, check, Result{})
 		}
 	}
 }
 
-func (s *state) exchangeOne(epoch, workspace string, item ExchangeItem, check *invariant.Checker) (Share, error) {
-	account := s.account(workspace)
-	err := account.Report(epoch, item.Counters)
-	if err != nil {
-		return Share{}, err
-	}
-	granted, target := account.DrawWithin(epoch, item.Known, budget.Ask{
+// exchangeOne changes the account in place.
+func (s *state) exchangeOne(epoch, workspace string, item ExchangeItem) (Share, error) {
+	account := s.Accounts[workspace]
+	offer, err := account.Exchange(epoch, item.Counters, item.Known, budget.Ask{
 		Need:   item.Need,
 		Ahead:  !item.Leaving,
 		Demand: item.Demand,
-		Pooled: s.pooled(epoch, workspace, account),
+		Pooled: s.pooled(epoch, workspace, &account),
 	})
-	s.store(workspace, account, check, Result{})
-	return Share{Granted: granted, Target: target, Left: account.Left()}, nil
+	s.Accounts[workspace] = account
+	if err != nil {
+		return Share{}, err
+	}
+	return Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left}, nil
 }
 
 func (g *Group) serveExchange(ctx context.Context, log Log, request *Exchange) (*Result, error) {
--- a/internal/group/lenders.go
+++ b/internal/group/lenders.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"cmp"
 	"hash/fnv"
 	"slices"
 
@@ -24,34 +23,52 @@
 // lender is a holder as others may borrow from it.
 type lender struct {
 	address string
-	near    bool
 	unspent int64
 }
 
+// ranking is the lenders with most tokens, most first.
+type ranking struct {
+	lenders []lender
+	limit   int
+}
+
+func (r *ranking) offer(l lender) {
+	at := len(r.lenders)
+	for at > 0 && r.lenders[at-1].unspent < l.unspent {
+		at--
+	}
+	if at == r.limit {
+		return
+	}
+	r.lenders = slices.Insert(r.lenders, at, l)
+	r.lenders = r.lenders[:min(len(r.lenders), r.limit)]
+}
+
 // lenders returns the addresses of the holders with the most unspent tokens of
 // a workspace, but for epoch's own.
 func (g *Group) lenders(epoch, workspace string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	domain := g.state.Epochs[epoch].FailureDomain
-	var found []lender
+	near := ranking{limit: lendersNear}
+	far := ranking{limit: lendersFar}
 	for name, grant := range g.state.Accounts[workspace].Grants {
+		if name == epoch || grant.Closed || grant.Unspent() <= 0 {
+			continue
+		}
 		other := g.state.Epochs[name]
-		if name == epoch || grant.Closed || other.Address == "" || grant.Unspent() <= 0 {
+		if other.Address == "" {
 			continue
 		}
-		found = append(found, lender{address: other.Address, near: other.FailureDomain == domain, unspent: grant.Unspent()})
+		if other.FailureDomain == domain {
+			near.offer(lender{address: other.Address, unspent: grant.Unspent()})
+		} else {
+			far.offer(lender{address: other.Address, unspent: grant.Unspent()})
+		}
 	}
-	slices.SortFunc(found, func(a, b lender) int { return cmp.Compare(b.unspent, a.unspent) })
-	return append(addressesOf(found, true, lendersNear), addressesOf(found, false, lendersFar)...)
-}
-
-func addressesOf(lenders []lender, near bool, limit int) []string {
 	var addresses []string
-	for _, l := range lenders {
-		if l.near == near && len(addresses) < limit {
-			addresses = append(addresses, l.address)
-		}
+	for _, l := range append(near.lenders, far.lenders...) {
+		addresses = append(addresses, l.address)
 	}
 	return addresses
 }
@@ -59,7 +76,7 @@
 // pooled returns the demand of the small holders of epoch's failure domain for
 // which epoch holds tokens, in tokens an hour: 0 unless it is a home of the
 // workspace there.
-func (s *state) pooled(epoch, workspace string, account budget.Account) int64 {
+func (s *state) pooled(epoch, workspace string, account *budget.Account) int64 {
 	domain := s.Epochs[epoch].FailureDomain
 	holders := s.holdersOf(domain)
 	if !isHome(holders, epoch, workspace) {
