Revert: an entry refuses at once what its network link has no room for

The estimate counted packet headers that do not matter here and refused a third of the usual load; in the rush itself (16 to 22 s) as many were served in time with it as without (1,252, 1,462, 1,466 against 1,268, 1,436, 1,390 in three spans): the callers' own bytes fill the link, so that refusing cannot help the entry that they meet.

--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -19,7 +19,6 @@
 	reasonNoConfiguration reason = "no_configuration"
 	reasonBudget          reason = "budget_exhausted"
 	reasonNoTokens        reason = "no_tokens_now"
-	reasonLinkFull        reason = "link_full"
 	reasonNoServer        reason = "no_server"
 	reasonServersFull     reason = "servers_full"
 	reasonDeclined        reason = "declined_by_servers"
@@ -41,7 +40,7 @@
 
 const (
 	// retryElsewhere is short: the caller's next attempt meets another entry,
-	// which may hold tokens and have room.
+	// which may hold tokens.
 	retryElsewhere = 50 * time.Millisecond
 
 	retrySoon  = 250 * time.Millisecond
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -13,7 +13,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/cactusbay/cactusbay/internal/bandwidth"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
@@ -39,8 +38,6 @@
 	Fleet      *place.Fleet
 	Holder     *escrow.Holder
 	Retries    *retry.Budget
-	// Link is the instance's network link; nil means no limit.
-	Link *bandwidth.Link
 	// ListAge returns the age of the list of backend servers; nil means unknown.
 	ListAge func() time.Duration
 	// Entries returns how many entries share the fleet's retry budget.
@@ -97,7 +94,6 @@
 		refused = t.run(r.Context())
 	}
 	t.settle()
-	t.learnSize()
 	t.report(refused)
 	if refused == nil {
 		return
@@ -129,9 +125,6 @@
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
 	t.deadline = t.start.Add(t.patience())
-	if t.server.Link != nil && !t.server.Link.Admit(t.route.Name, r.ContentLength, t.start) {
-		return notRun(reasonLinkFull, retryElsewhere)
-	}
 	return t.readBody(r)
 }
 
@@ -212,14 +205,6 @@
 	}
 }
 
-// learnSize tells the link what a whole answer moved.
-func (t *task) learnSize() {
-	if t.server.Link == nil || t.status != http.StatusOK {
-		return
-	}
-	t.server.Link.Learn(t.route.Name, bandwidth.Size{Body: int64(len(t.request.Body)), Answer: t.answerBytes, Events: t.events})
-}
-
 // settle bills the prompt when it may have been read, and what was delivered.
 func (t *task) settle() {
 	if t.hold == nil {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusbay/cactusbay/internal/bandwidth"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/forward"
 	"github.com/cactusbay/cactusbay/internal/gossip"
@@ -67,7 +66,6 @@
 		Upstream:      &upstream.Client{Network: environment.Network},
 		Fleet:         &place.Fleet{},
 		Retries:       &retry.Budget{Limits: limits(s.Seeded.Retries)},
-		Link:          &bandwidth.Link{Megabits: s.Seeded.LinkMegabits},
 		FailureDomain: s.FailureDomain,
 		Log:           environment.Telemetry.Log,
 		Scope:         environment.Telemetry.Scope,
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -30,9 +30,6 @@
 	InstanceList string `json:"instance_list"`
 	// Retries bounds the repeats of the whole fleet.
 	Retries Retries `json:"retries,omitzero"`
-	// LinkMegabits is the capacity of an entry's network link in each direction,
-	// in megabits a second; 0 means no limit.
-	LinkMegabits float64 `json:"link_megabits,omitempty"`
 	// MemoryMB bounds the memory of the process, in megabytes.
 	MemoryMB int `json:"memory_mb,omitempty"`
 }
@@ -91,9 +88,6 @@
 		faults.Add("seeded.retries", "must hold numbers of 0 or more")
 	}
 	faults.Positive("seeded.retries.window", s.Retries.Window)
-	if s.LinkMegabits < 0 {
-		faults.Add("seeded.link_megabits", "must be above 0: remove it for no limit")
-	}
 	if s.MemoryMB < 0 {
 		faults.Add("seeded.memory_mb", "must be 1 or more megabytes")
 	}
