Requests wait for what others free; a reserved rest has its own refusal

Change: a settlement wakes those that wait, and a refusal says when some of the requests in progress will have ended.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TEST_TIMEOUT = 8m
 
-.PHONY: build build-deploy test lint fmt bench bench-policy bench-sizing soak capacity
+.PHONY: build build-deploy test lint fmt bench bench-policy bench-sizing soak soak-processes capacity
 
 build:
 	go build -o bin/cactusbay .
@@ -24,6 +24,10 @@
 soak:
 	go test -v -count=1 -timeout 0 -run '^TestSoak$$' ./test -args -soak.seed=$(SEED) -soak.minutes=$(MINUTES)
 
+# soak-processes runs random faults on real processes: make soak-processes SEED=7 MINUTES=5
+soak-processes:
+	go test -v -count=1 -timeout 0 -run '^TestFaults$$' ./platform/faults -args -faults.seed=$(SEED) -faults.minutes=$(MINUTES) $(FAULTS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 	go run ./internal/tool/latency
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -63,8 +63,10 @@
 	Granted int64
 	// Target is what the holder should hold unspent.
 	Target int64
-	// Left is unspent in the whole group, as far as it is known.
-	Left int64
+	// Left is unspent in the whole group, as far as it is known, and Reserved
+	// the part of it that requests in progress hold.
+	Left     int64
+	Reserved int64
 }
 
 // Exchange takes a holder's counters in and draws for it: up to a target that
@@ -104,7 +106,7 @@
 		a.put(epoch, grant)
 	}
 	sums := a.sums()
-	offer := Offer{Granted: grant.Granted, Target: a.targetWithin(epoch, sums), Left: max(0, a.Pool+sums.unspent-a.Owed)}
+	offer := Offer{Granted: grant.Granted, Target: a.targetWithin(epoch, sums), Left: max(0, a.Pool+sums.unspent-a.Owed), Reserved: sums.reserved}
 	if !current {
 		return offer
 	}
@@ -120,6 +122,8 @@
 type sums struct {
 	holders int64
 	unspent int64
+	// reserved is held by requests in progress.
+	reserved int64
 	// demand is in tokens an hour.
 	demand float64
 }
@@ -132,6 +136,7 @@
 		}
 		s.holders++
 		s.unspent += grant.Unspent()
+		s.reserved += grant.Counters.Reserved
 		s.demand += float64(grant.demand())
 	}
 	return s
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -48,6 +48,10 @@
 // tokens.
 var ErrUnavailable = errors.New("no tokens could be drawn now")
 
+// ErrReserved reports that the budget covers the request only once others in
+// progress have ended and freed what they do not need.
+var ErrReserved = errors.New("requests in progress hold the rest of the workspace's budget")
+
 // Exchanger exchanges tokens with the control group. After an error the
 // exchange may have taken place or may yet do so.
 type Exchanger interface {
@@ -87,11 +91,13 @@
 type account struct {
 	escrow budget.Escrow
 	target int64
-	// left is unspent in the whole group, and lenders are the addresses of those
-	// who hold most of it, as of the last exchange.
-	left    int64
-	lenders []string
-	demand  budget.Demand
+	// left is unspent in the whole group, reserved the part of it that requests
+	// in progress hold, and lenders are the addresses of those who hold most of
+	// it, as of the last exchange.
+	left     int64
+	reserved int64
+	lenders  []string
+	demand   budget.Demand
 	// waiting are the tokens that requests wait for.
 	waiting int64
 	// reported is what the group was told last.
@@ -162,8 +168,8 @@
 	return false
 }
 
-// Reserve sets tokens aside, if need be after an exchange. Its errors wrap
-// ErrExhausted or ErrUnavailable.
+// Reserve sets tokens aside, if need be after an exchange or a loan. Its errors
+// wrap ErrExhausted, ErrReserved or ErrUnavailable.
 func (h *Holder) Reserve(ctx context.Context, workspace string, tokens int64) (*Hold, error) {
 	h.mu.Lock()
 	a := h.account(workspace)
@@ -195,7 +201,7 @@
 		err = h.await(prompt, a, tokens)
 		cancel()
 	}
-	if errors.Is(err, ErrUnavailable) {
+	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrReserved) {
 		err = h.borrow(ctx, workspace, a, tokens)
 	}
 	if errors.Is(err, ErrUnavailable) && !h.isFailing() {
@@ -223,28 +229,32 @@
 	a.waiting -= tokens
 }
 
-// await waits for exchanges until the tokens are there, the group has too few
-// or other holders are the sooner source. The first exchange that ends may have
-// begun before the request came.
+// await waits for exchanges and for the ends of other requests until the tokens
+// are there, the group has too few or other holders are the sooner source. The
+// first exchange that ends may have begun before the request came.
 func (h *Holder) await(ctx context.Context, a *account, tokens int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	from := a.exchanges
+	asked := from - 1
 	for {
 		changed := a.changed
+		ask := a.exchanges != asked && a.exchanges < from+2
+		asked = a.exchanges
 		h.mu.Unlock()
-		h.signal()
+		if ask {
+			h.signal()
+		}
 		err := wait(ctx, changed)
 		h.mu.Lock()
 		if a.escrow.Reserve(tokens) {
 			return nil
 		}
-		if err != nil {
+		if err != nil && a.exchanges == from {
 			h.overdue = true
-			return ErrUnavailable
 		}
-		if h.failing {
-			return ErrUnavailable
+		if err != nil || h.failing {
+			return a.shortage(tokens)
 		}
 		if a.exchanges < from+2 {
 			continue
@@ -252,10 +262,20 @@
 		if a.left < tokens {
 			return ErrExhausted
 		}
-		return ErrUnavailable
+		if a.escrow.Reserved < tokens {
+			return a.shortage(tokens)
+		}
 	}
 }
 
+// shortage tells why tokens that the budget covers cannot be had.
+func (a *account) shortage(tokens int64) error {
+	if a.left >= tokens && a.left-a.reserved < tokens {
+		return ErrReserved
+	}
+	return ErrUnavailable
+}
+
 func wait(ctx context.Context, changed <-chan struct{}) error {
 	select {
 	case <-changed:
@@ -304,7 +324,11 @@
 	s.once.Do(func() {
 		s.holder.mu.Lock()
 		defer s.holder.mu.Unlock()
-		s.holder.account(s.workspace).escrow.Settle(s.reserved, actual)
+		a := s.holder.account(s.workspace)
+		a.escrow.Settle(s.reserved, actual)
+		if a.waiting > 0 {
+			a.renew()
+		}
 	})
 }
 
@@ -442,6 +466,7 @@
 		a.escrow.Granted = max(a.escrow.Granted, share.Granted)
 		a.target = share.Target
 		a.left = share.Left
+		a.reserved = share.Reserved
 		a.lenders = share.Lenders
 		a.reported = item.Counters
 		a.exchanges++
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		shares[workspace] = group.Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left, Lenders: p.othersThan(exchange.Epoch)}
+		shares[workspace] = group.Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left, Reserved: offer.Reserved, Lenders: p.othersThan(exchange.Epoch)}
 	}
 	if p.lose > 0 {
 		p.lose--
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -19,6 +19,7 @@
 	reasonNoConfiguration reason = "no_configuration"
 	reasonBudget          reason = "budget_exhausted"
 	reasonNoTokens        reason = "no_tokens_now"
+	reasonReserved        reason = "budget_reserved"
 	reasonNoServer        reason = "no_server"
 	reasonServersFull     reason = "servers_full"
 	reasonDeclined        reason = "declined_by_servers"
@@ -43,6 +44,9 @@
 	// which may hold tokens.
 	retryElsewhere = 50 * time.Millisecond
 
+	// retryReserved is the time in which some of the requests in progress end.
+	retryReserved = 800 * time.Millisecond
+
 	retrySoon  = 250 * time.Millisecond
 	retryLater = time.Second
 )
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -22,7 +22,8 @@
 		return
 	}
 	fields := append(t.fields(), "reason", string(refused.reason), "status", refused.status, "retry_after_ms", refused.retryAfter.Milliseconds())
-	if refused.reason == reasonBudget || refused.reason == reasonNoTokens {
+	switch refused.reason {
+	case reasonBudget, reasonNoTokens, reasonReserved:
 		s.Log.Info("request refused for want of tokens", append(fields, t.balance()...)...)
 		return
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -200,6 +200,8 @@
 		return nil
 	case errors.Is(err, escrow.ErrExhausted):
 		return &refusal{reason: reasonBudget, status: http.StatusPaymentRequired}
+	case errors.Is(err, escrow.ErrReserved):
+		return notRun(reasonReserved, retryReserved)
 	default:
 		return notRun(reasonNoTokens, retryElsewhere)
 	}
--- a/internal/group/exchange.go
+++ b/internal/group/exchange.go
@@ -44,6 +44,8 @@
 	Target int64 `cbor:"2,keyasint,omitempty" json:"target"`
 	// Left is unspent in the whole group, as far as it is known.
 	Left int64 `cbor:"3,keyasint,omitempty" json:"left"`
+	// Reserved is the part of Left that requests in progress hold.
+	Reserved int64 `cbor:"5,keyasint,omitempty" json:"reserved,omitempty"`
 	// Lenders are the addresses of other holders with the most unspent tokens,
 	// those of the holder's own failure domain first.
 	Lenders []string `cbor:"4,keyasint,omitempty" json:"lenders,omitempty"`
@@ -107,7 +109,7 @@
 	if err != nil {
 		return Share{}, err
 	}
-	return Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left}, nil
+	return Share{Granted: offer.Granted, Target: offer.Target, Left: offer.Left, Reserved: offer.Reserved}, nil
 }
 
 func (g *Group) serveExchange(ctx context.Context, log Log, request *Exchange) (*Result, error) {
