Lenders in touch draw for borrowers; SIGHUP during the start ends nothing

Change: a lender in touch draws what it is asked for and cannot give; two entries are asked at random after the known lenders; SIGHUP is taken first of all.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cactusbay/cactusbay/internal/process"
+	"github.com/cactusbay/cactusbay/internal/settings"
 )
 
 // Exit codes.
@@ -54,7 +55,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	command := root(strings.TrimSpace(version))
-	command.Metadata = map[string]any{dialectsKey: dialects}
+	command.Metadata = map[string]any{dialectsKey: dialects, hangupsKey: catchHangups(arguments)}
 	err := command.Run(ctx, arguments)
 	if err == nil {
 		return ExitOK
@@ -67,6 +68,18 @@
 	return ExitFailed
 }
 
+// catchHangups takes SIGHUP, which ends a process that is not ready for it, from
+// the first moment of an instance; the settings are read again once it runs. It
+// returns nil for all other commands, which a hangup of the terminal ends.
+func catchHangups(arguments []string) <-chan os.Signal {
+	if len(arguments) < 2 || arguments[1] != settings.RoleEntry && arguments[1] != settings.RoleControl {
+		return nil
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 func root(version string) *cli.Command {
 	return &cli.Command{
 		Name:                  "cactusbay",
--- a/internal/cmd/seeded.go
+++ b/internal/cmd/seeded.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"strings"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -17,8 +15,12 @@
 	"github.com/cactusbay/cactusbay/internal/settings"
 )
 
-// dialectsKey is where the root command keeps the dialects by their names.
-const dialectsKey = "dialects"
+// The root command keeps the dialects by their names, and the channel of the
+// hangups, under these keys.
+const (
+	dialectsKey = "dialects"
+	hangupsKey  = "hangups"
+)
 
 const (
 	megabyte = 1 << 20
@@ -50,8 +52,7 @@
 
 // reloads watches the settings file of the command.
 func reloads(ctx context.Context, command *cli.Command, environment process.Environment) <-chan *settings.Settings {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+	signals, _ := command.Root().Metadata[hangupsKey].(<-chan os.Signal)
 	reloader := &settings.Reloader{Path: command.String("settings"), Signals: signals, Log: environment.Telemetry.Log}
 	return reloader.Start(ctx)
 }
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -35,6 +35,9 @@
 	// demandWarmUp what a first estimate rests on.
 	demandMemory = 5 * time.Second
 	demandWarmUp = time.Second
+	// lendFactor is how much is drawn for each token that a borrower wants: a
+	// lender gives half of what it has.
+	lendFactor = 2
 	// promptLimit is above the time of a commit. After it other holders are
 	// asked.
 	promptLimit = 150 * time.Millisecond
@@ -72,6 +75,8 @@
 	// them; what it lends comes in through TakeLoan. Nil means that nobody is
 	// asked.
 	Borrow func(ctx context.Context, lender, workspace string, tokens int64)
+	// Others returns the addresses of some other holders; nil means none.
+	Others func(count int) []string
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -112,6 +117,9 @@
 	round *round
 	// refused is when a round brought too little.
 	refused time.Time
+	// wanted is what borrowers asked for and did not get, until wantedUntil.
+	wanted      int64
+	wantedUntil time.Time
 }
 
 // Hold is a reservation of tokens. Call Settle once.
@@ -405,19 +413,20 @@
 		if h.leaving {
 			a.target = 0
 		}
+		wanted := a.waiting + lendFactor*a.wantedAt(now)
 		idle := a.escrow.Idle(a.target)
-		if a.waiting == 0 && idle > 0 {
+		if wanted == 0 && idle > 0 {
 			a.escrow.Return(idle)
 		}
 		counters := a.escrow.Counters()
 		fresh := a.exchanges > 0 && now.Sub(a.exchanged) < refreshInterval
-		if fresh && a.waiting == 0 && counters == a.reported && !a.escrow.Low(a.target) {
+		if fresh && wanted == 0 && counters == a.reported && !a.escrow.Low(a.target) {
 			continue
 		}
 		items[workspace] = group.ExchangeItem{
 			Counters: counters,
 			Known:    a.escrow.Granted,
-			Need:     max(0, a.waiting-a.escrow.Available()),
+			Need:     max(0, wanted-a.escrow.Available()),
 			Demand:   h.demandOf(a, now),
 			Leaving:  h.leaving,
 		}
--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,12 @@
 	// aheadSeconds of the own demand is borrowed beside what requests wait for.
 	aheadSeconds   = 1
 	secondsPerHour = 3600
+	// strangers is how many entries that are not known to hold tokens are asked
+	// last: one that is in touch with the group draws what it is asked for.
+	strangers = 2
+	// wantedFor is how long a lender holds what it draws for borrowers, who ask
+	// again.
+	wantedFor = 400 * time.Millisecond
 )
 
 // round is one round of asking other holders for one workspace's tokens.
@@ -53,6 +60,9 @@
 	current := &round{done: make(chan struct{})}
 	a.round = current
 	lenders := a.lenders
+	if h.Others != nil {
+		lenders = append(slices.Clone(lenders), h.Others(strangers)...)
+	}
 	// The round serves all requests that wait, not only the one that began it.
 	ctx, cancel := context.WithTimeout(context.Background(), roundLimit)
 	defer cancel()
@@ -81,13 +91,27 @@
 	if a == nil {
 		return 0
 	}
-	lent := a.escrow.Lend(asked, h.demandOf(a, time.Now()))
+	now := time.Now()
+	lent := a.escrow.Lend(asked, h.demandOf(a, now))
+	if lent < asked && !h.failing && !h.leaving {
+		a.wanted = max(asked-lent, a.wantedAt(now))
+		a.wantedUntil = now.Add(wantedFor)
+		h.signal()
+	}
 	if lent > 0 {
 		h.Log.Info("tokens lent", "workspace", workspace, "asked", asked, "lent", lent, "available", a.escrow.Available())
 	}
 	return lent
 }
 
+// wantedAt returns the tokens that borrowers asked for lately and did not get.
+func (a *account) wantedAt(now time.Time) int64 {
+	if now.After(a.wantedUntil) {
+		return 0
+	}
+	return a.wanted
+}
+
 // TakeLoan takes in what another holder lent. Its sender has counted the tokens
 // as spent, so that they are lost unless they are taken.
 func (h *Holder) TakeLoan(lender, workspace string, tokens int64) {
--- a/internal/escrow/loan_test.go
+++ b/internal/escrow/loan_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/cactusbay/cactusbay/internal/escrow"
 )
 
@@ -32,6 +35,42 @@
 	}
 }
 
+// TestHolderInTouchDrawsForOneThatIsCutOff plays a workspace all of whose
+// requests come to one entry, which alone is cut off.
+func TestHolderInTouchDrawsForOneThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{}
+		p.account.SetTotal(10_000_000)
+		cut := &pool{cut: true}
+		near := holder(t, p, "near")
+		far := &escrow.Holder{Exchanger: cut, Log: log.New(io.Discard), Epoch: "far"}
+		far.Borrow = func(_ context.Context, _, workspace string, tokens int64) {
+			time.Sleep(loanWay)
+			far.TakeLoan("near", workspace, near.Lend(workspace, tokens))
+		}
+		far.Others = func(int) []string { return []string{"near"} }
+		far.Start()
+		defer far.Close()
+		near.Prepare([]string{"w"})
+		time.Sleep(2 * time.Second)
+		served := 0
+		const requests = 100
+		for range requests {
+			ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+			hold, err := far.Reserve(ctx, "w", 4000)
+			cancel()
+			if err == nil {
+				hold.Settle(4000)
+				served++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if served < requests*9/10 {
+			t.Errorf("%d of %d requests served out of the pool", served, requests)
+		}
+	})
+}
+
 func never() bool { return false }
 
 // TestCutOffHoldersShareWhatTheyHold plays the load of a workspace whose
--- a/internal/gossip/loan.go
+++ b/internal/gossip/loan.go
@@ -227,3 +227,18 @@
 	close(p.answered)
 	return nil
 }
+
+// Others returns the addresses of some other entries, chosen at random.
+func (s *Spreader) Others(count int) []string {
+	peers := s.peers.Load()
+	if peers == nil {
+		return nil
+	}
+	var addresses []string
+	for _, i := range rand.Perm(len(*peers)) {
+		if len(addresses) < count {
+			addresses = append(addresses, (*peers)[i].String())
+		}
+	}
+	return addresses
+}
