--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -72,9 +72,9 @@
 	// Address is where this holder takes the datagrams of others.
 	Address string
 	// Borrow asks the holder at lender for tokens and waits a short time for
-	// them; what it lends comes in through TakeLoan. Nil means that nobody is
-	// asked.
-	Borrow func(ctx context.Context, lender, workspace string, tokens int64)
+	// them; what it lends comes in through TakeLoan. With draw the lender draws
+	// what it lacks. Nil means that nobody is asked.
+	Borrow func(ctx context.Context, lender, workspace string, tokens int64, draw bool)
 	// Others returns the addresses of some other holders; nil means none.
 	Others func(count int) []string
 
--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -60,7 +60,8 @@
 	current := &round{done: make(chan struct{})}
 	a.round = current
 	lenders := a.lenders
-	if h.Others != nil {
+	cut := h.failing
+	if cut && h.Others != nil {
 		lenders = append(slices.Clone(lenders), h.Others(strangers)...)
 	}
 	// The round serves all requests that wait, not only the one that began it.
@@ -73,7 +74,7 @@
 		}
 		ask := short + a.demand.PerHour(time.Now())*aheadSeconds/secondsPerHour
 		h.mu.Unlock()
-		h.Borrow(ctx, lender, workspace, ask)
+		h.Borrow(ctx, lender, workspace, ask, cut)
 		h.mu.Lock()
 	}
 	if a.waiting > a.escrow.Available() {
@@ -83,8 +84,9 @@
 	close(current.done)
 }
 
-// Lend gives tokens of a workspace to another holder and returns how many.
-func (h *Holder) Lend(workspace string, asked int64) int64 {
+// Lend gives tokens of a workspace to another holder and returns how many. With
+// draw it draws what it lacks: the borrower cannot and will ask again.
+func (h *Holder) Lend(workspace string, asked int64, draw bool) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.accounts[workspace]
@@ -93,7 +95,7 @@
 	}
 	now := time.Now()
 	lent := a.escrow.Lend(asked, h.demandOf(a, now))
-	if lent < asked && !h.failing && !h.leaving {
+	if draw && lent < asked && !h.failing && !h.leaving {
 		a.wanted = max(asked-lent, a.wantedAt(now))
 		a.wantedUntil = now.Add(wantedFor)
 		h.signal()
--- a/internal/escrow/loan_test.go
+++ b/internal/escrow/loan_test.go
@@ -24,9 +24,9 @@
 				p.lenders = append(p.lenders, other)
 			}
 		}
-		h.Borrow = func(ctx context.Context, lender, workspace string, tokens int64) {
+		h.Borrow = func(ctx context.Context, lender, workspace string, tokens int64, draw bool) {
 			time.Sleep(loanWay)
-			lent := holders[lender].Lend(workspace, tokens)
+			lent := holders[lender].Lend(workspace, tokens, draw)
 			if ctx.Err() == nil && lose() {
 				return
 			}
@@ -44,9 +44,9 @@
 		cut := &pool{cut: true}
 		near := holder(t, p, "near")
 		far := &escrow.Holder{Exchanger: cut, Log: log.New(io.Discard), Epoch: "far"}
-		far.Borrow = func(_ context.Context, _, workspace string, tokens int64) {
+		far.Borrow = func(_ context.Context, _, workspace string, tokens int64, draw bool) {
 			time.Sleep(loanWay)
-			far.TakeLoan("near", workspace, near.Lend(workspace, tokens))
+			far.TakeLoan("near", workspace, near.Lend(workspace, tokens, draw))
 		}
 		far.Others = func(int) []string { return []string{"near"} }
 		far.Start()
--- a/internal/gossip/loan.go
+++ b/internal/gossip/loan.go
@@ -20,23 +20,25 @@
 	// maxLoans bounds the asks that are remembered on either side.
 	maxLoans = 4096
 
-	askLength    = 1 + 8 + 8
+	askLength    = 1 + 8 + 8 + 1
 	answerLength = 1 + 8 + 8
 )
 
 // Tokens are the holdings of this entry.
 type Tokens interface {
-	// Lend gives tokens away for good and returns how many.
-	Lend(workspace string, asked int64) int64
+	// Lend gives tokens away for good and returns how many. With draw it draws
+	// what it lacks, for a borrower that cannot and will ask again.
+	Lend(workspace string, asked int64, draw bool) int64
 	// TakeLoan takes in what another entry gave.
 	TakeLoan(lender, workspace string, tokens int64)
 }
 
 // ask asks for tokens of a workspace. On the wire stand the format, the id, the
-// tokens and the workspace's name.
+// tokens, whether the lender should draw, and the workspace's name.
 type ask struct {
 	id        uint64
 	tokens    int64
+	draw      bool
 	workspace string
 }
 
@@ -44,6 +46,11 @@
 	buffer = append(buffer, formatAsk)
 	buffer = binary.BigEndian.AppendUint64(buffer, a.id)
 	buffer = binary.BigEndian.AppendUint64(buffer, uint64(a.tokens))
+	draw := byte(0)
+	if a.draw {
+		draw = 1
+	}
+	buffer = append(buffer, draw)
 	return append(buffer, a.workspace...)
 }
 
@@ -54,6 +61,7 @@
 	a := ask{
 		id:        binary.BigEndian.Uint64(data[1:]),
 		tokens:    int64(binary.BigEndian.Uint64(data[9:])),
+		draw:      data[17] == 1,
 		workspace: string(data[askLength:]),
 	}
 	if a.tokens < 0 {
@@ -178,13 +186,14 @@
 
 // Borrow asks the entry at lender for tokens and waits a short time for them.
 // They come in through Tokens.TakeLoan, also when they come later.
-func (s *Spreader) Borrow(ctx context.Context, lender, workspace string, tokens int64) {
+// With draw the lender draws what it lacks.
+func (s *Spreader) Borrow(ctx context.Context, lender, workspace string, tokens int64, draw bool) {
 	address, err := netip.ParseAddrPort(lender)
 	if err != nil {
 		s.Log.Warn("a lender's datagram address cannot be read", "address", lender)
 		return
 	}
-	a := ask{id: rand.Uint64(), tokens: tokens, workspace: workspace}
+	a := ask{id: rand.Uint64(), tokens: tokens, draw: draw, workspace: workspace}
 	p := &pendingAsk{lender: address, workspace: workspace, sent: time.Now(), answered: make(chan struct{})}
 	if len(workspace) > maxName || !s.loans.open(a.id, p) {
 		return
@@ -207,7 +216,7 @@
 	if err != nil || s.Tokens == nil {
 		return err
 	}
-	tokens := s.loans.give(a.id, time.Now(), func() int64 { return s.Tokens.Lend(a.workspace, a.tokens) })
+	tokens := s.loans.give(a.id, time.Now(), func() int64 { return s.Tokens.Lend(a.workspace, a.tokens, a.draw) })
 	s.send(answer{id: a.id, tokens: tokens}.append(nil), from)
 	return nil
 }
--- a/internal/gossip/loan_test.go
+++ b/internal/gossip/loan_test.go
@@ -20,7 +20,7 @@
 	tokens int64
 }
 
-func (p *purse) Lend(_ string, asked int64) int64 {
+func (p *purse) Lend(_ string, asked int64, _ bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lent := min(asked, p.tokens)
@@ -66,7 +66,7 @@
 	lender.SetPeers(addresses)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	borrower.Borrow(ctx, lender.Address, "w", 300)
+	borrower.Borrow(ctx, lender.Address, "w", 300, false)
 	if poor.held() != 300 || rich.held() != 700 {
 		t.Errorf("borrower %d, lender %d", poor.held(), rich.held())
 	}
@@ -77,7 +77,7 @@
 	lender, rich := spreader(t, 1000)
 	borrower.SetPeers([]string{lender.Address})
 	lender.SetPeers([]string{lender.Address})
-	borrower.Borrow(t.Context(), lender.Address, "w", 300)
+	borrower.Borrow(t.Context(), lender.Address, "w", 300, false)
 	if poor.held() != 0 || rich.held() != 1000 {
 		t.Errorf("borrower %d, lender %d", poor.held(), rich.held())
 	}
@@ -104,7 +104,7 @@
 }
 
 func TestLoansAreReadBack(t *testing.T) {
-	a := ask{id: 1 << 63, tokens: 14964, workspace: "north"}
+	a := ask{id: 1 << 63, tokens: 14964, draw: true, workspace: "north"}
 	gotAsk, err := decodeAsk(a.append(nil))
 	if err != nil || gotAsk != a {
 		t.Errorf("%+v, %v", gotAsk, err)
