--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -14,6 +14,9 @@
 	// aheadSeconds of the own demand is borrowed beside what requests wait for.
 	aheadSeconds   = 1
 	secondsPerHour = 3600
+	// lendFactor is how much is drawn for each token that a borrower wants: a
+	// lender gives half of what it has.
+	lendFactor = 2
 	// strangers is how many entries that are not known to hold tokens are asked
 	// last: one that is in touch with the group draws what it is asked for.
 	strangers = 2
