--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -188,6 +188,8 @@
 	Available int64
 	Reserved  int64
 	Billed    int64
+	// Lent is the part of Billed that went to other holders.
+	Lent int64
 	// Target is what the holder should hold unspent.
 	Target int64
 	// Left is unspent in the whole group, as of the last exchange.
@@ -211,6 +213,7 @@
 		Available: a.escrow.Available(),
 		Reserved:  a.escrow.Reserved,
 		Billed:    a.escrow.Billed,
+		Lent:      a.escrow.Lent,
 		Target:    a.target,
 		Left:      a.left,
 	}
--- a/internal/escrow/loan_test.go
+++ b/internal/escrow/loan_test.go
@@ -117,7 +117,7 @@
 // off by turns, with loans lost on their way.
 func TestLoansAddNoTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const total = 300_000
+		const total = 1_000_000
 		random := rand.New(rand.NewPCG(1, 1))
 		var mu sync.Mutex
 		chance := func(share float64) bool {
@@ -129,7 +129,17 @@
 		p.account.SetTotal(total)
 		holders := map[string]*escrow.Holder{"one": holder(t, p, "one"), "two": holder(t, p, "two"), "three": holder(t, p, "three")}
 		connect(p, holders, func() bool { return chance(0.05) })
-		var spent int64
+		var spent, lent int64
+		for _, h := range holders {
+			borrow := h.Borrow
+			h.Borrow = func(ctx context.Context, lender, workspace string, tokens int64, draw bool) {
+				before := holders[lender].Balance(workspace).Lent
+				borrow(ctx, lender, workspace, tokens, draw)
+				mu.Lock()
+				lent += holders[lender].Balance(workspace).Lent - before
+				mu.Unlock()
+			}
+		}
 		var running sync.WaitGroup
 		for _, h := range holders {
 			running.Go(func() {
@@ -165,5 +175,8 @@
 		if spent < total*9/10 {
 			t.Errorf("only %d spent of %d", spent, total)
 		}
+		if lent < total/20 {
+			t.Errorf("only %d tokens lent: the load plays no loans", lent)
+		}
 	})
 }
