--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -17,9 +17,9 @@
 	// lendFactor is how much is drawn for each token that a borrower wants: a
 	// lender gives half of what it has.
 	lendFactor = 2
-	// strangers is how many entries that are not known to hold tokens are asked
-	// last: one that is in touch with the group draws what it is asked for.
-	strangers = 2
+	// extraLenders is how many holders that are not known to have tokens are
+	// asked last: one that is in touch with the group draws what it is asked for.
+	extraLenders = 2
 	// wantedFor is how long a lender holds what it draws for borrowers, who ask
 	// again.
 	wantedFor = 400 * time.Millisecond
@@ -65,7 +65,7 @@
 	lenders := a.lenders
 	cut := h.failing
 	if cut && h.Others != nil {
-		lenders = append(slices.Clone(lenders), h.Others(strangers)...)
+		lenders = append(slices.Clone(lenders), h.Others(extraLenders)...)
 	}
 	// The round serves all requests that wait, not only the one that began it.
 	ctx, cancel := context.WithTimeout(context.Background(), roundLimit)
--- a/internal/gossip/loan_test.go
+++ b/internal/gossip/loan_test.go
@@ -14,13 +14,13 @@
 	"github.com/cactusbay/cactusbay/internal/place"
 )
 
-// purse is an entry's tokens of one workspace.
-type purse struct {
+// holding is an entry's tokens of one workspace.
+type holding struct {
 	mu     sync.Mutex
 	tokens int64
 }
 
-func (p *purse) Lend(_ string, asked int64, _ bool) int64 {
+func (p *holding) Lend(_ string, asked int64, _ bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lent := min(asked, p.tokens)
@@ -28,19 +28,19 @@
 	return lent
 }
 
-func (p *purse) TakeLoan(_, _ string, tokens int64) {
+func (p *holding) TakeLoan(_, _ string, tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tokens += tokens
 }
 
-func (p *purse) held() int64 {
+func (p *holding) held() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.tokens
 }
 
-func spreader(t *testing.T, tokens int64) (*Spreader, *purse) {
+func spreader(t *testing.T, tokens int64) (*Spreader, *holding) {
 	t.Helper()
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -48,7 +48,7 @@
 	}
 	address := socket.LocalAddr().String()
 	_ = socket.Close()
-	p := &purse{tokens: tokens}
+	p := &holding{tokens: tokens}
 	s := &Spreader{Address: address, Fleet: &place.Fleet{}, Tokens: p, Log: log.New(io.Discard)}
 	err = s.Start()
 	if err != nil {
@@ -72,7 +72,7 @@
 	}
 }
 
-func TestStrangersBorrowNothing(t *testing.T) {
+func TestUnknownEntriesBorrowNothing(t *testing.T) {
 	borrower, poor := spreader(t, 0)
 	lender, rich := spreader(t, 1000)
 	borrower.SetPeers([]string{lender.Address})
--- a/internal/group/exchange.go
+++ b/internal/group/exchange.go
@@ -60,7 +60,7 @@
 	if !found {
 		s.closeEarlier(c.Instance, check)
 		s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain, Address: c.Address}
-		s.homes = nil
+		s.holders = nil
 	}
 	shares := make(map[string]Share, len(c.Workspaces))
 	for workspace, item := range c.Workspaces {
--- a/internal/group/lenders.go
+++ b/internal/group/lenders.go
@@ -111,16 +111,16 @@
 
 // holdersOf returns the open epochs of a failure domain in order.
 func (s *state) holdersOf(domain string) []string {
-	if s.homes == nil {
-		s.homes = make(map[string][]string)
+	if s.holders == nil {
+		s.holders = make(map[string][]string)
 		for name, epoch := range s.Epochs {
 			if !epoch.Closed && epoch.Address != "" {
-				s.homes[epoch.FailureDomain] = append(s.homes[epoch.FailureDomain], name)
+				s.holders[epoch.FailureDomain] = append(s.holders[epoch.FailureDomain], name)
 			}
 		}
-		for _, names := range s.homes {
+		for _, names := range s.holders {
 			slices.Sort(names)
 		}
 	}
-	return s.homes[domain]
+	return s.holders[domain]
 }
--- /dev/null
+++ b/internal/group/lenders_test.go
@@ -0,0 +1,78 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// holdersSite has four holders in each of two failure domains, each with more
+// tokens than the one before.
+func holdersSite(t *testing.T) *Group {
+	t.Helper()
+	s := newState()
+	s.apply(replacement(t, 1, 10_000_000), nil)
+	for number := range 8 {
+		result := s.apply(Exchange{
+			Epoch:         fmt.Sprintf("e%d", number),
+			Instance:      fmt.Sprintf("entry-%d", number),
+			FailureDomain: []string{"a", "b"}[number%2],
+			Address:       fmt.Sprintf("10.0.0.%d:7", number),
+			Workspaces:    map[string]ExchangeItem{"north": {Need: int64(1000 * (number + 1)), Demand: 3600 * 100}},
+		}, nil)
+		if result.Code != CodeDone {
+			t.Fatalf("%+v", result)
+		}
+	}
+	return &Group{state: s}
+}
+
+// TestLendersAreTheRichestNearFirst asks for the lenders of one holder.
+func TestLendersAreTheRichestNearFirst(t *testing.T) {
+	g := holdersSite(t)
+	got := g.lenders("e0", "north")
+	if len(got) != lendersNear+lendersFar || slices.Contains(got, "10.0.0.0:7") {
+		t.Fatalf("lenders %v", got)
+	}
+	account := g.state.Accounts["north"]
+	last := int64(1 << 62)
+	for i, address := range got {
+		if i == lendersNear {
+			last = 1 << 62
+		}
+		for name, epoch := range g.state.Epochs {
+			if epoch.Address != address {
+				continue
+			}
+			if near := epoch.FailureDomain == "a"; near != (i < lendersNear) {
+				t.Errorf("lender %d is in failure domain %s", i, epoch.FailureDomain)
+			}
+			if account.Grants[name].Unspent() > last {
+				t.Errorf("lenders %v are not in order", got)
+			}
+			last = account.Grants[name].Unspent()
+		}
+	}
+}
+
+// TestTwoHoldersOfADomainHoldForTheSmallOnes looks at the targets of holders
+// whose own demand is far below a large request.
+func TestTwoHoldersOfADomainHoldForTheSmallOnes(t *testing.T) {
+	g := holdersSite(t)
+	for _, domain := range []string{"a", "b"} {
+		homes := 0
+		for name, epoch := range g.state.Epochs {
+			account := g.state.Accounts["north"]
+			if epoch.FailureDomain == domain && g.state.pooled(name, "north", &account) > 0 {
+				homes++
+			}
+		}
+		if homes != homeCount {
+			t.Errorf("failure domain %s has %d homes", domain, homes)
+		}
+	}
+	g.state.apply(CloseEpoch{Epoch: "e0"}, nil)
+	if slices.Contains(g.state.holdersOf("a"), "e0") {
+		t.Error("a closed epoch is still a holder")
+	}
+}
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -42,9 +42,9 @@
 	Answers       map[string]answer         `cbor:"4,keyasint"`
 	Claims        map[string]claim          `cbor:"5,keyasint"`
 
-	// homes are the open escrow holders of each failure domain, in order; nil
-	// after a change of the epochs.
-	homes map[string][]string
+	// holders are the open epochs of escrow holders in each failure domain, in
+	// order; nil after a change of the epochs.
+	holders map[string][]string
 }
 
 func newState() *state {
@@ -135,7 +135,7 @@
 	}
 	epoch.Closed = true
 	s.Epochs[c.Epoch] = epoch
-	s.homes = nil
+	s.holders = nil
 	for workspace := range s.Accounts {
 		account := s.account(workspace)
 		_, granted := account.Grants[c.Epoch]
