A deadline that a socket reports before its timer is a timeout

The socket's deadline fired before the context's timer, so that the end was taken for a broken answer. Ruled out: the server's answer (it never came). Change: the deadline's time counts too. TestDeadlineCountsBeforeItsTimer failed before.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -211,7 +211,8 @@
 // repeatOr asks for another attempt if the route, the time and the budget allow
 // it, and else ends the request with refused.
 func (t *task) repeatOr(ctx context.Context, refused *refusal) (*refusal, bool) {
-	if ctx.Err() != nil {
+	// A socket may report the deadline before the context's timer fires.
+	if ctx.Err() != nil || !time.Now().Before(t.deadline) {
 		return &refusal{reason: reasonTimeout, status: http.StatusGatewayTimeout}, false
 	}
 	if !t.mayRepeatNow() {
