One piece for what stood twice: draws, ends of epochs, confirmations, peers

Found on a last reading of the diff: two copies of drawing ahead with small variations (made when exchanges became cheap); two loops that end an epoch; Confirm and Hear of a list; four looks at the other entries; two tests of whether a voter answers; a hand-written pause beside sleep.For; a list summed twice when it is read. A server's remembered prompt parts are swept at most once a second in place of at each placement beyond 4,096 young ones.

--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -35,18 +35,25 @@
 // cumulative grant and the unspent tokens that the ledger should hold. As with
 // Draw, a total that is not the current one makes it change nothing.
 func (a *Account) DrawFor(epoch string, known int64, ask Ask) (granted, target int64) {
+	return a.drawAhead(epoch, known, ask, a.left()/poolDivisor, func() int64 { return a.Target(epoch) })
+}
+
+// drawAhead draws up to the target, which follows from the ask's demand, and
+// leaves reserve in the pool, but for what requests wait for.
+func (a *Account) drawAhead(epoch string, known int64, ask Ask, reserve int64, targetOf func() int64) (granted, target int64) {
 	grant, found := a.Grants[epoch]
 	if grant.Closed || known != grant.Granted {
-		return grant.Granted, a.Target(epoch)
+		return grant.Granted, targetOf()
 	}
-	if !found || grant.Demand != ask.Demand {
+	if !found || grant.Demand != ask.Demand || grant.Pooled != ask.Pooled {
 		grant.Demand = ask.Demand
+		grant.Pooled = ask.Pooled
 		a.put(epoch, grant)
 	}
-	target = a.Target(epoch)
+	target = targetOf()
 	want := ask.Need
 	if ask.Ahead {
-		want = max(want, min(target-grant.Unspent(), a.Pool-a.left()/poolDivisor))
+		want = max(want, min(target-grant.Unspent(), a.Pool-reserve))
 	}
 	return a.Draw(epoch, known, want), target
 }
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -98,66 +98,51 @@
 
 func (a *Account) drawWithin(epoch string, known int64, ask Ask) Offer {
 	a.payOwed()
-	grant, found := a.Grants[epoch]
-	current := !grant.Closed && known == grant.Granted
-	if current && (!found || grant.Demand != ask.Demand || grant.Pooled != ask.Pooled) {
-		grant.Demand = ask.Demand
-		grant.Pooled = ask.Pooled
-		a.put(epoch, grant)
-	}
-	sums := a.sums()
-	offer := Offer{Granted: grant.Granted, Target: a.targetWithin(epoch, sums), Left: max(0, a.Pool+sums.unspent-a.Owed), Reserved: sums.reserved}
-	if !current {
-		return offer
-	}
-	want := ask.Need
-	if ask.Ahead {
-		want = max(want, min(offer.Target-grant.Unspent(), a.Pool-a.reserve()))
-	}
-	offer.Granted = a.Draw(epoch, known, want)
-	return offer
+	var s sums
+	granted, target := a.drawAhead(epoch, known, ask, a.reserve(), func() int64 {
+		s = a.sums()
+		return a.targetWithin(epoch, s)
+	})
+	return Offer{Granted: granted, Target: target, Left: s.left, Reserved: s.reserved}
 }
 
 // sums are those over the open grants.
 type sums struct {
 	holders int64
-	unspent int64
-	// reserved is held by requests in progress.
+	// left is unspent in the pool and the grants, less what is owed, and
+	// reserved the part of it that requests in progress hold.
+	left     int64
 	reserved int64
 	// demand is in tokens an hour.
 	demand float64
 }
 
 func (a *Account) sums() sums {
-	var s sums
+	s := sums{left: a.Pool - a.Owed}
 	for _, grant := range a.Grants {
 		if grant.Closed {
 			continue
 		}
 		s.holders++
-		s.unspent += grant.Unspent()
+		s.left += grant.Unspent()
 		s.reserved += grant.Counters.Reserved
 		s.demand += float64(grant.demand())
 	}
+	s.left = max(0, s.left)
 	return s
 }
 
-// TargetWithin is Target bounded by the holder's demand within the horizon, but
+// targetWithin is Target bounded by the holder's demand within the horizon, but
 // at least an equal share of a part of what is left. It is 0 once no more than
 // the pool's reserve is left.
-func (a *Account) TargetWithin(epoch string) int64 {
-	return a.targetWithin(epoch, a.sums())
-}
-
 func (a *Account) targetWithin(epoch string, s sums) int64 {
-	left := max(0, a.Pool+s.unspent-a.Owed)
-	spare := left - a.reserve()
+	spare := s.left - a.reserve()
 	grant := a.Grants[epoch]
 	if spare <= 0 || grant.Closed || s.demand == 0 {
 		return 0
 	}
 	floor := spare / (floorDivisor * max(expectedHolders, s.holders))
-	if floor < minimumFloor || left < a.Deposited/2 {
+	if floor < minimumFloor || s.left < a.Deposited/2 {
 		floor = 0
 	}
 	share := float64(grant.demand()) / s.demand
@@ -169,7 +154,7 @@
 // Left returns the unspent tokens of the pool and of the open grants, less
 // what is owed.
 func (a *Account) Left() int64 {
-	return max(0, a.left()-a.Owed)
+	return a.sums().left
 }
 
 func (a *Account) reserve() int64 {
--- a/internal/budget/total_test.go
+++ b/internal/budget/total_test.go
@@ -29,7 +29,7 @@
 			e := escrows[name]
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
-				e.Return(e.Idle(account.TargetWithin(name)))
+				e.Return(e.Idle(account.targetWithin(name, account.sums())))
 				err := account.Report(name, e.Counters())
 				if err != nil {
 					t.Fatal(err)
@@ -95,7 +95,7 @@
 				e = &Escrow{}
 				escrows[name] = e
 			}
-			e.Return(e.Idle(account.TargetWithin(name)))
+			e.Return(e.Idle(account.targetWithin(name, account.sums())))
 			err := account.Report(name, e.Counters())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/cmd/seeded.go
+++ b/internal/cmd/seeded.go
@@ -68,14 +68,12 @@
 		return err
 	}
 	changes := reloads(ctx, command, environment)
-	for {
+	for ctx.Err() == nil {
 		select {
 		case changed := <-changes:
 			gateway.SetSeeds(changed.Seeded.PeerAddresses())
-			continue
 		case <-ctx.Done():
 		}
-		break
 	}
 	environment.Telemetry.Log.Info("shutting down; requests in progress are finished first", "running", gateway.Server.Running())
 	limited, stop := untilSecondSignal(s)
--- a/internal/departure/watcher.go
+++ b/internal/departure/watcher.go
@@ -13,6 +13,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/sleep"
 )
 
 const (
@@ -83,12 +85,7 @@
 			w.Log.Debug("the platform's list could not be read", "err", err.Error())
 			wait = min(2*wait, maxPollBackoff)
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		sleep.For(ctx, wait)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -115,22 +115,32 @@
 		case <-ctx.Done():
 			return
 		}
-		peers := s.peers.Load()
-		if peers == nil {
-			continue
-		}
+		peers := float64(len(s.others()))
 		now := time.Now()
 		allowance = min(datagramsPerSecond, allowance+now.Sub(last).Seconds()*datagramsPerSecond)
 		last = now
-		if allowance < float64(len(*peers)) {
+		if allowance < peers {
 			s.dropped.Add(1)
 			continue
 		}
-		allowance -= float64(len(*peers))
+		allowance -= peers
 		buffer = m.append(buffer[:0])
-		for _, peer := range *peers {
-			s.send(buffer, peer)
-		}
+		s.sendAll(buffer)
+	}
+}
+
+// others returns the addresses of the other entries.
+func (s *Spreader) others() []netip.AddrPort {
+	peers := s.peers.Load()
+	if peers == nil {
+		return nil
+	}
+	return *peers
+}
+
+func (s *Spreader) sendAll(data []byte) {
+	for _, peer := range s.others() {
+		s.send(data, peer)
 	}
 }
 
@@ -197,6 +207,5 @@
 }
 
 func (s *Spreader) knows(address netip.AddrPort) bool {
-	peers := s.peers.Load()
-	return peers != nil && slices.Contains(*peers, address)
+	return slices.Contains(s.others(), address)
 }
--- a/internal/gossip/list.go
+++ b/internal/gossip/list.go
@@ -34,12 +34,5 @@
 
 // TellList tells all other entries of a list that this one read.
 func (s *Spreader) TellList(sum uint64, age time.Duration) {
-	peers := s.peers.Load()
-	if peers == nil {
-		return
-	}
-	data := listNote{sum: sum, age: age}.append(nil)
-	for _, peer := range *peers {
-		s.send(data, peer)
-	}
+	s.sendAll(listNote{sum: sum, age: age}.append(nil))
 }
--- a/internal/gossip/loan.go
+++ b/internal/gossip/loan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -124,7 +125,7 @@
 		l.pending = make(map[uint64]*pendingAsk)
 	}
 	if len(l.pending) >= maxLoans {
-		l.forgetPending(p.sent)
+		maps.DeleteFunc(l.pending, func(_ uint64, old *pendingAsk) bool { return p.sent.Sub(old.sent) > loanMemory })
 	}
 	if len(l.pending) >= maxLoans {
 		return false
@@ -133,14 +134,6 @@
 	return true
 }
 
-func (l *loans) forgetPending(now time.Time) {
-	for id, p := range l.pending {
-		if now.Sub(p.sent) > loanMemory {
-			delete(l.pending, id)
-		}
-	}
-}
-
 // close returns the ask that an answer belongs to, the first time.
 func (l *loans) close(id uint64, from netip.AddrPort) *pendingAsk {
 	l.mu.Lock()
@@ -166,7 +159,7 @@
 		return known.tokens
 	}
 	if len(l.given) >= maxLoans {
-		l.forgetGiven(now)
+		maps.DeleteFunc(l.given, func(_ uint64, old given) bool { return now.Sub(old.at) > loanMemory })
 	}
 	if len(l.given) >= maxLoans {
 		return 0
@@ -176,14 +169,6 @@
 	return tokens
 }
 
-func (l *loans) forgetGiven(now time.Time) {
-	for id, g := range l.given {
-		if now.Sub(g.at) > loanMemory {
-			delete(l.given, id)
-		}
-	}
-}
-
 // Borrow asks the entry at lender for tokens and waits a short time for them.
 // They come in through Tokens.TakeLoan, also when they come later.
 // With draw the lender draws what it lacks.
@@ -239,15 +224,10 @@
 
 // Others returns the addresses of some other entries, chosen at random.
 func (s *Spreader) Others(count int) []string {
-	peers := s.peers.Load()
-	if peers == nil {
-		return nil
-	}
+	peers := s.others()
 	var addresses []string
-	for _, i := range rand.Perm(len(*peers)) {
-		if len(addresses) < count {
-			addresses = append(addresses, (*peers)[i].String())
-		}
+	for _, i := range rand.Perm(len(peers))[:min(count, len(peers))] {
+		addresses = append(addresses, peers[i].String())
 	}
 	return addresses
 }
--- a/internal/group/exchange.go
+++ b/internal/group/exchange.go
@@ -86,13 +86,7 @@
 		if epoch.Instance != instance || epoch.Closed {
 			continue
 		}
-		epoch.Closed = true
-		s.Epochs[name] = epoch
-		for workspace := range s.Accounts {
-			account := s.account(workspace)
-			account.Forget(name)
-			s.store(workspace, account, check, Result{})
-		}
+		s.end(name, check, (*budget.Account).Forget)
 	}
 }
 
--- a/internal/group/lenders.go
+++ b/internal/group/lenders.go
@@ -60,11 +60,11 @@
 		if other.Address == "" {
 			continue
 		}
+		rank := &far
 		if other.FailureDomain == domain {
-			near.offer(lender{address: other.Address, unspent: grant.Unspent()})
-		} else {
-			far.offer(lender{address: other.Address, unspent: grant.Unspent()})
+			rank = &near
 		}
+		rank.offer(lender{address: other.Address, unspent: grant.Unspent()})
 	}
 	var addresses []string
 	for _, l := range append(near.lenders, far.lenders...) {
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -72,7 +72,7 @@
 	case OpenEpoch:
 		return s.openEpoch(c)
 	case CloseEpoch:
-		return s.closeEpoch(c)
+		return s.closeEpoch(c, check)
 	case Draw:
 		return s.draw(c, check)
 	case Report:
@@ -128,23 +128,29 @@
 	return Result{Code: CodeDone}
 }
 
-func (s *state) closeEpoch(c CloseEpoch) Result {
-	epoch, found := s.Epochs[c.Epoch]
+func (s *state) closeEpoch(c CloseEpoch, check *invariant.Checker) Result {
+	_, found := s.Epochs[c.Epoch]
 	if !found {
 		return Result{Code: CodeNotFound, Detail: "no ledger epoch of that name"}
 	}
+	s.end(c.Epoch, check, (*budget.Account).Close)
+	return Result{Code: CodeDone}
+}
+
+// end closes an epoch and ends its grants.
+func (s *state) end(name string, check *invariant.Checker, endGrant func(account *budget.Account, epoch string)) {
+	epoch := s.Epochs[name]
 	epoch.Closed = true
-	s.Epochs[c.Epoch] = epoch
+	s.Epochs[name] = epoch
 	s.holders = nil
 	for workspace := range s.Accounts {
 		account := s.account(workspace)
-		_, granted := account.Grants[c.Epoch]
+		_, granted := account.Grants[name]
 		if granted {
-			account.Close(c.Epoch)
-			s.Accounts[workspace] = account
+			endGrant(&account, name)
+			s.store(workspace, account, check, Result{})
 		}
 	}
-	return Result{Code: CodeDone}
 }
 
 func (s *state) draw(c Draw, check *invariant.Checker) Result {
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -83,9 +83,8 @@
 func (v *View) Confirm(reader string, number uint64, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	at := time.Now().Add(-age)
-	if v.reader == reader && v.number == number && at.After(v.confirmed) {
-		v.confirmed = at
+	if v.reader == reader && v.number == number {
+		v.confirm(age)
 	}
 }
 
@@ -94,14 +93,25 @@
 func (v *View) Hear(sum uint64, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.sum == sum && !v.confirmed.IsZero() {
+		v.confirm(age)
+	}
+}
+
+// confirm is called with mu held.
+func (v *View) confirm(age time.Duration) {
 	at := time.Now().Add(-age)
-	if v.sum == sum && !v.confirmed.IsZero() && at.After(v.confirmed) {
+	if at.After(v.confirmed) {
 		v.confirmed = at
 	}
 }
 
 // Offer takes a listing of an age in, unless the view is newer.
 func (v *View) Offer(listing Listing, age time.Duration) {
+	v.take(listing, sumOf(listing.Instances), age)
+}
+
+func (v *View) take(listing Listing, sum uint64, age time.Duration) {
 	v.mu.Lock()
 	at := time.Now().Add(-age)
 	if at.Before(v.confirmed) {
@@ -111,7 +121,7 @@
 	v.confirmed = at
 	v.reader = listing.Reader
 	v.number = listing.Number
-	v.sum = sumOf(listing.Instances)
+	v.sum = sum
 	v.mu.Unlock()
 	if v.Changed != nil {
 		v.Changed(listing.Instances)
@@ -122,18 +132,25 @@
 func (v *View) run(ctx context.Context) {
 	defer close(v.done)
 	for ctx.Err() == nil {
-		limit := staleAfter + v.spread()
 		sleep.For(ctx, checkInterval)
-		for age := v.Age(); age > staleAfter && age < limit && ctx.Err() == nil; age = v.Age() {
-			sleep.For(ctx, limit-age)
+		if v.Lister == nil || !v.isStale() {
+			continue
+		}
+		if age := v.Age(); age >= 0 {
+			sleep.For(ctx, staleAfter+v.spread()-age)
 		}
-		age := v.Age()
-		if v.Lister != nil && ctx.Err() == nil && (age < 0 || age > staleAfter) {
+		if ctx.Err() == nil && v.isStale() {
 			v.read(ctx)
 		}
 	}
 }
 
+// isStale tells whether the list was never told or too long ago.
+func (v *View) isStale() bool {
+	age := v.Age()
+	return age < 0 || age > staleAfter
+}
+
 // spread returns how much longer than others this entry waits before it reads
 // the list, a random part of what all together wait.
 func (v *View) spread() time.Duration {
@@ -153,9 +170,10 @@
 		return
 	}
 	age := time.Since(asked) + reading.Age
-	v.Offer(Listing{Instances: reading.Instances}, age)
+	sum := sumOf(reading.Instances)
+	v.take(Listing{Instances: reading.Instances}, sum, age)
 	if v.Tell != nil {
-		v.Tell(sumOf(reading.Instances), age)
+		v.Tell(sum, age)
 	}
 }
 
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -33,7 +34,10 @@
 	// maxParts bounds the remembered parts of a server.
 	maxParts = 4096
 	// partMemory is how long a part counts as kept without use.
-	partMemory     = 60 * time.Second
+	partMemory = 60 * time.Second
+	// sweepInterval is the least time between two looks at all parts of a
+	// server: many young ones must not make each placement look at them.
+	sweepInterval  = time.Second
 	fullRetryAfter = 300 * time.Millisecond
 )
 
@@ -82,7 +86,9 @@
 	for id, s := range f.servers {
 		if !listed[id] {
 			delete(f.servers, id)
-			f.gone[id] = s.leaving
+			if s.leaving {
+				f.gone[id] = true
+			}
 			f.changed(s, EventGone, 0)
 		}
 	}
@@ -255,12 +261,9 @@
 }
 
 func (s *server) keep(parts []Part, now time.Time) {
-	if len(s.parts) > maxParts {
-		for id, used := range s.parts {
-			if now.Sub(used) > partMemory {
-				delete(s.parts, id)
-			}
-		}
+	if len(s.parts) > maxParts && now.Sub(s.swept) > sweepInterval {
+		s.swept = now
+		maps.DeleteFunc(s.parts, func(_ uint64, used time.Time) bool { return now.Sub(used) > partMemory })
 	}
 	for _, part := range parts {
 		s.parts[part.ID] = now
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -36,6 +36,8 @@
 	busyUntil time.Time
 	// parts are the prompt parts that the engine was sent, with their last use.
 	parts map[uint64]time.Time
+	// swept is when the unused parts were last removed.
+	swept time.Time
 
 	load     Load
 	loadedAt time.Time
--- a/internal/quorum/keeper.go
+++ b/internal/quorum/keeper.go
@@ -46,9 +46,13 @@
 	n := k.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.reign == nil {
-		return
+	if n.reign != nil {
+		n.promoteBestLearner()
 	}
+}
+
+// promoteBestLearner is called with mu held by the leader.
+func (n *Node) promoteBestLearner() {
 	best := n.bestLearner()
 	if best != nil {
 		n.promote(best)
@@ -65,10 +69,7 @@
 		return "", false
 	}
 	if len(n.configuration.voters()) < n.options.Voters {
-		best := n.bestLearner()
-		if best != nil {
-			n.promote(best)
-		}
+		n.promoteBestLearner()
 		return "", false
 	}
 	lost := n.lostVoter()
@@ -117,21 +118,26 @@
 			continue
 		}
 		left++
-		p := n.reign.peers[voter.ID]
-		if voter.ID == n.options.ID || p != nil && time.Since(p.answered) < lostAfter {
+		if n.isAnswering(voter) {
 			answering++
 		}
 	}
 	return answering > left/2
 }
 
+// isAnswering tells whether the leader has heard a voter lately; it hears
+// itself.
+func (n *Node) isAnswering(voter Member) bool {
+	p := n.reign.peers[voter.ID]
+	return voter.ID == n.options.ID || p != nil && time.Since(p.answered) < lostAfter
+}
+
 // bestLearner returns a learner that answers and has caught up, out of the
 // failure domain that has the fewest voters, or nil.
 func (n *Node) bestLearner() *replicator {
 	voters := make(map[string]int)
 	for _, voter := range n.configuration.voters() {
-		p := n.reign.peers[voter.ID]
-		if voter.ID == n.options.ID || p != nil && time.Since(p.answered) < lostAfter {
+		if n.isAnswering(voter) {
 			voters[voter.FailureDomain]++
 		}
 	}
