--- a/test/live/pages_test.go
+++ b/test/live/pages_test.go
@@ -48,7 +48,7 @@
 	_ = listener.Close()
 	s := &site{t: t, folder: t.TempDir()}
 	ctx, cancel := context.WithCancel(context.Background())
-	dev := exec.CommandContext(ctx, program, "dev", "--listen", entry, "--data", s.folder)
+	dev := exec.CommandContext(ctx, binary, "dev", "--listen", entry, "--data", s.folder)
 	var output strings.Builder
 	dev.Stdout = &output
 	err = dev.Start()
@@ -69,7 +69,7 @@
 	})
 	script := readmeScript(t, entry)
 	shell := exec.Command("bash", "-euc", script)
-	shell.Env = append(os.Environ(), "PATH="+filepath.Dir(program)+":"+os.Getenv("PATH"))
+	shell.Env = append(os.Environ(), "PATH="+filepath.Dir(binary)+":"+os.Getenv("PATH"))
 	got, err := shell.CombinedOutput()
 	if err != nil {
 		t.Errorf("%v\n%s\n%s", err, script, got)
@@ -155,7 +155,7 @@
 // helpOf returns the help of the command that words name, and false when there
 // is no such command.
 func helpOf(words []string) (help string, known bool) {
-	parent, err := exec.Command(program, words[0], "--help").CombinedOutput()
+	parent, err := exec.Command(binary, words[0], "--help").CombinedOutput()
 	if err != nil {
 		return "", false
 	}
@@ -165,6 +165,6 @@
 	if !strings.Contains(string(parent), "\n   "+words[1]+" ") {
 		return "", false
 	}
-	own, err := exec.Command(program, words[0], words[1], "--help").CombinedOutput()
+	own, err := exec.Command(binary, words[0], words[1], "--help").CombinedOutput()
 	return string(own), err == nil
 }
--- a/test/live/site_test.go
+++ b/test/live/site_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/testbinary"
 )
 
 const (
@@ -32,23 +33,14 @@
 
 var domains = []string{"a", "b", "c"}
 
-// program is the built binary.
-var program string
+// binary is the built program.
+var binary string
 
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "cactusbay-live-")
+	code, err := testbinary.Run(m, "../..", &binary)
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(folder, "cactusbay")
-	build := exec.Command("go", "build", "-o", program, "../..")
-	build.Stderr = os.Stderr
-	err = build.Run()
-	code := 1
-	if err == nil {
-		code = m.Run()
-	}
-	_ = os.RemoveAll(folder)
 	os.Exit(code)
 }
 
@@ -170,7 +162,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	command := exec.Command(program, arguments...)
+	command := exec.Command(binary, arguments...)
 	command.Stdout = log
 	command.Stderr = log
 	err = command.Start()
