A request on a kept connection that a shutdown would cut is refused

A stream that began before SIGTERM keeps its connection open after its end; a request came on it 5.9 s after SIGTERM, was taken, and cut when the grace ended at 7.6 s. Change: once no new connections come, a request that may last beyond the end of the shutdown is refused as not run; shorter ones are served. TestDrainingServerRefusesWhatItCannotFinish fails without the change.

--- /dev/null
+++ b/internal/forward/drain_test.go
@@ -0,0 +1,38 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/forward"
+)
+
+// TestDrainingServerRefusesWhatItCannotFinish sends requests on connections
+// that were kept since before the drain.
+func TestDrainingServerRefusesWhatItCannotFinish(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name        string
+		accept, end time.Time
+		status      int
+		sends       int
+	}{
+		{"new connections still come", now.Add(time.Minute), now.Add(time.Second), 200, 1},
+		{"no time is left", now, now.Add(time.Second), 503, 0},
+		{"time enough is left", now, now.Add(time.Minute), 200, 1},
+		{"the drain has no end", now, time.Time{}, 200, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, stream, events(1, 3, "", true))
+			s.server.Drain(forward.Drain{Accept: c.accept, End: c.end})
+			status, body, whole, header := s.ask("/a/x", "secret")
+			if status != c.status || !whole || s.sends() != c.sends {
+				t.Errorf("status %d, body %q, whole %v, %d sends", status, body, whole, s.sends())
+			}
+			if status == 503 && (body != "leaving\n" || header.Get("Retry-After") == "") {
+				t.Errorf("refused with %q, header %v", body, header)
+			}
+		})
+	}
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -20,6 +20,7 @@
 	reasonBudget          reason = "budget_exhausted"
 	reasonNoTokens        reason = "no_tokens_now"
 	reasonReserved        reason = "budget_reserved"
+	reasonLeaving         reason = "leaving"
 	reasonNoServer        reason = "no_server"
 	reasonServersFull     reason = "servers_full"
 	reasonDeclined        reason = "declined_by_servers"
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -49,7 +49,8 @@
 
 	table   atomic.Pointer[Table]
 	running atomic.Int64
-	leaving atomic.Bool
+	// drain is set once the instance is about to end.
+	drain atomic.Pointer[Drain]
 }
 
 // Install puts a configuration in force.
@@ -69,9 +70,24 @@
 	return s.running.Load()
 }
 
-// Drain makes each further answer end its connection.
-func (s *Server) Drain() {
-	s.leaving.Store(true)
+// Drain is the end of an instance.
+type Drain struct {
+	// Accept is until when new connections come.
+	Accept time.Time
+	// End is when requests in progress are cut; zero means never.
+	End time.Time
+}
+
+// refuses tells whether a request that came at now and may last until deadline
+// would be cut. While new connections come, their callers cannot know better.
+func (d *Drain) refuses(now, deadline time.Time) bool {
+	return d != nil && !d.End.IsZero() && now.After(d.Accept) && deadline.After(d.End)
+}
+
+// Drain makes each further answer end its connection, and refuses requests on
+// kept connections that may not end in time.
+func (s *Server) Drain(d Drain) {
+	s.drain.Store(&d)
 }
 
 func (s *Server) listAge() time.Duration {
@@ -85,7 +101,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.leaving.Load() {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	t := &task{server: s, w: w, start: time.Now()}
@@ -125,7 +141,11 @@
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
 	t.deadline = t.start.Add(t.patience())
-	return t.readBody(r)
+	refused := t.readBody(r)
+	if refused == nil && t.server.drain.Load().refuses(t.start, t.deadline) {
+		return notRun(reasonLeaving, retryElsewhere)
+	}
+	return refused
 }
 
 // patience returns how long the answer may take.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -211,15 +211,17 @@
 // Shutdown ends readiness, serves on while new connections still arrive, then
 // waits for the requests in progress until ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) {
-	g.leaving.Store(true)
-	g.Server.Drain()
-	g.Watcher.Leave()
-	g.Server.Holder.Leave()
+	drain := forward.Drain{Accept: time.Now().Add(acceptFor)}
 	if deadline, limited := ctx.Deadline(); limited {
-		earlier, cancel := context.WithDeadline(ctx, deadline.Add(-closeMargin))
+		drain.End = deadline.Add(-closeMargin)
+		earlier, cancel := context.WithDeadline(ctx, drain.End)
 		defer cancel()
 		ctx = earlier
 	}
+	g.leaving.Store(true)
+	g.Server.Drain(drain)
+	g.Watcher.Leave()
+	g.Server.Holder.Leave()
 	g.callers.shutdown(ctx, acceptFor)
 	returning, cancel := context.WithTimeout(context.Background(), returnWithin)
 	defer cancel()
