Observability: why no other attempt followed, how long a server was silent, when an entry stood still

'attempt failed' has silent_ms and not_repeated; responses_cut counts answers that were cut after they had begun; scheduling_delay shows when an instance stood still.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -169,6 +169,9 @@
 	for {
 		s.setIdleDeadline()
 		n, err := s.response.Read(buffer)
+		if n > 0 {
+			s.task.lastReceived = time.Now()
+		}
 		s.pending = append(s.pending, buffer[:n]...)
 		if err == nil && s.response.Buffered() && len(s.pending) < streamBufferBytes {
 			continue
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -18,6 +18,9 @@
 		return
 	}
 	s.Scope.Tagged(map[string]string{"reason": string(refused.reason)}).Counter("requests_ended").Inc(1)
+	if t.responseStarted {
+		s.Scope.Tagged(map[string]string{"reason": string(refused.reason)}).Counter("responses_cut").Inc(1)
+	}
 	if t.request == nil {
 		s.Log.Info("request refused unread", "reason", string(refused.reason), "status", refused.status)
 		return
@@ -77,9 +80,9 @@
 // response, and whether another attempt follows.
 func (t *task) reportFailedAttempt(placement *place.Placement, outcome string, cause string, retried bool) {
 	t.server.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
-	decision := "end"
+	decision, notRepeated := "end", t.notRepeated
 	if retried {
-		decision = "repeat"
+		decision, notRepeated = "repeat", ""
 		t.server.Scope.Counter("attempts_repeated").Inc(1)
 	}
 	t.server.Log.Info("attempt failed",
@@ -91,6 +94,8 @@
 		"may_have_run", t.mayHaveRun,
 		"last_event", t.lastEventID,
 		"decision", decision,
+		"not_repeated", string(notRepeated),
+		"silent_ms", time.Since(t.lastReceived).Milliseconds(),
 		"took_ms", time.Since(t.start).Milliseconds(),
 	)
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -28,6 +28,16 @@
 	streamIdleTimeout = 1200 * time.Millisecond
 )
 
+// denial names why a request gets no further attempt. It appears in logs.
+type denial string
+
+const (
+	deniedByDeadline    denial = "deadline"
+	deniedByRoute       denial = "route"
+	deniedByAttempts    denial = "attempts_used"
+	deniedByRetryBudget denial = "retry_budget"
+)
+
 // task holds the state of one request.
 type task struct {
 	server    *Server
@@ -54,6 +64,11 @@
 	mayHaveRun bool
 	// lastServer is the id of the server of the latest attempt.
 	lastServer string
+	// lastReceived is when the server of the latest attempt last sent anything, or
+	// when the attempt started.
+	lastReceived time.Time
+	// notRepeated names why no attempt follows the latest one.
+	notRepeated denial
 
 	// responseStarted is set once the response to the caller has started.
 	responseStarted bool
@@ -102,6 +117,7 @@
 func (t *task) sendTo(ctx context.Context, placement *place.Placement) (refused *refusal, shouldRetry bool) {
 	t.tried = append(t.tried, placement.ID)
 	t.lastServer = placement.ID
+	t.lastReceived = time.Now()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stopTimer := t.startFirstByteTimer(cancel)
@@ -110,6 +126,7 @@
 	if err != nil {
 		return t.handleSendError(ctx, placement, err)
 	}
+	t.lastReceived = time.Now()
 	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, time.Now())
@@ -201,7 +218,12 @@
 		placement.Done(place.Unreachable{}, now)
 		t.server.Upstream.CloseIdle(placement.ID)
 		t.unsentAttempts++
-		if ctx.Err() != nil || t.unsentAttempts > maxUnsentAttempts {
+		switch {
+		case ctx.Err() != nil:
+			t.notRepeated = deniedByDeadline
+			refused = t.fail(reasonNotSent, retryAfterSoon)
+		case t.unsentAttempts > maxUnsentAttempts:
+			t.notRepeated = deniedByAttempts
 			refused = t.fail(reasonNotSent, retryAfterSoon)
 		}
 		t.reportFailedAttempt(placement, "not_sent", err.Error(), refused == nil)
@@ -220,7 +242,11 @@
 // Otherwise it fails the request with cause.
 func (t *task) retryDeclined(cause reason) (refused *refusal, shouldRetry bool) {
 	t.declinedAttempts++
-	if t.declinedAttempts >= maxDeclinedAttempts || !t.server.Retries.TryRetry(t.upstream, t.server.Entries(), time.Now()) {
+	if t.declinedAttempts >= maxDeclinedAttempts {
+		t.notRepeated = deniedByAttempts
+		return t.fail(cause, retryAfterSoon), false
+	}
+	if !t.chargeRetry() {
 		return t.fail(cause, retryAfterSoon), false
 	}
 	return nil, true
@@ -233,6 +259,7 @@
 	// The idle timeout of a stream may end a read shortly before the deadline, which
 	// then passes before the context's timer has fired.
 	if ctx.Err() != nil || !time.Now().Before(t.deadline) {
+		t.notRepeated = deniedByDeadline
 		return &refusal{reason: reasonTimeout, status: http.StatusGatewayTimeout}, false
 	}
 	if !t.spendRetry() {
@@ -250,8 +277,23 @@
 // spendRetry reports whether the route and the retry budget allow another attempt
 // after one that may have run, and charges it to the retry budget.
 func (t *task) spendRetry() bool {
+	if !t.route.retriable() {
+		t.notRepeated = deniedByRoute
+		return false
+	}
 	if !t.allowsAttemptAfter(t.startedAttempts) {
+		t.notRepeated = deniedByAttempts
 		return false
 	}
-	return t.server.Retries.TryRetry(t.upstream, t.server.Entries(), time.Now())
+	return t.chargeRetry()
+}
+
+// chargeRetry reports whether the retry budget allows another attempt, and charges
+// it.
+func (t *task) chargeRetry() bool {
+	if t.server.Retries.TryRetry(t.upstream, t.server.Entries(), time.Now()) {
+		return true
+	}
+	t.notRepeated = deniedByRetryBudget
+	return false
 }
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -49,7 +49,8 @@
 	for {
 		m.update(m)
 		select {
-		case <-ticker.C:
+		case at := <-ticker.C:
+			m.scope.Timer("scheduling_delay").Record(time.Since(at))
 		case <-ctx.Done():
 			return
 		}
