--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/cactusbay/cactusbay/internal/check"
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/forward"
@@ -108,16 +109,20 @@
 }
 
 // document returns a configuration with the given route for the workspace north,
-// whose key is "secret".
+// whose key is "secret". A route without a timeout gets one of 1.5 s.
 func document(t testing.TB, route config.HostRoute) *config.Document {
 	t.Helper()
 	route.Host = "one.example"
 	route.PathPrefix = "/a/"
 	route.Upstreams = []config.WeightedUpstream{{Upstream: "pool", Weight: 1}}
+	timeout := check.Duration(1500 * time.Millisecond)
+	if route.Timeout != nil {
+		timeout = *route.Timeout
+	}
 	key := config.HostRouteKey(route.Host, route.PathPrefix)
-	text := fmt.Sprintf(`{"host_routes":{%q:{"host":"one.example","path_prefix":"/a/","repetition":%q,"timeout":"1500ms","max_attempts":%d,"resumable":%v,
+	text := fmt.Sprintf(`{"host_routes":{%q:{"host":"one.example","path_prefix":"/a/","repetition":%q,"timeout":%q,"max_attempts":%d,"resumable":%v,
 		"upstreams":[{"upstream":"pool","weight":1}]}},"upstreams":{"pool":{}},"workspaces":{"north":{"key_hashes":[%q]}}}`,
-		key, route.Repetition, route.MaxAttempts, route.Resumable, config.HashKey("secret"))
+		key, route.Repetition, time.Duration(timeout).String(), route.MaxAttempts, route.Resumable, config.HashKey("secret"))
 	parsed, err := config.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
