Forward: a silent server is given up only once another has the request in hand

What callers saw: a stream of a sound server that was silent for over 1.2 s and went on ended with a closed connection, or a request with a 502 after 1.1 s.

Cause: the timers for silence ended the attempt first and asked afterwards whether the retry budget allows another one, whether a server can take it and whether it accepts a connection. Where one said no, nothing was left of an answer that the server would have completed. The same timers ran while the entry itself stood still: a read after a passed deadline fails although the server's bytes wait in the socket. Class of fault: a timeout taken for a proof of failure, and an irrevocable step before the one it depends on.

Change: a timer starts the search for a successor. It has found one when the retry is charged, a server is chosen and a new connection to it is open; only then is the silent server left. What comes meanwhile ends the search, and the charge is refunded. A read that has waited too long reads on, so that an entry that stood still sees its servers' bytes before anything is decided.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -118,10 +118,14 @@
 		t.w.Header().Del("Content-Length")
 		t.w.WriteHeader(response.Status)
 	}
-	s := &eventStream{task: t, response: response, controller: http.NewResponseController(t.w)}
+	s := &eventStream{task: t, ctx: ctx, response: response, controller: http.NewResponseController(t.w)}
+	if t.allowsAttemptAfter(t.startedAttempts) {
+		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
+	}
 	stop := context.AfterFunc(ctx, response.Abandon)
 	err := s.copy()
 	stop()
+	s.endSilence()
 	now := time.Now()
 	switch {
 	case err == nil:
@@ -151,11 +155,14 @@
 // eventStream copies the event stream of one attempt to the caller.
 type eventStream struct {
 	task       *task
+	ctx        context.Context
 	response   *upstream.Response
 	controller *http.ResponseController
 	// pending holds bytes that are not forwarded yet; it ends with an incomplete
 	// event, if any.
 	pending []byte
+	// successor is sought while the server is silent; nil at other times.
+	successor *successor
 }
 
 // streamBufferBytes is the size of one read, and the number of pending bytes at
@@ -167,9 +174,9 @@
 func (s *eventStream) copy() error {
 	buffer := make([]byte, streamBufferBytes)
 	for {
-		s.setIdleDeadline()
 		n, err := s.response.Read(buffer)
 		if n > 0 {
+			s.endSilence()
 			s.task.lastReceived = time.Now()
 		}
 		s.pending = append(s.pending, buffer[:n]...)
@@ -191,17 +198,24 @@
 	}
 }
 
-// setIdleDeadline limits the wait for the next bytes of a stream that another
-// attempt can resume.
-func (s *eventStream) setIdleDeadline() {
-	t := s.task
-	if !t.allowsAttemptAfter(t.startedAttempts) {
+// seekSuccessor seeks a server that resumes the stream, and ends the reading once there
+// is one.
+func (s *eventStream) seekSuccessor() {
+	s.successor = s.task.seekSuccessor(s.ctx, silenceConfirmation, s.response.Interrupt)
+}
+
+// endSilence ends the search for a successor. One that was found takes over, because
+// the reading has been ended for it.
+func (s *eventStream) endSilence() {
+	if s.successor == nil {
 		return
 	}
-	idleDeadline := time.Now().Add(streamIdleTimeout)
-	if idleDeadline.Before(t.deadline) {
-		s.response.SetReadDeadline(idleDeadline)
+	if s.successor.stop() {
+		s.task.next = s.successor
+	} else {
+		s.task.reportSilence(s.successor.obstacle)
 	}
+	s.successor = nil
 }
 
 // writeEvents writes the complete pending events to the caller and flushes them.
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -99,3 +99,15 @@
 		"took_ms", time.Since(t.start).Milliseconds(),
 	)
 }
+
+// reportSilence logs that a silent server has kept its request. The obstacle is what
+// kept another server from taking over, if the silence lasted long enough to ask.
+func (t *task) reportSilence(obstacle denial) {
+	t.server.Log.Info("silent backend server kept its request",
+		"request", t.request.AttemptID,
+		"server", t.lastServer,
+		"last_event", t.lastEventID,
+		"not_repeated", string(obstacle),
+		"silent_ms", time.Since(t.lastReceived).Milliseconds(),
+	)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -198,6 +198,7 @@
 	}
 	t.upstream = t.route.Upstream()
 	t.server.Retries.CountRequest(t.upstream, time.Now())
+	defer t.releaseNext()
 	for {
 		refused, shouldRetry := t.attempt(ctx)
 		if !shouldRetry {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// TestServerThatStaysSilentIsReplaced checks that another server resumes or takes over
+// the request of a server that sends nothing more, well before the deadline.
+func TestServerThatStaysSilentIsReplaced(t *testing.T) {
+	for _, pauseAt := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+			network, _, stop := startPausingSite(t, limits, []pausingServer{{pauseAt: pauseAt, pause: time.Minute}, {unreachable: true}, {}})
+			defer stop()
+			start := time.Now()
+			status, body, complete := callPausingSite(t, network)
+			if status != http.StatusOK || !complete || body != eventText(1, eventCount) {
+				t.Errorf("silent from event %d: status %d, body %q, complete %v; want all %d events", pauseAt, status, body, complete, eventCount)
+			}
+			if time.Since(start) > 3*time.Second {
+				t.Errorf("silent from event %d: the response took %s, want at most 3 s", pauseAt, time.Since(start))
+			}
+		})
+	}
+}
+
 // stallingNetwork opens connections on which the reader is suspended once, past its
 // read deadline, as in a process that gets no processor time.
 type stallingNetwork struct{ *fake.Host }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -18,13 +18,14 @@
 	// have; one more fails the request.
 	maxUnsentAttempts = 4
 	// promptFirstByteTimeout is how long an attempt at a model engine may take to
-	// send the first byte, if another attempt is allowed.
+	// send the first byte before another server is sought, if the route allows
+	// another attempt.
 	promptFirstByteTimeout = 1100 * time.Millisecond
 	// firstByteDivisor divides the time until the deadline to give the same
 	// timeout for other requests.
 	firstByteDivisor = 2.5
-	// streamIdleTimeout is how long a resumable stream may send nothing before it
-	// is resumed at another server.
+	// streamIdleTimeout is how long a resumable stream may send nothing before
+	// another server is sought that resumes it.
 	streamIdleTimeout = 1200 * time.Millisecond
 )
 
@@ -36,6 +37,7 @@
 	deniedByRoute       denial = "route"
 	deniedByAttempts    denial = "attempts_used"
 	deniedByRetryBudget denial = "retry_budget"
+	deniedByServers     denial = "no_other_server"
 )
 
 // task holds the state of one request.
@@ -69,6 +71,8 @@
 	lastReceived time.Time
 	// notRepeated names why no attempt follows the latest one.
 	notRepeated denial
+	// next is the server that takes over from a silent one; nil if none does.
+	next *successor
 
 	// responseStarted is set once the response to the caller has started.
 	responseStarted bool
@@ -87,16 +91,14 @@
 // attempt sends the request to one server. If shouldRetry is set, another attempt
 // must follow; otherwise refused is nil if the response was delivered.
 func (t *task) attempt(ctx context.Context) (refused *refusal, shouldRetry bool) {
-	decision := t.server.Fleet.Pick(place.Query{
-		Now:           time.Now(),
-		Upstream:      t.upstream,
-		FailureDomain: t.server.FailureDomain,
-		Prompt:        t.request.Prompt,
-		Tried:         t.tried,
-	})
-	switch d := decision.(type) {
+	if t.next != nil {
+		next := t.next
+		t.next = nil
+		return t.sendTo(ctx, next.placement, next.connection)
+	}
+	switch d := t.pick(t.tried).(type) {
 	case place.Chosen:
-		return t.sendTo(ctx, d.Placement)
+		return t.sendTo(ctx, d.Placement, nil)
 	case place.Full:
 		return t.fail(reasonServersFull, d.RetryAfter), false
 	default:
@@ -104,6 +106,25 @@
 	}
 }
 
+// pick places the request at a server other than those of tried.
+func (t *task) pick(tried []string) place.Decision {
+	return t.server.Fleet.Pick(place.Query{
+		Now:           time.Now(),
+		Upstream:      t.upstream,
+		FailureDomain: t.server.FailureDomain,
+		Prompt:        t.request.Prompt,
+		Tried:         tried,
+	})
+}
+
+// releaseNext gives back a successor that no attempt has used.
+func (t *task) releaseNext() {
+	if t.next != nil {
+		t.next.release()
+		t.next = nil
+	}
+}
+
 // fail returns the refusal of a request that gets no further attempt: a 502 if a
 // server may have run it, and a 503 with a Retry-After of delay if none did.
 func (t *task) fail(cause reason, delay time.Duration) *refusal {
@@ -113,16 +134,17 @@
 	return serviceUnavailable(cause, delay)
 }
 
-// sendTo makes one attempt at the placed server and handles its response.
-func (t *task) sendTo(ctx context.Context, placement *place.Placement) (refused *refusal, shouldRetry bool) {
+// sendTo makes one attempt at the placed server and handles its response. A nil
+// connection means any one to the server.
+func (t *task) sendTo(ctx context.Context, placement *place.Placement, connection *upstream.Connection) (refused *refusal, shouldRetry bool) {
 	t.tried = append(t.tried, placement.ID)
 	t.lastServer = placement.ID
 	t.lastReceived = time.Now()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stopTimer := t.startFirstByteTimer(cancel)
-	response, err := t.server.Upstream.Do(attemptCtx, placement.ID, placement.Address, t.upstreamRequest(placement))
-	stopTimer()
+	endWait := t.limitFirstByte(ctx, cancel)
+	response, err := t.send(attemptCtx, placement, connection)
+	endWait(err)
 	if err != nil {
 		return t.handleSendError(ctx, placement, err)
 	}
@@ -162,19 +184,38 @@
 	response.Finish()
 }
 
-// startFirstByteTimer starts a timer that cancels the attempt unless the response
-// header arrives in time. It starts none if no attempt is allowed after this one.
-// The returned function stops the timer.
-func (t *task) startFirstByteTimer(cancel context.CancelFunc) (stop func()) {
+// send sends the request and waits for the response header.
+func (t *task) send(ctx context.Context, placement *place.Placement, connection *upstream.Connection) (*upstream.Response, error) {
+	request := t.upstreamRequest(placement)
+	if connection != nil {
+		return connection.Do(ctx, request)
+	}
+	return t.server.Upstream.Do(ctx, placement.ID, placement.Address, request)
+}
+
+// limitFirstByte seeks a successor if the response header takes too long, and cancels
+// the attempt once there is one. It does nothing if no attempt is allowed after this
+// one. The returned function ends the search; with the error of a failed attempt it
+// keeps the successor for the next one.
+func (t *task) limitFirstByte(ctx context.Context, cancel context.CancelFunc) (endWait func(err error)) {
 	if !t.allowsAttemptAfter(t.startedAttempts + 1) {
-		return func() {}
+		return func(error) {}
 	}
 	timeout := time.Duration(float64(time.Until(t.deadline)) / firstByteDivisor)
 	if t.request.Prompt != nil {
 		timeout = promptFirstByteTimeout
 	}
-	timer := time.AfterFunc(timeout, cancel)
-	return func() { timer.Stop() }
+	s := t.seekSuccessor(ctx, timeout, cancel)
+	return func(err error) {
+		if !s.stop() {
+			return
+		}
+		if err == nil {
+			s.release()
+			return
+		}
+		t.next = s
+	}
 }
 
 // upstreamRequest returns the request to send to the placed server.
@@ -262,7 +303,7 @@
 		t.notRepeated = deniedByDeadline
 		return &refusal{reason: reasonTimeout, status: http.StatusGatewayTimeout}, false
 	}
-	if !t.spendRetry() {
+	if t.next == nil && !t.spendRetry() {
 		return refused, false
 	}
 	return nil, true
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -337,7 +337,7 @@
 		p.fleet.notify(p.server, EventReadmitted, 0)
 	}
 	switch outcome.(type) {
-	case Declined, Unreachable:
+	case Declined, Unreachable, Unused:
 		p.cancelPrefill(now)
 	case Served, Failed, Abandoned:
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -59,8 +59,8 @@
 func (Full) isDecision()     {}
 func (NoServer) isDecision() {}
 
-// Outcome is how a placed request ended: Served, Declined, Failed, Unreachable
-// or Abandoned.
+// Outcome is how a placed request ended: Served, Declined, Failed, Unreachable,
+// Abandoned or Unused.
 type Outcome interface {
 	isOutcome()
 }
@@ -84,11 +84,15 @@
 // rate.
 type Abandoned struct{}
 
+// Unused means that the request was not sent to the server after all.
+type Unused struct{}
+
 func (Served) isOutcome()      {}
 func (Declined) isOutcome()    {}
 func (Failed) isOutcome()      {}
 func (Unreachable) isOutcome() {}
 func (Abandoned) isOutcome()   {}
+func (Unused) isOutcome()      {}
 
 // Values of Change.Event.
 const (
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -259,3 +259,16 @@
 		t.Error("the short prompt was not placed at the engine that caches its prefix")
 	}
 }
+
+// TestUnusedPlacementLeavesNoTrace checks that a placement that was not used leaves
+// neither a backlog nor a request in flight, and says nothing about the server's health.
+func TestUnusedPlacementLeavesNoTrace(t *testing.T) {
+	f := fleet(engines(1))
+	for range 5 {
+		pick(t, f, prompt(1, 100_000), start).Done(place.Unused{}, start)
+	}
+	counts := f.Counts(start)
+	if counts.Ready != 1 || counts.InFlight != 0 || counts.Backlog != 0 {
+		t.Errorf("%+v, want one ready server, nothing in flight and no backlog", counts)
+	}
+}
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -86,7 +86,7 @@
 	case Unreachable:
 		s.failureRate += failureRateWeight * (1 - s.failureRate)
 		s.eject(now)
-	case Abandoned:
+	case Abandoned, Unused:
 	}
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -89,6 +89,20 @@
 	return true
 }
 
+// Refund takes back a retry that TryRetry counted and that was not made.
+func (b *Budget) Refund(upstream string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.advance(upstream, now)
+	for back := range int64(windowSlices) {
+		slice := &c.retries[(c.slice+windowSlices-back)%windowSlices]
+		if *slice > 0 {
+			*slice--
+			return
+		}
+	}
+}
+
 // allowed returns the number of retries that the entry may make per window after
 // the given number of requests.
 func (b *Budget) allowed(requests, entries int, now time.Time) float64 {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -109,3 +109,19 @@
 		t.Errorf("%d retries of 10000 requests in ten seconds, want at most a tenth", retries)
 	}
 }
+
+// TestRefundedRetryCanBeUsedAgain checks that a retry that was not made does not count,
+// also when the window has moved on since it was charged.
+func TestRefundedRetryCanBeUsedAgain(t *testing.T) {
+	b := &retry.Budget{Limits: retry.Limits{PerEntry: true, Slack: 1, Window: 10 * time.Second}}
+	for step := range 3 {
+		now := start.Add(time.Duration(step) * time.Second)
+		if !b.TryRetry("pool", 1, now) {
+			t.Fatalf("retry %d was denied", step)
+		}
+		if b.TryRetry("pool", 1, now) {
+			t.Fatalf("retry %d: the budget of one allowed a second one", step)
+		}
+		b.Refund("pool", now.Add(700*time.Millisecond))
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,8 +6,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,11 +44,54 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
+
+	// silenceTimeout is how long a read may wait before it calls onSilence; 0 means
+	// any time. Both belong to the goroutine that reads.
+	silenceTimeout time.Duration
+	onSilence      func()
+
+	mu sync.Mutex
+	// interrupted is set once interrupt was called for the current request.
+	interrupted bool
 }
 
 // newConn returns a new connection to the server id over socket.
 func newConn(id string, socket net.Conn) *conn {
-	return &conn{id: id, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), idleTimeout: idleTimeout}
+	c := &conn{id: id, socket: socket, idleTimeout: idleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read implements io.Reader on the socket. A read that has waited for silenceTimeout
+// calls onSilence and then waits on.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.silenceTimeout == 0 {
+		return c.socket.Read(p)
+	}
+	if !c.setReadDeadline(time.Now().Add(c.silenceTimeout)) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.socket.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if !c.setReadDeadline(time.Time{}) {
+		return 0, err
+	}
+	c.onSilence()
+	return c.socket.Read(p)
+}
+
+// setReadDeadline sets the deadline of the next read, unless the connection was
+// interrupted. It reports whether it did.
+func (c *conn) setReadDeadline(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return false
+	}
+	_ = c.socket.SetReadDeadline(at)
+	return true
 }
 
 func (c *conn) close() {
@@ -68,9 +113,9 @@
 // does. The socket gets no deadline of its own, so that ctx is done whenever an
 // operation fails because of it.
 func (c *conn) roundTrip(ctx context.Context, request *Request) (*Response, error) {
-	err := c.socket.SetDeadline(time.Time{})
+	err := c.reset()
 	if err != nil {
-		return nil, &NotSentError{Err: errors.Newf("clear deadline: %w", err)}
+		return nil, &NotSentError{Err: err}
 	}
 	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
 	requestBody, err := c.send(request)
@@ -86,8 +131,26 @@
 	return &Response{Status: parsed.StatusCode, Header: parsed.Header, conn: c, parsed: parsed, stopInterrupt: stopInterrupt, requestBody: requestBody}, nil
 }
 
-// interrupt makes blocked reads and writes return, by a deadline in the past.
+// reset clears what an earlier request on the connection has set.
+func (c *conn) reset() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = false
+	c.silenceTimeout = 0
+	c.onSilence = nil
+	err := c.socket.SetDeadline(time.Time{})
+	if err != nil {
+		return errors.Newf("clear deadline: %w", err)
+	}
+	return nil
+}
+
+// interrupt makes reads and writes of the current request return, by a deadline in
+// the past.
 func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
 	_ = c.socket.SetDeadline(time.Unix(1, 0))
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -12,7 +12,7 @@
 const maxBodyBytes = 16 << 20
 
 // Response is the response to one request. The caller must end it with Finish or
-// Abandon. It is not safe for concurrent use, except that Abandon may interrupt a
+// Abandon. It is not safe for concurrent use, except that Abandon and Interrupt may end a
 // Read.
 type Response struct {
 	Status int
@@ -82,6 +82,19 @@
 	_ = r.conn.socket.SetReadDeadline(at)
 }
 
+// WatchSilence calls onSilence, in the goroutine that reads, each time a read has
+// waited for timeout. The read then waits on, without a timeout of its own.
+func (r *Response) WatchSilence(timeout time.Duration, onSilence func()) {
+	r.conn.silenceTimeout = timeout
+	r.conn.onSilence = onSilence
+}
+
+// Interrupt makes the reads of a response for which WatchSilence was called fail. It
+// may be called at the same time as Read, and must not be called after Finish.
+func (r *Response) Interrupt() {
+	r.conn.interrupt()
+}
+
 // Finish ends the response. It returns the connection to the idle pool if the body
 // was read to its end and the connection is reusable, and closes it otherwise.
 func (r *Response) Finish() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,22 +73,48 @@
 // the request was sent, the error satisfies IsNotSent.
 func (c *Client) Do(ctx context.Context, id, address string, request *Request) (*Response, error) {
 	conn := c.pool.get(id, request.Once)
-	if conn == nil {
-		newConnection, err := c.dial(ctx, id, address)
-		if err != nil {
-			return nil, &NotSentError{Err: err}
-		}
-		conn = newConnection
+	if conn != nil {
+		return (&Connection{conn: conn, pool: &c.pool}).Do(ctx, request)
 	}
-	response, err := conn.roundTrip(ctx, request)
+	connection, err := c.Dial(ctx, id, address)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	return connection.Do(ctx, request)
+}
+
+// Dial opens a connection to the server with the given id and address for one
+// request. The caller must use or release it.
+func (c *Client) Dial(ctx context.Context, id, address string) (*Connection, error) {
+	conn, err := c.dial(ctx, id, address)
 	if err != nil {
-		conn.close()
 		return nil, err
 	}
-	response.pool = &c.pool
+	return &Connection{conn: conn, pool: &c.pool}, nil
+}
+
+// Connection is an open connection to one server for one request.
+type Connection struct {
+	conn *conn
+	pool *pool
+}
+
+// Do sends the request as Client.Do does. It may be called once.
+func (c *Connection) Do(ctx context.Context, request *Request) (*Response, error) {
+	response, err := c.conn.roundTrip(ctx, request)
+	if err != nil {
+		c.conn.close()
+		return nil, err
+	}
+	response.pool = c.pool
 	return response, nil
 }
 
+// Release keeps an unused connection for later requests.
+func (c *Connection) Release() {
+	c.pool.put(c.conn)
+}
+
 // CloseIdle closes the idle connections to a server.
 func (c *Client) CloseIdle(id string) {
 	c.pool.closeServer(id)
