Forward: a successor takes over once it has begun, and a search ends with its silence

A successor that declined the request, reset it or stayed silent cost the caller an answer that the silent server would have completed.

Cause: the silent server was still left before the step that the hand-over depends on, the successor's acceptance. Besides, a second silence within one read overwrote the running search, which later interrupted a stream that was no longer silent and left a placement behind; a search excluded unreachable servers for good and held a retry while it dialled.

Change: the search sends the request to the other server itself. Either the search is stopped or the successor has taken over, decided under one lock. A retry is charged when the request is sent; servers that declined or were unreachable are asked again.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -165,6 +165,10 @@
 	successor *successor
 }
 
+// silenceConfirmation is how long a server stays silent, once it was noticed, before a
+// successor is sought: an entry that stood still first reads what has come.
+const silenceConfirmation = 20 * time.Millisecond
+
 // streamBufferBytes is the size of one read, and the number of pending bytes at
 // which complete events are forwarded even if more data is buffered.
 const streamBufferBytes = 4 << 10
@@ -199,9 +203,11 @@
 }
 
 // seekSuccessor seeks a server that resumes the stream, and ends the reading once there
-// is one.
+// is one. A read may be silent several times.
 func (s *eventStream) seekSuccessor() {
-	s.successor = s.task.seekSuccessor(s.ctx, silenceConfirmation, s.response.Interrupt)
+	if s.successor == nil {
+		s.successor = s.task.seekSuccessor(s.ctx, silenceConfirmation, s.task.startedAttempts, s.response.Interrupt)
+	}
 }
 
 // endSilence ends the search for a successor. One that was found takes over, because
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -198,7 +198,7 @@
 	}
 	t.upstream = t.route.Upstream()
 	t.server.Retries.CountRequest(t.upstream, time.Now())
-	defer t.releaseNext()
+	defer t.abandonNext()
 	for {
 		refused, shouldRetry := t.attempt(ctx)
 		if !shouldRetry {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -43,6 +44,8 @@
 	pause time.Duration
 	// declines is set if the server declines every request.
 	declines bool
+	// resets is set if the server closes the connection of every request.
+	resets bool
 	// unreachable is set if the server accepts no connection.
 	unreachable bool
 }
@@ -56,6 +59,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.resets {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Stamp", "s")
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
@@ -177,22 +183,135 @@
 		{"within the stream, no retry budget", retry.Limits{}, []pausingServer{{pauseAt: 3, pause: pause}, {}}},
 		{"within the stream, no other server", plenty, []pausingServer{{pauseAt: 3, pause: pause}}},
 		{"within the stream, others unreachable", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {unreachable: true}, {unreachable: true}, {unreachable: true}, {unreachable: true}, {unreachable: true}}},
+		{"within the stream, others decline", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {declines: true}, {declines: true}, {declines: true}}},
+		{"within the stream, the other resets", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {resets: true}}},
+		{"within the stream, the other is silent too", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {pauseAt: 3, pause: pause}}},
+		{"before the stream, others decline", plenty, []pausingServer{{pauseAt: 1, pause: pause}, {declines: true}, {declines: true}, {declines: true}}},
+		{"before the stream, the other resets", plenty, []pausingServer{{pauseAt: 1, pause: pause}, {resets: true}}},
 		{"before the stream, no retry budget", retry.Limits{}, []pausingServer{{pauseAt: 1, pause: pause}, {}}},
 		{"before the stream, no other server", plenty, []pausingServer{{pauseAt: 1, pause: pause}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				network, _, stop := startPausingSite(t, c.limits, c.servers)
+				network, entry, stop := startPausingSite(t, c.limits, c.servers)
 				defer stop()
-				status, body, complete := callPausingSite(t, network)
-				if status != http.StatusOK || !complete || body != eventText(1, eventCount) {
-					t.Errorf("status %d, body %q, complete %v; want all %d events", status, body, complete, eventCount)
-				}
+				expectWholeStream(t, network)
+				expectNothingInFlight(t, entry)
 			})
 		})
 	}
 }
 
+// expectWholeStream sends a request and checks that the response has all events.
+func expectWholeStream(t *testing.T, network *fake.Network) {
+	t.Helper()
+	status, body, complete := callPausingSite(t, network)
+	if status != http.StatusOK || !complete || body != eventText(1, eventCount) {
+		t.Errorf("status %d, body %q, complete %v; want all %d events", status, body, complete, eventCount)
+	}
+}
+
+// expectNothingInFlight checks that no search and no attempt is left some time after
+// the last response.
+func expectNothingInFlight(t *testing.T, entry *forward.Server) {
+	t.Helper()
+	time.Sleep(20 * time.Second)
+	counts := entry.Fleet.Counts(time.Now())
+	if counts.InFlight != 0 {
+		t.Errorf("%d requests in flight, want 0", counts.InFlight)
+	}
+}
+
+// TestSecondSilenceWithinOneReadEndsTheFirstSearch guards against a search that goes on
+// after its stream has: the chunk that ends the first silence completes no read.
+func TestSecondSilenceWithinOneReadEndsTheFirstSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		network, entry, stop := startPausingSite(t, limits, []pausingServer{{}, {resets: true}})
+		defer stop()
+		entry.Fleet.Update([]instances.Instance{{ID: "raw", Upstream: "pool", Address: "10.0.0.50:80", Slots: 8}}, time.Now())
+		listener, err := network.Host("raw").Listen("10.0.0.50:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		go serveInParts(listener)
+		time.AfterFunc(3050*time.Millisecond, func() {
+			entry.Fleet.Update([]instances.Instance{
+				{ID: "raw", Upstream: "pool", Address: "10.0.0.50:80", Slots: 8},
+				{ID: "s1", Upstream: "pool", Address: "10.0.0.2:80", Slots: 8},
+			}, time.Now())
+		})
+		expectWholeStream(t, network)
+		expectNothingInFlight(t, entry)
+	})
+}
+
+// serveInParts answers one request with a stream that is silent between an event and
+// the end of its chunk, and again after that.
+func serveInParts(listener net.Listener) {
+	const silence = 1500 * time.Millisecond
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	chunk := func(number int) string {
+		text := eventText(number, number)
+		return fmt.Sprintf("%x\r\n%s", len(text), text)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%s", request.Header.Get("Id"), chunk(1))
+	time.Sleep(silence)
+	_, _ = io.WriteString(conn, "\r\n")
+	time.Sleep(silence)
+	_, _ = io.WriteString(conn, chunk(2)+"\r\n")
+	time.Sleep(300 * time.Millisecond)
+	_, _ = io.WriteString(conn, chunk(3)+"\r\n"+chunk(4)+"\r\n0\r\n\r\n")
+	time.Sleep(time.Second)
+}
+
+// TestStreamIsResumedOnceAnotherServerIsReachable guards against a search that gives up
+// on servers which were unreachable for a while.
+func TestStreamIsResumedOnceAnotherServerIsReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		network, entry, stop := startPausingSite(t, limits, []pausingServer{{pauseAt: 3, pause: time.Minute}, {unreachable: true}, {unreachable: true}})
+		defer stop()
+		time.AfterFunc(4*time.Second, func() {
+			network.Heal("entry", "s1")
+			network.Heal("entry", "s2")
+		})
+		expectWholeStream(t, network)
+		expectNothingInFlight(t, entry)
+	})
+}
+
+// TestSearchLeavesTheRetryBudgetToOthers guards against searches that hold retries while
+// they try to reach a server.
+func TestSearchLeavesTheRetryBudgetToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := retry.Limits{PerEntry: true, Slack: 1, Window: time.Minute}
+		network, entry, stop := startPausingSite(t, limits, []pausingServer{{pauseAt: 3, pause: 4 * time.Second}, {unreachable: true}, {unreachable: true}})
+		defer stop()
+		denied := 0
+		for at := 1500 * time.Millisecond; at < 4*time.Second; at += 50 * time.Millisecond {
+			time.AfterFunc(at, func() {
+				if !entry.Retries.Allows("pool", 1, time.Now()) {
+					denied++
+				}
+			})
+		}
+		expectWholeStream(t, network)
+		if denied > 0 {
+			t.Errorf("the retry was denied to others at %d moments, want none", denied)
+		}
+	})
+}
+
 // TestServerThatStaysSilentIsReplaced checks that another server resumes or takes over
 // the request of a server that sends nothing more, well before the deadline.
 func TestServerThatStaysSilentIsReplaced(t *testing.T) {
@@ -202,10 +321,7 @@
 			network, _, stop := startPausingSite(t, limits, []pausingServer{{pauseAt: pauseAt, pause: time.Minute}, {unreachable: true}, {}})
 			defer stop()
 			start := time.Now()
-			status, body, complete := callPausingSite(t, network)
-			if status != http.StatusOK || !complete || body != eventText(1, eventCount) {
-				t.Errorf("silent from event %d: status %d, body %q, complete %v; want all %d events", pauseAt, status, body, complete, eventCount)
-			}
+			expectWholeStream(t, network)
 			if time.Since(start) > 3*time.Second {
 				t.Errorf("silent from event %d: the response took %s, want at most 3 s", pauseAt, time.Since(start))
 			}
@@ -254,9 +370,6 @@
 		network, entry, stop := startPausingSite(t, retry.Limits{}, []pausingServer{{}, {}})
 		defer stop()
 		entry.Upstream.Network = stallingNetwork{network.Host("entry")}
-		status, body, complete := callPausingSite(t, network)
-		if status != http.StatusOK || !complete || body != eventText(1, eventCount) {
-			t.Errorf("status %d, body %q, complete %v; want all %d events", status, body, complete, eventCount)
-		}
+		expectWholeStream(t, network)
 	})
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/upstream"
@@ -94,7 +96,8 @@
 	if t.next != nil {
 		next := t.next
 		t.next = nil
-		return t.sendTo(ctx, next.placement, next.connection)
+		t.countFailed(next.failed)
+		return t.sendTo(ctx, next.placement, next)
 	}
 	switch d := t.pick(t.tried).(type) {
 	case place.Chosen:
@@ -117,10 +120,10 @@
 	})
 }
 
-// releaseNext gives back a successor that no attempt has used.
-func (t *task) releaseNext() {
+// abandonNext ends the attempt at a successor that is not used.
+func (t *task) abandonNext() {
 	if t.next != nil {
-		t.next.release()
+		t.next.abandon()
 		t.next = nil
 	}
 }
@@ -134,17 +137,13 @@
 	return serviceUnavailable(cause, delay)
 }
 
-// sendTo makes one attempt at the placed server and handles its response. A nil
-// connection means any one to the server.
-func (t *task) sendTo(ctx context.Context, placement *place.Placement, connection *upstream.Connection) (refused *refusal, shouldRetry bool) {
+// sendTo makes one attempt at the placed server and handles its response. A successor
+// that is not nil has already sent the request.
+func (t *task) sendTo(ctx context.Context, placement *place.Placement, next *successor) (refused *refusal, shouldRetry bool) {
 	t.tried = append(t.tried, placement.ID)
 	t.lastServer = placement.ID
 	t.lastReceived = time.Now()
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	endWait := t.limitFirstByte(ctx, cancel)
-	response, err := t.send(attemptCtx, placement, connection)
-	endWait(err)
+	response, err := t.awaitResponse(ctx, placement, next)
 	if err != nil {
 		return t.handleSendError(ctx, placement, err)
 	}
@@ -153,19 +152,10 @@
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, time.Now())
 	}
-	switch {
-	case info.OtherServer:
-		response.Abandon()
-		placement.MarkReplaced(time.Now())
-		placement.Done(place.Unreachable{}, time.Now())
-		refused, shouldRetry = t.retryDeclined(reasonNotSent)
-		t.reportFailedAttempt(placement, "other_server", "another server answers at this address", shouldRetry)
-		return refused, shouldRetry
-	case info.NotRun:
-		t.discardResponse(response)
-		placement.Done(place.Declined{}, time.Now())
-		refused, shouldRetry = t.retryDeclined(reasonDeclined)
-		t.reportFailedAttempt(placement, "declined", "the server did not run the request", shouldRetry)
+	if info.OtherServer || info.NotRun {
+		d := t.endDeclined(placement, response, info)
+		refused, shouldRetry = t.retryDeclined(d.reason)
+		t.reportFailedAttempt(placement, d.outcome, d.cause, shouldRetry)
 		return refused, shouldRetry
 	}
 	t.mayHaveRun = true
@@ -173,6 +163,26 @@
 	return t.deliver(ctx, placement, response, info)
 }
 
+// declined describes, for the log and for a refusal, why a server did not run a request.
+type declined struct {
+	reason  reason
+	outcome string
+	cause   string
+}
+
+// endDeclined ends an attempt at a server that did not run the request.
+func (t *task) endDeclined(placement *place.Placement, response *upstream.Response, info ResponseInfo) declined {
+	if info.OtherServer {
+		response.Abandon()
+		placement.MarkReplaced(time.Now())
+		placement.Done(place.Unreachable{}, time.Now())
+		return declined{reason: reasonNotSent, outcome: "other_server", cause: "another server answers at this address"}
+	}
+	t.discardResponse(response)
+	placement.Done(place.Declined{}, time.Now())
+	return declined{reason: reasonDeclined, outcome: "declined", cause: "the server did not run the request"}
+}
+
 // discardResponse reads the rest of a response that is not forwarded, so that the
 // connection can be reused.
 func (t *task) discardResponse(response *upstream.Response) {
@@ -184,38 +194,40 @@
 	response.Finish()
 }
 
-// send sends the request and waits for the response header.
-func (t *task) send(ctx context.Context, placement *place.Placement, connection *upstream.Connection) (*upstream.Response, error) {
-	request := t.upstreamRequest(placement)
-	if connection != nil {
-		return connection.Do(ctx, request)
-	}
-	return t.server.Upstream.Do(ctx, placement.ID, placement.Address, request)
-}
+// errSuperseded reports that another server has taken over the request.
+var errSuperseded = errors.New("another server has taken over the request")
 
-// limitFirstByte seeks a successor if the response header takes too long, and cancels
-// the attempt once there is one. It does nothing if no attempt is allowed after this
-// one. The returned function ends the search; with the error of a failed attempt it
-// keeps the successor for the next one.
-func (t *task) limitFirstByte(ctx context.Context, cancel context.CancelFunc) (endWait func(err error)) {
+// awaitResponse sends the request, unless a successor has, and waits for the header of
+// the response. While that takes too long it seeks a successor, if the route allows an
+// attempt after this one.
+func (t *task) awaitResponse(ctx context.Context, placement *place.Placement, next *successor) (*upstream.Response, error) {
+	if next != nil {
+		return next.wait()
+	}
 	if !t.allowsAttemptAfter(t.startedAttempts + 1) {
-		return func(error) {}
+		return t.server.Upstream.Do(ctx, placement.ID, placement.Address, t.upstreamRequest(placement))
 	}
-	timeout := time.Duration(float64(time.Until(t.deadline)) / firstByteDivisor)
-	if t.request.Prompt != nil {
-		timeout = promptFirstByteTimeout
+	attemptCtx, cancel := context.WithCancel(ctx)
+	s := t.seekSuccessor(ctx, t.firstByteTimeout(), t.startedAttempts+1, cancel)
+	response, err := t.server.Upstream.Do(attemptCtx, placement.ID, placement.Address, t.upstreamRequest(placement))
+	if !s.stop() {
+		return response, err
 	}
-	s := t.seekSuccessor(ctx, timeout, cancel)
-	return func(err error) {
-		if !s.stop() {
-			return
-		}
-		if err == nil {
-			s.release()
-			return
-		}
-		t.next = s
+	t.next = s
+	abandonResponse(response)
+	if err == nil {
+		err = errSuperseded
+	}
+	return nil, err
+}
+
+// firstByteTimeout is how long an attempt may take to send the response header before
+// a successor is sought.
+func (t *task) firstByteTimeout() time.Duration {
+	if t.request.Prompt != nil {
+		return promptFirstByteTimeout
 	}
+	return time.Duration(float64(time.Until(t.deadline)) / firstByteDivisor)
 }
 
 // upstreamRequest returns the request to send to the placed server.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -260,9 +260,9 @@
 	}
 }
 
-// TestUnusedPlacementLeavesNoTrace checks that a placement that was not used leaves
+// TestUnusedPlacementLeavesNoLoad checks that a placement that was not used leaves
 // neither a backlog nor a request in flight, and says nothing about the server's health.
-func TestUnusedPlacementLeavesNoTrace(t *testing.T) {
+func TestUnusedPlacementLeavesNoLoad(t *testing.T) {
 	f := fleet(engines(1))
 	for range 5 {
 		pick(t, f, prompt(1, 100_000), start).Done(place.Unused{}, start)
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -81,26 +81,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.advance(upstream, now)
-	first, retries := c.totals()
-	if float64(retries)+1 > b.allowed(first, entries, now) {
+	if !b.allows(c, entries, now) {
 		return false
 	}
 	c.retries[c.sliceIndex()]++
 	return true
 }
 
-// Refund takes back a retry that TryRetry counted and that was not made.
-func (b *Budget) Refund(upstream string, now time.Time) {
+// Allows reports whether TryRetry would allow a retry, and counts none.
+func (b *Budget) Allows(upstream string, entries int, now time.Time) bool {
+	if b.Limits.Window <= 0 {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.advance(upstream, now)
-	for back := range int64(windowSlices) {
-		slice := &c.retries[(c.slice+windowSlices-back)%windowSlices]
-		if *slice > 0 {
-			*slice--
-			return
-		}
-	}
+	return b.allows(b.advance(upstream, now), entries, now)
+}
+
+// allows reports whether the counts of an upstream leave room for a retry; mu is held.
+func (b *Budget) allows(c *counts, entries int, now time.Time) bool {
+	first, retries := c.totals()
+	return float64(retries)+1 <= b.allowed(first, entries, now)
 }
 
 // allowed returns the number of retries that the entry may make per window after
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -110,18 +110,19 @@
 	}
 }
 
-// TestRefundedRetryCanBeUsedAgain checks that a retry that was not made does not count,
-// also when the window has moved on since it was charged.
-func TestRefundedRetryCanBeUsedAgain(t *testing.T) {
+// TestAllowsCountsNothing checks that asking leaves the budget as it is, and that the
+// answer is that of TryRetry.
+func TestAllowsCountsNothing(t *testing.T) {
 	b := &retry.Budget{Limits: retry.Limits{PerEntry: true, Slack: 1, Window: 10 * time.Second}}
-	for step := range 3 {
-		now := start.Add(time.Duration(step) * time.Second)
-		if !b.TryRetry("pool", 1, now) {
-			t.Fatalf("retry %d was denied", step)
+	for range 3 {
+		if !b.Allows("pool", 1, start) {
+			t.Fatal("an unused budget of one retry allows none")
 		}
-		if b.TryRetry("pool", 1, now) {
-			t.Fatalf("retry %d: the budget of one allowed a second one", step)
-		}
-		b.Refund("pool", now.Add(700*time.Millisecond))
+	}
+	if !b.TryRetry("pool", 1, start) {
+		t.Fatal("asking has used up the budget")
+	}
+	if b.Allows("pool", 1, start) || b.TryRetry("pool", 1, start) {
+		t.Error("a used budget of one retry allows another one")
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -79,7 +79,7 @@
 // SetReadDeadline sets the deadline of all further reads. The end of the context that
 // was passed to Client.Do still interrupts them.
 func (r *Response) SetReadDeadline(at time.Time) {
-	_ = r.conn.socket.SetReadDeadline(at)
+	r.conn.setReadDeadline(at)
 }
 
 // WatchSilence calls onSilence, in the goroutine that reads, each time a read has
