Observability: software versions of servers, and which attempt a request resumes

The list's version is read and kept with each server; 'request served', 'request ended', 'attempt failed' and the lines of servers have it, and the first two name the attempt and the event that the caller resumes. Nothing is decided by it.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -68,6 +68,8 @@
 	mayHaveRun bool
 	// lastServer is the id of the server of the latest attempt.
 	lastServer string
+	// lastVersion is the version of that server's software.
+	lastVersion string
 	// lastReceived is when the server of the latest attempt last sent anything, or
 	// when the attempt started.
 	lastReceived time.Time
@@ -142,6 +144,7 @@
 func (t *task) sendTo(ctx context.Context, placement *place.Placement, next *successor) (refused *refusal, shouldRetry bool) {
 	t.tried = append(t.tried, placement.ID)
 	t.lastServer = placement.ID
+	t.lastVersion = placement.Version
 	t.lastReceived = time.Now()
 	response, err := t.awaitResponse(ctx, placement, next)
 	if err != nil {
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -29,6 +29,9 @@
 	// LastEventID is the id of the last event that the caller has received of a
 	// stream that it resumes, or empty.
 	LastEventID string
+	// ContinuedAttempt is the id of the caller's attempt that brought the first event
+	// of a stream that it resumes, or empty.
+	ContinuedAttempt string
 	// Prompt describes the prompt of a request to a model engine; nil for other
 	// requests.
 	Prompt *place.Prompt
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -17,6 +17,8 @@
 	FailureDomain string `cbor:"4,keyasint,omitempty" json:"failure_domain,omitempty"`
 	// Slots is the number of requests that the server runs at once.
 	Slots int `cbor:"5,keyasint,omitempty" json:"slots,omitempty"`
+	// Version is the version of the server's software; empty if the list states none.
+	Version string `cbor:"7,keyasint,omitempty" json:"version,omitempty"`
 	// Leaving is set when the server is about to stop.
 	Leaving bool `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
 }
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -197,7 +197,7 @@
 func checksumOf(list []Instance) uint64 {
 	hash := fnv.New64a()
 	for _, i := range list {
-		_, _ = fmt.Fprintf(hash, "%s %s %s %s %d %t\n", i.ID, i.Upstream, i.Address, i.FailureDomain, i.Slots, i.Leaving)
+		_, _ = fmt.Fprintf(hash, "%s %s %s %s %d %q %t\n", i.ID, i.Upstream, i.Address, i.FailureDomain, i.Slots, i.Version, i.Leaving)
 	}
 	return hash.Sum64()
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -82,6 +82,8 @@
 	// ID is the instance id of the server.
 	ID      string
 	Address string
+	// Version is the version of the server's software; empty if none is known.
+	Version string
 	// PrefillTime is the estimated time that the engine needs to process the
 	// uncached part of the prompt.
 	PrefillTime time.Duration
@@ -127,7 +129,7 @@
 	if f.Changed == nil {
 		return
 	}
-	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Event: event, FailureRate: s.failureRate, EjectedFor: ejectedFor})
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, EjectedFor: ejectedFor})
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
@@ -146,6 +148,7 @@
 	s.address = instance.Address
 	s.failureDomain = instance.FailureDomain
 	s.slots = max(1, instance.Slots)
+	s.version = instance.Version
 	if known && leaving == s.leaving {
 		return
 	}
@@ -292,7 +295,7 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, fleet: f, server: s}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s}
 	s.inFlight++
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -109,6 +109,8 @@
 	Server   string
 	Upstream string
 	Address  string
+	// Version is the version of the server's software.
+	Version string
 	// Event is one of the Event constants.
 	Event string
 	// FailureRate is the moving average of failed requests, from 0 to 1.
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -25,8 +25,10 @@
 	upstream      string
 	address       string
 	failureDomain string
-	slots         int
-	leaving       bool
+	// version is the version of the server's software.
+	version string
+	slots   int
+	leaving bool
 
 	// inFlight counts this entry's requests at the server.
 	inFlight int
