--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -29,7 +29,8 @@
 
 // testTranslator implements forward.Translator with a few headers: Id is the
 // attempt id, Stamp the signature of a server's response, and Not-Run marks a
-// request that the server declined.
+// request that the server declined. Last is the event after which a stream goes on,
+// and Continues the attempt that began it.
 type testTranslator struct{}
 
 func (testTranslator) Request(r *http.Request) (*forward.Request, error) {
@@ -37,6 +38,7 @@
 	return &forward.Request{
 		AttemptID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Method: r.Method, Host: r.Host,
 		Path: r.URL.EscapedPath(), Target: r.RequestURI, CallerTimeout: timeout, Header: r.Header,
+		LastEventID: r.Header.Get("Last"), ContinuedAttempt: r.Header.Get("Continues"),
 	}, nil
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -48,6 +48,16 @@
 	resets bool
 	// unreachable is set if the server accepts no connection.
 	unreachable bool
+	// breaksAt is the number of the event before which the server closes the
+	// connection of a stream from its start; 0 means that it does not.
+	breaksAt int
+	// version is the version of the server's software.
+	version string
+	// domain is the server's failure domain; empty means b. The entry and the first
+	// server are in a.
+	domain string
+	// sent, if not nil, is called for each event that is sent.
+	sent func(version string, number int)
 }
 
 // ServeHTTP streams eventCount events, or the rest of them to a request that resumes
@@ -73,6 +83,12 @@
 		if number == s.pauseAt {
 			time.Sleep(s.pause)
 		}
+		if number == s.breaksAt && first == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		if s.sent != nil {
+			s.sent(s.version, number)
+		}
 		_, _ = io.WriteString(w, eventText(number, number))
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(10 * time.Millisecond)
@@ -118,11 +134,14 @@
 		if server.unreachable {
 			network.Cut("entry", host)
 		}
-		domain := "b"
+		domain := server.domain
+		if domain == "" {
+			domain = "b"
+		}
 		if i == 0 {
 			domain = "a"
 		}
-		list = append(list, instances.Instance{ID: host, Upstream: "pool", Address: address, FailureDomain: domain, Slots: 8})
+		list = append(list, instances.Instance{ID: host, Upstream: "pool", Address: address, FailureDomain: domain, Slots: 8, Version: server.version})
 	}
 	client := &upstream.Client{Network: network.Host("entry")}
 	entry = &forward.Server{
@@ -152,6 +171,12 @@
 // callPausingSite sends one request to the entry and returns the status, the body and
 // whether the response is complete.
 func callPausingSite(t *testing.T, network *fake.Network) (status int, body string, complete bool) {
+	t.Helper()
+	return callWithHeader(t, network, http.Header{"Id": {"a1"}})
+}
+
+// callWithHeader is callPausingSite with further headers.
+func callWithHeader(t *testing.T, network *fake.Network, header http.Header) (status int, body string, complete bool) {
 	t.Helper()
 	transport := &http.Transport{DialContext: network.Host("caller").DialContext}
 	defer transport.CloseIdleConnections()
@@ -160,7 +185,9 @@
 		t.Fatal(err)
 	}
 	request.Host = "one.example"
-	request.Header = http.Header{"Id": {"a1"}, "Key": {"secret"}, "Prompt": {modelPrompt}}
+	request.Header = header
+	request.Header.Set("Key", "secret")
+	request.Header.Set("Prompt", modelPrompt)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0, "", false
--- /dev/null
+++ b/internal/forward/version_test.go
@@ -0,0 +1,154 @@
+package forward_test
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/retry"
+)
+
+// sentEvents records which software versions sent events.
+type sentEvents struct {
+	mu       sync.Mutex
+	versions []string
+}
+
+// record records an event.
+func (e *sentEvents) record(version string, _ int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.versions = append(e.versions, version)
+}
+
+// distinct returns the versions that sent events.
+func (e *sentEvents) distinct() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sorted := slices.Clone(e.versions)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
+// expectVersions checks which versions sent events.
+func (e *sentEvents) expectVersions(t *testing.T, want ...string) {
+	t.Helper()
+	got := e.distinct()
+	if !slices.Equal(got, want) {
+		t.Errorf("events of versions %v, want %v", got, want)
+	}
+}
+
+// versionedServers returns a server of v1 that breaks each new stream before its third
+// event, a cheaper one of v2 and one of v1 in another failure domain.
+func versionedServers(events *sentEvents) []pausingServer {
+	return []pausingServer{
+		{version: "v1", breaksAt: 3, sent: events.record},
+		{version: "v2", domain: "a", sent: events.record},
+		{version: "v1", sent: events.record},
+	}
+}
+
+// TestBrokenStreamGoesOnAtItsVersion guards against a stream that an entry resumes at a
+// server of another software version than the one that began it.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		network, _, stop := startPausingSite(t, limits, versionedServers(&events))
+		defer stop()
+		expectWholeStream(t, network)
+		events.expectVersions(t, "v1")
+	})
+}
+
+// TestBrokenStreamEndsWithoutItsVersion checks that a stream ends visibly incomplete if
+// no other server of its software version is left.
+func TestBrokenStreamEndsWithoutItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		network, _, stop := startPausingSite(t, limits, versionedServers(&events)[:2])
+		defer stop()
+		_, body, complete := callPausingSite(t, network)
+		if body != eventText(1, 2) || complete {
+			t.Errorf("body %q, complete %v; want two events and a closed connection", body, complete)
+		}
+		events.expectVersions(t, "v1")
+	})
+}
+
+// TestSilentStreamGoesOnAtItsVersion guards against a successor of another software
+// version for a server that is silent.
+func TestSilentStreamGoesOnAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		servers := versionedServers(&events)
+		servers[0] = pausingServer{version: "v1", pauseAt: 3, pause: time.Minute, sent: events.record}
+		network, _, stop := startPausingSite(t, limits, servers)
+		defer stop()
+		expectWholeStream(t, network)
+		events.expectVersions(t, "v1")
+	})
+}
+
+// TestCallerResumesAtTheVersionThatBegan guards against a caller's further try that goes
+// on at another software version than the one that began its stream.
+func TestCallerResumesAtTheVersionThatBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		network, _, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
+		defer stop()
+		_, body, complete := callPausingSite(t, network)
+		if body != eventText(1, 2) || complete {
+			t.Fatalf("body %q, complete %v; want two events and a closed connection", body, complete)
+		}
+		status, body, complete := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"a1"}})
+		if status != http.StatusOK || body != eventText(3, eventCount) || !complete {
+			t.Errorf("status %d, body %q, complete %v; want the rest of the stream", status, body, complete)
+		}
+		events.expectVersions(t, "v1")
+	})
+}
+
+// TestUnknownStreamIsNotGuessed checks that a request that resumes a stream is refused
+// as not run while several versions serve and none of the entries knows the one that
+// began it.
+func TestUnknownStreamIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		network, _, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
+		defer stop()
+		for _, header := range []http.Header{
+			{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}},
+			{"Id": {"a3"}, "Last": {"2"}},
+		} {
+			status, body, _ := callWithHeader(t, network, header)
+			if status != http.StatusServiceUnavailable {
+				t.Errorf("status %d, body %q; want 503", status, body)
+			}
+		}
+		events.expectVersions(t)
+	})
+}
+
+// TestOnlyVersionNeedsNoRecord checks that a stream of which no entry knows the version
+// goes on if no other version has served for as long as the stream may have lasted.
+func TestOnlyVersionNeedsNoRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		servers := versionedServers(&events)
+		servers[1].version = "v1"
+		network, _, stop := startPausingSite(t, retry.Limits{}, servers)
+		defer stop()
+		time.Sleep(time.Minute)
+		status, body, complete := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}})
+		if status != http.StatusOK || body != eventText(3, eventCount) || !complete {
+			t.Errorf("status %d, body %q, complete %v; want the rest of the stream", status, body, complete)
+		}
+	})
+}
