Gossip: entries tell each other at which version a stream began

Cause: only the entry that began a stream knew at which software version, so that another entry could not go on at the same one.

Change: Began stores the version and sends one datagram to each of two keepers, chosen by rendezvous hashing among the other entries. VersionOf asks the three highest of all (which always include both keepers, whether or not the first entry is still counted) twice, then all peers once, 25 ms each. Entries also answer that they don't know, which ends a round early. The first version wins. Versions are kept for 30 to 60 s, at most 65,536.

Ruled out: keepers among all entries including the first, because it would then often be one of the two and leave one copy when it is killed. A queue as for prompts, because a killed entry loses what waits in it; the socket's usual write, because it waits while the send buffer is full. Datagrams are sent directly without waiting, and dropped and counted if the buffer is full. That full buffer is not tested.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,8 +1,9 @@
 // Package gossip exchanges UDP datagrams between entries. An entry announces
 // the prompts that it places, so that all entries know the prefill backlog of
-// each engine, and lends tokens to entries that can't draw any from the control
-// group. A lost datagram leads to a worse placement, or to a loan whose tokens
-// then count as spent.
+// each engine, lends tokens to entries that can't draw any from the control
+// group, and tells others at which software version a stream began. A lost
+// datagram leads to a worse placement, to a loan whose tokens then count as
+// spent, or to a stream whose version is unknown.
 package gossip
 
 import (
@@ -12,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -47,14 +49,18 @@
 	Log           *log.Logger
 
 	socket *net.UDPConn
-	peers  atomic.Pointer[[]netip.AddrPort]
-	queue  chan promptMessage
-	// sent, received and dropped count datagrams; dropped are announcements that were
-	// not sent.
+	// descriptor is the socket for sends that must not block.
+	descriptor syscall.RawConn
+	peers      atomic.Pointer[[]netip.AddrPort]
+	queue      chan promptMessage
+	// sent, received and dropped count datagrams; dropped are those that were not
+	// sent.
 	sent     atomic.Int64
 	received atomic.Int64
 	dropped  atomic.Int64
 	loans    loans
+	versions versionTable
+	queries  streamQueries
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -71,6 +77,11 @@
 	if err != nil {
 		return errors.Newf("listen for gossip datagrams: %w", err)
 	}
+	g.descriptor, err = g.socket.SyscallConn()
+	if err != nil {
+		_ = g.socket.Close()
+		return errors.Newf("get the descriptor of the gossip socket: %w", err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop = cancel
 	g.queue = make(chan promptMessage, maxQueuedPrompts)
@@ -90,8 +101,8 @@
 type Counts struct {
 	Sent     int64
 	Received int64
-	// Dropped counts announcements that were not sent, because too many waited or the
-	// rate limit was reached.
+	// Dropped counts datagrams that were not sent, because too many waited, the rate
+	// limit was reached or the socket's buffer was full.
 	Dropped int64
 }
 
@@ -183,6 +194,29 @@
 	}
 }
 
+// trySend sends one datagram, or drops it if the socket's buffer is full. Unlike
+// send, it never waits for room or for another send.
+func (g *Gossiper) trySend(data []byte, to netip.AddrPort) {
+	address := to.Addr().Unmap()
+	if !address.Is4() {
+		g.dropped.Add(1)
+		return
+	}
+	destination := syscall.SockaddrInet4{Port: int(to.Port()), Addr: address.As4()}
+	var sendErr error
+	err := g.descriptor.Control(func(descriptor uintptr) {
+		sendErr = syscall.Sendto(int(descriptor), data, syscall.MSG_DONTWAIT, &destination)
+	})
+	if err == nil && sendErr == nil {
+		g.sent.Add(1)
+		return
+	}
+	g.dropped.Add(1)
+	if sendErr != nil {
+		g.Log.Debug("the datagram could not be sent", "to", to.String(), "err", sendErr.Error())
+	}
+}
+
 // receiveLoop handles incoming datagrams until the socket is closed.
 func (g *Gossiper) receiveLoop() {
 	buffer := make([]byte, maxDatagramLength)
@@ -227,6 +261,12 @@
 		return g.handleLoanRequest(data, from)
 	case formatLoanResponse:
 		return g.handleLoanResponse(data, from)
+	case formatStreamAnnouncement:
+		return g.handleStreamAnnouncement(data)
+	case formatStreamQuery:
+		return g.handleStreamQuery(data, from)
+	case formatStreamAnswer:
+		return g.handleStreamAnswer(data, from)
 	default:
 		return errInvalidDatagram
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -12,10 +12,13 @@
 
 const (
 	// The first byte of a datagram is the format of its message.
-	formatPrompt       = 1
-	formatLoanRequest  = 2
-	formatLoanResponse = 3
-	formatList         = 4
+	formatPrompt             = 1
+	formatLoanRequest        = 2
+	formatLoanResponse       = 3
+	formatList               = 4
+	formatStreamAnnouncement = 5
+	formatStreamQuery        = 6
+	formatStreamAnswer       = 7
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
