Gossip: entries tell each other the origin of a stream, as a text

A stream of a split route begins at one of several services, so that the version alone doesn't say where it goes on. The text may be 128 bytes long; an entry stores it and passes it on without reading it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,9 +1,9 @@
 // Package gossip exchanges UDP datagrams between entries. An entry announces
 // the prompts that it places, so that all entries know the prefill backlog of
 // each engine, lends tokens to entries that can't draw any from the control
-// group, and tells others at which software version a stream began. A lost
-// datagram leads to a worse placement, to a loan whose tokens then count as
-// spent, or to a stream whose version is unknown.
+// group, and tells others where a stream began: its origin, a text that only
+// package forward reads. A lost datagram leads to a worse placement, to a loan
+// whose tokens then count as spent, or to a stream whose origin is unknown.
 package gossip
 
 import (
@@ -59,7 +59,7 @@
 	received atomic.Int64
 	dropped  atomic.Int64
 	loans    loans
-	versions versionTable
+	origins  originTable
 	queries  streamQueries
 
 	stop context.CancelFunc
--- a/internal/gossip/versions.go
+++ b/internal/gossip/origins.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// versionTTL is how long the version of a stream is kept at least.
-	versionTTL = 30 * time.Second
-	// maxVersions bounds the streams whose versions an entry keeps.
-	maxVersions = 65536
+	// originTTL is how long the origin of a stream is kept at least.
+	originTTL = 30 * time.Second
+	// maxOrigins bounds the streams whose origins an entry keeps.
+	maxOrigins = 65536
 	// maxGeneration is the number of streams at which a generation is full.
-	maxGeneration = maxVersions / 2
+	maxGeneration = maxOrigins / 2
 )
 
-// versionTable maps the attempts that began streams to software versions. It
-// keeps each for versionTTL to twice versionTTL, or until maxGeneration newer
+// originTable maps the attempts that began streams to origins. It
+// keeps each for originTTL to twice originTTL, or until maxGeneration newer
 // ones are known. The zero value is empty and ready to use.
-type versionTable struct {
+type originTable struct {
 	mu sync.Mutex
 	// current receives new streams; older is the generation before it.
 	current, older map[string]string
@@ -25,9 +25,9 @@
 	rotated time.Time
 }
 
-// add records the version of an attempt and returns the version kept: the first
-// one recorded. A repeated record keeps the attempt for another versionTTL.
-func (t *versionTable) add(attempt, version string, now time.Time) string {
+// add records the origin of an attempt and returns the origin kept: the first
+// one recorded. A repeated record keeps the attempt for another originTTL.
+func (t *originTable) add(attempt, origin string, now time.Time) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -37,7 +37,7 @@
 	}
 	kept, found = t.older[attempt]
 	if !found {
-		kept = version
+		kept = origin
 	}
 	if t.current == nil || len(t.current) >= maxGeneration {
 		t.rotate(now)
@@ -46,32 +46,32 @@
 	return kept
 }
 
-// lookup returns the version of an attempt, and false if there is none.
-func (t *versionTable) lookup(attempt string, now time.Time) (string, bool) {
+// lookup returns the origin of an attempt, and false if there is none.
+func (t *originTable) lookup(attempt string, now time.Time) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	version, found := t.current[attempt]
+	origin, found := t.current[attempt]
 	if !found {
-		version, found = t.older[attempt]
+		origin, found = t.older[attempt]
 	}
-	return version, found
+	return origin, found
 }
 
 // expire drops the generations that have ended; mu is held.
-func (t *versionTable) expire(now time.Time) {
+func (t *originTable) expire(now time.Time) {
 	age := now.Sub(t.rotated)
-	if age < versionTTL {
+	if age < originTTL {
 		return
 	}
 	t.rotate(now)
-	if age >= 2*versionTTL {
+	if age >= 2*originTTL {
 		t.older = nil
 	}
 }
 
 // rotate starts a new generation and drops the oldest; mu is held.
-func (t *versionTable) rotate(now time.Time) {
+func (t *originTable) rotate(now time.Time) {
 	t.older = t.current
 	t.current = make(map[string]string)
 	t.rotated = now
--- a/internal/gossip/versions_test.go
+++ b/internal/gossip/origins_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// A version must be known for versionTTL after the last record of its attempt,
+// A origin must be known for originTTL after the last record of its attempt,
 // and forgotten when twice that time has passed.
-func TestVersionsExpire(t *testing.T) {
+func TestOriginsExpire(t *testing.T) {
 	start := time.Now()
 	for _, c := range []struct {
 		name     string
@@ -18,60 +18,60 @@
 		known    bool
 	}{
 		{"at once", []time.Duration{0}, 0, true},
-		{"before the TTL", []time.Duration{0}, versionTTL - 1, true},
-		{"late in its generation", []time.Duration{versionTTL - 1}, 2*versionTTL - 2, true},
-		{"after twice the TTL", []time.Duration{0}, 2 * versionTTL, false},
-		{"recorded again", []time.Duration{0, versionTTL + 1}, 2*versionTTL + 1, true},
-		{"recorded again and expired", []time.Duration{0, versionTTL + 1}, 4 * versionTTL, false},
+		{"before the TTL", []time.Duration{0}, originTTL - 1, true},
+		{"late in its generation", []time.Duration{originTTL - 1}, 2*originTTL - 2, true},
+		{"after twice the TTL", []time.Duration{0}, 2 * originTTL, false},
+		{"recorded again", []time.Duration{0, originTTL + 1}, 2*originTTL + 1, true},
+		{"recorded again and expired", []time.Duration{0, originTTL + 1}, 4 * originTTL, false},
 	} {
-		var table versionTable
+		var table originTable
 		table.add("earlier", "v0", start)
 		for _, at := range c.recorded {
 			table.add("a", "v1", start.Add(at))
 		}
-		version, known := table.lookup("a", start.Add(c.looked))
-		if known != c.known || known && version != "v1" {
-			t.Errorf("%s: version %q known %t, want %t", c.name, version, known, c.known)
+		origin, known := table.lookup("a", start.Add(c.looked))
+		if known != c.known || known && origin != "v1" {
+			t.Errorf("%s: origin %q known %t, want %t", c.name, origin, known, c.known)
 		}
 	}
 }
 
 // Lookups between the generations must not make an entry older than it is.
-func TestLookupsDontExpireVersions(t *testing.T) {
+func TestLookupsDontExpireOrigins(t *testing.T) {
 	start := time.Now()
-	var table versionTable
+	var table originTable
 	table.add("earlier", "v0", start)
-	recorded := start.Add(versionTTL - time.Second)
+	recorded := start.Add(originTTL - time.Second)
 	table.add("a", "v1", recorded)
-	for age := time.Duration(0); age < versionTTL; age += time.Second {
+	for age := time.Duration(0); age < originTTL; age += time.Second {
 		_, known := table.lookup("a", recorded.Add(age))
 		if !known {
-			t.Fatalf("unknown %s after it was recorded, want it known for %s", age, versionTTL)
+			t.Fatalf("unknown %s after it was recorded, want it known for %s", age, originTTL)
 		}
 	}
 }
 
-// The stream began at the version recorded first, whichever generation holds it.
-func TestFirstVersionIsKept(t *testing.T) {
+// The stream began at the origin recorded first, whichever generation holds it.
+func TestFirstOriginIsKept(t *testing.T) {
 	start := time.Now()
-	var table versionTable
-	for _, at := range []time.Duration{0, 1, versionTTL + 1, 2*versionTTL + 1} {
+	var table originTable
+	for _, at := range []time.Duration{0, 1, originTTL + 1, 2*originTTL + 1} {
 		kept := table.add("a", fmt.Sprint("v", at), start.Add(at))
 		if kept != "v0s" {
-			t.Errorf("kept %q at %s, want the version recorded first", kept, at)
+			t.Errorf("kept %q at %s, want the origin recorded first", kept, at)
 		}
 	}
 }
 
 // A full table must drop the oldest streams and stay within its bound.
-func TestOverfullVersions(t *testing.T) {
-	const streams = maxVersions + maxGeneration
+func TestOverfullOrigins(t *testing.T) {
+	const streams = maxOrigins + maxGeneration
 	now := time.Now()
-	var table versionTable
+	var table originTable
 	for i := range streams {
 		table.add(fmt.Sprint(i), "v1", now)
-		if held := len(table.current) + len(table.older); held > maxVersions {
-			t.Fatalf("%d streams held, want at most %d", held, maxVersions)
+		if held := len(table.current) + len(table.older); held > maxOrigins {
+			t.Fatalf("%d streams held, want at most %d", held, maxOrigins)
 		}
 	}
 	if _, known := table.lookup("0", now); known {
@@ -100,9 +100,9 @@
 			start := time.Now()
 			ctx, cancel := contextWithTimeout(t, c.limit)
 			defer cancel()
-			version, known := g.VersionOf(ctx, "a")
+			origin, known := g.OriginOf(ctx, "a")
 			if known || time.Since(start) != c.want {
-				t.Errorf("limit %s: version %q known %t after %s, want unknown after %s", c.limit, version, known, time.Since(start), c.want)
+				t.Errorf("limit %s: origin %q known %t after %s, want unknown after %s", c.limit, origin, known, time.Since(start), c.want)
 			}
 		})
 	}
--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// copies is how many other entries are told at which version a stream began.
+	// copies is how many other entries are told where a stream began.
 	copies = 2
 	// askedKeepers is how many entries are asked first. It exceeds copies by one,
 	// because the entry where the stream began may be among them.
@@ -24,29 +24,28 @@
 	keeperAttempts = 2
 	// maxStreamQueries bounds the queries that wait for answers.
 	maxStreamQueries = 1024
-	// maxAttemptLength and maxVersionLength bound the names in a message, in
+	// maxAttemptLength and maxOriginLength bound the names in a message, in
 	// bytes.
 	maxAttemptLength = 64
-	maxVersionLength = 64
+	maxOriginLength  = 128
 
 	minStreamAnnouncementLength = 1 + 1
 	minStreamQueryLength        = 1 + 8
 	minStreamAnswerLength       = 1 + 8
 )
 
-// streamAnnouncement states at which software version the stream of an attempt
-// began. It is encoded as the format, the length and bytes of the attempt id and
-// the version.
+// streamAnnouncement states where the stream of an attempt began. It is encoded as the format, the length and bytes of the attempt id and
+// the origin.
 type streamAnnouncement struct {
 	attempt string
-	version string
+	origin  string
 }
 
 // append appends the encoded message to buffer.
 func (a streamAnnouncement) append(buffer []byte) []byte {
 	buffer = append(buffer, formatStreamAnnouncement, byte(len(a.attempt)))
 	buffer = append(buffer, a.attempt...)
-	return append(buffer, a.version...)
+	return append(buffer, a.origin...)
 }
 
 // decodeStreamAnnouncement decodes a streamAnnouncement or returns
@@ -60,14 +59,14 @@
 	if len(data) < length {
 		return streamAnnouncement{}, errInvalidDatagram
 	}
-	a := streamAnnouncement{attempt: string(data[:length]), version: string(data[length:])}
-	if !validAttempt(a.attempt) || !validVersion(a.version) {
+	a := streamAnnouncement{attempt: string(data[:length]), origin: string(data[length:])}
+	if !validAttempt(a.attempt) || !validOrigin(a.origin) {
 		return streamAnnouncement{}, errInvalidDatagram
 	}
 	return a, nil
 }
 
-// streamQuery asks at which software version the stream of an attempt began. It
+// streamQuery asks where the stream of an attempt began. It
 // is encoded as the format, the id of the query and the attempt id. Numbers are
 // big-endian.
 type streamQuery struct {
@@ -94,19 +93,19 @@
 	return q, nil
 }
 
-// streamAnswer answers a streamQuery; the version is empty if the entry doesn't
-// know it. It is encoded as the format, the id of the query and the version.
+// streamAnswer answers a streamQuery; the origin is empty if the entry doesn't
+// know it. It is encoded as the format, the id of the query and the origin.
 // Numbers are big-endian.
 type streamAnswer struct {
-	id      uint64
-	version string
+	id     uint64
+	origin string
 }
 
 // append appends the encoded message to buffer.
 func (a streamAnswer) append(buffer []byte) []byte {
 	buffer = append(buffer, formatStreamAnswer)
 	buffer = binary.BigEndian.AppendUint64(buffer, a.id)
-	return append(buffer, a.version...)
+	return append(buffer, a.origin...)
 }
 
 // decodeStreamAnswer decodes a streamAnswer or returns errInvalidDatagram.
@@ -114,8 +113,8 @@
 	if len(data) < minStreamAnswerLength || data[0] != formatStreamAnswer {
 		return streamAnswer{}, errInvalidDatagram
 	}
-	a := streamAnswer{id: binary.BigEndian.Uint64(data[1:]), version: string(data[minStreamAnswerLength:])}
-	if len(a.version) > maxVersionLength {
+	a := streamAnswer{id: binary.BigEndian.Uint64(data[1:]), origin: string(data[minStreamAnswerLength:])}
+	if len(a.origin) > maxOriginLength {
 		return streamAnswer{}, errInvalidDatagram
 	}
 	return a, nil
@@ -126,15 +125,15 @@
 	return attempt != "" && len(attempt) <= maxAttemptLength
 }
 
-// validVersion reports whether a message can carry a software version.
-func validVersion(version string) bool {
-	return version != "" && len(version) <= maxVersionLength
+// validOrigin reports whether a message can carry an origin.
+func validOrigin(origin string) bool {
+	return origin != "" && len(origin) <= maxOriginLength
 }
 
-// receivedAnswer is the version in one entry's answer to a query, or empty.
+// receivedAnswer is the origin in one entry's answer to a query, or empty.
 type receivedAnswer struct {
-	from    netip.AddrPort
-	version string
+	from   netip.AddrPort
+	origin string
 }
 
 // streamQueries tracks the queries of this entry that wait for answers. The zero
@@ -180,51 +179,49 @@
 	}
 }
 
-// Began records that the stream of a caller's attempt has begun at a backend
-// server of the given software version, and tells the entries that keep a copy.
-// It never blocks; an empty or overlong attempt or version is not recorded.
-func (g *Gossiper) Began(attempt, version string) {
-	if !validAttempt(attempt) || !validVersion(version) {
+// Began records the origin of the stream of a caller's attempt and tells the
+// entries that keep a copy. It never blocks; an empty or overlong attempt or origin is not recorded.
+func (g *Gossiper) Began(attempt, origin string) {
+	if !validAttempt(attempt) || !validOrigin(origin) {
 		return
 	}
-	kept := g.remember(attempt, version)
-	data := streamAnnouncement{attempt: attempt, version: kept}.append(nil)
+	kept := g.remember(attempt, origin)
+	data := streamAnnouncement{attempt: attempt, origin: kept}.append(nil)
 	for _, keeper := range keepers(attempt, g.peerAddresses(), copies) {
 		g.trySend(data, keeper)
 	}
 }
 
-// VersionOf returns the software version at which the stream of an attempt
-// began, from this entry's memory, or else from the entries that keep a copy, or
+// OriginOf returns the origin of the stream of an attempt, from this entry's memory, or else from the entries that keep a copy, or
 // else from all peers. known is false if no entry says so in time.
-func (g *Gossiper) VersionOf(ctx context.Context, attempt string) (version string, known bool) {
+func (g *Gossiper) OriginOf(ctx context.Context, attempt string) (origin string, known bool) {
 	if !validAttempt(attempt) {
 		return "", false
 	}
-	version, known = g.versions.lookup(attempt, time.Now())
+	origin, known = g.origins.lookup(attempt, time.Now())
 	if known {
-		return version, true
+		return origin, true
 	}
-	version = g.queryPeers(ctx, attempt)
-	if version != "" {
-		return g.remember(attempt, version), true
+	origin = g.queryPeers(ctx, attempt)
+	if origin != "" {
+		return g.remember(attempt, origin), true
 	}
 	// An announcement may have arrived during the query.
-	return g.versions.lookup(attempt, time.Now())
+	return g.origins.lookup(attempt, time.Now())
 }
 
-// remember stores the version of an attempt and returns the version kept, which
+// remember stores the origin of an attempt and returns the origin kept, which
 // is the first one stored.
-func (g *Gossiper) remember(attempt, version string) string {
-	kept := g.versions.add(attempt, version, time.Now())
-	if kept != version {
-		g.Log.Debug("a stream was announced at a second software version, which is ignored", "attempt", attempt, "kept", kept, "ignored", version)
+func (g *Gossiper) remember(attempt, origin string) string {
+	kept := g.origins.add(attempt, origin, time.Now())
+	if kept != origin {
+		g.Log.Debug("a stream was announced at a second origin, which is ignored", "attempt", attempt, "kept", kept, "ignored", origin)
 	}
 	return kept
 }
 
 // queryPeers asks first the keepers of an attempt and then all peers for its
-// version. It returns an empty version if none knows it.
+// origin. It returns an empty origin if none knows it.
 func (g *Gossiper) queryPeers(ctx context.Context, attempt string) string {
 	peers := g.peerAddresses()
 	asked := keepers(attempt, peers, askedKeepers)
@@ -235,18 +232,18 @@
 	defer g.queries.close(id)
 	data := streamQuery{id: id, attempt: attempt}.append(nil)
 	for range keeperAttempts {
-		var version string
-		version, asked = g.ask(ctx, data, asked, answers)
-		if version != "" {
-			return version
+		var origin string
+		origin, asked = g.ask(ctx, data, asked, answers)
+		if origin != "" {
+			return origin
 		}
 	}
-	version, _ := g.ask(ctx, data, peers, answers)
-	return version
+	origin, _ := g.ask(ctx, data, peers, answers)
+	return origin
 }
 
 // ask sends an encoded query to entries and waits up to streamAnswerTimeout. It
-// returns the first version answered, or else the entries that didn't answer.
+// returns the first origin answered, or else the entries that didn't answer.
 func (g *Gossiper) ask(ctx context.Context, query []byte, entries []netip.AddrPort, answers <-chan receivedAnswer) (string, []netip.AddrPort) {
 	if ctx.Err() != nil || len(entries) == 0 {
 		return "", entries
@@ -260,8 +257,8 @@
 	for len(silent) > 0 {
 		select {
 		case a := <-answers:
-			if a.version != "" {
-				return a.version, nil
+			if a.origin != "" {
+				return a.origin, nil
 			}
 			silent = slices.DeleteFunc(silent, func(entry netip.AddrPort) bool { return entry == a.from })
 		case <-timeout.C:
@@ -273,13 +270,13 @@
 	return "", nil
 }
 
-// handleStreamAnnouncement stores the version that a peer announces.
+// handleStreamAnnouncement stores the origin that a peer announces.
 func (g *Gossiper) handleStreamAnnouncement(data []byte) error {
 	a, err := decodeStreamAnnouncement(data)
 	if err != nil {
 		return err
 	}
-	g.remember(a.attempt, a.version)
+	g.remember(a.attempt, a.origin)
 	return nil
 }
 
@@ -289,8 +286,8 @@
 	if err != nil {
 		return err
 	}
-	version, _ := g.versions.lookup(q.attempt, time.Now())
-	g.trySend(streamAnswer{id: q.id, version: version}.append(nil), from)
+	origin, _ := g.origins.lookup(q.attempt, time.Now())
+	g.trySend(streamAnswer{id: q.id, origin: origin}.append(nil), from)
 	return nil
 }
 
@@ -300,7 +297,7 @@
 	if err != nil {
 		return err
 	}
-	g.queries.answer(a.id, receivedAnswer{from: from, version: a.version})
+	g.queries.answer(a.id, receivedAnswer{from: from, origin: a.origin})
 	return nil
 }
 
--- a/internal/gossip/streams_test.go
+++ b/internal/gossip/streams_test.go
@@ -74,7 +74,7 @@
 	deadline := time.Now().Add(waitLimit)
 	for _, holder := range holders {
 		for {
-			_, known := holder.versions.lookup(attempt, time.Now())
+			_, known := holder.origins.lookup(attempt, time.Now())
 			if known {
 				break
 			}
@@ -86,43 +86,43 @@
 	}
 }
 
-// expectVersion asks g until it knows the version of an attempt, because a busy
-// machine may delay answers. A wrong version fails at once.
-func expectVersion(t *testing.T, g *Gossiper, attempt, want string) {
+// expectOrigin asks g until it knows the origin of an attempt, because a busy
+// machine may delay answers. A wrong origin fails at once.
+func expectOrigin(t *testing.T, g *Gossiper, attempt, want string) {
 	t.Helper()
 	deadline := time.Now().Add(waitLimit)
 	for {
-		version, known := g.VersionOf(t.Context(), attempt)
-		if known && version != want {
-			t.Fatalf("stream %s began at version %q, want %q", attempt, version, want)
+		origin, known := g.OriginOf(t.Context(), attempt)
+		if known && origin != want {
+			t.Fatalf("stream %s began at origin %q, want %q", attempt, origin, want)
 		}
 		if known {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("the version of stream %s is unknown after %s", attempt, waitLimit)
+			t.Fatalf("the origin of stream %s is unknown after %s", attempt, waitLimit)
 		}
 	}
 }
 
-// All entries must know at which version a stream began.
-func TestVersionIsKnownEverywhere(t *testing.T) {
+// All entries must know where a stream began.
+func TestOriginIsKnownEverywhere(t *testing.T) {
 	for _, entries := range []int{1, 2, 3, 8} {
 		site := startSite(t, entries)
 		for i, first := range site {
 			attempt := fmt.Sprintf("attempt-%d", i)
-			version := fmt.Sprintf("v%d", i)
-			first.Began(attempt, version)
+			origin := fmt.Sprintf("v%d", i)
+			first.Began(attempt, origin)
 			for _, g := range site {
-				expectVersion(t, g, attempt, version)
+				expectOrigin(t, g, attempt, origin)
 			}
 		}
 	}
 }
 
-// The other entries must know the version after the entry where the stream began
+// The other entries must know the origin after the entry where the stream began
 // was killed, whether or not they still count it.
-func TestVersionOutlivesItsEntry(t *testing.T) {
+func TestOriginOutlivesItsEntry(t *testing.T) {
 	for _, counted := range []bool{true, false} {
 		for i := range 8 {
 			site := startSite(t, 6)
@@ -135,14 +135,14 @@
 				if !counted {
 					g.SetPeers(addressesOf(site[1:]))
 				}
-				expectVersion(t, g, attempt, "v2")
+				expectOrigin(t, g, attempt, "v2")
 			}
 		}
 	}
 }
 
-// The version must survive the loss of the first entry and one keeper.
-func TestVersionOutlivesOneKeeper(t *testing.T) {
+// The origin must survive the loss of the first entry and one keeper.
+func TestOriginOutlivesOneKeeper(t *testing.T) {
 	for lost := range copies {
 		site := startSite(t, 6)
 		site[0].Began("a", "v2")
@@ -152,7 +152,7 @@
 		holders[lost].Close()
 		for _, g := range site[1:] {
 			if g != holders[lost] {
-				expectVersion(t, g, "a", "v2")
+				expectOrigin(t, g, "a", "v2")
 			}
 		}
 	}
@@ -184,7 +184,7 @@
 		}
 		others[0].remember(attempt, "v3")
 		for _, g := range others[1:] {
-			expectVersion(t, g, attempt, "v3")
+			expectOrigin(t, g, attempt, "v3")
 		}
 		if killed {
 			return
@@ -199,9 +199,9 @@
 	best := waitLimit
 	for i := range 200 {
 		start := time.Now()
-		version, known := site[0].VersionOf(t.Context(), fmt.Sprintf("unknown-%d", i))
+		origin, known := site[0].OriginOf(t.Context(), fmt.Sprintf("unknown-%d", i))
 		if known {
-			t.Fatalf("version %q is known, want it unknown", version)
+			t.Fatalf("origin %q is known, want it unknown", origin)
 		}
 		best = min(best, time.Since(start))
 	}
@@ -210,17 +210,17 @@
 	}
 }
 
-// A second version of an attempt must not replace the first, at any entry.
-func TestSecondVersionIsIgnored(t *testing.T) {
+// A second origin of an attempt must not replace the first, at any entry.
+func TestSecondOriginIsIgnored(t *testing.T) {
 	site := startSite(t, 4)
 	site[0].Began("a", "v1")
 	waitForCopies(t, copyHolders(site, site[0], "a"), "a")
 	for _, g := range site {
-		expectVersion(t, g, "a", "v1")
+		expectOrigin(t, g, "a", "v1")
 		g.Began("a", "v2")
 	}
 	for _, g := range site {
-		expectVersion(t, g, "a", "v1")
+		expectOrigin(t, g, "a", "v1")
 	}
 }
 
@@ -228,18 +228,18 @@
 func TestUnfitNamesAreUnknown(t *testing.T) {
 	site := startSite(t, 2)
 	long := strings.Repeat("a", maxAttemptLength+1)
-	for _, c := range []struct{ attempt, version string }{
-		{"", "v1"}, {long, "v1"}, {"a", ""}, {"a", strings.Repeat("v", maxVersionLength+1)},
+	for _, c := range []struct{ attempt, origin string }{
+		{"", "v1"}, {long, "v1"}, {"a", ""}, {"a", strings.Repeat("v", maxOriginLength+1)},
 	} {
-		site[0].Began(c.attempt, c.version)
-		version, known := site[0].VersionOf(t.Context(), c.attempt)
+		site[0].Began(c.attempt, c.origin)
+		origin, known := site[0].OriginOf(t.Context(), c.attempt)
 		if known {
-			t.Errorf("attempt %q has version %q, want it unknown", c.attempt, version)
+			t.Errorf("attempt %q has origin %q, want it unknown", c.attempt, origin)
 		}
 	}
 	longest := strings.Repeat("a", maxAttemptLength)
-	site[0].Began(longest, strings.Repeat("v", maxVersionLength))
-	expectVersion(t, site[1], longest, strings.Repeat("v", maxVersionLength))
+	site[0].Began(longest, strings.Repeat("v", maxOriginLength))
+	expectOrigin(t, site[1], longest, strings.Repeat("v", maxOriginLength))
 }
 
 // Datagrams from processes that are not known entries must change nothing.
@@ -248,15 +248,15 @@
 	stranger := netip.MustParseAddrPort("127.0.0.1:9")
 	id, answers, _ := g.queries.open(1)
 	for _, data := range [][]byte{
-		streamAnnouncement{attempt: "a", version: "v1"}.append(nil),
+		streamAnnouncement{attempt: "a", origin: "v1"}.append(nil),
 		streamQuery{id: 1, attempt: "a"}.append(nil),
-		streamAnswer{id: id, version: "v1"}.append(nil),
+		streamAnswer{id: id, origin: "v1"}.append(nil),
 	} {
 		if g.receive(data, stranger) == nil {
 			t.Errorf("the datagram %v of a stranger was accepted, want an error", data)
 		}
 	}
-	if _, known := g.versions.lookup("a", time.Now()); known || len(answers) != 0 || g.Counts().Sent != 0 {
+	if _, known := g.origins.lookup("a", time.Now()); known || len(answers) != 0 || g.Counts().Sent != 0 {
 		t.Error("a stranger's datagram was stored or answered")
 	}
 }
@@ -266,14 +266,14 @@
 	var queries streamQueries
 	first, firstAnswers, _ := queries.open(1)
 	second, secondAnswers, _ := queries.open(1)
-	queries.answer(first+second+1, receivedAnswer{version: "v0"})
-	queries.answer(first, receivedAnswer{version: "v1"})
-	queries.answer(first, receivedAnswer{version: "v1"})
+	queries.answer(first+second+1, receivedAnswer{origin: "v0"})
+	queries.answer(first, receivedAnswer{origin: "v1"})
+	queries.answer(first, receivedAnswer{origin: "v1"})
 	if len(firstAnswers) != 1 || len(secondAnswers) != 0 {
 		t.Errorf("%d and %d answers, want 1 and 0", len(firstAnswers), len(secondAnswers))
 	}
 	queries.close(second)
-	queries.answer(second, receivedAnswer{version: "v2"})
+	queries.answer(second, receivedAnswer{origin: "v2"})
 	if len(secondAnswers) != 0 {
 		t.Error("a closed query received an answer")
 	}
@@ -324,7 +324,7 @@
 
 // Stream messages must decode to what was encoded.
 func TestStreamMessagesRoundTrip(t *testing.T) {
-	announcement := streamAnnouncement{attempt: "9c41d07be2a35f68", version: "v1"}
+	announcement := streamAnnouncement{attempt: "9c41d07be2a35f68", origin: "v1"}
 	gotAnnouncement, err := decodeStreamAnnouncement(announcement.append(nil))
 	if err != nil || gotAnnouncement != announcement {
 		t.Errorf("decoded announcement %+v with error %v, want the encoded one", gotAnnouncement, err)
@@ -334,7 +334,7 @@
 	if err != nil || gotQuery != query {
 		t.Errorf("decoded query %+v with error %v, want the encoded one", gotQuery, err)
 	}
-	for _, answer := range []streamAnswer{{id: 5, version: "v1"}, {id: 1 << 60}} {
+	for _, answer := range []streamAnswer{{id: 5, origin: "v1"}, {id: 1 << 60}} {
 		gotAnswer, err := decodeStreamAnswer(answer.append(nil))
 		if err != nil || gotAnswer != answer {
 			t.Errorf("decoded answer %+v with error %v, want the encoded one", gotAnswer, err)
@@ -345,6 +345,7 @@
 // Malformed datagrams of a known entry must be rejected and store nothing.
 func TestMalformedStreamMessages(t *testing.T) {
 	long := strings.Repeat("x", maxAttemptLength+1)
+	longOrigin := strings.Repeat("x", maxOriginLength+1)
 	g := &Gossiper{Log: log.New(io.Discard)}
 	g.SetPeers([]string{"127.0.0.1:9"})
 	for _, data := range [][]byte{
@@ -353,33 +354,33 @@
 		{formatStreamAnnouncement, 2, 'a'},
 		{formatStreamAnnouncement, 1, 'a'},
 		{formatStreamAnnouncement, 255, 'a', 'v'},
-		streamAnnouncement{version: "v1"}.append(nil),
-		streamAnnouncement{attempt: long, version: "v1"}.append(nil),
-		streamAnnouncement{attempt: "a", version: long}.append(nil),
+		streamAnnouncement{origin: "v1"}.append(nil),
+		streamAnnouncement{attempt: long, origin: "v1"}.append(nil),
+		streamAnnouncement{attempt: "a", origin: longOrigin}.append(nil),
 		{formatStreamQuery},
 		{formatStreamQuery, 0, 0, 0, 0, 0, 0, 0},
 		streamQuery{id: 1}.append(nil),
 		streamQuery{id: 1, attempt: long}.append(nil),
 		{formatStreamAnswer},
 		{formatStreamAnswer, 0, 0, 0, 0, 0, 0, 0},
-		streamAnswer{id: 1, version: long}.append(nil),
+		streamAnswer{id: 1, origin: longOrigin}.append(nil),
 		{formatStreamAnswer + 1},
 	} {
 		if g.receive(data, netip.MustParseAddrPort("127.0.0.1:9")) == nil {
 			t.Errorf("the datagram %v was accepted, want an error", data)
 		}
 	}
-	if len(g.versions.current) != 0 {
-		t.Errorf("%d streams stored, want none", len(g.versions.current))
+	if len(g.origins.current) != 0 {
+		t.Errorf("%d streams stored, want none", len(g.origins.current))
 	}
 }
 
 // Any datagram that is accepted as a stream message must encode to the same
 // bytes, and none may cause a panic.
 func FuzzDecodeStream(f *testing.F) {
-	f.Add(streamAnnouncement{attempt: "a", version: "v"}.append(nil))
+	f.Add(streamAnnouncement{attempt: "a", origin: "v"}.append(nil))
 	f.Add(streamQuery{id: 1, attempt: "a"}.append(nil))
-	f.Add(streamAnswer{id: 1, version: "v"}.append(nil))
+	f.Add(streamAnswer{id: 1, origin: "v"}.append(nil))
 	f.Add([]byte{formatStreamAnnouncement, 200, 1})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var encoded [][]byte
@@ -410,9 +411,9 @@
 				for n := range 50 {
 					attempt := fmt.Sprintf("%d-%d-%d", i, worker, n)
 					g.Began(attempt, "v1")
-					version, known := site[(i+1+n)%len(site)].VersionOf(t.Context(), attempt)
-					if known && version != "v1" {
-						t.Errorf("stream %s began at version %q, want v1", attempt, version)
+					origin, known := site[(i+1+n)%len(site)].OriginOf(t.Context(), attempt)
+					if known && origin != "v1" {
+						t.Errorf("stream %s began at origin %q, want v1", attempt, origin)
 					}
 				}
 			})
@@ -468,11 +469,11 @@
 	b.ReportMetric(float64(g.Counts().Sent)/float64(b.N), "datagrams/op")
 }
 
-func BenchmarkVersionOfLocal(b *testing.B) {
+func BenchmarkOriginOfLocal(b *testing.B) {
 	g := benchGossiper(b)
 	g.Began("9c41d07be2a35f68", "v1")
 	b.ReportAllocs()
 	for b.Loop() {
-		g.VersionOf(b.Context(), "9c41d07be2a35f68")
+		g.OriginOf(b.Context(), "9c41d07be2a35f68")
 	}
 }
