Place: a stream goes on only at servers of the software version that began it

Cause: nothing that chooses a server knew of versions. Class: a property that a hand-over must preserve is not part of the state that is handed over.

Change: the first event that is forwarded limits all further attempts of the request, and the search for a successor, to its server's version. Before it, any version may serve. Where no server of the version is left the stream ends visibly incomplete.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -118,7 +118,7 @@
 		t.w.Header().Del("Content-Length")
 		t.w.WriteHeader(response.Status)
 	}
-	s := &eventStream{task: t, ctx: ctx, response: response, controller: http.NewResponseController(t.w)}
+	s := &eventStream{task: t, ctx: ctx, version: placement.Version, response: response, controller: http.NewResponseController(t.w)}
 	if t.allowsAttemptAfter(t.startedAttempts) {
 		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
 	}
@@ -154,8 +154,10 @@
 
 // eventStream copies the event stream of one attempt to the caller.
 type eventStream struct {
-	task       *task
-	ctx        context.Context
+	task *task
+	ctx  context.Context
+	// version is the version of the server's software.
+	version    string
 	response   *upstream.Response
 	controller *http.ResponseController
 	// pending holds bytes that are not forwarded yet; it ends with an incomplete
@@ -230,6 +232,7 @@
 	if end == 0 {
 		return nil
 	}
+	s.task.recordVersion(s.version)
 	s.task.responseBytes += int64(end)
 	_, err := s.task.w.Write(s.pending[:end])
 	if err == nil {
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -45,6 +45,7 @@
 		"version", t.lastVersion,
 		"continues", t.request.ContinuedAttempt,
 		"after_event", t.request.LastEventID,
+		"begun_at", t.version.Version,
 		"tried", len(t.tried),
 		"may_have_run", t.mayHaveRun,
 		"events", t.events,
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -75,6 +75,8 @@
 	lastReceived time.Time
 	// notRepeated names why no attempt follows the latest one.
 	notRepeated denial
+	// version limits further attempts to the software version that began the stream.
+	version place.VersionLimit
 	// next is the server that takes over from a silent one; nil if none does.
 	next *successor
 
@@ -118,6 +120,7 @@
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
+		Version:       t.version,
 		Tried:         tried,
 	})
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -133,13 +133,14 @@
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
-// available again has been restarted, and nothing is known of its new run.
+// available again, or one with another software version, has been restarted, and nothing
+// is known of its new run.
 func (f *Fleet) apply(instance instances.Instance, now time.Time) {
 	key := departureKey(instance.ID, instance.Address)
 	f.departures.ReportListed(key, instance.Leaving, now)
 	leaving := f.departures.IsLeaving(key)
 	s := f.servers[instance.ID]
-	known := s != nil && s.address == instance.Address && s.upstream == instance.Upstream && (leaving || !s.leaving)
+	known := s != nil && s.address == instance.Address && s.upstream == instance.Upstream && s.version == instance.Version && (leaving || !s.leaving)
 	if !known {
 		s = &server{id: instance.ID}
 		f.servers[instance.ID] = s
@@ -224,7 +225,7 @@
 	preferred := f.preferred(q)
 	var lowest time.Duration
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || slices.Contains(q.Tried, s.id) {
+		if s.upstream != q.Upstream || s.leaving || !q.Version.allows(s.version) || slices.Contains(q.Tried, s.id) {
 			continue
 		}
 		if !includeEjected && s.isEjected(q.Now) {
@@ -270,7 +271,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || s.isEjected(q.Now) {
+		if s.upstream != q.Upstream || s.leaving || !q.Version.allows(s.version) || s.isEjected(q.Now) {
 			continue
 		}
 		weight := rendezvousWeight(segment, s.id)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -31,6 +31,8 @@
 	FailureDomain string
 	// Prompt is nil for requests that run no model.
 	Prompt *Prompt
+	// Version limits the software version of the server.
+	Version VersionLimit
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
--- /dev/null
+++ b/internal/place/version_test.go
@@ -0,0 +1,48 @@
+package place_test
+
+import (
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/instances"
+	"github.com/cactusbay/cactusbay/internal/place"
+)
+
+// versions returns a list with one server of the upstream pool for each version.
+func versions(names ...string) []instances.Instance {
+	list := engines(len(names))
+	for i, name := range names {
+		list[i].Version = name
+	}
+	return list
+}
+
+// TestVersionLimitIsKept checks that a limited placement gets a server of its version or
+// none, whatever the others would cost.
+func TestVersionLimitIsKept(t *testing.T) {
+	f := fleet(versions("v1", "v2", "v2"))
+	for i := range 100 {
+		p := prompt(uint64(i%5), 2000)
+		decision := f.Pick(place.Query{Now: start, Upstream: "pool", FailureDomain: "a", Prompt: p, Version: place.VersionLimit{Limited: true, Version: "v2"}})
+		chosen, ok := decision.(place.Chosen)
+		if !ok || chosen.Placement.Version != "v2" {
+			t.Fatalf("pick %d: %#v, want a server of v2", i, decision)
+		}
+	}
+	decision := f.Pick(place.Query{Now: start, Upstream: "pool", Version: place.VersionLimit{Limited: true}})
+	_, none := decision.(place.NoServer)
+	if !none {
+		t.Errorf("%#v for an empty version, want NoServer", decision)
+	}
+}
+
+// TestServerWithAnotherVersionIsNew checks that nothing that was known of a server is
+// kept when the list shows another software version under its id and address.
+func TestServerWithAnotherVersionIsNew(t *testing.T) {
+	f := fleet(versions("v1"))
+	pick(t, f, nil, start).Done(place.Unreachable{}, start)
+	f.Update(versions("v2"), start)
+	counts := f.Counts(start)
+	if counts.Ready != 1 || counts.Ejected != 0 {
+		t.Errorf("%+v, want the server to be ready", counts)
+	}
+}
