Forward: a caller's further try goes on at the version that began its stream

What callers saw: a stream that broke and that its caller took up again, mostly at another entry, went on at a server of another software version (14 of 32 taken up in a scenario of real processes).

Cause: the entry took the further try for a new request. It did not read which attempt began the stream, and could not know where that was: another entry began it, which may have been killed since. Class: state that outlives a connection was kept with the connection only.

A stream of unknown origin goes on only if one version alone has served for as long as it may have lasted; otherwise the request is refused as not run, with a Retry-After. On a split route it goes on at the service that began it.

TestStreamGoesOnAtItsUpstream and TestSoleVersion are new.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -36,13 +36,15 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only ListAge may be nil.
+// before the first request; only Streams and ListAge may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
 	Fleet      *place.Fleet
 	Holder     *escrow.Holder
 	Retries    *retry.Budget
+	// Streams knows where streams began; nil knows of none.
+	Streams StreamOrigins
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
@@ -192,11 +194,15 @@
 	ctx, span := t.server.Tracer.Start(ctx, "forward", trace.WithAttributes(attribute.String("route", t.route.Name)))
 	defer span.End()
 	t.callerCtx = callerCtx
-	refused := t.reserve(ctx)
+	t.upstream = t.route.Upstream()
+	refused := t.resolveVersion(ctx)
+	if refused != nil {
+		return refused
+	}
+	refused = t.reserve(ctx)
 	if refused != nil {
 		return refused
 	}
-	t.upstream = t.route.Upstream()
 	t.server.Retries.CountRequest(t.upstream, time.Now())
 	defer t.abandonNext()
 	for {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -145,6 +145,7 @@
 	}
 	client := &upstream.Client{Network: network.Host("entry")}
 	entry = &forward.Server{
+		Streams:       &streamOrigins{},
 		Translator:    promptTranslator{},
 		Upstream:      client,
 		Fleet:         &place.Fleet{},
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -120,6 +120,13 @@
 	return r.Upstreams[len(r.Upstreams)-1].Upstream
 }
 
+// allowsUpstream reports whether the route sends requests to the upstream.
+func (r *Route) allowsUpstream(upstream string) bool {
+	return slices.ContainsFunc(r.Upstreams, func(weighted config.WeightedUpstream) bool {
+		return weighted.Upstream == upstream && weighted.Weight > 0
+	})
+}
+
 // maxAttempts returns how many attempts of one request may run at backend
 // servers.
 func (r *Route) maxAttempts() int {
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -1,11 +1,92 @@
 package forward
 
-import "github.com/cactusbay/cactusbay/internal/place"
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/place"
+)
+
+// streamAgeMargin is added to a route's timeout to give the longest time since the begin
+// of a stream that a caller resumes.
+const streamAgeMargin = 5 * time.Second
+
+// StreamOrigins knows where streams began, over all entries. An origin is a text that
+// only this package reads. Its methods may be called concurrently.
+type StreamOrigins interface {
+	// Began records the origin of the stream of a caller's attempt. It does not block.
+	Began(attempt, origin string)
+	// OriginOf returns the origin of the stream of an attempt. known is false if no entry
+	// says so in time.
+	OriginOf(ctx context.Context, attempt string) (origin string, known bool)
+}
+
+// origin is where a stream began.
+type origin struct {
+	upstream string
+	// version is the software version of the server.
+	version string
+}
+
+// originSeparator stands between the upstream and the version in an origin's text.
+const originSeparator = "\n"
+
+// String returns the text of the origin.
+func (o origin) String() string {
+	return o.upstream + originSeparator + o.version
+}
+
+// parseOrigin is the inverse of String.
+func parseOrigin(text string) origin {
+	upstream, version, _ := strings.Cut(text, originSeparator)
+	return origin{upstream: upstream, version: version}
+}
+
+// resolveVersion limits a request that resumes a stream to the software version that
+// began it, at the upstream that began it if the route still allows that one. It refuses
+// a stream whose version is unknown while several may have served.
+func (t *task) resolveVersion(ctx context.Context) *refusal {
+	if t.request.LastEventID == "" || t.route.Repetition != config.RepeatStream {
+		return nil
+	}
+	began, known := t.originOf(ctx, t.request.ContinuedAttempt)
+	if !known {
+		began.version, known = t.server.Fleet.SoleVersion(t.upstream, t.route.Timeout+streamAgeMargin, time.Now())
+	}
+	if !known {
+		return serviceUnavailable(reasonUnknownVersion, retryAfterSoon)
+	}
+	if t.route.allowsUpstream(began.upstream) {
+		t.upstream = began.upstream
+	}
+	t.version = place.VersionLimit{Limited: true, Version: began.version}
+	return nil
+}
+
+// originOf returns where the stream of an earlier attempt began, if an entry knows it. It
+// records the origin again, so that it outlives entries that have ended since.
+func (t *task) originOf(ctx context.Context, attempt string) (began origin, known bool) {
+	if attempt == "" || t.server.Streams == nil {
+		return origin{}, false
+	}
+	text, known := t.server.Streams.OriginOf(ctx, attempt)
+	if !known {
+		return origin{}, false
+	}
+	t.server.Streams.Began(attempt, text)
+	return parseOrigin(text), true
+}
 
 // recordVersion limits further attempts to the software version of the server that sent
-// the first event.
+// the first event, and records it for attempts that resume the stream at other entries.
 func (t *task) recordVersion(version string) {
-	if !t.version.Limited {
-		t.version = place.VersionLimit{Limited: true, Version: version}
+	if t.version.Limited {
+		return
+	}
+	t.version = place.VersionLimit{Limited: true, Version: version}
+	if t.route.Resumable && t.server.Streams != nil {
+		t.server.Streams.Began(t.request.AttemptID, origin{upstream: t.upstream, version: version}.String())
 	}
 }
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -8,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/retry"
 )
 
@@ -42,6 +45,30 @@
 	}
 }
 
+// streamOrigins is the memory of a single entry. It implements forward.StreamOrigins.
+type streamOrigins struct {
+	mu      sync.Mutex
+	origins map[string]string
+}
+
+// Began implements forward.StreamOrigins.
+func (s *streamOrigins) Began(attempt, origin string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.origins == nil {
+		s.origins = make(map[string]string)
+	}
+	s.origins[attempt] = origin
+}
+
+// OriginOf implements forward.StreamOrigins.
+func (s *streamOrigins) OriginOf(_ context.Context, attempt string) (origin string, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	origin, known = s.origins[attempt]
+	return origin, known
+}
+
 // versionedServers returns a server of v1 that breaks each new stream before its third
 // event, a cheaper one of v2 and one of v1 in another failure domain.
 func versionedServers(events *sentEvents) []pausingServer {
@@ -152,3 +179,34 @@
 		}
 	})
 }
+
+// TestStreamGoesOnAtItsUpstream guards against a resumed stream of a split route that is
+// sent to the other upstream.
+func TestStreamGoesOnAtItsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		network, entry, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
+		defer stop()
+		entry.Install(2, splitDocument(t))
+		entry.Streams.Began("a1", "pool\nv1")
+		for range 20 {
+			status, body, complete := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"a1"}})
+			if status != http.StatusOK || body != eventText(3, eventCount) || !complete {
+				t.Fatalf("status %d, body %q, complete %v; want the rest of the stream", status, body, complete)
+			}
+		}
+	})
+}
+
+// splitDocument returns a configuration whose route sends most requests to an upstream
+// without servers and the rest to pool.
+func splitDocument(t *testing.T) *config.Document {
+	t.Helper()
+	key := config.HostRouteKey("one.example", "/a/")
+	parsed, err := config.Parse(fmt.Appendf(nil, `{"host_routes":{%q:{"host":"one.example","path_prefix":"/a/","repetition":"stream","timeout":"10s","max_attempts":2,"resumable":true,
+		"upstreams":[{"upstream":"empty","weight":9},{"upstream":"pool","weight":1}]}},"upstreams":{"pool":{},"empty":{}},"workspaces":{"north":{"key_hashes":[%q]}}}`, key, config.HashKey("secret")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -75,6 +75,8 @@
 	// departures tracks the leaving servers by departureKey, also after they were
 	// removed, because an outdated list may show them again as available.
 	departures instances.Departures
+
+	versions versionHistory
 }
 
 // Placement counts a request in flight at a server. Done must be called once.
@@ -105,6 +107,7 @@
 		f.departures.ReturnAfter = returnAfter
 	}
 	f.departures.Prune(now)
+	f.versions.update(list, now)
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
 		listed[instance.ID] = true
--- a/internal/place/version_test.go
+++ b/internal/place/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/place"
@@ -35,6 +36,32 @@
 	}
 }
 
+// TestSoleVersion checks that a version counts as the only one when no other was listed
+// in the whole time asked for.
+func TestSoleVersion(t *testing.T) {
+	const within = 10 * time.Second
+	f := fleet(versions("v1", "v1"))
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	expect := func(seconds int, want string) {
+		t.Helper()
+		version, ok := f.SoleVersion("pool", within, at(seconds))
+		if version != want && ok || ok != (want != "") {
+			t.Errorf("after %d s: version %q, %v; want %q", seconds, version, ok, want)
+		}
+	}
+	expect(9, "")
+	expect(11, "v1")
+	f.Update(versions("v1", "v2"), at(20))
+	expect(21, "")
+	f.Update(versions("v2", "v2"), at(30))
+	expect(39, "")
+	expect(41, "v2")
+	_, ok := f.SoleVersion("other", within, at(41))
+	if ok {
+		t.Error("an upstream without servers has a sole version")
+	}
+}
+
 // TestServerWithAnotherVersionIsNew checks that nothing that was known of a server is
 // kept when the list shows another software version under its id and address.
 func TestServerWithAnotherVersionIsNew(t *testing.T) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -83,6 +83,7 @@
 	}
 	g.startHolder(environment, client, epochID, gossiper)
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
+	g.Server.Streams = gossiper
 	err = g.startWatcher(environment, dialect, client, epochID, gossiper)
 	if err != nil {
 		return err
