Caller: a slow call is given up only once another server is leased

What callers saw on a listed site: a repeatable call to a sound but slow service ended after 5 s, or at its deadline, with 502 outcome_unknown, although the service would have answered in time.

Cause: the first and second dispatch of a call were cancelled after 5 s or half of the time left, and only then were the retry budget and another server asked. The class is that of: an irrevocable step before the one it depends on.

Evidence, TestSlowServiceKeepsItsCallWithoutSuccessor (service answers after 9 s, deadline 14 s), before: no retry: after 5s, 502 outcome_unknown no other service: after 14s, 502 outcome_unknown no free service: after 14s, 502 outcome_unknown TestSlowCallMovesOnceThereIsASuccessor with spent retries, before: after 5s, 502 outcome_unknown; TestSearchWithoutSuccessorCostsNoRetry, before: 4 retries left of 5. All pass now.

Change: the timer starts a search for another server (caller.successor). It ends the running call only once the retry is charged and the server leased; a charge for a lease that is not used is refunded. Otherwise the call runs to its own end or the deadline. The server that has the call is no successor: to repeat the call there would cut it and gain nothing if the server is sound. Calls that run once are sent as before.

Why it works: nothing is cancelled while the retry budget or another server can still decline.

Not mended: with two services that both answer after 9 s and a deadline of 13 s the call still ends in outcome_unknown, before as after, since the leased successor is as slow.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -293,6 +293,13 @@
 	return p.retryBudget().TryRetry(retry.AllUpstreams, 1, time.Now())
 }
 
+// RefundRetry takes back a retry that Retry counted and that was not made.
+func (p *Pool) RefundRetry() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget().Refund(retry.AllUpstreams, time.Now())
+}
+
 // retryBudget returns the entry's retry budget; mu is held.
 func (p *Pool) retryBudget() *retry.Budget {
 	p.retries.Limits = retry.EntryLimits()
--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -59,9 +59,14 @@
 // mayRetry records the failed dispatch and reports whether the number of
 // dispatches, the deadline and the retry budget allow another one.
 func (d *dispatcher) mayRetry(ctx context.Context) bool {
+	d.recordFailure()
+	return d.failed < maxDispatches && hasRetryTime(ctx) && d.server.Pool.Retry()
+}
+
+// recordFailure records that the current dispatch ended without a response.
+func (d *dispatcher) recordFailure() {
 	d.tried[d.attempt.lease.Name] = true
 	d.failed++
-	return d.failed < maxDispatches && hasRetryTime(ctx) && d.server.Pool.Retry()
 }
 
 // hasRetryTime reports whether enough time remains until the deadline of ctx for a
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -60,14 +60,16 @@
 	return path
 }
 
-// callAttemptTimeout bounds one dispatch of a repeatable call that may be retried.
-const callAttemptTimeout = 5 * time.Second
+// slowCallTime is how long a repeatable call runs before another server is sought.
+const slowCallTime = 5 * time.Second
 
 // call sends a request to a plain service and relays the response to the caller.
 type call struct {
 	dispatcher
 	w    http.ResponseWriter
 	call backend.Call
+	// next is the lease of the server that takes over, if a dispatch was ended for it.
+	next *backend.Lease
 }
 
 // dispatch makes the call and responds to the caller. It returns a refusal if
@@ -88,15 +90,8 @@
 	return nil
 }
 
-// sendOnce sends the call to the leased backend server. The timeout of a
-// repeatable call leaves time for a retry.
+// sendOnce sends the call to the leased backend server.
 func (c *call) sendOnce(ctx context.Context) (backend.Response, error) {
-	deadline, bounded := ctx.Deadline()
-	if bounded && c.request.repeatable && c.failed < maxDispatches-1 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, min(callAttemptTimeout, time.Until(deadline)/2))
-		defer cancel()
-	}
 	c.call.Address = c.attempt.lease.Address
 	c.call.Attempt = c.attempt.id
 	c.call.IdempotencyKey = c.attempt.key
@@ -104,7 +99,38 @@
 	if err != nil {
 		return backend.Response{}, err
 	}
-	return c.server.Backend.Do(ctx, c.call)
+	deadline, bounded := ctx.Deadline()
+	if !bounded || !c.request.repeatable || c.failed >= maxDispatches-1 {
+		return c.server.Backend.Do(ctx, c.call)
+	}
+	return c.sendSeekingSuccessor(ctx, deadline)
+}
+
+// sendSeekingSuccessor sends the call. If it runs for long, another server is sought, and
+// the call ends once there is one. The delay leaves time for a retry.
+func (c *call) sendSeekingSuccessor(ctx context.Context, deadline time.Time) (backend.Response, error) {
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	delay := min(slowCallTime, time.Until(deadline)/2)
+	successor := c.seekSuccessor(ctx, delay, deadline, cancel)
+	result, err := c.server.Backend.Do(sendCtx, c.call)
+	lease := successor.stop()
+	if err == nil || upstream.IsNotSent(err) || ctx.Err() != nil {
+		c.returnLease(lease)
+		return result, err
+	}
+	c.next = lease
+	return result, err
+}
+
+// returnLease releases a lease for a retry that is not made, and refunds the retry.
+// Lease may be nil.
+func (c *call) returnLease(lease *backend.Lease) {
+	if lease == nil {
+		return
+	}
+	lease.Release()
+	c.server.Pool.RefundRetry()
 }
 
 // failOver moves a repeatable call to another backend server. It reports whether there
@@ -113,7 +139,7 @@
 	if !c.request.repeatable {
 		return false
 	}
-	lease := c.nextLease(ctx)
+	lease := c.takeNext(ctx)
 	if lease == nil {
 		return false
 	}
@@ -121,6 +147,18 @@
 	return true
 }
 
+// takeNext returns the lease of the successor or, if there is none, a new one. It
+// returns nil if all servers are busy or no retry is allowed.
+func (c *call) takeNext(ctx context.Context) *backend.Lease {
+	lease := c.next
+	if lease == nil {
+		return c.nextLease(ctx)
+	}
+	c.next = nil
+	c.recordFailure()
+	return lease
+}
+
 // finish settles the attempt and responds to the caller. A call with an unknown
 // outcome is billed with the whole reservation.
 func (c *call) finish(ctx context.Context, result backend.Response, err error) {
--- a/test/service_test.go
+++ b/test/service_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cactusbay/cactusbay/internal/fake"
 )
@@ -91,3 +92,89 @@
 		}
 	})
 }
+
+// withoutSuccessor holds the reasons why an entry can't send a slow call to another
+// service.
+var withoutSuccessor = map[string]func(s *site){
+	"no retry": func(s *site) {
+		for s.entries["a"].Server.Pool.Retry() {
+		}
+	},
+	"no other service": func(s *site) {
+		s.patch("a", "one-service", `{"works":{"records":{"backend_servers":["service-a"]}}}`)
+		time.Sleep(reportTime)
+	},
+	"no free service": func(s *site) {
+		s.patch("a", "one-call-each", `{"backend_servers":{"service-a":{"concurrency":1},"service-b":{"concurrency":1}}}`)
+		time.Sleep(reportTime)
+		s.services["a"].Inject(fake.Stall{For: 14 * time.Second})
+		go s.send("a", "/services/orders/new", "order-1", "door 7")
+		time.Sleep(time.Second)
+	},
+}
+
+// TestSlowServiceKeepsItsCallWithoutSuccessor guards against an unknown outcome of a
+// repeatable call whose sound service is slow, when no other service can take the call.
+func TestSlowServiceKeepsItsCallWithoutSuccessor(t *testing.T) {
+	for name, prepare := range withoutSuccessor {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSiteWith(t, 100_000, []string{"b"}, "a")
+				defer time.Sleep(callTimeout)
+				defer s.close()
+				s.patch("a", "deadline", `{"works":{"records":{"deadline":"14s"}}}`)
+				time.Sleep(reportTime)
+				prepare(s)
+				slow := fake.Stall{For: 9 * time.Second}
+				s.services["a"].Inject(slow, slow, slow)
+				s.services["b"].Inject(slow, slow, slow)
+				start := time.Now()
+				got := s.send("a", "/services/records/door/7", "", "")
+				if got.status != http.StatusOK || time.Since(start) > 10*time.Second {
+					t.Errorf("after %s got response %+v, want status 200 after 9s", time.Since(start), got)
+				}
+			})
+		})
+	}
+}
+
+// TestSlowCallMovesOnceThereIsASuccessor checks that a call to a silent service is
+// repeated at another one, also if the first retry is allowed only after a while.
+func TestSlowCallMovesOnceThereIsASuccessor(t *testing.T) {
+	for _, spend := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSiteWith(t, 100_000, []string{"b"}, "a")
+			defer s.close()
+			for spend && s.entries["a"].Server.Pool.Retry() {
+			}
+			s.services["a"].Inject(fake.Hang{})
+			start := time.Now()
+			got := s.send("a", "/services/records/door/7", "", "")
+			if got.status != http.StatusOK || time.Since(start) > 11*time.Second {
+				t.Errorf("retries spent %v: after %s got response %+v, want status 200 within 11s", spend, time.Since(start), got)
+			}
+			if billed := s.billed(); billed != 10 {
+				t.Errorf("retries spent %v: billed %d, want 10", spend, billed)
+			}
+		})
+	}
+}
+
+// TestSearchWithoutSuccessorCostsNoRetry guards against a spent retry budget after a slow
+// call that no other service could take.
+func TestSearchWithoutSuccessorCostsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a")
+		defer time.Sleep(callTimeout)
+		defer s.close()
+		s.services["a"].Inject(fake.Stall{For: 9 * time.Second})
+		s.send("a", "/services/records/door/7", "", "")
+		retries := 0
+		for s.entries["a"].Server.Pool.Retry() {
+			retries++
+		}
+		if retries != 5 {
+			t.Errorf("%d retries are left after the call, want all 5", retries)
+		}
+	})
+}
