Backend: a stream is not cut because its caller reads slowly

What callers saw on a listed site: a stream of a sound engine ended with an outcome_unknown event after a caller had read nothing for a few seconds, if the engine gives up a generation that nobody reads.

Cause: the watchdog timed the interval between two chunks, with the time in which the entry wrote to the caller and read nothing from the engine. The engine was then ahead of what was received, which counted as a connection that delivers nothing; the stream was cancelled before a resume was assured.

Evidence, TestSlowCallerGetsTheWholeStream (a token every 500 ms, caller pauses for 5 s), before: the engine that doesn't keep running: two tokens, then an event with outcome_unknown; the other one passed, by a resume. After: both whole.

Change: only the wait of a read for a chunk is timed, and only the same wait can end in a cancellation.

Why it works: while the reader is busy with a chunk, nothing is concluded from what the engine has generated. A read that waits beside an engine that is ahead still means that the connection delivers nothing: TestBrokenAnswerIsResumed and TestAnswerComesDespiteSilentConnections pass as before.

Not shown: that a process that stood still cuts a sound stream; synctest can't suspend a whole process, and no test of it was run.

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -166,6 +166,7 @@
 	if s.ended {
 		return Event{}, io.EOF
 	}
+	s.watch.beginWait()
 	for s.scanner.Scan() {
 		data, found := bytes.CutPrefix(s.scanner.Bytes(), []byte(eventPrefix))
 		if !found {
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -271,3 +271,47 @@
 		}
 	})
 }
+
+// TestSlowCallerGetsTheWholeStream guards against a stream of a sound engine that is cut
+// because its caller reads nothing for a while.
+func TestSlowCallerGetsTheWholeStream(t *testing.T) {
+	for _, keepsRunning := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 100_000, "a")
+			defer time.Sleep(callTimeout)
+			defer s.close()
+			s.engines["a"].KeepsRunning = keepsRunning
+			s.engines["a"].StepTime = 500 * time.Millisecond
+			body := s.streamReadSlowly("a", 5*time.Second)
+			got := callResponse{status: http.StatusOK, body: body}
+			if !isCompleteStream(got) {
+				t.Errorf("engine that keeps running %v: got body %s, want 16 tokens and [DONE]", keepsRunning, body)
+			}
+		})
+	}
+}
+
+// streamReadSlowly sends a streamed request, pauses after the first bytes of the body and
+// returns all of it.
+func (s *site) streamReadSlowly(domain string, pause time.Duration) string {
+	client := transport.Client(s.network.Host("caller"))
+	defer client.CloseIdleConnections()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.settings["entry-"+domain].CallerAddress+"/v1/chat/completions", strings.NewReader(streamBody))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+siteKey)
+	response, err := client.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	first := make([]byte, 64)
+	_, err = io.ReadFull(response.Body, first)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	time.Sleep(pause)
+	rest, _ := io.ReadAll(response.Body)
+	return string(first) + string(rest)
+}
