--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -293,6 +293,13 @@
 	return p.retryBudget().TryRetry(retry.AllUpstreams, 1, time.Now())
 }
 
+// AllowsRetry reports whether Retry would allow a retry, and counts none.
+func (p *Pool) AllowsRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryBudget().Allows(retry.AllUpstreams, 1, time.Now())
+}
+
 // retryBudget returns the entry's retry budget; mu is held.
 func (p *Pool) retryBudget() *retry.Budget {
 	p.retries.Limits = retry.EntryLimits()
