Place: servers that say they leave, or want nothing for a time, get no requests

A response marks its server as leaving, also against an outdated list, or as held off; where all servers are full or held off the caller is refused at once with the shortest wait.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -55,7 +55,10 @@
 }
 
 func (testTranslator) ResponseInfo(status int, header http.Header) forward.ResponseInfo {
+	retryAfter, _ := time.ParseDuration(header.Get("Hold-Off"))
 	return forward.ResponseInfo{
+		Leaving:     header.Get("Leaving") != "",
+		RetryAfter:  retryAfter,
 		NotRun:      header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherServer: status == http.StatusMisdirectedRequest,
 		Genuine:     header.Get("Stamp") != "",
@@ -399,3 +402,24 @@
 		t.Error("a host without routes got a route")
 	}
 }
+
+// TestServersThatLeaveOrHoldOffGetNoFurtherRequests checks that what a response states
+// about its server decides where the next requests go.
+func TestServersThatLeaveOrHoldOffGetNoFurtherRequests(t *testing.T) {
+	f := newFixture(t, onceRoute,
+		respond(200, signatureHeader+"Leaving: 1\r\n", "one"),
+		respond(503, notRunHeader+"Hold-Off: 1h\r\n", ""),
+		respond(200, signatureHeader, "two"),
+		respond(200, signatureHeader, "three"),
+	)
+	for _, want := range []string{"one", "two", "three"} {
+		_, body, _, _ := f.send("/a/x", "secret")
+		if body != want {
+			t.Errorf("got %q, want %q", body, want)
+		}
+	}
+	got := f.receivedBy
+	if len(got) != 4 || got[0] == got[1] || got[2] == got[0] || got[2] == got[1] || got[3] != got[2] {
+		t.Errorf("requests reached %v, want two servers once each and then only the third", got)
+	}
+}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -154,6 +154,7 @@
 		return false
 	}
 	info := s.task.server.Translator.ResponseInfo(response.Status, response.Header)
+	recordServerState(s.placement, info)
 	if info.NotRun || info.OtherServer || !info.Genuine {
 		return false
 	}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -155,9 +155,7 @@
 	}
 	t.lastReceived = time.Now()
 	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
-	if info.Load != nil {
-		placement.SetLoad(*info.Load, time.Now())
-	}
+	recordServerState(placement, info)
 	if info.OtherServer || info.NotRun {
 		d := t.endDeclined(placement, response, info)
 		refused, shouldRetry = t.retryDeclined(d.reason)
@@ -169,6 +167,20 @@
 	return t.deliver(ctx, placement, response, info)
 }
 
+// recordServerState records what a response states about its server.
+func recordServerState(placement *place.Placement, info ResponseInfo) {
+	now := time.Now()
+	if info.Load != nil {
+		placement.SetLoad(*info.Load, now)
+	}
+	if info.Leaving {
+		placement.MarkLeaving(now)
+	}
+	if info.RetryAfter > 0 {
+		placement.HoldOff(now.Add(info.RetryAfter))
+	}
+}
+
 // declined describes, for the log and for a refusal, why a server did not run a request.
 type declined struct {
 	reason  reason
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -65,6 +65,11 @@
 	// Genuine is set if the response comes from a backend server and not from an
 	// intermediary.
 	Genuine bool
+	// Leaving is set if the server is about to stop.
+	Leaving bool
+	// RetryAfter is how long a server that declined the request wants no further one
+	// from this entry; 0 if it does not say.
+	RetryAfter time.Duration
 	// Load is the load that the server reports; nil if it reports none.
 	Load *place.Load
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -209,22 +209,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cheapest, full := f.cheapest(q, false)
-	if cheapest == nil && !full {
+	if cheapest == nil && full == 0 {
 		cheapest, full = f.cheapest(q, true)
 	}
 	switch {
 	case cheapest != nil:
 		return Chosen{Placement: f.startPlacement(cheapest, q)}
-	case full:
-		return Full{RetryAfter: fullRetryAfter}
+	case full > 0:
+		return Full{RetryAfter: full}
 	default:
 		return NoServer{}
 	}
 }
 
-// cheapest returns the server with the lowest cost, or nil, and whether a full
-// server was skipped. Ejected servers are candidates only with includeEjected.
-func (f *Fleet) cheapest(q Query, includeEjected bool) (cheapest *server, full bool) {
+// cheapest returns the server with the lowest cost, or nil. If it skipped full servers or
+// ones that want no requests now, full is the time until the first of them may take one.
+// Ejected servers are candidates only with includeEjected.
+func (f *Fleet) cheapest(q Query, includeEjected bool) (cheapest *server, full time.Duration) {
 	preferred := f.preferred(q)
 	var lowest time.Duration
 	for _, s := range f.servers {
@@ -234,8 +235,8 @@
 		if !includeEjected && s.isEjected(q.Now) {
 			continue
 		}
-		if float64(s.occupancy(q.Now)) >= maxOccupancy*float64(s.slots) {
-			full = true
+		if wait := s.timeUntilFree(q.Now); wait > 0 {
+			full = minPositive(full, wait)
 			continue
 		}
 		cost := s.cost(q, s == preferred)
@@ -247,6 +248,26 @@
 	return cheapest, full
 }
 
+// timeUntilFree returns how long the server takes no request, because it wants none or is
+// full; 0 if it takes one now.
+func (s *server) timeUntilFree(now time.Time) time.Duration {
+	if held := s.heldOffUntil.Sub(now); held > 0 {
+		return held
+	}
+	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
+		return fullRetryAfter
+	}
+	return 0
+}
+
+// minPositive returns the smaller of two durations, of which a may be 0 for none.
+func minPositive(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
 // cost returns the estimated cost of placing the request at s.
 func (s *server) cost(q Query, preferred bool) time.Duration {
 	c := Candidate{
@@ -359,6 +380,28 @@
 	}
 }
 
+// MarkLeaving records that the server has stated that it is about to stop. The fleet
+// places no more requests at it.
+func (p *Placement) MarkLeaving(now time.Time) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.fleet.departures.ReportListed(departureKey(p.server.id, p.server.address), true, now)
+	if p.server.leaving {
+		return
+	}
+	p.server.leaving = true
+	p.fleet.notify(p.server, EventLeaving, 0)
+}
+
+// HoldOff records that the server wants no requests until the given time.
+func (p *Placement) HoldOff(until time.Time) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if until.After(p.server.heldOffUntil) {
+		p.server.heldOffUntil = until
+	}
+}
+
 // MarkReplaced records that another server now has the address; the fleet
 // treats the old one as leaving.
 func (p *Placement) MarkReplaced(now time.Time) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -272,3 +272,38 @@
 		t.Errorf("%+v, want one ready server, nothing in flight and no backlog", counts)
 	}
 }
+
+// TestHeldOffServerGetsNoRequests checks that a server that wants no requests for a time
+// gets none until then, also if there is no other one, and that the caller is told when
+// to come back.
+func TestHeldOffServerGetsNoRequests(t *testing.T) {
+	f := fleet(engines(2))
+	for _, hold := range []time.Duration{3 * time.Second, 2 * time.Second} {
+		held := pick(t, f, nil, start)
+		held.HoldOff(start.Add(hold))
+		held.Done(place.Declined{}, start)
+	}
+	at := start.Add(1900 * time.Millisecond)
+	decision := f.Pick(place.Query{Now: at, Upstream: "pool"})
+	full, ok := decision.(place.Full)
+	if !ok || full.RetryAfter != 100*time.Millisecond {
+		t.Errorf("%#v, want Full with 100 ms", decision)
+	}
+	pick(t, f, nil, start.Add(2*time.Second))
+}
+
+// TestServerThatSaysItLeavesGetsNoRequests checks that a server gets no requests after a
+// response that states that it leaves, even if an outdated list shows it as available.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	list := engines(1)
+	f := fleet(list)
+	placement := pick(t, f, nil, start)
+	placement.MarkLeaving(start)
+	placement.Done(place.Served{}, start)
+	f.Update(list, start.Add(time.Second))
+	decision := f.Pick(place.Query{Now: start.Add(time.Second), Upstream: "pool"})
+	_, none := decision.(place.NoServer)
+	if !none {
+		t.Errorf("%#v, want NoServer", decision)
+	}
+}
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -38,6 +38,9 @@
 	// prefixes are the prefix segments sent to the engine.
 	prefixes prefixCache
 
+	// heldOffUntil is the time until which the server wants no requests.
+	heldOffUntil time.Time
+
 	load           Load
 	loadReportedAt time.Time
 
