Forward: nothing of a silent server is forwarded once its successor has taken over

Cause: bytes that arrive in the instant of the take-over end the search, which then hands over; the bytes were still forwarded, although the successor had been asked for what follows the event before them.

Change: once a successor has taken over, the copying ends before the bytes are forwarded.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -185,6 +185,9 @@
 			s.endSilence()
 			s.task.lastReceived = time.Now()
 		}
+		if s.task.next != nil {
+			return errSuperseded
+		}
 		s.pending = append(s.pending, buffer[:n]...)
 		if err == nil && s.response.Buffered() && len(s.pending) < streamBufferBytes {
 			continue
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -302,6 +302,25 @@
 	time.Sleep(time.Second)
 }
 
+// TestNoEventComesTwiceAtTheTakeOver guards against forwarding what a silent server sends
+// in the instant in which its successor takes over from an earlier event.
+func TestNoEventComesTwiceAtTheTakeOver(t *testing.T) {
+	const (
+		rounds = 500
+		// found is when the overlap ends and the successor takes over, from the start of
+		// the silence.
+		found = 1510 * time.Millisecond
+	)
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+			network, _, stop := startPausingSite(t, limits, []pausingServer{{pauseAt: 3, pause: found}, {pauseAt: 3, pause: time.Second}})
+			defer stop()
+			expectWholeStream(t, network)
+		})
+	}
+}
+
 // TestStreamIsResumedOnceAnotherServerIsReachable guards against a search that gives up
 // on servers which were unreachable for a while.
 func TestStreamIsResumedOnceAnotherServerIsReachable(t *testing.T) {
