Forward: a version is guessed only from a list that was followed without a gap

Cause: the history of versions was measured against the clock, not against the age of the list. Change: the view says for how long it has followed the list without a gap of four seconds; a guess needs that for as long as the stream may have lasted, by the longer of the route's timeout and the caller's. A guessed origin is recorded, so that later tries agree.

TestOldListGuessesNoVersion and the second half of TestOnlyVersionNeedsNoRecord fail before (200; 503). TestOnlyVersionNeedsNoRecord and TestUnknownStreamIsNot- Guessed now keep their list current for a minute first, and the latter checks the reason: stricter than before, since a fleet that was just started guesses nothing in any case. TestViewFollowsTheListWithoutGaps is new.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -36,7 +36,8 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Streams and ListAge may be nil.
+// before the first request; only Streams, ListAge and
+// ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -48,6 +49,9 @@
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
+	// ListFollowedFor returns how long the list of backend servers has been followed
+	// without a gap. If it is nil, no stream of unknown origin goes on.
+	ListFollowedFor func() time.Duration
 	// Entries returns the number of entries that share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -53,7 +53,7 @@
 	}
 	began, known := t.originOf(ctx, t.request.ContinuedAttempt)
 	if !known {
-		began.version, known = t.server.Fleet.SoleVersion(t.upstream, t.route.Timeout+streamAgeMargin, time.Now())
+		began, known = t.soleOrigin()
 	}
 	if !known {
 		return serviceUnavailable(reasonUnknownVersion, retryAfterSoon)
@@ -65,6 +65,22 @@
 	return nil
 }
 
+// soleOrigin returns the only origin that a stream of the route can have: one version
+// alone has served for as long as the stream may have lasted, by a list that was followed
+// all the while.
+func (t *task) soleOrigin() (began origin, known bool) {
+	longest := max(t.route.Timeout, t.request.CallerTimeout) + streamAgeMargin
+	if t.server.ListFollowedFor == nil || t.server.ListFollowedFor() < longest {
+		return origin{}, false
+	}
+	version, known := t.server.Fleet.SoleVersion(t.upstream, longest, time.Now())
+	began = origin{upstream: t.upstream, version: version}
+	if known && t.request.ContinuedAttempt != "" && t.server.Streams != nil {
+		t.server.Streams.Began(t.request.ContinuedAttempt, began.String())
+	}
+	return began, known
+}
+
 // originOf returns where the stream of an earlier attempt began, if an entry knows it. It
 // records the origin again, so that it outlives entries that have ended since.
 func (t *task) originOf(ctx context.Context, attempt string) (began origin, known bool) {
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/retry"
 )
 
@@ -148,15 +150,17 @@
 func TestUnknownStreamIsNotGuessed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var events sentEvents
-		network, _, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
+		network, entry, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
 		defer stop()
+		entry.ListFollowedFor = func() time.Duration { return time.Minute }
+		time.Sleep(time.Minute)
 		for _, header := range []http.Header{
 			{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}},
 			{"Id": {"a3"}, "Last": {"2"}},
 		} {
 			status, body, _ := callWithHeader(t, network, header)
-			if status != http.StatusServiceUnavailable {
-				t.Errorf("status %d, body %q; want 503", status, body)
+			if status != http.StatusServiceUnavailable || body != "stream_version_unknown\n" {
+				t.Errorf("status %d, body %q; want 503 because of the unknown version", status, body)
 			}
 		}
 		events.expectVersions(t)
@@ -164,19 +168,50 @@
 }
 
 // TestOnlyVersionNeedsNoRecord checks that a stream of which no entry knows the version
-// goes on if no other version has served for as long as the stream may have lasted.
+// goes on if no other version has served for as long as the stream may have lasted, and
+// that it is known from then on.
 func TestOnlyVersionNeedsNoRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var events sentEvents
 		servers := versionedServers(&events)
 		servers[1].version = "v1"
-		network, _, stop := startPausingSite(t, retry.Limits{}, servers)
+		network, entry, stop := startPausingSite(t, retry.Limits{}, servers)
 		defer stop()
+		entry.ListFollowedFor = func() time.Duration { return time.Minute }
 		time.Sleep(time.Minute)
-		status, body, complete := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}})
-		if status != http.StatusOK || body != eventText(3, eventCount) || !complete {
-			t.Errorf("status %d, body %q, complete %v; want the rest of the stream", status, body, complete)
+		expectRest(t, network, "a2")
+		entry.Fleet.Update([]instances.Instance{
+			{ID: "s1", Upstream: "pool", Address: "10.0.0.2:80", Slots: 8, Version: "v1"},
+			{ID: "s2", Upstream: "pool", Address: "10.0.0.3:80", Slots: 8, Version: "v2"},
+		}, time.Now())
+		expectRest(t, network, "a3")
+	})
+}
+
+// expectRest resumes a stream of another entry after its second event and checks that it
+// goes on.
+func expectRest(t *testing.T, network *fake.Network, attempt string) {
+	t.Helper()
+	status, body, complete := callWithHeader(t, network, http.Header{"Id": {attempt}, "Last": {"2"}, "Continues": {"of another entry"}})
+	if status != http.StatusOK || body != eventText(3, eventCount) || !complete {
+		t.Errorf("status %d, body %q, complete %v; want the rest of the stream", status, body, complete)
+	}
+}
+
+// TestOldListGuessesNoVersion guards against an entry without a current list that takes
+// the last version it saw for the only one.
+func TestOldListGuessesNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events sentEvents
+		network, entry, stop := startPausingSite(t, retry.Limits{}, []pausingServer{{version: "v1", sent: events.record}})
+		defer stop()
+		entry.ListFollowedFor = func() time.Duration { return 0 }
+		time.Sleep(time.Minute)
+		status, body, _ := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}})
+		if status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, body %q; want 503", status, body)
 		}
+		events.expectVersions(t)
 	})
 }
 
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -151,3 +151,32 @@
 		}
 	})
 }
+
+// TestViewFollowsTheListWithoutGaps checks that a view counts as following the list only
+// since the end of the last gap, and not at all while the list is old.
+func TestViewFollowsTheListWithoutGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := &instances.View{}
+		listing := instances.Listing{Reader: "r", Number: 1}
+		view.Offer(listing, 0)
+		follow := func(seconds int) {
+			for range seconds {
+				time.Sleep(time.Second)
+				view.Confirm("r", 1, 0)
+			}
+		}
+		follow(10)
+		if view.FollowedFor() != 10*time.Second {
+			t.Errorf("followed for %s, want 10 s", view.FollowedFor())
+		}
+		time.Sleep(5 * time.Second)
+		if view.FollowedFor() != 0 {
+			t.Errorf("followed for %s with a list of 5 s ago, want 0", view.FollowedFor())
+		}
+		view.Confirm("r", 1, 0)
+		follow(3)
+		if view.FollowedFor() != 3*time.Second {
+			t.Errorf("followed for %s after a gap, want 3 s", view.FollowedFor())
+		}
+	})
+}
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -24,6 +24,9 @@
 	// read it.
 	jitterPerEntry = 30 * time.Millisecond
 	maxJitter      = 3 * time.Second
+	// maxListGap is the longest time between two confirmations of the list in which the
+	// view still counts as following it.
+	maxListGap = 4 * time.Second
 )
 
 // View is an entry's copy of the list of backend servers. It uses the listings
@@ -48,6 +51,8 @@
 	number uint64
 	// confirmed is when the list was last known to be current.
 	confirmed time.Time
+	// followedSince is when the view began to follow the list without a gap.
+	followedSince time.Time
 	// checksum is the checksum of the list that the view holds.
 	checksum uint64
 
@@ -112,10 +117,30 @@
 func (v *View) confirm(age time.Duration) {
 	at := time.Now().Add(-age)
 	if at.After(v.confirmed) {
-		v.confirmed = at
+		v.confirmAt(at)
 	}
 }
 
+// confirmAt records that the list was current at the given time; mu is held.
+func (v *View) confirmAt(at time.Time) {
+	if at.Sub(v.confirmed) > maxListGap {
+		v.followedSince = at
+	}
+	v.confirmed = at
+}
+
+// FollowedFor returns how long the view has followed the list without a gap: every
+// instance that was listed for longer than a gap in that time was seen. It returns 0 if
+// the list is too old now.
+func (v *View) FollowedFor() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.confirmed.IsZero() || time.Since(v.confirmed) > maxListGap {
+		return 0
+	}
+	return time.Since(v.followedSince)
+}
+
 // Offer replaces the list by a listing that was current age ago, unless the
 // view's own list is newer.
 func (v *View) Offer(listing Listing, age time.Duration) {
@@ -131,7 +156,7 @@
 		v.mu.Unlock()
 		return
 	}
-	v.confirmed = at
+	v.confirmAt(at)
 	v.reader = listing.Reader
 	v.number = listing.Number
 	v.checksum = checksum
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -154,6 +154,7 @@
 		Announce: gossiper.AnnounceList,
 	}
 	g.Server.ListAge = view.Age
+	g.Server.ListFollowedFor = view.FollowedFor
 	gossiper.ListAnnounced = view.ConfirmChecksum
 	g.Watcher = &group.Watcher{
 		Directory:       g.directory,
