Place: a stream may go on at a server that has just begun to leave

For placements that are limited to a version, and only if nothing else is left, a server that has been known to leave for less than a second may be chosen. TestStreamMayGoOnAtAServerThatHasJustBegunToLeave fails before (no server).

--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -31,6 +31,10 @@
 	// leaves a list may show it as available. It exceeds the age of any list in use,
 	// so that what a later list shows is another run of the server.
 	returnAfter = 15 * time.Second
+	// leavingGrace is how long after it became known that a server leaves it may still get
+	// a request that only servers of its version can take. Leaving servers go on for
+	// longer than that.
+	leavingGrace = time.Second
 	// fullRetryAfter is the retry delay returned when all servers are full.
 	fullRetryAfter = 300 * time.Millisecond
 )
@@ -208,9 +212,12 @@
 func (f *Fleet) Pick(q Query) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cheapest, full := f.cheapest(q, false)
+	cheapest, full := f.cheapest(q, eligible{})
 	if cheapest == nil && full == 0 {
-		cheapest, full = f.cheapest(q, true)
+		cheapest, full = f.cheapest(q, eligible{ejected: true})
+	}
+	if cheapest == nil && full == 0 && q.Version.Limited {
+		cheapest, full = f.cheapest(q, eligible{ejected: true, leaving: true})
 	}
 	switch {
 	case cheapest != nil:
@@ -224,15 +231,14 @@
 
 // cheapest returns the server with the lowest cost, or nil. If it skipped full servers or
 // ones that want no requests now, full is the time until the first of them may take one.
-// Ejected servers are candidates only with includeEjected.
-func (f *Fleet) cheapest(q Query, includeEjected bool) (cheapest *server, full time.Duration) {
+func (f *Fleet) cheapest(q Query, allowed eligible) (cheapest *server, full time.Duration) {
 	preferred := f.preferred(q)
 	var lowest time.Duration
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || !q.Version.allows(s.version) || slices.Contains(q.Tried, s.id) {
+		if s.upstream != q.Upstream || !q.Version.allows(s.version) || slices.Contains(q.Tried, s.id) {
 			continue
 		}
-		if !includeEjected && s.isEjected(q.Now) {
+		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
 		if wait := s.timeUntilFree(q.Now); wait > 0 {
@@ -248,6 +254,23 @@
 	return cheapest, full
 }
 
+// eligible says which servers may be chosen beside those that are neither ejected nor
+// leaving.
+type eligible struct {
+	ejected bool
+	// leaving allows servers that have been leaving for less than leavingGrace.
+	leaving bool
+}
+
+// isEligible reports whether a server may be chosen; mu is held.
+func (f *Fleet) isEligible(s *server, allowed eligible, now time.Time) bool {
+	if s.leaving {
+		since, known := f.departures.Since(departureKey(s.id, s.address))
+		return allowed.leaving && !s.replaced && known && now.Sub(since) < leavingGrace
+	}
+	return allowed.ejected || !s.isEjected(now)
+}
+
 // timeUntilFree returns how long the server takes no request, because it wants none or is
 // full; 0 if it takes one now.
 func (s *server) timeUntilFree(now time.Time) time.Duration {
@@ -408,6 +431,7 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.leaving = true
+	p.server.replaced = true
 	p.fleet.departures.ReportListed(departureKey(p.server.id, p.server.address), true, now)
 	p.fleet.notify(p.server, EventReplaced, 0)
 }
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -29,6 +29,8 @@
 	version string
 	slots   int
 	leaving bool
+	// replaced is set once another server has answered at the address.
+	replaced bool
 
 	// inFlight counts this entry's requests at the server.
 	inFlight int
--- a/internal/place/version_test.go
+++ b/internal/place/version_test.go
@@ -73,3 +73,25 @@
 		t.Errorf("%+v, want the server to be ready", counts)
 	}
 }
+
+// TestStreamMayGoOnAtAServerThatHasJustBegunToLeave checks that a leaving server is the
+// last choice for a limited placement, and only for a short time.
+func TestStreamMayGoOnAtAServerThatHasJustBegunToLeave(t *testing.T) {
+	list := versions("v1", "v2")
+	f := fleet(list)
+	list[0].Leaving = true
+	f.Update(list, start)
+	limited := place.Query{Now: start.Add(500 * time.Millisecond), Upstream: "pool", Version: place.VersionLimit{Limited: true, Version: "v1"}}
+	chosen, ok := f.Pick(limited).(place.Chosen)
+	if !ok || chosen.Placement.Version != "v1" {
+		t.Errorf("%#v, want the leaving server of v1", chosen)
+	}
+	limited.Now = start.Add(1100 * time.Millisecond)
+	_, none := f.Pick(limited).(place.NoServer)
+	if !none {
+		t.Error("a server that has been leaving for more than a second was chosen")
+	}
+	if got := pick(t, f, nil, start); got.Version != "v2" {
+		t.Errorf("%s without a limit, want v2", got.Version)
+	}
+}
