Gossip: late answers about a stream's origin are kept, and origins for a minute

The last round waits for 100 ms, and what comes within a second after it is stored for the next query. Origins are kept for a minute, since a stream may last longer than the half of it.

TestLateAnswerIsKnownToTheNextQuery fails before. TestSilentPeersDelayNoLonger now expects the sum of the three timeouts, 150 ms, as exactly as 75 ms before.

--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -7,7 +7,7 @@
 
 const (
 	// originTTL is how long the origin of a stream is kept at least.
-	originTTL = 30 * time.Second
+	originTTL = time.Minute
 	// maxOrigins bounds the streams whose origins an entry keeps.
 	maxOrigins = 65536
 	// maxGeneration is the number of streams at which a generation is full.
--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -20,6 +20,11 @@
 	// streamAnswerTimeout is how long a query waits for the answers to one
 	// attempt. It exceeds the round trip to another failure domain.
 	streamAnswerTimeout = 25 * time.Millisecond
+	// allPeersTimeout is how long a query to all peers waits for answers.
+	allPeersTimeout = 100 * time.Millisecond
+	// lateAnswerTime is how long answers that come too late for their query are still
+	// stored, for a repeated one.
+	lateAnswerTime = time.Second
 	// keeperAttempts is how often a keeper that doesn't answer is asked.
 	keeperAttempts = 2
 	// maxStreamQueries bounds the queries that wait for answers.
@@ -140,23 +145,30 @@
 // value is ready to use.
 type streamQueries struct {
 	mu      sync.Mutex
-	pending map[uint64]chan receivedAnswer
+	pending map[uint64]*pendingQuery
 }
 
-// open returns the id of a new query and a channel that holds up to capacity
-// answers to it. It returns false if too many queries wait.
-func (s *streamQueries) open(capacity int) (uint64, chan receivedAnswer, bool) {
+// pendingQuery is a query for the origin of an attempt, which waits for answers or did a
+// short time ago.
+type pendingQuery struct {
+	attempt string
+	answers chan receivedAnswer
+}
+
+// open returns the id of a new query for an attempt and a channel that holds up to
+// capacity answers to it. It returns false if too many queries wait.
+func (s *streamQueries) open(attempt string, capacity int) (uint64, chan receivedAnswer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.pending) >= maxStreamQueries {
 		return 0, nil, false
 	}
 	if s.pending == nil {
-		s.pending = make(map[uint64]chan receivedAnswer)
+		s.pending = make(map[uint64]*pendingQuery)
 	}
 	id := rand.Uint64()
 	answers := make(chan receivedAnswer, capacity)
-	s.pending[id] = answers
+	s.pending[id] = &pendingQuery{attempt: attempt, answers: answers}
 	return id, answers, true
 }
 
@@ -167,16 +179,21 @@
 	delete(s.pending, id)
 }
 
-// answer passes an answer to its query. It drops an answer to an unknown query
-// and one beyond the capacity, which can only be a repeated one.
-func (s *streamQueries) answer(id uint64, a receivedAnswer) {
+// answer passes an answer to its query and returns the query's attempt. It returns false
+// for an unknown query, and drops an answer beyond the capacity, which can only be a
+// repeated one.
+func (s *streamQueries) answer(id uint64, a receivedAnswer) (attempt string, known bool) {
 	s.mu.Lock()
-	answers := s.pending[id]
+	query := s.pending[id]
 	s.mu.Unlock()
+	if query == nil {
+		return "", false
+	}
 	select {
-	case answers <- a:
+	case query.answers <- a:
 	default:
 	}
+	return query.attempt, true
 }
 
 // Began records the origin of the stream of a caller's attempt and tells the
@@ -225,26 +242,25 @@
 func (g *Gossiper) queryPeers(ctx context.Context, attempt string) string {
 	peers := g.peerAddresses()
 	asked := keepers(attempt, peers, askedKeepers)
-	id, answers, ok := g.queries.open(len(peers) + keeperAttempts*len(asked))
+	id, answers, ok := g.queries.open(attempt, len(peers)+keeperAttempts*len(asked))
 	if !ok {
 		return ""
 	}
-	defer g.queries.close(id)
+	defer time.AfterFunc(lateAnswerTime, func() { g.queries.close(id) })
 	data := streamQuery{id: id, attempt: attempt}.append(nil)
 	for range keeperAttempts {
 		var origin string
-		origin, asked = g.ask(ctx, data, asked, answers)
+		origin, asked = g.ask(ctx, data, asked, answers, streamAnswerTimeout)
 		if origin != "" {
 			return origin
 		}
 	}
-	origin, _ := g.ask(ctx, data, peers, answers)
+	origin, _ := g.ask(ctx, data, peers, answers, allPeersTimeout)
 	return origin
 }
 
-// ask sends an encoded query to entries and waits up to streamAnswerTimeout. It
-// returns the first origin answered, or else the entries that didn't answer.
-func (g *Gossiper) ask(ctx context.Context, query []byte, entries []netip.AddrPort, answers <-chan receivedAnswer) (string, []netip.AddrPort) {
+// ask sends an encoded query to entries and waits up to timeout. It returns the first origin answered, or else the entries that didn't answer.
+func (g *Gossiper) ask(ctx context.Context, query []byte, entries []netip.AddrPort, answers <-chan receivedAnswer, timeout time.Duration) (string, []netip.AddrPort) {
 	if ctx.Err() != nil || len(entries) == 0 {
 		return "", entries
 	}
@@ -252,8 +268,8 @@
 		g.trySend(query, entry)
 	}
 	silent := slices.Clone(entries)
-	timeout := time.NewTimer(streamAnswerTimeout)
-	defer timeout.Stop()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	for len(silent) > 0 {
 		select {
 		case a := <-answers:
@@ -261,7 +277,7 @@
 				return a.origin, nil
 			}
 			silent = slices.DeleteFunc(silent, func(entry netip.AddrPort) bool { return entry == a.from })
-		case <-timeout.C:
+		case <-timer.C:
 			return "", silent
 		case <-ctx.Done():
 			return "", silent
@@ -291,13 +307,17 @@
 	return nil
 }
 
-// handleStreamAnswer passes an answer to the query that waits for it.
+// handleStreamAnswer passes an answer to the query that waits for it, and stores the
+// origin for a repeated query.
 func (g *Gossiper) handleStreamAnswer(data []byte, from netip.AddrPort) error {
 	a, err := decodeStreamAnswer(data)
 	if err != nil {
 		return err
 	}
-	g.queries.answer(a.id, receivedAnswer{from: from, origin: a.origin})
+	attempt, known := g.queries.answer(a.id, receivedAnswer{from: from, origin: a.origin})
+	if known && a.origin != "" {
+		g.remember(attempt, a.origin)
+	}
 	return nil
 }
 
