Review: a predicate that only tells, one reading of a successor's response

hasBegun also recorded what a response says of its server, and the response's header was decoded twice where it is rejected: it is decoded and recorded once, before the question. No behavior changes; internal/forward, internal/gossip and platform/callers pass with -race, twice.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -36,8 +36,7 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Streams, ListAge and
-// ListFollowedFor may be nil.
+// before the first request; only Streams, ListAge and ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -97,16 +97,21 @@
 		return false
 	}
 	s.setPlacement(placement)
-	overlap := time.AfterFunc(maxOverlap, func() { s.takeOver() })
+	overlap := time.AfterFunc(maxOverlap, s.takeOver)
 	response, err := connection.Do(s.ctx, t.upstreamRequest(placement))
 	overlap.Stop()
-	if s.hasBegun(response, err) {
+	var info ResponseInfo
+	if err == nil {
+		info = t.server.Translator.ResponseInfo(response.Status, response.Header)
+		recordServerState(placement, info)
+	}
+	if err == nil && s.hasBegun(response.Status, info) {
 		s.takeOver()
 	}
 	if s.keepResult(response, err) {
 		return true
 	}
-	s.reject(placement, response, err)
+	s.reject(placement, response, info, err)
 	return false
 }
 
@@ -149,16 +154,11 @@
 
 // hasBegun reports whether a server has begun to respond to the request in a way that
 // the caller's response can use.
-func (s *successor) hasBegun(response *upstream.Response, err error) bool {
-	if err != nil {
-		return false
-	}
-	info := s.task.server.Translator.ResponseInfo(response.Status, response.Header)
-	recordServerState(s.placement, info)
+func (s *successor) hasBegun(status int, info ResponseInfo) bool {
 	if info.NotRun || info.OtherServer || !info.Genuine {
 		return false
 	}
-	return response.Status == http.StatusOK || !s.task.responseStarted && response.Status < http.StatusInternalServerError
+	return status == http.StatusOK || !s.task.responseStarted && status < http.StatusInternalServerError
 }
 
 // takeOver makes the server that the request was sent to the successor, unless the
@@ -188,7 +188,7 @@
 }
 
 // reject ends an attempt at a server that did not take over.
-func (s *successor) reject(placement *place.Placement, response *upstream.Response, err error) {
+func (s *successor) reject(placement *place.Placement, response *upstream.Response, info ResponseInfo, err error) {
 	s.obstacle = deniedByServers
 	switch {
 	case s.ctx.Err() != nil:
@@ -197,7 +197,7 @@
 	case err != nil:
 		s.rejectError(placement, err)
 	default:
-		s.rejectResponse(placement, response)
+		s.rejectResponse(placement, response, info)
 	}
 }
 
@@ -215,8 +215,7 @@
 }
 
 // rejectResponse ends an attempt whose response the caller's can't use.
-func (s *successor) rejectResponse(placement *place.Placement, response *upstream.Response) {
-	info := s.task.server.Translator.ResponseInfo(response.Status, response.Header)
+func (s *successor) rejectResponse(placement *place.Placement, response *upstream.Response, info ResponseInfo) {
 	if info.OtherServer || info.NotRun {
 		d := s.task.endDeclined(placement, response, info)
 		s.avoided = append(s.avoided, placement.ID)
--- a/internal/gossip/origins.go
+++ b/internal/gossip/origins.go
@@ -14,9 +14,9 @@
 	maxGeneration = maxOrigins / 2
 )
 
-// originTable maps the attempts that began streams to origins. It
-// keeps each for originTTL to twice originTTL, or until maxGeneration newer
-// ones are known. The zero value is empty and ready to use.
+// originTable maps the attempts that began streams to origins. It keeps each for
+// originTTL to twice originTTL, or until maxGeneration newer ones are known. The zero
+// value is empty and ready to use.
 type originTable struct {
 	mu sync.Mutex
 	// current receives new streams; older is the generation before it.
--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -39,8 +39,8 @@
 	minStreamAnswerLength       = 1 + 8
 )
 
-// streamAnnouncement states where the stream of an attempt began. It is encoded as the format, the length and bytes of the attempt id and
-// the origin.
+// streamAnnouncement states where the stream of an attempt began. It is encoded as the
+// format, the length and bytes of the attempt id and the origin.
 type streamAnnouncement struct {
 	attempt string
 	origin  string
@@ -71,9 +71,8 @@
 	return a, nil
 }
 
-// streamQuery asks where the stream of an attempt began. It
-// is encoded as the format, the id of the query and the attempt id. Numbers are
-// big-endian.
+// streamQuery asks where the stream of an attempt began. It is encoded as the format,
+// the id of the query and the attempt id. Numbers are big-endian.
 type streamQuery struct {
 	id      uint64
 	attempt string
@@ -197,7 +196,8 @@
 }
 
 // Began records the origin of the stream of a caller's attempt and tells the
-// entries that keep a copy. It never blocks; an empty or overlong attempt or origin is not recorded.
+// entries that keep a copy. It never blocks; an empty or overlong attempt or origin is
+// not recorded.
 func (g *Gossiper) Began(attempt, origin string) {
 	if !validAttempt(attempt) || !validOrigin(origin) {
 		return
@@ -209,8 +209,9 @@
 	}
 }
 
-// OriginOf returns the origin of the stream of an attempt, from this entry's memory, or else from the entries that keep a copy, or
-// else from all peers. known is false if no entry says so in time.
+// OriginOf returns the origin of the stream of an attempt, from this entry's memory, or
+// else from the entries that keep a copy, or else from all peers. known is false if no
+// entry says so in time.
 func (g *Gossiper) OriginOf(ctx context.Context, attempt string) (origin string, known bool) {
 	if !validAttempt(attempt) {
 		return "", false
@@ -259,7 +260,8 @@
 	return origin
 }
 
-// ask sends an encoded query to entries and waits up to timeout. It returns the first origin answered, or else the entries that didn't answer.
+// ask sends an encoded query to entries and waits up to timeout. It returns the first
+// origin answered, or else the entries that didn't answer.
 func (g *Gossiper) ask(ctx context.Context, query []byte, entries []netip.AddrPort, answers <-chan receivedAnswer, timeout time.Duration) (string, []netip.AddrPort) {
 	if ctx.Err() != nil || len(entries) == 0 {
 		return "", entries
