--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/place"
@@ -98,6 +100,7 @@
 		"cause", cause,
 		"may_have_run", t.mayHaveRun,
 		"last_event", t.lastEventID,
+		"prompt_segments", segmentIDs(t.request.Prompt),
 		"decision", decision,
 		"not_repeated", string(notRepeated),
 		"silent_ms", time.Since(t.lastReceived).Milliseconds(),
@@ -105,6 +108,19 @@
 	)
 }
 
+// segmentIDs returns the hexadecimal ids of the segments that a prompt shares with others,
+// separated by commas.
+func segmentIDs(prompt *place.Prompt) string {
+	if prompt == nil {
+		return ""
+	}
+	ids := make([]string, len(prompt.Prefix))
+	for i, segment := range prompt.Prefix {
+		ids[i] = strconv.FormatUint(segment.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // reportSilence logs that a silent server has kept its request. The obstacle is what
 // kept another server from taking over, if the silence lasted long enough to ask.
 func (t *task) reportSilence(obstacle denial) {
