Quarantine: prompts with a segment under which servers crash are refused

Cause: an attempt whose server ends before its answer goes on was forgotten. Each new request with the segment, from any entry, and each further attempt of a request, was placed like any other. Class: a failure that the input causes is taken for one of the server, and its evidence is neither kept nor shared.

Change: internal/quarantine keeps, for each shared segment of a prompt, the servers that ended a connection before the answer had gone on, and when an answer on it last went on. Three ends, apart from each other and of different servers, with no answer in between, put the segment into quarantine for an hour; five, if answers on it are known to have gone on. Ends at one moment count once, because servers that end together have another cause. A request with a quarantined segment is refused before its tokens are reserved, before each further attempt and before a successor is sought.

Ruled out: that an entry's own counts suffice (of ten ends most entries see one or two); that repeats alone spread it (onces of a route without repeats end a server each).

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -66,6 +66,7 @@
 			return &refusal{reason: reasonCallerLeft}, false
 		}
 		placement.Done(place.Failed{}, time.Now())
+		t.recordCrash(placement, err)
 		refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBadResponse))
 		t.reportFailedAttempt(placement, "broken_answer", err.Error(), shouldRetry)
 		return refused, shouldRetry
@@ -80,6 +81,9 @@
 		return &refusal{reason: reasonBrokenStream}, false
 	}
 	t.responseComplete = true
+	if isSuccess(response.Status) {
+		t.recordProgress()
+	}
 	t.startResponse(response)
 	if t.request.Method != http.MethodHead {
 		t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -144,6 +148,9 @@
 	}
 	response.Abandon()
 	placement.Done(place.Failed{}, now)
+	if !s.progressed {
+		t.recordCrash(placement, err)
+	}
 	refused, shouldRetry = t.retryOr(ctx, &refusal{reason: reasonBrokenStream})
 	t.reportFailedAttempt(placement, "broken_stream", err.Error(), shouldRetry)
 	return refused, shouldRetry
@@ -163,6 +170,10 @@
 	// pending holds bytes that are not forwarded yet; it ends with an incomplete
 	// event, if any.
 	pending []byte
+	// events counts the events of this attempt, and progressed is set once the answer has
+	// gone on beyond its begin.
+	events     int
+	progressed bool
 	// successor is sought while the server is silent; nil at other times.
 	successor *successor
 }
@@ -202,11 +213,20 @@
 		case len(s.pending) > 0:
 			return upstream.ErrTruncated
 		default:
+			s.recordProgress()
 			return nil
 		}
 	}
 }
 
+// recordProgress records once that the answer has gone on beyond its begin.
+func (s *eventStream) recordProgress() {
+	if !s.progressed {
+		s.progressed = true
+		s.task.recordProgress()
+	}
+}
+
 // seekSuccessor seeks a server that resumes the stream, and ends the reading once there
 // is one. A read may be silent several times.
 func (s *eventStream) seekSuccessor() {
@@ -236,6 +256,9 @@
 		return nil
 	}
 	s.task.recordVersion(s.version)
+	if s.events >= eventsOfProgress {
+		s.recordProgress()
+	}
 	s.task.responseBytes += int64(end)
 	_, err := s.task.w.Write(s.pending[:end])
 	if err == nil {
@@ -263,6 +286,7 @@
 			t.lastEventID = id
 		}
 		t.events++
+		s.events++
 		end += length
 	}
 }
--- /dev/null
+++ b/internal/forward/quarantine_test.go
@@ -0,0 +1,104 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/forward"
+	"github.com/cactusbay/cactusbay/internal/place"
+)
+
+// segmentTranslator is a testTranslator that gives every request the same prompt.
+type segmentTranslator struct{ testTranslator }
+
+func (segmentTranslator) Request(r *http.Request) (*forward.Request, error) {
+	request, err := testTranslator{}.Request(r)
+	request.Prompt = &place.Prompt{Tokens: 100, Output: 100, Prefix: []place.PrefixSegment{{ID: 7, Tokens: 50}}}
+	return request, err
+}
+
+// closeUnframed returns a responder that sends the header of a stream without length or
+// chunks, then body, and ends with the connection.
+func closeUnframed(body string) responder {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n\r\n%s", request.Header.Get("Id"), body)
+		_ = conn.Close()
+	}
+}
+
+// crashInterval separates crashes that count one by one.
+const crashInterval = 60 * time.Millisecond
+
+// TestPromptsThatCrashServersAreRefused guards against prompts that are sent to further
+// servers after three have ended the connection before an answer went on.
+func TestPromptsThatCrashServersAreRefused(t *testing.T) {
+	for name, ends := range map[string]responder{
+		"before the header":               func(conn net.Conn, _ *http.Request) { _ = conn.Close() },
+		"by a reset":                      resetConn,
+		"after the header":                streamEvents(1, 0, "", false),
+		"after one event":                 streamEvents(1, 1, "", false),
+		"within the first event":          streamEvents(1, 0, "id: 1\nda", true),
+		"within an event without framing": closeUnframed("id: 1\nda"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, streamRoute, ends, ends, ends, ends)
+			f.server.Translator = segmentTranslator{}
+			for range 3 {
+				f.send("/a/x", "secret")
+				time.Sleep(crashInterval)
+			}
+			status, body, _, header := f.send("/a/x", "secret")
+			if status != http.StatusServiceUnavailable || body != "quarantined\n" || header.Get("Retry-After") == "" {
+				t.Errorf("status %d, body %q, Retry-After %q; want a refusal", status, body, header.Get("Retry-After"))
+			}
+			if f.attempts() != 3 {
+				t.Errorf("%d attempts, want 3", f.attempts())
+			}
+		})
+	}
+}
+
+// TestSoundPromptsAreNotRefused checks that streams that break off later, failures and
+// silent servers quarantine nothing.
+func TestSoundPromptsAreNotRefused(t *testing.T) {
+	for name, respond := range map[string]responder{
+		"broken after two events": streamEvents(1, 2, "", false),
+		"failure":                 respond(500, signatureHeader, "bad"),
+		"declined":                respond(503, notRunHeader, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, streamRoute, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, streamEvents(1, 3, "", true))
+			f.server.Translator = segmentTranslator{}
+			for range 4 {
+				f.send("/a/x", "secret")
+				time.Sleep(crashInterval)
+			}
+			if f.server.Quarantine.Count() != 0 {
+				t.Error("the prompt's segment is in quarantine")
+			}
+		})
+	}
+}
+
+// TestWaitingRequestIsNotSentOnceItsPromptIsQuarantined guards against a request that
+// waits for its further attempt while its prompt's segment is quarantined.
+func TestWaitingRequestIsNotSentOnceItsPromptIsQuarantined(t *testing.T) {
+	convict := func(f *fixture) {
+		for i := range 3 {
+			f.server.Quarantine.RecordCrash(fmt.Sprint("other-", i), []place.PrefixSegment{{ID: 7}}, time.Now().Add(time.Duration(i)*crashInterval))
+		}
+	}
+	var f *fixture
+	f = newFixture(t, resumableRoute, func(conn net.Conn, _ *http.Request) {
+		convict(f)
+		_ = conn.Close()
+	}, streamEvents(1, 3, "", true))
+	f.server.Translator = segmentTranslator{}
+	status, _, _, _ := f.send("/a/x", "secret")
+	if status != http.StatusBadGateway || f.attempts() != 1 {
+		t.Errorf("status %d after %d attempts, want 502 after 1", status, f.attempts())
+	}
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -21,6 +21,7 @@
 	reasonNoTokens        reason = "no_tokens_now"
 	reasonBudgetReserved  reason = "budget_reserved"
 	reasonLeaving         reason = "leaving"
+	reasonQuarantined     reason = "quarantined"
 	reasonUnknownVersion  reason = "stream_version_unknown"
 	reasonNoServer        reason = "no_server"
 	reasonServersFull     reason = "servers_full"
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -17,6 +17,7 @@
 	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/retry"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
@@ -43,6 +44,8 @@
 	Fleet      *place.Fleet
 	Holder     *escrow.Holder
 	Retries    *retry.Budget
+	// Quarantine knows the prompt segments under which engines crash.
+	Quarantine quarantine.Registry
 	// Streams knows where streams began; nil knows of none.
 	Streams StreamOrigins
 	// ListAge returns the age of the list of backend servers. If it is nil, the
@@ -198,7 +201,11 @@
 	defer span.End()
 	t.callerCtx = callerCtx
 	t.upstream = t.route.Upstream()
-	refused := t.resolveVersion(ctx)
+	refused := t.refuseQuarantined()
+	if refused != nil {
+		return refused
+	}
+	refused = t.resolveVersion(ctx)
 	if refused != nil {
 		return refused
 	}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -119,6 +119,10 @@
 // server can take the request now.
 func (s *successor) connect() (*place.Placement, *upstream.Connection) {
 	t := s.task
+	if t.isQuarantined() {
+		s.obstacle = deniedByQuarantine
+		return nil, nil
+	}
 	if !t.server.Retries.Allows(t.upstream, t.server.Entries(), time.Now()) {
 		s.obstacle = deniedByRetryBudget
 		return nil, nil
@@ -210,6 +214,7 @@
 		return
 	}
 	placement.Done(place.Failed{}, time.Now())
+	s.task.recordCrash(placement, err)
 	s.failed = append(s.failed, placement.ID)
 	s.task.reportFailedAttempt(placement, "no_answer", err.Error(), true)
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -39,6 +39,7 @@
 	deniedByRoute       denial = "route"
 	deniedByAttempts    denial = "attempts_used"
 	deniedByRetryBudget denial = "retry_budget"
+	deniedByQuarantine  denial = "quarantined"
 	deniedByServers     denial = "no_other_server"
 )
 
@@ -103,6 +104,10 @@
 		t.countFailed(next.failed)
 		return t.sendTo(ctx, next.placement, next)
 	}
+	refused = t.refuseQuarantined()
+	if refused != nil {
+		return refused, false
+	}
 	switch d := t.pick(t.tried).(type) {
 	case place.Chosen:
 		return t.sendTo(ctx, d.Placement, nil)
@@ -301,6 +306,7 @@
 		return refused, refused == nil
 	}
 	placement.Done(place.Failed{}, now)
+	t.recordCrash(placement, err)
 	t.mayHaveRun = true
 	t.startedAttempts++
 	refused, shouldRetry = t.retryOr(ctx, badGateway(reasonOutcomeUnclear))
@@ -352,6 +358,10 @@
 		t.notRepeated = deniedByRoute
 		return false
 	}
+	if t.isQuarantined() {
+		t.notRepeated = deniedByQuarantine
+		return false
+	}
 	if !t.allowsAttemptAfter(t.startedAttempts) {
 		t.notRepeated = deniedByAttempts
 		return false
--- /dev/null
+++ b/internal/gossip/evidence_test.go
@@ -0,0 +1,72 @@
+package gossip
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
+)
+
+var culprit = []place.PrefixSegment{{ID: 9}}
+
+// waitForQuarantine waits until an entry has the culprit in quarantine.
+func waitForQuarantine(t *testing.T, g *Gossiper) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for g.Evidence.Remaining(culprit, time.Now()) == 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("the segment isn't in quarantine within %s", waitLimit)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestEvidenceReachesAllEntries guards against evidence that stays at the entry that saw
+// it, and against an entry that joins and doesn't learn what the others know.
+func TestEvidenceReachesAllEntries(t *testing.T) {
+	site := startSite(t, 5)
+	for i, g := range site[:3] {
+		g.Evidence.RecordCrash(fmt.Sprint("i-", i), culprit, time.Now())
+		time.Sleep(60 * time.Millisecond)
+	}
+	for _, g := range site {
+		waitForQuarantine(t, g)
+	}
+	late, _ := startGossiper(t, 0)
+	var addresses []string
+	for _, g := range append(site, late) {
+		addresses = append(addresses, g.Address)
+	}
+	for _, g := range append(site, late) {
+		g.SetPeers(addresses)
+	}
+	waitForQuarantine(t, late)
+}
+
+func TestEvidenceMessageRoundTrip(t *testing.T) {
+	want := []quarantine.Evidence{
+		quarantine.Crash{Segment: 1 << 60, Server: 5, Age: 70 * time.Millisecond},
+		quarantine.Progress{Segment: 2, Age: time.Second},
+		quarantine.Verdict{Segment: 3, Age: time.Hour},
+	}
+	got, err := decodeEvidence(appendEvidence(nil, want))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v with error %v, want %+v", got, err, want)
+	}
+	for _, data := range [][]byte{nil, {formatEvidence}, {formatEvidence, 1}, append([]byte{formatEvidence}, make([]byte, evidenceLength)...)} {
+		_, err := decodeEvidence(data)
+		if err == nil {
+			t.Errorf("the datagram %v was accepted", data)
+		}
+	}
+}
+
+// The largest message must fit into the receive buffer.
+func TestEvidenceFitsIntoADatagram(t *testing.T) {
+	if length := 1 + maxEvidence*evidenceLength; length > maxDatagramLength {
+		t.Errorf("a message of %d bytes exceeds %d", length, maxDatagramLength)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -2,8 +2,10 @@
 // the prompts that it places, so that all entries know the prefill backlog of
 // each engine, lends tokens to entries that can't draw any from the control
 // group, and tells others where a stream began: its origin, a text that only
-// package forward reads. A lost datagram leads to a worse placement, to a loan
-// whose tokens then count as spent, or to a stream whose origin is unknown.
+// package forward reads. It also shares the evidence against prompt segments
+// under which engines crash. A lost datagram leads to a worse placement, to a
+// loan whose tokens then count as spent, or to a stream whose origin is unknown;
+// evidence is repeated.
 package gossip
 
 import (
@@ -20,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
 const (
@@ -46,7 +49,10 @@
 	// ListAnnounced, if not nil, is called with the checksum and the age of a
 	// list of backend servers that another entry read.
 	ListAnnounced func(checksum uint64, age time.Duration)
-	Log           *log.Logger
+	// Evidence receives and repeats the evidence against prompt segments; nil shares
+	// none.
+	Evidence *quarantine.Registry
+	Log      *log.Logger
 
 	socket *net.UDPConn
 	// descriptor is the socket for sends that must not block.
@@ -61,6 +67,7 @@
 	loans    loans
 	origins  originTable
 	queries  streamQueries
+	evidence evidenceQueue
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -85,8 +92,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop = cancel
 	g.queue = make(chan promptMessage, maxQueuedPrompts)
+	g.evidence.start()
 	g.done.Go(g.receiveLoop)
 	g.done.Go(func() { g.sendLoop(ctx) })
+	g.done.Go(func() { g.evidenceLoop(ctx) })
 	return nil
 }
 
@@ -261,6 +270,8 @@
 		return g.handleLoanRequest(data, from)
 	case formatLoanResponse:
 		return g.handleLoanResponse(data, from)
+	case formatEvidence:
+		return g.handleEvidence(data)
 	case formatStreamAnnouncement:
 		return g.handleStreamAnnouncement(data)
 	case formatStreamQuery:
--- a/internal/gossip/loan_test.go
+++ b/internal/gossip/loan_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
 // fakeTokens implements Tokens for a single workspace.
@@ -52,6 +53,7 @@
 	_ = socket.Close()
 	held := &fakeTokens{tokens: tokens}
 	g := &Gossiper{Address: address, Fleet: &place.Fleet{}, Tokens: held, Log: log.New(io.Discard)}
+	g.Evidence = &quarantine.Registry{Announce: g.AnnounceEvidence}
 	err = g.Start()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -19,6 +19,7 @@
 	formatStreamAnnouncement = 5
 	formatStreamQuery        = 6
 	formatStreamAnswer       = 7
+	formatEvidence           = 8
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/retry"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
@@ -83,6 +84,7 @@
 	}
 	g.startHolder(environment, client, epochID, gossiper)
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
+	g.shareEvidence(gossiper)
 	g.Server.Streams = gossiper
 	err = g.startWatcher(environment, dialect, client, epochID, gossiper)
 	if err != nil {
@@ -101,6 +103,7 @@
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
+	m.set("segments_quarantined", float64(g.Server.Quarantine.Count()))
 	m.setFleet(g.Server.Fleet.Counts(time.Now()))
 	m.setHolder(g.Server.Holder.Totals())
 	m.setWatcher(g.Watcher)
@@ -129,6 +132,18 @@
 	g.closers.add(g.Server.Holder.Close)
 }
 
+// shareEvidence lets the gossiper share the evidence against prompt segments.
+func (g *Gateway) shareEvidence(gossiper *gossip.Gossiper) {
+	gossiper.Evidence = &g.Server.Quarantine
+	g.Server.Quarantine.Announce = gossiper.AnnounceEvidence
+	g.Server.Quarantine.Changed = g.logQuarantine
+}
+
+// logQuarantine logs the begin or the end of a quarantine.
+func (g *Gateway) logQuarantine(change quarantine.Change) {
+	g.Server.Log.Info("prompt segment "+change.Event, "segment", strconv.FormatUint(change.Segment, 16), "crashes", change.Crashes)
+}
+
 // newGossiper returns the gossiper that exchanges datagrams with the other
 // entries. Its address is the host of the caller address with the peer port.
 func (g *Gateway) newGossiper(environment Environment) (*gossip.Gossiper, error) {
--- /dev/null
+++ b/internal/quarantine/segment.go
@@ -0,0 +1,98 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes that quarantine a segment on which
+	// no answer is known to have gone on.
+	crashesToQuarantine = 3
+	// provenCrashesToQuarantine is the same for a segment on which answers have gone
+	// on, but none since the first of these crashes.
+	provenCrashesToQuarantine = 5
+	// minCrashInterval is the time between two crashes that both count. Servers that end
+	// at the same moment have another cause in common than a prompt.
+	minCrashInterval = 50 * time.Millisecond
+	// maxCrashes bounds the crashes that are kept for a segment.
+	maxCrashes = 16
+)
+
+// crash is the end of one server.
+type crash struct {
+	server uint64
+	at     time.Time
+}
+
+// segment is what is known of one prompt segment.
+type segment struct {
+	// crashes are the crashes since progress, the earliest first.
+	crashes []crash
+	// progress is when an answer last went on, at any entry, and ownProgress at this
+	// one; zero if never.
+	progress    time.Time
+	ownProgress time.Time
+	// announcedProgress is when ownProgress was last told to other entries.
+	announcedProgress time.Time
+	// quarantinedAt is the begin of the quarantine; zero if there is none.
+	quarantinedAt time.Time
+	// usedAt is when the segment was last seen.
+	usedAt time.Time
+}
+
+// addCrash adds the crash of a server and reports whether it is new.
+func (s *segment) addCrash(c crash) bool {
+	known := slices.ContainsFunc(s.crashes, func(other crash) bool { return other.server == c.server })
+	if known || len(s.crashes) >= maxCrashes || !c.at.After(s.progress) {
+		return false
+	}
+	i := len(s.crashes)
+	for i > 0 && s.crashes[i-1].at.After(c.at) {
+		i--
+	}
+	s.crashes = slices.Insert(s.crashes, i, c)
+	return true
+}
+
+// addProgress records that an answer went on at the given time. It reports whether this
+// ends a quarantine.
+func (s *segment) addProgress(at time.Time) (released bool) {
+	if !at.After(s.progress) {
+		return false
+	}
+	s.progress = at
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	if s.quarantinedAt.IsZero() || !at.After(s.quarantinedAt) {
+		return false
+	}
+	s.quarantinedAt = time.Time{}
+	return true
+}
+
+// isConvicted reports whether the crashes suffice for a quarantine.
+func (s *segment) isConvicted() bool {
+	needed := crashesToQuarantine
+	if !s.progress.IsZero() {
+		needed = provenCrashesToQuarantine
+	}
+	return s.separateCrashes() >= needed
+}
+
+// separateCrashes counts the crashes that are at least minCrashInterval apart.
+func (s *segment) separateCrashes() int {
+	count := 0
+	var last time.Time
+	for _, c := range s.crashes {
+		if count == 0 || c.at.Sub(last) >= minCrashInterval {
+			count++
+			last = c.at
+		}
+	}
+	return count
+}
+
+// isActive reports whether there is evidence against the segment.
+func (s *segment) isActive() bool {
+	return len(s.crashes) > 0 || !s.quarantinedAt.IsZero()
+}
