Forward: a stream without framing is broken if it ends before its first event

A server that crashes after the header of a stream with neither a length nor chunks ended its connection, and the entry passed that on as a complete stream without events; as evidence against a prompt it was lost. Such a stream now counts as broken. One that ends after a whole event stays complete, as the users' pages say. TestStreamWithoutFramingIsBrokenBeforeItsFirstEvent fails without the change (response complete), as does the case "after a header without framing" of TestPromptsThatCrashServersAreRefused.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -187,7 +187,8 @@
 const streamBufferBytes = 4 << 10
 
 // copy forwards events until the stream ends. It returns nil if the stream is
-// complete, and upstream.ErrTruncated if it ends within an event.
+// complete, and upstream.ErrTruncated if it ends within an event, or before the first
+// one where only the end of the connection tells the end of the stream.
 func (s *eventStream) copy() error {
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -210,7 +211,7 @@
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return err
-		case len(s.pending) > 0:
+		case len(s.pending) > 0 || s.events == 0 && s.response.EndsWithConnection():
 			return upstream.ErrTruncated
 		default:
 			s.recordProgress()
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -41,6 +41,7 @@
 		"after the header":                streamEvents(1, 0, "", false),
 		"after one event":                 streamEvents(1, 1, "", false),
 		"within the first event":          streamEvents(1, 0, "id: 1\nda", true),
+		"after a header without framing":  closeUnframed(""),
 		"within an event without framing": closeUnframed("id: 1\nda"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,6 +84,26 @@
 	}
 }
 
+// TestStreamWithoutFramingIsBrokenBeforeItsFirstEvent guards against the end of a server's
+// connection being passed on as a complete stream without events.
+func TestStreamWithoutFramingIsBrokenBeforeItsFirstEvent(t *testing.T) {
+	f := newFixture(t, streamRoute, closeUnframed(""))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != "" || complete {
+		t.Errorf("body %q, complete %v; want a broken response", body, complete)
+	}
+	f = newFixture(t, streamRoute, closeUnframed(eventText(1, 2)))
+	_, body, complete, _ = f.send("/a/x", "secret")
+	if body != eventText(1, 2) || !complete {
+		t.Errorf("body %q, complete %v; want the whole stream", body, complete)
+	}
+	f = newFixture(t, onceRoute, closeUnframed("done"))
+	_, body, complete, _ = f.send("/a/x", "secret")
+	if body != "done" || !complete {
+		t.Errorf("body %q, complete %v; want the whole response", body, complete)
+	}
+}
+
 // TestWaitingRequestIsNotSentOnceItsPromptIsQuarantined guards against a request that
 // waits for its further attempt while its prompt's segment is quarantined.
 func TestWaitingRequestIsNotSentOnceItsPromptIsQuarantined(t *testing.T) {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -109,7 +109,18 @@
 // closesConnection reports whether the connection can't be reused: the response
 // ends with it, or more bytes follow the response.
 func (r *Response) closesConnection() bool {
-	return r.parsed.Close || r.parsed.ContentLength < 0 && len(r.parsed.TransferEncoding) == 0 || r.conn.reader.Buffered() > 0
+	return r.parsed.Close || r.EndsWithConnection() || r.conn.reader.Buffered() > 0
+}
+
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that
+// only the end of the connection ends it.
+func (r *Response) EndsWithConnection() bool {
+	return endsWithConnection(r.parsed)
+}
+
+// endsWithConnection is Response.EndsWithConnection for a parsed response.
+func endsWithConnection(parsed *http.Response) bool {
+	return parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0
 }
 
 // Abandon ends the response and closes the connection, so that the server stops
@@ -122,7 +133,7 @@
 // discardBody reads the body of a response to an earlier request. It returns
 // ErrResponseMismatch if the connection ends with that response.
 func discardBody(parsed *http.Response) error {
-	if parsed.Close || parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0 {
+	if parsed.Close || endsWithConnection(parsed) {
 		return ErrResponseMismatch
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, maxBodyBytes))
