Quarantine: verdicts are kept by the control group

After a loss of all entries, or of all power, the evidence against a prompt segment was gone, and servers crashed under it again until it was complete once more.

An entry records its verdicts in the replicated log (ChangeQuarantine), takes them back when an answer goes on, and reads all of them when it starts. A stored verdict counts from the start of the entry on, so that an answer since then outweighs it.

--- a/internal/group/command.go
+++ b/internal/group/command.go
@@ -105,6 +105,7 @@
 func (AbandonClaim) isCommand()         {}
 func (ReplaceConfiguration) isCommand() {}
 func (Exchange) isCommand()             {}
+func (ChangeQuarantine) isCommand()     {}
 
 // envelope is the encoded form of a command in the replicated log; exactly one
 // field is set.
@@ -120,6 +121,7 @@
 	AbandonClaim         *AbandonClaim         `cbor:"9,keyasint,omitempty"`
 	ReplaceConfiguration *ReplaceConfiguration `cbor:"10,keyasint,omitempty"`
 	Exchange             *Exchange             `cbor:"11,keyasint,omitempty"`
+	ChangeQuarantine     *ChangeQuarantine     `cbor:"12,keyasint,omitempty"`
 }
 
 // encodeCommand returns the encoded envelope of command.
@@ -148,6 +150,8 @@
 		e.ReplaceConfiguration = &c
 	case Exchange:
 		e.Exchange = &c
+	case ChangeQuarantine:
+		e.ChangeQuarantine = &c
 	default:
 		return nil, errors.Newf("unknown command %T", command)
 	}
@@ -184,6 +188,8 @@
 		return *e.ReplaceConfiguration, nil
 	case e.Exchange != nil:
 		return *e.Exchange, nil
+	case e.ChangeQuarantine != nil:
+		return *e.ChangeQuarantine, nil
 	default:
 		return nil, errors.New("empty command")
 	}
--- a/internal/group/result.go
+++ b/internal/group/result.go
@@ -43,4 +43,6 @@
 	ExchangeResults map[string]ExchangeResult `cbor:"8,keyasint,omitempty" json:"shares,omitempty"`
 	// Release is the release number of the newest whole document.
 	Release uint64 `cbor:"9,keyasint,omitempty" json:"release,omitempty"`
+	// Quarantined are all prompt segments in quarantine.
+	Quarantined []uint64 `cbor:"10,keyasint,omitempty" json:"quarantined,omitempty"`
 }
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -44,6 +44,8 @@
 	Epochs         map[string]Epoch          `cbor:"3,keyasint"`
 	CommandResults map[string]commandResult  `cbor:"4,keyasint"`
 	Claims         map[string]claim          `cbor:"5,keyasint"`
+	// Quarantined are the prompt segments in quarantine, the oldest first.
+	Quarantined []uint64 `cbor:"6,keyasint,omitempty"`
 
 	// holdersByDomain caches the sorted open epochs of holders by failure
 	// domain; it is nil after the epochs change.
@@ -69,6 +71,8 @@
 		return s.replaceConfiguration(c, check)
 	case Exchange:
 		return s.exchange(c, check)
+	case ChangeQuarantine:
+		return s.changeQuarantine(c)
 	case Deposit:
 		return s.runOnce("deposit/"+c.ID, commandHash(c), func() Result { return s.deposit(c, check) })
 	case ReleaseInDoubt:
--- a/internal/group/watch.go
+++ b/internal/group/watch.go
@@ -89,7 +89,7 @@
 	PeersChecksum uint64   `cbor:"12,keyasint,omitempty"`
 }
 
-// Handle registers the watch, claim and exchange procedures on mux. secret
+// Handle registers the watch, claim, exchange and quarantine procedures on mux. secret
 // authenticates the callers; groupLog commits their commands.
 func (g *Group) Handle(mux *http.ServeMux, secret peer.Secret, groupLog Log) {
 	peer.Handle(mux, secret, watchProcedure, g.serveWatch)
@@ -99,6 +99,13 @@
 	peer.Handle(mux, secret, exchangeProcedure, func(ctx context.Context, request *Exchange) (*Result, error) {
 		return g.serveExchange(ctx, groupLog, request)
 	})
+	peer.Handle(mux, secret, quarantineProcedure, func(ctx context.Context, request *ChangeQuarantine) (*Result, error) {
+		result, err := Propose(ctx, groupLog, *request)
+		if err != nil {
+			return nil, err
+		}
+		return &result, nil
+	})
 }
 
 // Drain ends the watch calls in progress, so that instances switch to another
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -84,7 +84,7 @@
 	}
 	g.startHolder(environment, client, epochID, gossiper)
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
-	g.shareEvidence(gossiper)
+	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
 	err = g.startWatcher(environment, dialect, client, epochID, gossiper)
 	if err != nil {
@@ -132,11 +132,23 @@
 	g.closers.add(g.Server.Holder.Close)
 }
 
-// shareEvidence lets the gossiper share the evidence against prompt segments.
-func (g *Gateway) shareEvidence(gossiper *gossip.Gossiper) {
-	gossiper.Evidence = &g.Server.Quarantine
-	g.Server.Quarantine.Announce = gossiper.AnnounceEvidence
-	g.Server.Quarantine.Changed = g.logQuarantine
+// shareEvidence lets the gossiper share the evidence against prompt segments, and starts
+// to keep the verdicts at the control group.
+func (g *Gateway) shareEvidence(environment Environment, client *peer.Client, gossiper *gossip.Gossiper) {
+	registry := &g.Server.Quarantine
+	gossiper.Evidence = registry
+	registry.Announce = gossiper.AnnounceEvidence
+	keeper := &quarantine.Keeper{
+		Registry: registry,
+		Store:    &group.QuarantineStore{Directory: g.directory, Client: client},
+		Log:      environment.Telemetry.Log,
+	}
+	registry.Changed = func(change quarantine.Change) {
+		g.logQuarantine(change)
+		keeper.Record(change)
+	}
+	keeper.Start()
+	g.closers.add(keeper.Close)
 }
 
 // logQuarantine logs the begin or the end of a quarantine.
