Quarantine: only a server that has ended is evidence against a prompt

A server that resets single connections, or closes an idle one as a request is sent, looked like one that crashed.

Before a closed connection counts, a new one to the server tells whether it has ended; one check for all connections that it closed.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -36,10 +36,11 @@
 }
 
 // recordCrash records evidence against the segments of the request's prompt, if err says
-// that the server ended the connection before its answer had gone on.
+// that the server ended the connection before its answer had gone on, and the server has
+// ended too.
 func (t *task) recordCrash(placement *place.Placement, err error) {
 	if t.request.Prompt != nil && isConnectionEnd(err) {
-		t.server.Quarantine.RecordCrash(placement.ID, t.request.Prompt.Prefix, time.Now())
+		t.server.crashChecks.start(t.server, placement, t.request.Prompt.Prefix)
 	}
 }
 
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -100,7 +100,7 @@
 		"cause", cause,
 		"may_have_run", t.mayHaveRun,
 		"last_event", t.lastEventID,
-		"prompt_segments", segmentIDs(t.request.Prompt),
+		"prompt_segments", t.segmentIDs(),
 		"decision", decision,
 		"not_repeated", string(notRepeated),
 		"silent_ms", time.Since(t.lastReceived).Milliseconds(),
@@ -108,14 +108,18 @@
 	)
 }
 
-// segmentIDs returns the hexadecimal ids of the segments that a prompt shares with others,
-// separated by commas.
-func segmentIDs(prompt *place.Prompt) string {
-	if prompt == nil {
+// segmentIDs returns the ids of the segments that the request's prompt shares with others.
+func (t *task) segmentIDs() string {
+	if t.request.Prompt == nil {
 		return ""
 	}
-	ids := make([]string, len(prompt.Prefix))
-	for i, segment := range prompt.Prefix {
+	return segmentIDs(t.request.Prompt.Prefix)
+}
+
+// segmentIDs returns the hexadecimal ids of segments, separated by commas.
+func segmentIDs(segments []place.PrefixSegment) string {
+	ids := make([]string, len(segments))
+	for i, segment := range segments {
 		ids[i] = strconv.FormatUint(segment.ID, 16)
 	}
 	return strings.Join(ids, ",")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -63,6 +63,8 @@
 
 	table   atomic.Pointer[Table]
 	running atomic.Int64
+	// crashChecks tells whether servers that closed connections have ended.
+	crashChecks crashChecks
 	// drain is set once the instance is shutting down.
 	drain atomic.Pointer[drain.Plan]
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -110,9 +110,15 @@
 	return response, nil
 }
 
-// Release keeps an unused connection for later requests.
-func (c *Connection) Release() {
+// Release keeps an unused connection for later requests. It closes one that the server
+// has closed or sent bytes on, and reports false.
+func (c *Connection) Release() bool {
+	if !transport.IsReusable(c.conn.socket) {
+		c.conn.close()
+		return false
+	}
 	c.pool.put(c.conn)
+	return true
 }
 
 // CloseIdle closes the idle connections to a server.
