--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -70,6 +70,9 @@
 	// RetryAfter is how long a server that declined the request wants no further one
 	// from this entry; 0 if it does not say.
 	RetryAfter time.Duration
+	// Limit is how many requests a second the server takes from all entries together; nil
+	// if it does not say.
+	Limit *float64
 	// Load is the load that the server reports; nil if it reports none.
 	Load *place.Load
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -97,8 +97,9 @@
 	// prefix cache.
 	CachedTokens int64
 
-	fleet  *Fleet
-	server *server
+	fleet     *Fleet
+	server    *server
+	startedAt time.Time
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -136,7 +137,7 @@
 	if f.Changed == nil {
 		return
 	}
-	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, EjectedFor: ejectedFor})
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.perSecond, EjectedFor: ejectedFor})
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
@@ -343,7 +344,7 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, startedAt: q.Now}
 	s.inFlight++
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -104,6 +104,8 @@
 	EventEjected    = "ejected"
 	EventReadmitted = "back"
 	EventReplaced   = "replaced at its address"
+	EventLimited    = "limited"
+	EventUnlimited  = "unlimited"
 )
 
 // Change reports a state change of a server.
@@ -117,6 +119,9 @@
 	Event string
 	// FailureRate is the moving average of failed requests, from 0 to 1.
 	FailureRate float64
+	// Limit is the number of requests a second that the server takes from all entries
+	// together; 0 if it names none.
+	Limit float64
 	// EjectedFor is how long an ejected server receives no requests; 0 for
 	// other events.
 	EjectedFor time.Duration
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -43,6 +43,8 @@
 	// heldOffUntil is the time until which the server wants no requests.
 	heldOffUntil time.Time
 
+	limit rateLimit
+
 	load           Load
 	loadReportedAt time.Time
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -219,7 +219,7 @@
 
 // logServerChange logs a change in how the entry sees a backend server.
 func (g *Gateway) logServerChange(change place.Change) {
-	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "for_ms", change.EjectedFor.Milliseconds())
+	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "for_ms", change.EjectedFor.Milliseconds())
 }
 
 // serve opens the listeners for callers, for status and, if set, for metrics.
