Place: entries together keep to the limit that a server names

Cause: nothing that chooses a server knew the limit; and what one entry keeps to by itself does not bound the fleet. Class: a bound on a shared resource that no part of the fleet counts for all of it.

Change: a limit is learned from each response, new, repeated or resumed, and told to all entries; each uses a share by the number of entries, as a token bucket in place.Fleet, which every send passes. Where the limit is low, a few entries (rendezvous) share it. New entries assume many others; entries that are no longer listed count for 30 s, because a control instance that has just started lists few.

Ruled out: keeping to the limit by entry (seven times the limit); that repeats go beside it (every send takes its server from Fleet.Pick).

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -178,7 +178,7 @@
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, now)
 	}
-	if info.Limit != nil || info.Genuine && !info.OtherServer {
+	if info.Limit.Named || info.Genuine && !info.OtherServer {
 		placement.RecordLimit(info.Limit, now)
 	}
 	if info.Leaving {
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -70,9 +70,8 @@
 	// RetryAfter is how long a server that declined the request wants no further one
 	// from this entry; 0 if it does not say.
 	RetryAfter time.Duration
-	// Limit is how many requests a second the server takes from all entries together; nil
-	// if it does not say.
-	Limit *float64
+	// Limit is the limit that the server names for all entries together.
+	Limit place.Limit
 	// Load is the load that the server reports; nil if it reports none.
 	Load *place.Load
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,7 +3,7 @@
 // each engine, lends tokens to entries that can't draw any from the control
 // group, and tells others where a stream began: its origin, a text that only
 // package forward reads. It also shares the evidence against prompt segments
-// under which engines crash. A lost datagram leads to a worse placement, to a
+// under which engines crash, and the limits that backend servers name. A lost datagram leads to a worse placement, to a
 // loan whose tokens then count as spent, or to a stream whose origin is unknown;
 // evidence is repeated.
 package gossip
@@ -49,6 +49,9 @@
 	// ListAnnounced, if not nil, is called with the checksum and the age of a
 	// list of backend servers that another entry read.
 	ListAnnounced func(checksum uint64, age time.Duration)
+	// Entries returns the number of entries that control instances have reported; nil
+	// means that only the peers are known.
+	Entries func() int
 	// Evidence receives and repeats the evidence against prompt segments; nil shares
 	// none.
 	Evidence *quarantine.Registry
@@ -68,6 +71,8 @@
 	origins  originTable
 	queries  streamQueries
 	evidence evidenceQueue
+	limits   chan limitMessage
+	members  memberHistory
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -93,9 +98,11 @@
 	g.stop = cancel
 	g.queue = make(chan promptMessage, maxQueuedPrompts)
 	g.evidence.start()
+	g.limits = make(chan limitMessage, maxQueuedLimits)
 	g.done.Go(g.receiveLoop)
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
+	g.done.Go(func() { g.limitLoop(ctx) })
 	return nil
 }
 
@@ -135,6 +142,7 @@
 		}
 	}
 	g.peers.Store(&peers)
+	g.members.update(peers, time.Now())
 }
 
 // AnnouncePrompt queues an announcement that this entry sent a prompt to
@@ -272,6 +280,8 @@
 		return g.handleLoanResponse(data, from)
 	case formatEvidence:
 		return g.handleEvidence(data)
+	case formatLimit:
+		return g.handleLimit(data)
 	case formatStreamAnnouncement:
 		return g.handleStreamAnnouncement(data)
 	case formatStreamQuery:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,6 +20,7 @@
 	formatStreamQuery        = 6
 	formatStreamAnswer       = 7
 	formatEvidence           = 8
+	formatLimit              = 9
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -76,6 +76,14 @@
 	// must not call the fleet.
 	Changed func(Change)
 
+	// LimitShare returns the part, from 0 to 1, of the limit of a server that this entry
+	// may use, of which at most the given number of entries may use any. If it is nil,
+	// the entry uses all of it. It must not call the fleet.
+	LimitShare func(server string, maxEntries int) float64
+	// LimitStated, if not nil, is called with what a server has stated about its limit,
+	// the given time ago, if other entries may not know it. It must not call the fleet.
+	LimitStated func(server string, limit Limit, age time.Duration)
+
 	// departures tracks the leaving servers by departureKey, also after they were
 	// removed, because an outdated list may show them again as available.
 	departures instances.Departures
@@ -100,6 +108,8 @@
 	fleet     *Fleet
 	server    *server
 	startedAt time.Time
+	// tookToken is set if the placement counts against the server's limit.
+	tookToken bool
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -137,7 +147,7 @@
 	if f.Changed == nil {
 		return
 	}
-	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.perSecond, EjectedFor: ejectedFor})
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.PerSecond, EjectedFor: ejectedFor})
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
@@ -242,7 +252,7 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if wait := s.timeUntilFree(q.Now); wait > 0 {
+		if wait := f.timeUntilFree(s, q.Now); wait > 0 {
 			full = minPositive(full, wait)
 			continue
 		}
@@ -272,16 +282,16 @@
 	return allowed.ejected || !s.isEjected(now)
 }
 
-// timeUntilFree returns how long the server takes no request, because it wants none or is
-// full; 0 if it takes one now.
-func (s *server) timeUntilFree(now time.Time) time.Duration {
+// timeUntilFree returns how long the server takes no request, because it wants none, its
+// limit is reached or it is full; 0 if it takes one now. mu is held.
+func (f *Fleet) timeUntilFree(s *server, now time.Time) time.Duration {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
 		return held
 	}
 	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
 		return fullRetryAfter
 	}
-	return 0
+	return f.limitWait(s, now)
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
@@ -346,6 +356,7 @@
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
 	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, startedAt: q.Now}
 	s.inFlight++
+	p.takeToken()
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
 		p.PrefillTime = s.prefillTime(q.Prompt)
@@ -389,7 +400,10 @@
 		p.fleet.notify(p.server, EventReadmitted, 0)
 	}
 	switch outcome.(type) {
-	case Declined, Unreachable, Unused:
+	case Unreachable, Unused:
+		p.returnToken()
+		p.cancelPrefill(now)
+	case Declined:
 		p.cancelPrefill(now)
 	case Served, Failed, Abandoned:
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -84,6 +84,8 @@
 	}
 	g.startHolder(environment, client, epochID, gossiper)
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
+	g.Server.Fleet.LimitStated = gossiper.AnnounceLimit
+	g.Server.Fleet.LimitShare = gossiper.LimitShare
 	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
 	err = g.startWatcher(environment, dialect, client, epochID, gossiper)
@@ -198,6 +200,7 @@
 		OnInstall:       g.Server.Install,
 	}
 	view.Entries = g.Watcher.Entries
+	gossiper.Entries = g.Watcher.Entries
 	err := gossiper.Start()
 	if err != nil {
 		return err
