Upstream: bytes without end from a server end the request, not the entry

A server's head or body that does not end was read until the deadline: in 20 s a client took 382 MB of header lines, 573 MB of interim responses, 3.8 GB of one header value and 5.9 GB of a status line from one server; an event that does not end grew an entry's buffer, and was searched from its begin at each read.

Cause: http.ReadResponse has no bound of its own, and each body had 16 MiB whatever the others took.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -59,6 +59,7 @@
 // the request can be retried when the response breaks off.
 func (t *task) deliverWhole(ctx context.Context, placement *place.Placement, response *upstream.Response, failed bool) (refused *refusal, shouldRetry bool) {
 	body, err := response.ReadAll()
+	defer response.FreeBody()
 	if err != nil {
 		response.Abandon()
 		if t.callerCtx.Err() != nil {
@@ -168,8 +169,9 @@
 	response   *upstream.Response
 	controller *http.ResponseController
 	// pending holds bytes that are not forwarded yet; it ends with an incomplete
-	// event, if any.
-	pending []byte
+	// event, if any, of which the first searched bytes are known to hold no end.
+	pending  []byte
+	searched int
 	// events counts the events of this attempt, and progressed is set once the answer has
 	// gone on beyond its begin.
 	events     int
@@ -186,6 +188,14 @@
 // which complete events are forwarded even if more data is buffered.
 const streamBufferBytes = 4 << 10
 
+const (
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 256 << 10
+	// extraEvents is the number of events that a stream may have beside those with
+	// tokens.
+	extraEvents = 16
+)
+
 // copy forwards events until the stream ends. It returns nil if the stream is
 // complete, and upstream.ErrTruncated if it ends within an event, or before the first
 // one where only the end of the connection tells the end of the stream.
@@ -208,6 +218,8 @@
 		switch {
 		case writeErr != nil:
 			return writeErr
+		case len(s.pending) > maxEventBytes || s.hasTooManyEvents():
+			return upstream.ErrTooLarge
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return err
@@ -220,6 +232,13 @@
 	}
 }
 
+// hasTooManyEvents reports whether the stream has more events than the request may
+// generate tokens, each of which fills an event at least in part.
+func (s *eventStream) hasTooManyEvents() bool {
+	prompt := s.task.request.Prompt
+	return prompt != nil && s.task.events > prompt.Output+extraEvents
+}
+
 // recordProgress records once that the answer has gone on beyond its begin.
 func (s *eventStream) recordProgress() {
 	if !s.progressed {
@@ -278,10 +297,12 @@
 	t := s.task
 	end := 0
 	for {
-		length := eventLength(s.pending[end:])
+		length := eventLength(s.pending[end:], s.searched)
 		if length == 0 {
+			s.searched = len(s.pending) - end
 			return end
 		}
+		s.searched = 0
 		id := t.server.Translator.EventID(s.pending[end : end+length])
 		if id != "" {
 			t.lastEventID = id
@@ -293,9 +314,10 @@
 }
 
 // eventLength returns the length of the first complete event in bytes, or 0 if
-// there is none. An empty line ends an event.
-func eventLength(data []byte) int {
-	for i := 1; i < len(data); i++ {
+// there is none. An empty line ends an event. No event ends within the first searched
+// bytes.
+func eventLength(data []byte, searched int) int {
+	for i := max(1, searched); i < len(data); i++ {
 		if data[i] != '\n' {
 			continue
 		}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -212,8 +212,7 @@
 // discardResponse reads the rest of a response that is not forwarded, so that the
 // connection can be reused.
 func (t *task) discardResponse(response *upstream.Response) {
-	_, err := response.ReadAll()
-	if err != nil {
+	if !response.Discard() {
 		response.Abandon()
 		return
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -26,6 +26,11 @@
 	// maxResponsesRead is the number of responses that are read in search of the
 	// one that belongs to the request.
 	maxResponsesRead = 2
+	// maxHeadBytes limits what is read until the header of the response is complete,
+	// with interim responses and what follows it in the read buffer.
+	maxHeadBytes = 64 << 10
+	// maxDiscardBytes limits the body of a response that is skipped.
+	maxDiscardBytes = 64 << 10
 	// maxInlineBodyBytes is the largest body that is written before the response
 	// is read.
 	maxInlineBodyBytes = 4 << 10
@@ -45,6 +50,11 @@
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
 
+	// readLimit is how many bytes may still be read, if limited is set. Both belong to the
+	// goroutine that reads.
+	readLimit int
+	limited   bool
+
 	// silenceTimeout is how long a read may wait before it calls onSilence; 0 means
 	// any time. Both belong to the goroutine that reads.
 	silenceTimeout time.Duration
@@ -62,9 +72,29 @@
 	return c
 }
 
-// Read implements io.Reader on the socket. A read that has waited for silenceTimeout
-// calls onSilence and then waits on.
+// limitReads makes reads fail once they have brought more than limit bytes.
+func (c *conn) limitReads(limit int) {
+	c.readLimit = limit
+	c.limited = true
+}
+
+// Read implements io.Reader on the socket. It returns ErrTooLarge beyond the limit of
+// limitReads.
 func (c *conn) Read(p []byte) (int, error) {
+	if !c.limited {
+		return c.readSocket(p)
+	}
+	if c.readLimit <= 0 {
+		return 0, ErrTooLarge
+	}
+	n, err := c.readSocket(p[:min(len(p), c.readLimit)])
+	c.readLimit -= n
+	return n, err
+}
+
+// readSocket reads from the socket. A read that has waited for silenceTimeout calls
+// onSilence and then waits on.
+func (c *conn) readSocket(p []byte) (int, error) {
 	if c.silenceTimeout == 0 {
 		return c.socket.Read(p)
 	}
@@ -123,7 +153,9 @@
 		stopInterrupt()
 		return nil, err
 	}
+	c.limitReads(maxHeadBytes)
 	parsed, err := c.readResponse(request)
+	c.limited = false
 	if err != nil {
 		stopInterrupt()
 		return nil, errors.Newf("read response from %s: %w", c.id, err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,9 @@
 	// dials counts the connections that were opened.
 	dials atomic.Int64
 
+	// bodies bounds the memory of the bodies that are being read.
+	bodies bodyBudget
+
 	mu sync.Mutex
 	// idle holds each server's connections, with the most recently used one last.
 	idle map[string][]*conn
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -8,8 +8,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxBodyBytes limits a response body that is read into memory.
-const maxBodyBytes = 16 << 20
+const (
+	// maxBodyBytes limits a response body that is read into memory.
+	maxBodyBytes = 16 << 20
+	// maxFramingBytes limits what the chunks of such a body add to it.
+	maxFramingBytes = 1 << 20
+)
 
 // Response is the response to one request. The caller must end it with Finish or
 // Abandon. It is not safe for concurrent use, except that Abandon and Interrupt may end a
@@ -24,6 +28,8 @@
 	requestBody   *bodyWriter
 	stopInterrupt func() bool
 	bodyComplete  bool
+	// reserved is the memory that the body takes from the client's budget.
+	reserved int
 }
 
 // Read reads the body. It returns io.EOF after a complete body and ErrTruncated
@@ -44,8 +50,9 @@
 	}
 }
 
-// ReadAll reads the rest of the body. It fails if the body is incomplete or longer
-// than 16 MiB.
+// ReadAll reads the rest of the body. It fails if the body is incomplete, longer than
+// 16 MiB, or larger than the memory that the bodies of other responses leave. The caller
+// must call FreeBody once it no longer needs the body.
 func (r *Response) ReadAll() ([]byte, error) {
 	if r.parsed.Body == http.NoBody {
 		r.bodyComplete = true
@@ -53,24 +60,85 @@
 	}
 	size := r.parsed.ContentLength
 	if size > maxBodyBytes {
-		return nil, errors.Newf("response body of %d bytes is too large", size)
-	}
-	if size < 0 {
-		data, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
-		if err == nil && len(data) > maxBodyBytes {
-			err = errors.New("response body is too large")
-		}
-		return data, err
+		return nil, errors.Newf("response body of %d bytes: %w", size, ErrTooLarge)
 	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	if err != nil && size > 0 {
+	r.conn.limitReads(maxBodyBytes + maxFramingBytes)
+	defer func() { r.conn.limited = false }()
+	data, err := r.readBody(int(size))
+	if err != nil {
 		return nil, errors.Newf("read whole body: %w", err)
 	}
 	r.bodyComplete = true
 	return data, nil
 }
 
+// readBody reads the body into a buffer that grows with it. The size is negative if it is
+// not known.
+func (r *Response) readBody(size int) ([]byte, error) {
+	data := make([]byte, 0, firstBufferBytes(size))
+	for {
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, err
+		case len(data) == size:
+			return data, nil
+		case len(data) == cap(data):
+			data, err = r.growBody(data, size)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// firstBufferBytes returns the size of the first buffer for a body of the given size,
+// which is negative if it is not known.
+func firstBufferBytes(size int) int {
+	if size < 0 {
+		return unknownBodyBytes
+	}
+	return min(size, maxFreeBodyBytes)
+}
+
+// growBody returns a copy of data in a buffer of twice the size, but of no more than a
+// body of the given size needs.
+func (r *Response) growBody(data []byte, size int) ([]byte, error) {
+	if len(data) >= maxBodyBytes {
+		return nil, ErrTooLarge
+	}
+	larger := min(2*cap(data), maxBodyBytes)
+	if size >= 0 {
+		larger = min(larger, size)
+	}
+	if larger > maxFreeBodyBytes && !r.pool.bodies.reserve(larger-r.reserved) {
+		return nil, errors.Newf("no memory for a body of %d bytes: %w", larger, ErrTooLarge)
+	}
+	if larger > maxFreeBodyBytes {
+		r.reserved = larger
+	}
+	return append(make([]byte, 0, larger), data...), nil
+}
+
+// FreeBody returns the memory of a body that ReadAll has read to the client's budget.
+func (r *Response) FreeBody() {
+	r.pool.bodies.free(r.reserved)
+	r.reserved = 0
+}
+
+// Discard reads the rest of a short body that is not needed and reports whether it is
+// complete, so that the connection can be reused.
+func (r *Response) Discard() bool {
+	r.conn.limitReads(maxDiscardBytes)
+	defer func() { r.conn.limited = false }()
+	_ = r.conn.setReadDeadline(time.Now().Add(discardTimeout))
+	_, err := io.Copy(io.Discard, r)
+	return err == nil && r.bodyComplete
+}
+
 // Buffered reports whether further bytes from the server are already buffered.
 func (r *Response) Buffered() bool {
 	return r.conn.reader.Buffered() > 0
@@ -136,7 +204,7 @@
 	if parsed.Close || endsWithConnection(parsed) {
 		return ErrResponseMismatch
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, maxBodyBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, maxDiscardBytes))
 	if err != nil {
 		return errors.Newf("discard response: %w", err)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,9 @@
 // ErrResponseMismatch reports a response that belongs to another request.
 var ErrResponseMismatch = errors.New("response belongs to another request")
 
+// ErrTooLarge reports a response whose header or body is longer than the client reads.
+var ErrTooLarge = errors.New("response is too large")
+
 // NotSentError reports a request of which no byte was sent, so that the server
 // can't have run it.
 type NotSentError struct {
