--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -31,6 +31,13 @@
 	return slices.Clone(m.segments), nil
 }
 
+// stored returns the segments in the store.
+func (m *memoryStore) stored() []uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.segments)
+}
+
 // setUnreachable sets whether the store is out of reach.
 func (m *memoryStore) setUnreachable(unreachable bool) {
 	m.mu.Lock()
@@ -67,8 +74,8 @@
 		}
 		after.Registry.RecordProgress(prefix(culprit), time.Now())
 		time.Sleep(time.Second)
-		if len(store.segments) != 0 {
-			t.Errorf("the store still has %v after an answer went on", store.segments)
+		if stored := store.stored(); len(stored) != 0 {
+			t.Errorf("the store still has %v after an answer went on", stored)
 		}
 	})
 }
