Place: a huge limit is no obstacle, and limited servers are counted

The number of entries that may use a limit overflowed beyond every integer, so that none had a share: TestHugeLimitStopsNoRequests, no request in a second before. The gauge backend_servers_limited tells full servers from limited ones.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,9 +3,10 @@
 // each engine, lends tokens to entries that can't draw any from the control
 // group, and tells others where a stream began: its origin, a text that only
 // package forward reads. It also shares the evidence against prompt segments
-// under which engines crash, and the limits that backend servers name. A lost datagram leads to a worse placement, to a
-// loan whose tokens then count as spent, or to a stream whose origin is unknown;
-// evidence is repeated.
+// under which engines crash, and the limits that backend servers name. A lost
+// datagram leads to a worse placement, to a loan whose tokens then count as
+// spent, or to a stream whose origin is unknown; evidence and limits are
+// repeated.
 package gossip
 
 import (
--- a/internal/gossip/limit_test.go
+++ b/internal/gossip/limit_test.go
@@ -151,6 +151,19 @@
 	}
 }
 
+// TestHugeLimitStopsNoRequests guards against a limit beyond every integer.
+func TestHugeLimitStopsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLimitSite(7, 1, place.Limit{Named: true, PerSecond: 1e300})
+		s.run(2*learningTime, 7)
+		before := len(s.arrivals)
+		s.run(time.Second, 7)
+		if got := len(s.arrivals) - before; got < 100 {
+			t.Errorf("%d requests in a second, want at least 100", got)
+		}
+	})
+}
+
 // TestLimitHoldsWhileEntriesComeAndGo guards against entries that start, or whose control
 // instance has just started and lists none, and take a larger share than is theirs.
 func TestLimitHoldsWhileEntriesComeAndGo(t *testing.T) {
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -185,6 +185,8 @@
 	Ready   int
 	Leaving int
 	Ejected int
+	// Limited counts servers that name a limit, which are counted above too.
+	Limited int
 	// InFlight counts this entry's requests at servers.
 	InFlight int
 	// Backlog is the longest prefill backlog of an engine.
@@ -205,6 +207,9 @@
 		default:
 			counts.Ready++
 		}
+		if s.limit.Named {
+			counts.Limited++
+		}
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -15,6 +15,8 @@
 	// extraEntries is the number of entries, beside one for each request a second, that
 	// may use a limit. With one request at once each, more would exceed it.
 	extraEntries = 3
+	// maxCountedEntries exceeds the entries of any site.
+	maxCountedEntries = 1 << 16
 	// shareInterval is how long the share of an entry is used before it is asked again.
 	shareInterval = 500 * time.Millisecond
 	// noShareWait is how long an entry without a share waits.
@@ -73,7 +75,7 @@
 
 // maxEntries returns how many entries may use the limit.
 func (l *rateLimit) maxEntries() int {
-	return int(l.PerSecond) + extraEntries
+	return int(min(l.PerSecond, maxCountedEntries)) + extraEntries
 }
 
 // wait returns how long the limit allows no request; 0 if it allows one now.
