Quarantine: a culprit explains the crashes of the segments beside it

All segments of a prompt that crashes servers were charged with each crash. TestCulpritExplainsTheCrashesOfItsNeighbors fails before.

Of the segments whose crashes suffice, the one with most is convicted first, and the servers that crashed under it no longer count against others; of a prompt with a segment in quarantine only that one is charged. Segments that nothing tells apart are convicted together.

--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,16 +74,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	number := ServerNumber(server)
+	explained := r.anyQuarantined(segments)
 	var announced []Evidence
 	for _, s := range segments {
+		if explained && !r.isQuarantined(s.ID) {
+			continue
+		}
 		if r.addCrash(s.ID, crash{server: number, at: now}, now) {
 			announced = append(announced, Crash{Segment: s.ID, Server: number})
 			announced = r.appendProgress(announced, s.ID, now)
 		}
 	}
+	r.convict(now)
 	r.announce(announced)
 }
 
+// isQuarantined reports whether a segment is in quarantine; mu is held.
+func (r *Registry) isQuarantined(id uint64) bool {
+	s := r.active[id]
+	return s != nil && !s.quarantinedAt.IsZero()
+}
+
+// anyQuarantined reports whether one of the segments is in quarantine; mu is held.
+func (r *Registry) anyQuarantined(segments []place.PrefixSegment) bool {
+	return slices.ContainsFunc(segments, func(s place.PrefixSegment) bool { return r.isQuarantined(s.ID) })
+}
+
 // RecordProgress records that an answer to a request whose prompt has the given segments
 // has gone on beyond its begin.
 func (r *Registry) RecordProgress(segments []place.PrefixSegment, now time.Time) {
@@ -126,6 +143,7 @@
 			}
 		}
 	}
+	r.convict(now)
 	r.announce(announced)
 }
 
@@ -185,24 +203,76 @@
 	return evidence[:min(limit, len(evidence))]
 }
 
-// addCrash adds a crash and, if it convicts the segment, begins its quarantine. It reports
-// whether the crash is new; mu is held.
+// addCrash adds a crash, unless a segment in quarantine explains it, and reports whether it
+// is new; mu is held.
 func (r *Registry) addCrash(id uint64, c crash, now time.Time) bool {
 	s := r.segment(id, now)
 	if s == nil {
 		return false
 	}
 	s.dropOldCrashes(now)
-	if !s.addCrash(c) {
+	if s.quarantinedAt.IsZero() && r.isExplained(c) || !s.addCrash(c) {
 		return false
 	}
 	r.active[id] = s
-	if s.quarantinedAt.IsZero() && s.isConvicted() {
-		r.begin(id, s, now, EventQuarantined)
-	}
 	return true
 }
 
+// isExplained reports whether the server has crashed under a segment in quarantine; mu is
+// held.
+func (r *Registry) isExplained(c crash) bool {
+	for _, s := range r.active {
+		if !s.quarantinedAt.IsZero() && s.hasCrash(c.server) {
+			return true
+		}
+	}
+	return false
+}
+
+// convict begins the quarantine of the segments whose crashes suffice, those with most
+// crashes first: these explain the crashes of segments that share prompts with them. mu is
+// held.
+func (r *Registry) convict(now time.Time) {
+	for {
+		var convicted []uint64
+		most := 0
+		for id, s := range r.active {
+			if !s.quarantinedAt.IsZero() || !s.isConvicted() {
+				continue
+			}
+			count := s.separateCrashes()
+			if count > most {
+				most = count
+				convicted = nil
+			}
+			if count == most {
+				convicted = append(convicted, id)
+			}
+		}
+		if len(convicted) == 0 {
+			return
+		}
+		for _, id := range convicted {
+			r.begin(id, r.active[id], now, EventQuarantined)
+		}
+		r.dropExplained()
+	}
+}
+
+// dropExplained removes the crashes that segments in quarantine explain from all others;
+// mu is held.
+func (r *Registry) dropExplained() {
+	for id, s := range r.active {
+		if !s.quarantinedAt.IsZero() {
+			continue
+		}
+		s.crashes = slices.DeleteFunc(s.crashes, r.isExplained)
+		if !s.isActive() {
+			delete(r.active, id)
+		}
+	}
+}
+
 // dropOldCrashes removes the crashes that no longer count.
 func (s *segment) dropOldCrashes(now time.Time) {
 	for len(s.crashes) > 0 && now.Sub(s.crashes[0].at) >= evidenceTTL {
@@ -234,6 +304,7 @@
 	}
 	r.active[id] = s
 	r.begin(id, s, at, EventLearned)
+	r.dropExplained()
 	return true
 }
 
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -195,3 +195,15 @@
 	}
 	expectQuarantined(t, &r, 5*second, map[uint64]bool{culprit: true})
 }
+
+// TestCulpritExplainsTheCrashesOfItsNeighbors guards against the quarantine of a sound
+// segment that prompts with the culprit share, whose own requests are rare.
+func TestCulpritExplainsTheCrashesOfItsNeighbors(t *testing.T) {
+	var r Registry
+	r.RecordProgress(prefix(shared, subject), at(0))
+	crashServers(&r, 8, second, second, shared, subject, culprit)
+	expectQuarantined(t, &r, 10*second, map[uint64]bool{shared: false, subject: false, culprit: true})
+	if crashes := len(r.segments[subject].crashes); crashes != 0 {
+		t.Errorf("%d crashes are left against the sound segment, want 0", crashes)
+	}
+}
--- a/internal/quarantine/segment.go
+++ b/internal/quarantine/segment.go
@@ -43,8 +43,7 @@
 
 // addCrash adds the crash of a server and reports whether it is new.
 func (s *segment) addCrash(c crash) bool {
-	known := slices.ContainsFunc(s.crashes, func(other crash) bool { return other.server == c.server })
-	if known || len(s.crashes) >= maxCrashes || !c.at.After(s.progress) {
+	if s.hasCrash(c.server) || len(s.crashes) >= maxCrashes || !c.at.After(s.progress) {
 		return false
 	}
 	i := len(s.crashes)
@@ -55,6 +54,11 @@
 	return true
 }
 
+// hasCrash reports whether the server has crashed under the segment.
+func (s *segment) hasCrash(server uint64) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.server == server })
+}
+
 // addProgress records that an answer went on at the given time. It reports whether this
 // ends a quarantine.
 func (s *segment) addProgress(at time.Time) (released bool) {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -13,8 +13,12 @@
 	simulationServers  = 18
 	simulationEntries  = 7
 	simulationSubjects = 40
-	simulationTime     = 60 * time.Second
-	simulationStep     = 10 * time.Millisecond
+	// culpritDelay is when the first prompt with the culprit comes.
+	culpritDelay = 5 * time.Second
+	// neighbor is a sound segment that all prompts with the culprit have.
+	neighbor       = 10
+	simulationTime = 60 * time.Second
+	simulationStep = 10 * time.Millisecond
 	// The chances of a sound request and of one that crashes servers in each step.
 	soundPerStep    = 0.9
 	culpritPerStep  = 0.06
@@ -102,7 +106,7 @@
 	if s.now.Before(s.down[server]) || s.entries[entry].Remaining(segments, s.now) > 0 {
 		return
 	}
-	if ids[1] == culprit && s.crashes >= freeCrashes && s.now.After(s.recognized) {
+	if ids[len(ids)-1] == culprit && s.crashes >= freeCrashes && s.now.After(s.recognized) {
 		s.late++
 	}
 	wait := time.Duration(s.random.Int64N(int64(2 * timeToFirst)))
@@ -117,7 +121,7 @@
 		case s.now.Before(w.begins):
 			still = append(still, w)
 		case s.now.Before(s.down[w.server]):
-		case w.segments[1].ID == culprit:
+		case w.segments[len(w.segments)-1].ID == culprit:
 			s.crashes++
 			if s.crashes == freeCrashes {
 				s.recognized = s.now.Add(contactTime)
@@ -162,8 +166,8 @@
 			if s.random.Float64() < soundPerStep {
 				s.request(shared, 10+s.random.Uint64N(simulationSubjects))
 			}
-			if s.random.Float64() < culpritPerStep {
-				s.request(shared, culprit)
+			if s.now.Sub(start) > culpritDelay && s.random.Float64() < culpritPerStep {
+				s.request(shared, neighbor, culprit)
 			}
 			if s.now.After(nextMassEnd) {
 				nextMassEnd = s.now.Add(massEndInterval)
