Quarantine: crashes count only while other answers go on, and a new entry convicts nobody alone

Cause, from the kept logs: prompts had crashed all four model servers; an entry that had just started did not know of the answers on the segment that all prompts share, got its crashes from the others, convicted it with the three of an unproven segment and had them learn the verdict. The crashes came from requests that found the servers already down. Class: an entry that knows little decides for all, and the failure of everything is charged to what everything has.

Change: two crashes count apart only if an answer on some segment has gone on between them at this entry, so that an outage of all servers is one. Entries repeat their progress with the crashes. A request that was sent after its server had ended is no evidence.

Tests of verdicts now play the answers of other prompts beside the crashes, which they had left out; what they expect is unchanged.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,8 @@
 	// crashCheckDelay is how long the connection must stay open: something in front of a
 	// server that has ended may accept it first.
 	crashCheckDelay = 20 * time.Millisecond
+	// endedMemory is how long the end of a server is remembered.
+	endedMemory = time.Minute
 )
 
 // crashChecks finds out whether servers that closed connections have ended. One that has
@@ -26,6 +29,8 @@
 	mu sync.Mutex
 	// pending holds the check of each server by its id.
 	pending map[string]*crashCheck
+	// ended holds when servers were seen to end, by id, for endedMemory.
+	ended map[string]time.Time
 }
 
 // crashCheck checks one server.
@@ -39,10 +44,15 @@
 	segments []place.PrefixSegment
 }
 
-// start checks the server of a placement, or adds the segments to a check that runs.
+// start checks the server of a placement, or adds the segments to a check that runs. A
+// request that was sent after the server had ended is no evidence.
 func (c *crashChecks) start(server *Server, placement *place.Placement, segments []place.PrefixSegment) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	endedAt, ended := c.ended[placement.ID]
+	if ended && placement.StartedAt.After(endedAt) {
+		return
+	}
 	check := c.pending[placement.ID]
 	if check != nil {
 		check.segments = append(check.segments, segments...)
@@ -57,19 +67,36 @@
 	go check.run()
 }
 
-// finish removes the check of a server and returns the segments that it has collected.
-func (c *crashChecks) finish(id string) []place.PrefixSegment {
+// finish removes the check of a server, remembers whether it has ended and returns the
+// segments that the check has collected.
+func (c *crashChecks) finish(id string, ended bool) []place.PrefixSegment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	segments := c.pending[id].segments
+	check := c.pending[id]
 	delete(c.pending, id)
-	return segments
+	if ended {
+		c.remember(id, check.at)
+	}
+	return check.segments
+}
+
+// remember records when a server ended, and forgets those that ended long before; mu is
+// held.
+func (c *crashChecks) remember(id string, at time.Time) {
+	if c.ended == nil {
+		c.ended = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(c.ended, func(_ string, earlier time.Time) bool { return at.Sub(earlier) > endedMemory })
+	_, known := c.ended[id]
+	if !known {
+		c.ended[id] = at
+	}
 }
 
 // run records a crash under the segments if the server has ended.
 func (c *crashCheck) run() {
 	ended := c.hasEnded()
-	segments := c.server.crashChecks.finish(c.id)
+	segments := c.server.crashChecks.finish(c.id, ended)
 	c.server.Log.Info("backend server checked after it closed connections",
 		"server", c.id,
 		"address", c.address,
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// bystander is a segment of other prompts, whose answers go on.
+var bystander = []place.PrefixSegment{{ID: 8}}
+
 // crashInterval separates crashes that count one by one.
 const crashInterval = 100 * time.Millisecond
 
@@ -58,6 +61,7 @@
 			f = newFixture(t, streamRoute, crash, crash, crash, crash)
 			f.server.Translator = segmentTranslator{}
 			for range 3 {
+				f.server.Quarantine.RecordProgress(bystander, time.Now())
 				f.send("/a/x", "secret")
 				time.Sleep(crashInterval)
 			}
@@ -85,6 +89,7 @@
 			f := newFixture(t, streamRoute, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, respond, streamEvents(1, 3, "", true))
 			f.server.Translator = segmentTranslator{}
 			for range 4 {
+				f.server.Quarantine.RecordProgress(bystander, time.Now())
 				f.send("/a/x", "secret")
 				time.Sleep(crashInterval)
 			}
@@ -120,6 +125,7 @@
 func TestWaitingRequestIsNotSentOnceItsPromptIsQuarantined(t *testing.T) {
 	convict := func(f *fixture) {
 		for i := range 3 {
+			f.server.Quarantine.RecordProgress(bystander, time.Now())
 			f.server.Quarantine.RecordCrash(fmt.Sprint("other-", i), []place.PrefixSegment{{ID: 7}}, time.Now().Add(time.Duration(i)*crashInterval))
 		}
 	}
--- a/internal/gossip/evidence_test.go
+++ b/internal/gossip/evidence_test.go
@@ -10,7 +10,11 @@
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
-var culprit = []place.PrefixSegment{{ID: 9}}
+// The culprit is the segment under which servers crash; answers on bystander go on.
+var (
+	culprit   = []place.PrefixSegment{{ID: 9}}
+	bystander = []place.PrefixSegment{{ID: 10}}
+)
 
 // waitForQuarantine waits until an entry has the culprit in quarantine.
 func waitForQuarantine(t *testing.T, g *Gossiper) {
@@ -29,6 +33,9 @@
 func TestEvidenceReachesAllEntries(t *testing.T) {
 	site := startSite(t, 5)
 	for i, g := range site[:3] {
+		for _, other := range site {
+			other.Evidence.RecordProgress(bystander, time.Now())
+		}
 		g.Evidence.RecordCrash(fmt.Sprint("i-", i), culprit, time.Now())
 		time.Sleep(60 * time.Millisecond)
 	}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -105,9 +105,11 @@
 	// prefix cache.
 	CachedTokens int64
 
-	fleet     *Fleet
-	server    *server
-	startedAt time.Time
+	// StartedAt is when the request was placed.
+	StartedAt time.Time
+
+	fleet  *Fleet
+	server *server
 	// tookToken is set if the placement counts against the server's limit.
 	tookToken bool
 }
@@ -359,7 +361,7 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, startedAt: q.Now}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now}
 	s.inFlight++
 	p.takeToken()
 	if q.Prompt != nil {
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -144,7 +144,7 @@
 	defer f.mu.Unlock()
 	at := now
 	if !limit.Named {
-		at = p.startedAt
+		at = p.StartedAt
 	}
 	changed := f.recordLimit(p.server, limit, at, now)
 	l := &p.server.limit
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -60,6 +60,7 @@
 		store := &memoryStore{unreachable: true}
 		before := startKeeper(store)
 		for i := range 3 {
+			before.Registry.RecordProgress(prefix(bystander), time.Now())
 			before.Registry.RecordCrash(string(rune('a'+i)), prefix(culprit), time.Now())
 			time.Sleep(time.Second)
 		}
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -39,7 +39,9 @@
 	// quarantined counts the segments in quarantine.
 	quarantined atomic.Int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// answers counts the answers that have gone on at this entry.
+	answers  int64
 	segments map[uint64]*segment
 	// active holds the segments with evidence against them.
 	active    map[uint64]*segment
@@ -105,6 +107,7 @@
 func (r *Registry) RecordProgress(segments []place.PrefixSegment, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answers++
 	var announced []Evidence
 	for _, s := range segments {
 		known := r.segment(s.ID, now)
@@ -177,7 +180,8 @@
 }
 
 // Sample returns up to limit random pieces of the evidence to repeat to other entries:
-// verdicts, and the crashes that are recent or not the only one of their segment.
+// verdicts, the crashes that are recent or not the only one of their segment, and this
+// entry's progress with their segments.
 func (r *Registry) Sample(limit int, now time.Time) []Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -192,6 +196,9 @@
 			evidence = append(evidence, Verdict{Segment: id, Age: age})
 			continue
 		}
+		if !s.ownProgress.IsZero() {
+			evidence = append(evidence, Progress{Segment: id, Age: now.Sub(s.ownProgress)})
+		}
 		for _, c := range s.crashes {
 			age := now.Sub(c.at)
 			if age < freshCrash || len(s.crashes) > 1 && age < evidenceTTL {
@@ -211,6 +218,7 @@
 		return false
 	}
 	s.dropOldCrashes(now)
+	c.answers = r.answers
 	if s.quarantinedAt.IsZero() && r.isExplained(c) || !s.addCrash(c) {
 		return false
 	}
@@ -293,13 +301,14 @@
 }
 
 // learn begins a quarantine that another entry has begun at the given time. It reports
-// false if an answer has gone on since; mu is held.
+// false if an answer has gone on with the segment: the other entry may not know of it, and
+// what it has seen crash is known here too. mu is held.
 func (r *Registry) learn(id uint64, at, now time.Time) bool {
 	s := r.segment(id, now)
 	if s == nil || !s.quarantinedAt.IsZero() {
 		return true
 	}
-	if s.progress.After(at) {
+	if !s.progress.IsZero() {
 		return false
 	}
 	r.active[id] = s
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -12,7 +12,9 @@
 	shared  = 1
 	culprit = 2
 	subject = 3
-	second  = time.Second
+	// bystander is a segment of prompts that no crash concerns.
+	bystander = 4
+	second    = time.Second
 )
 
 // start is when the tests begin.
@@ -33,9 +35,10 @@
 }
 
 // crashServers records crashes of count servers under the given segments, interval apart
-// from the given offset on.
+// from the given offset on, while answers on another segment go on.
 func crashServers(r *Registry, count int, from, interval time.Duration, segments ...uint64) {
 	for i := range count {
+		r.RecordProgress(prefix(bystander), at(from+time.Duration(i)*interval-time.Millisecond))
 		r.RecordCrash(fmt.Sprintf("i-%s-%d", from, i), prefix(segments...), at(from+time.Duration(i)*interval))
 	}
 }
@@ -79,6 +82,30 @@
 	expectQuarantined(t, &r, 11*second, map[uint64]bool{shared: false})
 }
 
+// TestServersThatAreAllDownConvictNoSegment guards against the quarantine of every popular
+// segment while no server answers, and its requests find one after another down.
+func TestServersThatAreAllDownConvictNoSegment(t *testing.T) {
+	var r Registry
+	r.RecordProgress(prefix(shared), at(0))
+	for i := range 10 {
+		r.RecordCrash(fmt.Sprint("i-", i), prefix(shared, subject), at(time.Duration(1+i)*second))
+	}
+	expectQuarantined(t, &r, 11*second, map[uint64]bool{shared: false, subject: false})
+}
+
+// TestNewEntryDoesNotOverruleTheOthers guards against an entry that has just started, does
+// not know of the answers on a segment, and has it refused everywhere.
+func TestNewEntryDoesNotOverruleTheOthers(t *testing.T) {
+	var started, known Registry
+	known.RecordProgress(prefix(shared), at(0))
+	crashServers(&started, 3, second, second, shared)
+	expectQuarantined(t, &started, 4*second, map[uint64]bool{shared: true})
+	known.Announce = func(evidence []Evidence) { started.Merge(evidence, at(5*second)) }
+	known.Merge(started.Sample(8, at(5*second)), at(5*second))
+	expectQuarantined(t, &started, 5*second, map[uint64]bool{shared: false})
+	expectQuarantined(t, &known, 5*second, map[uint64]bool{shared: false})
+}
+
 // TestOneServerConvictsNoSegment guards against the quarantine of a sound segment whose
 // preferred server resets connections.
 func TestOneServerConvictsNoSegment(t *testing.T) {
@@ -122,6 +149,9 @@
 		}
 	}
 	for i := range entries {
+		for j := range entries {
+			entries[j].RecordProgress(prefix(bystander), at(time.Duration(i)*second))
+		}
 		entries[i].RecordCrash(fmt.Sprint("i-", i), prefix(culprit), at(time.Duration(i)*second))
 	}
 	for i := range entries {
--- a/internal/quarantine/segment.go
+++ b/internal/quarantine/segment.go
@@ -23,6 +23,9 @@
 type crash struct {
 	server uint64
 	at     time.Time
+	// answers is the number of answers, on any segment, that had gone on at this entry
+	// when it learned of the crash.
+	answers int64
 }
 
 // segment is what is known of one prompt segment.
@@ -60,14 +63,15 @@
 }
 
 // addProgress records that an answer went on at the given time. It reports whether this
-// ends a quarantine.
+// ends a quarantine: the answer is newer, or the crashes do not suffice for a segment on
+// which answers have gone on.
 func (s *segment) addProgress(at time.Time) (released bool) {
 	if !at.After(s.progress) {
 		return false
 	}
 	s.progress = at
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
-	if s.quarantinedAt.IsZero() || !at.After(s.quarantinedAt) {
+	if s.quarantinedAt.IsZero() || !at.After(s.quarantinedAt) && s.isConvicted() {
 		return false
 	}
 	s.quarantinedAt = time.Time{}
@@ -83,14 +87,16 @@
 	return s.separateCrashes() >= needed
 }
 
-// separateCrashes counts the crashes that are at least minCrashInterval apart.
+// separateCrashes counts the crashes that are at least minCrashInterval apart, and between
+// which an answer has gone on. While none does, servers have another cause to end, or have
+// ended all.
 func (s *segment) separateCrashes() int {
 	count := 0
-	var last time.Time
+	var last crash
 	for _, c := range s.crashes {
-		if count == 0 || c.at.Sub(last) >= minCrashInterval {
+		if count == 0 || c.at.Sub(last.at) >= minCrashInterval && c.answers > last.answers {
 			count++
-			last = c.at
+			last = c
 		}
 	}
 	return count
