--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,10 +19,7 @@
 // refuseQuarantined returns a refusal if a segment of the request's prompt is in
 // quarantine, and nil otherwise.
 func (t *task) refuseQuarantined() *refusal {
-	if t.request.Prompt == nil {
-		return nil
-	}
-	remaining := t.server.Quarantine.Remaining(t.request.Prompt.Prefix, time.Now())
+	remaining := t.quarantineRemaining()
 	if remaining == 0 {
 		return nil
 	}
@@ -32,7 +29,16 @@
 
 // isQuarantined reports whether a segment of the request's prompt is in quarantine.
 func (t *task) isQuarantined() bool {
-	return t.request.Prompt != nil && t.server.Quarantine.Remaining(t.request.Prompt.Prefix, time.Now()) > 0
+	return t.quarantineRemaining() > 0
+}
+
+// quarantineRemaining returns how long the quarantine of the request's prompt lasts, or 0
+// if none of its segments is in quarantine.
+func (t *task) quarantineRemaining() time.Duration {
+	if t.request.Prompt == nil {
+		return 0
+	}
+	return t.server.Quarantine.Remaining(t.request.Prompt.Prefix, time.Now())
 }
 
 // recordCrash records evidence against the segments of the request's prompt, if err says
--- a/internal/gossip/evidence.go
+++ b/internal/gossip/evidence.go
@@ -146,9 +146,7 @@
 		count := min(maxEvidence, len(evidence))
 		data := appendEvidence(nil, evidence[:count])
 		evidence = evidence[count:]
-		for _, peer := range g.peerAddresses() {
-			g.trySend(data, peer)
-		}
+		g.trySendAll(data)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -203,6 +203,13 @@
 	}
 }
 
+// trySendAll sends a datagram to all peers as trySend does.
+func (g *Gossiper) trySendAll(data []byte) {
+	for _, peer := range g.peerAddresses() {
+		g.trySend(data, peer)
+	}
+}
+
 // send sends one datagram and logs a failure.
 func (g *Gossiper) send(data []byte, to netip.AddrPort) {
 	g.sent.Add(1)
--- a/internal/gossip/limit.go
+++ b/internal/gossip/limit.go
@@ -79,10 +79,7 @@
 	for {
 		select {
 		case m := <-g.limits:
-			data := m.append(nil)
-			for _, peer := range g.peerAddresses() {
-				g.trySend(data, peer)
-			}
+			g.trySendAll(m.append(nil))
 		case <-ctx.Done():
 			return
 		}
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -65,11 +65,6 @@
 	Crashes int
 }
 
-// Quarantined reports whether the change begins a quarantine.
-func (c Change) Quarantined() bool {
-	return c.Event == EventQuarantined || c.Event == EventLearned
-}
-
 // RecordCrash records that a server has ended the connection of a request whose prompt
 // has the given segments before its answer had gone on.
 func (r *Registry) RecordCrash(server string, segments []place.PrefixSegment, now time.Time) {
