Forward: the line of a failed attempt names the digest of its request

The caller's attempt id is new for each repeat, so that the log cannot tell two repeats of one request from two requests.

--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -41,7 +41,7 @@
 	fields := []any{
 		"request", t.request.AttemptID,
 		"route", "",
-		"workspace", "",
+		"workspace", t.workspaceName(),
 		"upstream", t.upstream,
 		"server", t.lastServer,
 		"version", t.lastVersion,
@@ -60,9 +60,6 @@
 	if t.route != nil {
 		fields[3] = t.route.Name
 	}
-	if t.workspace != nil {
-		fields[5] = t.workspace.Name
-	}
 	return fields
 }
 
@@ -100,6 +97,7 @@
 		"cause", cause,
 		"may_have_run", t.mayHaveRun,
 		"last_event", t.lastEventID,
+		"request_digest", strconv.FormatUint(t.digest(), 16),
 		"prompt_segments", t.segmentIDs(),
 		"decision", decision,
 		"not_repeated", string(notRepeated),
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -59,6 +59,10 @@
 	callerCtx   context.Context
 	reservation *escrow.Reservation
 
+	// requestDigest is the digest of the request once digested is set.
+	requestDigest uint64
+	digested      bool
+
 	// tried holds the ids of the servers of all attempts so far.
 	tried            []string
 	unsentAttempts   int
@@ -257,13 +261,9 @@
 
 // upstreamRequest returns the request to send to the placed server.
 func (t *task) upstreamRequest(placement *place.Placement) *upstream.Request {
-	workspace := ""
-	if t.workspace != nil {
-		workspace = t.workspace.Name
-	}
 	attempt := &Attempt{
 		Request:     t.request,
-		Workspace:   workspace,
+		Workspace:   t.workspaceName(),
 		Server:      placement.ID,
 		Timeout:     time.Until(t.deadline),
 		LastEventID: t.lastEventID,
