--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
 const (
@@ -24,7 +27,7 @@
 
 // crashChecks finds out whether servers that closed connections have ended. One that has
 // closed a single connection, or an idle one, accepts others, and is no evidence against
-// a prompt. Its zero value is ready to use.
+// a request. Its zero value is ready to use.
 type crashChecks struct {
 	mu sync.Mutex
 	// pending holds the check of each server by its id.
@@ -38,15 +41,17 @@
 	server  *Server
 	id      string
 	address string
-	// at is when the server closed the first connection, and segments are those of the
-	// prompts of all that it closed.
+	// answered is set if the server had answered this entry before.
+	answered bool
+	// at is when the server closed the first connection, and suspects are the keys of the
+	// requests on all that it closed.
 	at       time.Time
-	segments []place.PrefixSegment
+	suspects []quarantine.Suspect
 }
 
-// start checks the server of a placement, or adds the segments to a check that runs. A
+// start checks the server of a placement, or adds the suspects to a check that runs. A
 // request that was sent after the server had ended is no evidence.
-func (c *crashChecks) start(server *Server, placement *place.Placement, segments []place.PrefixSegment) {
+func (c *crashChecks) start(server *Server, placement *place.Placement, suspects []quarantine.Suspect) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	endedAt, ended := c.ended[placement.ID]
@@ -55,21 +60,31 @@
 	}
 	check := c.pending[placement.ID]
 	if check != nil {
-		check.segments = append(check.segments, segments...)
+		check.suspects = append(check.suspects, suspects...)
 		return
 	}
 	if c.pending == nil {
 		c.pending = make(map[string]*crashCheck)
 	}
-	check = &crashCheck{server: server, id: placement.ID, address: placement.Address, at: time.Now()}
-	check.segments = append(check.segments, segments...)
+	check = &crashCheck{server: server, id: placement.ID, address: placement.Address, answered: placement.HasAnswered(), at: time.Now(), suspects: suspects}
 	c.pending[placement.ID] = check
 	go check.run()
 }
 
+// recordAnswer records that the server of a placement has answered. One that had ended has
+// started again under its id.
+func (c *crashChecks) recordAnswer(placement *place.Placement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	endedAt, ended := c.ended[placement.ID]
+	if ended && placement.StartedAt.After(endedAt) {
+		delete(c.ended, placement.ID)
+	}
+}
+
 // finish removes the check of a server, remembers whether it has ended and returns the
-// segments that the check has collected.
-func (c *crashChecks) finish(id string, ended bool) []place.PrefixSegment {
+// suspects that the check has collected.
+func (c *crashChecks) finish(id string, ended bool) []quarantine.Suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check := c.pending[id]
@@ -77,7 +92,7 @@
 	if ended {
 		c.remember(id, check.at)
 	}
-	return check.segments
+	return check.suspects
 }
 
 // remember records when a server ended, and forgets those that ended long before; mu is
@@ -93,22 +108,27 @@
 	}
 }
 
-// run records a crash under the segments if the server has ended.
+// run records a crash under the suspects if the server has ended.
 func (c *crashCheck) run() {
 	ended := c.hasEnded()
-	segments := c.server.crashChecks.finish(c.id, ended)
+	suspects := c.server.crashChecks.finish(c.id, ended)
+	segments, digests := suspectIDs(suspects)
 	c.server.Log.Info("backend server checked after it closed connections",
 		"server", c.id,
 		"address", c.address,
 		"ended", ended,
-		"prompt_segments", segmentIDs(segments),
+		"answered_before", c.answered,
+		"request_digests", digests,
+		"prompt_segments", segments,
 	)
 	if ended {
-		c.server.Quarantine.RecordCrash(c.id, segments, c.at)
+		c.server.Quarantine.RecordCrash(c.id, suspects, c.at)
 	}
 }
 
-// hasEnded reports whether the server refuses a new connection or closes it at once.
+// hasEnded reports whether the server refuses a new connection, or closes it at once
+// although it had answered before. Where something accepts connections in front of a
+// server, one that never answered may have been down before the requests were sent.
 func (c *crashCheck) hasEnded() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -117,5 +137,20 @@
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
 	time.Sleep(crashCheckDelay)
-	return !connection.Release()
+	return !connection.Release() && c.answered
+}
+
+// suspectIDs returns the hexadecimal ids of the segments and of the requests among
+// suspects, separated by commas.
+func suspectIDs(suspects []quarantine.Suspect) (segments, digests string) {
+	var segmentIDs, requestIDs []string
+	for _, s := range suspects {
+		switch key := s.Key.(type) {
+		case quarantine.Segment:
+			segmentIDs = append(segmentIDs, strconv.FormatUint(uint64(key), 16))
+		case quarantine.Request:
+			requestIDs = append(requestIDs, strconv.FormatUint(uint64(key), 16))
+		}
+	}
+	return strings.Join(segmentIDs, ","), strings.Join(requestIDs, ",")
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
 
@@ -16,7 +17,7 @@
 // that crashes as it begins to answer may still send the first.
 const eventsOfProgress = 2
 
-// refuseQuarantined returns a refusal if a segment of the request's prompt is in
+// refuseQuarantined returns a refusal if the request, or a segment of its prompt, is in
 // quarantine, and nil otherwise.
 func (t *task) refuseQuarantined() *refusal {
 	remaining := t.quarantineRemaining()
@@ -27,34 +28,50 @@
 	return t.fail(reasonQuarantined, remaining)
 }
 
-// isQuarantined reports whether a segment of the request's prompt is in quarantine.
+// isQuarantined reports whether the request, or a segment of its prompt, is in quarantine.
 func (t *task) isQuarantined() bool {
 	return t.quarantineRemaining() > 0
 }
 
-// quarantineRemaining returns how long the quarantine of the request's prompt lasts, or 0
-// if none of its segments is in quarantine.
+// quarantineRemaining returns how long the quarantine of the request or of a segment of its
+// prompt lasts, or 0 if there is none.
 func (t *task) quarantineRemaining() time.Duration {
-	if t.request.Prompt == nil {
+	if t.server.Quarantine.Count() == 0 {
 		return 0
 	}
-	return t.server.Quarantine.Remaining(t.request.Prompt.Prefix, time.Now())
+	return t.server.Quarantine.Remaining(t.quarantineKeys(), time.Now())
+}
+
+// quarantineKeys returns what the request may crash servers by: itself and the segments
+// that its prompt shares with others.
+func (t *task) quarantineKeys() []quarantine.Key {
+	keys := []quarantine.Key{quarantine.Request(t.digest())}
+	if t.request.Prompt == nil {
+		return keys
+	}
+	for _, segment := range t.request.Prompt.Prefix {
+		keys = append(keys, quarantine.Segment(segment.ID))
+	}
+	return keys
 }
 
-// recordCrash records evidence against the segments of the request's prompt, if err says
-// that the server ended the connection before its answer had gone on, and the server has
-// ended too.
+// recordCrash records evidence against the request and the segments of its prompt, if err
+// says that the server ended the connection before its answer had gone on, and the server
+// has ended too.
 func (t *task) recordCrash(placement *place.Placement, err error) {
-	if t.request.Prompt != nil && isConnectionEnd(err) {
-		t.server.crashChecks.start(t.server, placement, t.request.Prompt.Prefix)
+	if !isConnectionEnd(err) {
+		return
 	}
+	var suspects []quarantine.Suspect
+	for _, key := range t.quarantineKeys() {
+		suspects = append(suspects, quarantine.Suspect{Key: key, SentAt: placement.StartedAt})
+	}
+	t.server.crashChecks.start(t.server, placement, suspects)
 }
 
 // recordProgress records that an answer to the request has gone on.
 func (t *task) recordProgress() {
-	if t.request.Prompt != nil {
-		t.server.Quarantine.RecordProgress(t.request.Prompt.Prefix, time.Now())
-	}
+	t.server.Quarantine.RecordProgress(t.quarantineKeys(), time.Now())
 }
 
 // isConnectionEnd reports whether err means that the server closed or reset the
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/forward"
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
 // segmentTranslator is a testTranslator that gives every request the same prompt.
@@ -38,7 +39,7 @@
 }
 
 // bystander is a segment of other prompts, whose answers go on.
-var bystander = []place.PrefixSegment{{ID: 8}}
+var bystander = []quarantine.Key{quarantine.Segment(8)}
 
 // crashInterval separates crashes that count one by one.
 const crashInterval = 100 * time.Millisecond
@@ -126,7 +127,8 @@
 	convict := func(f *fixture) {
 		for i := range 3 {
 			f.server.Quarantine.RecordProgress(bystander, time.Now())
-			f.server.Quarantine.RecordCrash(fmt.Sprint("other-", i), []place.PrefixSegment{{ID: 7}}, time.Now().Add(time.Duration(i)*crashInterval))
+			now := time.Now().Add(time.Duration(i) * crashInterval)
+			f.server.Quarantine.RecordCrash(fmt.Sprint("other-", i), []quarantine.Suspect{{Key: quarantine.Segment(7), SentAt: now}}, now)
 		}
 	}
 	var f *fixture
@@ -140,3 +142,38 @@
 		t.Errorf("status %d after %d attempts, want 502 after 1", status, f.attempts())
 	}
 }
+
+// truncated is a responder that closes the connection within the body.
+func truncated(conn net.Conn, request *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 9\r\n\r\nhalf", request.Header.Get("Id"), signatureHeader)
+	_ = conn.Close()
+}
+
+// TestPlainRequestsThatCrashServersAreRefused guards against repeats of a request without a
+// prompt that are sent to further servers after three have ended, and against the refusal
+// of other requests beside it.
+func TestPlainRequestsThatCrashServersAreRefused(t *testing.T) {
+	for name, ends := range map[string]responder{
+		"before the header": func(conn net.Conn, _ *http.Request) { _ = conn.Close() },
+		"by a reset":        resetConn,
+		"within the body":   truncated,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			crash := func(conn net.Conn, request *http.Request) { f.crash(ends)(conn, request) }
+			f = newFixture(t, onceRoute, crash, crash, crash)
+			for range 3 {
+				f.send("/a/x", "secret")
+				time.Sleep(crashInterval)
+			}
+			status, body, _, header := f.send("/a/x", "secret")
+			if status != http.StatusServiceUnavailable || body != "quarantined\n" || header.Get("Retry-After") == "" {
+				t.Errorf("status %d, body %q, Retry-After %q; want a refusal", status, body, header.Get("Retry-After"))
+			}
+			_, body, _, _ = f.send("/a/y", "secret")
+			if body == "quarantined\n" {
+				t.Error("another request is refused too")
+			}
+		})
+	}
+}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -106,18 +106,14 @@
 	)
 }
 
-// segmentIDs returns the ids of the segments that the request's prompt shares with others.
+// segmentIDs returns the hexadecimal ids of the segments that the request's prompt shares
+// with others, separated by commas.
 func (t *task) segmentIDs() string {
 	if t.request.Prompt == nil {
 		return ""
 	}
-	return segmentIDs(t.request.Prompt.Prefix)
-}
-
-// segmentIDs returns the hexadecimal ids of segments, separated by commas.
-func segmentIDs(segments []place.PrefixSegment) string {
-	ids := make([]string, len(segments))
-	for i, segment := range segments {
+	ids := make([]string, len(t.request.Prompt.Prefix))
+	for i, segment := range t.request.Prompt.Prefix {
 		ids[i] = strconv.FormatUint(segment.ID, 16)
 	}
 	return strings.Join(ids, ",")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -44,7 +44,7 @@
 	Fleet      *place.Fleet
 	Holder     *escrow.Holder
 	Retries    *retry.Budget
-	// Quarantine knows the prompt segments under which engines crash.
+	// Quarantine knows the prompt segments and the requests under which servers crash.
 	Quarantine quarantine.Registry
 	// Streams knows where streams began; nil knows of none.
 	Streams StreamOrigins
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -103,7 +103,7 @@
 	var info ResponseInfo
 	if err == nil {
 		info = t.server.Translator.ResponseInfo(response.Status, response.Header)
-		recordServerState(placement, info)
+		t.server.recordServerState(placement, info)
 	}
 	if err == nil && s.hasBegun(response.Status, info) {
 		s.takeOver()
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -164,7 +164,7 @@
 	}
 	t.lastReceived = time.Now()
 	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
-	recordServerState(placement, info)
+	t.server.recordServerState(placement, info)
 	if info.OtherServer || info.NotRun {
 		d := t.endDeclined(placement, response, info)
 		refused, shouldRetry = t.retryDeclined(d.reason)
@@ -177,8 +177,10 @@
 }
 
 // recordServerState records what a response states about its server.
-func recordServerState(placement *place.Placement, info ResponseInfo) {
+func (s *Server) recordServerState(placement *place.Placement, info ResponseInfo) {
 	now := time.Now()
+	placement.RecordAnswer()
+	s.crashChecks.recordAnswer(placement)
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, now)
 	}
--- a/internal/gossip/evidence.go
+++ b/internal/gossip/evidence.go
@@ -25,12 +25,15 @@
 	maxEvidence       = 32
 	maxQueuedEvidence = 4 * maxEvidence
 
-	// A piece of evidence is encoded as its kind, the segment, the server and the age in
-	// milliseconds. The server is 0 but for a crash. Numbers are big-endian.
-	evidenceLength = 1 + 8 + 8 + 4
+	// A piece of evidence is encoded as its kind, the key, the server, the age and the
+	// time since the request was sent, both in milliseconds. The server and the last are 0
+	// but for a crash. requestKey is added to the kind if the key is a request. Numbers are
+	// big-endian.
+	evidenceLength = 1 + 8 + 8 + 4 + 4
 	kindCrash      = 1
 	kindProgress   = 2
 	kindVerdict    = 3
+	requestKey     = 1 << 7
 )
 
 // appendEvidence appends an encoded message of at most maxEvidence pieces to buffer: the
@@ -40,24 +43,43 @@
 	for _, e := range evidence {
 		switch e := e.(type) {
 		case quarantine.Crash:
-			buffer = appendPiece(buffer, kindCrash, e.Segment, e.Server, e.Age)
+			buffer = appendPiece(buffer, kindCrash, e.Key, e.Server, e.Age, e.SentAge)
 		case quarantine.Progress:
-			buffer = appendPiece(buffer, kindProgress, e.Segment, 0, e.Age)
+			buffer = appendPiece(buffer, kindProgress, e.Key, 0, e.Age, 0)
 		case quarantine.Verdict:
-			buffer = appendPiece(buffer, kindVerdict, e.Segment, 0, e.Age)
+			buffer = appendPiece(buffer, kindVerdict, e.Key, 0, e.Age, 0)
 		}
 	}
 	return buffer
 }
 
 // appendPiece appends one encoded piece of evidence.
-func appendPiece(buffer []byte, kind byte, segment, server uint64, age time.Duration) []byte {
+func appendPiece(buffer []byte, kind byte, key quarantine.Key, server uint64, age, sentAge time.Duration) []byte {
+	var number uint64
+	switch key := key.(type) {
+	case quarantine.Segment:
+		number = uint64(key)
+	case quarantine.Request:
+		number = uint64(key)
+		kind |= requestKey
+	}
 	buffer = append(buffer, kind)
-	buffer = binary.BigEndian.AppendUint64(buffer, segment)
+	buffer = binary.BigEndian.AppendUint64(buffer, number)
 	buffer = binary.BigEndian.AppendUint64(buffer, server)
+	buffer = appendAge(buffer, age)
+	return appendAge(buffer, sentAge)
+}
+
+// appendAge appends an age in milliseconds, as far as it fits.
+func appendAge(buffer []byte, age time.Duration) []byte {
 	return binary.BigEndian.AppendUint32(buffer, uint32(min(max(0, age.Milliseconds()), math.MaxUint32)))
 }
 
+// decodeAge decodes an age of appendAge.
+func decodeAge(data []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint32(data)) * time.Millisecond
+}
+
 // decodeEvidence decodes a message of evidence or returns errInvalidDatagram.
 func decodeEvidence(data []byte) ([]quarantine.Evidence, error) {
 	if len(data) <= 1 || data[0] != formatEvidence || (len(data)-1)%evidenceLength != 0 {
@@ -65,15 +87,15 @@
 	}
 	var evidence []quarantine.Evidence
 	for data = data[1:]; len(data) > 0; data = data[evidenceLength:] {
-		segment := binary.BigEndian.Uint64(data[1:])
-		age := time.Duration(binary.BigEndian.Uint32(data[17:])) * time.Millisecond
-		switch data[0] {
+		key := decodeKey(data)
+		age := decodeAge(data[17:])
+		switch data[0] &^ requestKey {
 		case kindCrash:
-			evidence = append(evidence, quarantine.Crash{Segment: segment, Server: binary.BigEndian.Uint64(data[9:]), Age: age})
+			evidence = append(evidence, quarantine.Crash{Key: key, Server: binary.BigEndian.Uint64(data[9:]), Age: age, SentAge: decodeAge(data[21:])})
 		case kindProgress:
-			evidence = append(evidence, quarantine.Progress{Segment: segment, Age: age})
+			evidence = append(evidence, quarantine.Progress{Key: key, Age: age})
 		case kindVerdict:
-			evidence = append(evidence, quarantine.Verdict{Segment: segment, Age: age})
+			evidence = append(evidence, quarantine.Verdict{Key: key, Age: age})
 		default:
 			return nil, errInvalidDatagram
 		}
@@ -81,6 +103,15 @@
 	return evidence, nil
 }
 
+// decodeKey decodes the key of an encoded piece of evidence.
+func decodeKey(piece []byte) quarantine.Key {
+	number := binary.BigEndian.Uint64(piece[1:])
+	if piece[0]&requestKey != 0 {
+		return quarantine.Request(number)
+	}
+	return quarantine.Segment(number)
+}
+
 // evidenceQueue holds the evidence that waits to be sent to all peers.
 type evidenceQueue struct {
 	mu      sync.Mutex
--- a/internal/gossip/evidence_test.go
+++ b/internal/gossip/evidence_test.go
@@ -6,14 +6,13 @@
 	"testing"
 	"time"
 
-	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
 
 // The culprit is the segment under which servers crash; answers on bystander go on.
 var (
-	culprit   = []place.PrefixSegment{{ID: 9}}
-	bystander = []place.PrefixSegment{{ID: 10}}
+	culprit   = []quarantine.Key{quarantine.Segment(9)}
+	bystander = []quarantine.Key{quarantine.Segment(10)}
 )
 
 // waitForQuarantine waits until an entry has the culprit in quarantine.
@@ -36,7 +35,7 @@
 		for _, other := range site {
 			other.Evidence.RecordProgress(bystander, time.Now())
 		}
-		g.Evidence.RecordCrash(fmt.Sprint("i-", i), culprit, time.Now())
+		g.Evidence.RecordCrash(fmt.Sprint("i-", i), []quarantine.Suspect{{Key: culprit[0], SentAt: time.Now()}}, time.Now())
 		time.Sleep(60 * time.Millisecond)
 	}
 	for _, g := range site {
@@ -55,9 +54,12 @@
 
 func TestEvidenceMessageRoundTrip(t *testing.T) {
 	want := []quarantine.Evidence{
-		quarantine.Crash{Segment: 1 << 60, Server: 5, Age: 70 * time.Millisecond},
-		quarantine.Progress{Segment: 2, Age: time.Second},
-		quarantine.Verdict{Segment: 3, Age: time.Hour},
+		quarantine.Crash{Key: quarantine.Segment(1 << 60), Server: 5, Age: 70 * time.Millisecond, SentAge: 90 * time.Millisecond},
+		quarantine.Progress{Key: quarantine.Segment(2), Age: time.Second},
+		quarantine.Verdict{Key: quarantine.Segment(3), Age: time.Hour},
+		quarantine.Crash{Key: quarantine.Request(1<<64 - 1), Server: 6, SentAge: time.Second},
+		quarantine.Progress{Key: quarantine.Request(2)},
+		quarantine.Verdict{Key: quarantine.Request(2), Age: time.Minute},
 	}
 	got, err := decodeEvidence(appendEvidence(nil, want))
 	if err != nil || !reflect.DeepEqual(got, want) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -53,7 +53,7 @@
 	// Entries returns the number of entries that control instances have reported; nil
 	// means that only the peers are known.
 	Entries func() int
-	// Evidence receives and repeats the evidence against prompt segments; nil shares
+	// Evidence receives and repeats the evidence against what crashes servers; nil shares
 	// none.
 	Evidence *quarantine.Registry
 	Log      *log.Logger
--- a/internal/gossip/limit.go
+++ b/internal/gossip/limit.go
@@ -44,7 +44,7 @@
 	}
 	buffer = append(buffer, formatLimit, named)
 	buffer = binary.BigEndian.AppendUint64(buffer, math.Float64bits(m.limit.PerSecond))
-	buffer = binary.BigEndian.AppendUint32(buffer, uint32(min(max(0, m.age.Milliseconds()), math.MaxUint32)))
+	buffer = appendAge(buffer, m.age)
 	return append(buffer, m.server[:min(len(m.server), maxNameLength)]...)
 }
 
@@ -60,7 +60,7 @@
 	return limitMessage{
 		server: string(data[minLimitLength:]),
 		limit:  place.Limit{Named: data[1] == 1, PerSecond: perSecond},
-		age:    time.Duration(binary.BigEndian.Uint32(data[10:])) * time.Millisecond,
+		age:    decodeAge(data[10:]),
 	}, nil
 }
 
--- a/internal/group/quarantine_test.go
+++ b/internal/group/quarantine_test.go
@@ -10,15 +10,15 @@
 // snapshot.
 func TestQuarantineOutlivesARestart(t *testing.T) {
 	g := New(nil)
-	apply := func(g *Group, command ChangeQuarantine) []uint64 {
+	apply := func(g *Group, command ChangeQuarantine) Result {
 		data, err := encodeCommand(command)
 		if err != nil {
 			t.Fatal(err)
 		}
-		return g.applyCommand(data).Quarantined
+		return g.applyCommand(data)
 	}
-	apply(g, ChangeQuarantine{Add: []uint64{7, 8}})
-	apply(g, ChangeQuarantine{Add: []uint64{8, 9}, Remove: []uint64{7}})
+	apply(g, ChangeQuarantine{Add: []uint64{7, 8}, AddRequests: []uint64{1, 2}})
+	apply(g, ChangeQuarantine{Add: []uint64{8, 9}, Remove: []uint64{7}, AddRequests: []uint64{3}, RemoveRequests: []uint64{2}})
 	snapshot, err := g.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -29,8 +29,8 @@
 		t.Fatal(err)
 	}
 	got := apply(restored, ChangeQuarantine{})
-	if !slices.Equal(got, []uint64{8, 9}) {
-		t.Errorf("in quarantine: %v, want 8 and 9", got)
+	if !slices.Equal(got.Quarantined, []uint64{8, 9}) || !slices.Equal(got.QuarantinedRequests, []uint64{1, 3}) {
+		t.Errorf("in quarantine: segments %v and requests %v, want 8, 9 and 1, 3", got.Quarantined, got.QuarantinedRequests)
 	}
 }
 
--- a/internal/group/result.go
+++ b/internal/group/result.go
@@ -45,4 +45,6 @@
 	Release uint64 `cbor:"9,keyasint,omitempty" json:"release,omitempty"`
 	// Quarantined are all prompt segments in quarantine.
 	Quarantined []uint64 `cbor:"10,keyasint,omitempty" json:"quarantined,omitempty"`
+	// QuarantinedRequests are the digests of all requests in quarantine.
+	QuarantinedRequests []uint64 `cbor:"11,keyasint,omitempty" json:"quarantined_requests,omitempty"`
 }
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -46,6 +46,8 @@
 	Claims         map[string]claim          `cbor:"5,keyasint"`
 	// Quarantined are the prompt segments in quarantine, the oldest first.
 	Quarantined []uint64 `cbor:"6,keyasint,omitempty"`
+	// QuarantinedRequests are the digests of the requests in quarantine, the oldest first.
+	QuarantinedRequests []uint64 `cbor:"7,keyasint,omitempty"`
 
 	// holdersByDomain caches the sorted open epochs of holders by failure
 	// domain; it is nil after the epochs change.
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -385,6 +385,20 @@
 	s.prefixes.record(prompt.Prefix, now)
 }
 
+// RecordAnswer records that the server has answered.
+func (p *Placement) RecordAnswer() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.server.answered = true
+}
+
+// HasAnswered reports whether the server has answered this entry.
+func (p *Placement) HasAnswered() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.server.answered
+}
+
 // SetLoad records the load that the server reported at now.
 func (p *Placement) SetLoad(load Load, now time.Time) {
 	p.fleet.mu.Lock()
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -40,6 +40,9 @@
 	// prefixes are the prefix segments sent to the engine.
 	prefixes prefixCache
 
+	// answered is set once the server has answered this entry.
+	answered bool
+
 	// heldOffUntil is the time until which the server wants no requests.
 	heldOffUntil time.Time
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -105,7 +105,9 @@
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
-	m.set("segments_quarantined", float64(g.Server.Quarantine.Count()))
+	requests := g.Server.Quarantine.CountRequests()
+	m.set("segments_quarantined", float64(g.Server.Quarantine.Count()-requests))
+	m.set("requests_quarantined", float64(requests))
 	m.setFleet(g.Server.Fleet.Counts(time.Now()))
 	m.setHolder(g.Server.Holder.Totals())
 	m.setWatcher(g.Watcher)
@@ -134,7 +136,7 @@
 	g.closers.add(g.Server.Holder.Close)
 }
 
-// shareEvidence lets the gossiper share the evidence against prompt segments, and starts
+// shareEvidence lets the gossiper share the evidence against what crashes servers, and starts
 // to keep the verdicts at the control group.
 func (g *Gateway) shareEvidence(environment Environment, client *peer.Client, gossiper *gossip.Gossiper) {
 	registry := &g.Server.Quarantine
@@ -155,7 +157,12 @@
 
 // logQuarantine logs the begin or the end of a quarantine.
 func (g *Gateway) logQuarantine(change quarantine.Change) {
-	g.Server.Log.Info("prompt segment "+change.Event, "segment", strconv.FormatUint(change.Segment, 16), "crashes", change.Crashes)
+	switch key := change.Key.(type) {
+	case quarantine.Segment:
+		g.Server.Log.Info("prompt segment "+change.Event, "segment", strconv.FormatUint(uint64(key), 16), "crashes", change.Crashes)
+	case quarantine.Request:
+		g.Server.Log.Info("request "+change.Event, "request_digest", strconv.FormatUint(uint64(key), 16), "crashes", change.Crashes)
+	}
 }
 
 // newGossiper returns the gossiper that exchanges datagrams with the other
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -22,13 +22,13 @@
 	maxSyncDelay = 300 * time.Millisecond
 )
 
-// Store keeps the segments in quarantine where they outlive all entries.
+// Store keeps the keys in quarantine where they outlive all entries.
 type Store interface {
-	// Sync adds and removes segments and returns all that are in quarantine.
-	Sync(ctx context.Context, add, remove []uint64) ([]uint64, error)
+	// Sync adds and removes keys and returns all that are in quarantine.
+	Sync(ctx context.Context, add, remove []Key) ([]Key, error)
 }
 
-// Keeper reads the segments in quarantine from a store when an entry starts, and records
+// Keeper reads the keys in quarantine from a store when an entry starts, and records
 // the verdicts of this entry there. Set its exported fields before Start.
 type Keeper struct {
 	Registry *Registry
@@ -37,7 +37,7 @@
 
 	mu sync.Mutex
 	// add and remove are the changes that the store has not confirmed.
-	add, remove []uint64
+	add, remove []Key
 
 	started time.Time
 	wake    chan struct{}
@@ -66,11 +66,11 @@
 	k.mu.Lock()
 	switch change.Event {
 	case EventQuarantined:
-		k.add = append(k.add, change.Segment)
-		k.remove = without(k.remove, []uint64{change.Segment})
+		k.add = append(k.add, change.Key)
+		k.remove = without(k.remove, []Key{change.Key})
 	case EventCleared, EventExpired:
-		k.remove = append(k.remove, change.Segment)
-		k.add = without(k.add, []uint64{change.Segment})
+		k.remove = append(k.remove, change.Key)
+		k.add = without(k.add, []Key{change.Key})
 	}
 	k.mu.Unlock()
 	select {
@@ -125,18 +125,18 @@
 	return true
 }
 
-// learn passes stored segments to the registry, as in quarantine since the start of the
+// learn passes stored keys to the registry, as in quarantine since the start of the
 // keeper: an answer that went on since then proves them wrong.
-func (k *Keeper) learn(stored []uint64) {
+func (k *Keeper) learn(stored []Key) {
 	now := time.Now()
 	verdicts := make([]Evidence, len(stored))
-	for i, segment := range stored {
-		verdicts[i] = Verdict{Segment: segment, Age: now.Sub(k.started)}
+	for i, key := range stored {
+		verdicts[i] = Verdict{Key: key, Age: now.Sub(k.started)}
 	}
 	k.Registry.Merge(verdicts, now)
 }
 
-// without returns the segments that are not in excluded.
-func without(segments, excluded []uint64) []uint64 {
-	return slices.DeleteFunc(slices.Clone(segments), func(segment uint64) bool { return slices.Contains(excluded, segment) })
+// without returns the keys that are not in excluded.
+func without(keys, excluded []Key) []Key {
+	return slices.DeleteFunc(slices.Clone(keys), func(key Key) bool { return slices.Contains(excluded, key) })
 }
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -16,26 +16,26 @@
 // memoryStore is a Store in memory that may be out of reach.
 type memoryStore struct {
 	mu          sync.Mutex
-	segments    []uint64
+	keys        []Key
 	unreachable bool
 }
 
 // Sync implements Store.
-func (m *memoryStore) Sync(_ context.Context, add, remove []uint64) ([]uint64, error) {
+func (m *memoryStore) Sync(_ context.Context, add, remove []Key) ([]Key, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unreachable {
 		return nil, errors.New("unreachable")
 	}
-	m.segments = append(without(without(m.segments, remove), add), add...)
-	return slices.Clone(m.segments), nil
+	m.keys = append(without(without(m.keys, remove), add), add...)
+	return slices.Clone(m.keys), nil
 }
 
-// stored returns the segments in the store.
-func (m *memoryStore) stored() []uint64 {
+// stored returns the keys in the store.
+func (m *memoryStore) stored() []Key {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Clone(m.segments)
+	return slices.Clone(m.keys)
 }
 
 // setUnreachable sets whether the store is out of reach.
@@ -61,7 +61,7 @@
 		before := startKeeper(store)
 		for i := range 3 {
 			before.Registry.RecordProgress(prefix(bystander), time.Now())
-			before.Registry.RecordCrash(string(rune('a'+i)), prefix(culprit), time.Now())
+			before.Registry.RecordCrash(string(rune('a'+i)), suspects(time.Now(), prefix(culprit)...), time.Now())
 			time.Sleep(time.Second)
 		}
 		store.setUnreachable(false)
@@ -85,7 +85,7 @@
 // once an answer has gone on.
 func TestAnswerSinceTheStartOutweighsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &memoryStore{segments: []uint64{subject}, unreachable: true}
+		store := &memoryStore{keys: prefix(subject), unreachable: true}
 		k := startKeeper(store)
 		defer k.Close()
 		time.Sleep(time.Second)
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -6,23 +6,22 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cactusbay/cactusbay/internal/place"
 )
 
 const (
-	// Duration is how long a segment stays in quarantine.
+	// Duration is how long a key stays in quarantine.
 	Duration = time.Hour
-	// evidenceTTL is how long crashes count, and how long an unused segment is kept.
+	// evidenceTTL is how long crashes count, and how long an unused key is kept.
 	evidenceTTL = 10 * time.Minute
 	// freshCrash is how long a single crash is repeated to other entries.
 	freshCrash = 10 * time.Second
-	// progressInterval is the time between two announcements of progress with one
-	// segment.
+	// progressInterval is the time between two announcements of progress with one key.
 	progressInterval = time.Second
-	// maxSegments bounds the segments that are remembered.
+	// maxSegments and maxRequests bound the segments and the requests that are
+	// remembered.
 	maxSegments = 16384
-	// sweepInterval is the least time between two removals of unused segments.
+	maxRequests = 8192
+	// sweepInterval is the least time between two removals of unused keys.
 	sweepInterval = 10 * time.Second
 )
 
@@ -36,15 +35,18 @@
 	// the registry.
 	Changed func(Change)
 
-	// quarantined counts the segments in quarantine.
-	quarantined atomic.Int64
+	// quarantinedSegments and quarantinedRequests count the keys in quarantine.
+	quarantinedSegments atomic.Int64
+	quarantinedRequests atomic.Int64
 
 	mu sync.Mutex
-	// answers counts the answers that have gone on at this entry.
-	answers  int64
-	segments map[uint64]*segment
-	// active holds the segments with evidence against them.
-	active    map[uint64]*segment
+	// answers counts the answers on prompts that have gone on at this entry.
+	answers int64
+	records map[Key]*record
+	// requests is the number of records whose key is a Request.
+	requests int
+	// active holds the records with evidence against their keys.
+	active    map[Key]*record
 	lastSweep time.Time
 }
 
@@ -58,67 +60,75 @@
 
 // Change reports the begin or the end of a quarantine.
 type Change struct {
-	Segment uint64
+	Key Key
 	// Event is one of the Event constants.
 	Event string
 	// Crashes is the number of crashes that are known.
 	Crashes int
 }
 
-// RecordCrash records that a server has ended the connection of a request whose prompt
-// has the given segments before its answer had gone on.
-func (r *Registry) RecordCrash(server string, segments []place.PrefixSegment, now time.Time) {
+// RecordCrash records that a server has ended the connections of requests with the given
+// keys before their answers had gone on.
+func (r *Registry) RecordCrash(server string, suspects []Suspect, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	number := ServerNumber(server)
-	explained := r.anyQuarantined(segments)
+	explained := r.anyQuarantined(suspects)
 	var announced []Evidence
-	for _, s := range segments {
-		if explained && !r.isQuarantined(s.ID) {
+	for _, s := range suspects {
+		if explained && !r.isQuarantined(s.Key) {
 			continue
 		}
-		if r.addCrash(s.ID, crash{server: number, at: now}, now) {
-			announced = append(announced, Crash{Segment: s.ID, Server: number})
-			announced = r.appendProgress(announced, s.ID, now)
+		if r.addCrash(s.Key, crash{server: number, at: now, sentAt: s.SentAt}, now) {
+			announced = append(announced, Crash{Key: s.Key, Server: number, SentAge: now.Sub(s.SentAt)})
+			announced = r.appendProgress(announced, s.Key, now)
 		}
 	}
 	r.convict(now)
 	r.announce(announced)
 }
 
-// isQuarantined reports whether a segment is in quarantine; mu is held.
-func (r *Registry) isQuarantined(id uint64) bool {
-	s := r.active[id]
-	return s != nil && !s.quarantinedAt.IsZero()
+// isQuarantined reports whether a key is in quarantine; mu is held.
+func (r *Registry) isQuarantined(key Key) bool {
+	known := r.active[key]
+	return known != nil && !known.quarantinedAt.IsZero()
 }
 
-// anyQuarantined reports whether one of the segments is in quarantine; mu is held.
-func (r *Registry) anyQuarantined(segments []place.PrefixSegment) bool {
-	return slices.ContainsFunc(segments, func(s place.PrefixSegment) bool { return r.isQuarantined(s.ID) })
+// anyQuarantined reports whether one of the keys is in quarantine; mu is held.
+func (r *Registry) anyQuarantined(suspects []Suspect) bool {
+	return slices.ContainsFunc(suspects, func(s Suspect) bool { return r.isQuarantined(s.Key) })
 }
 
-// RecordProgress records that an answer to a request whose prompt has the given segments
-// has gone on beyond its begin.
-func (r *Registry) RecordProgress(segments []place.PrefixSegment, now time.Time) {
+// RecordProgress records that an answer to a request with the given keys has gone on
+// beyond its begin.
+func (r *Registry) RecordProgress(keys []Key, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.answers++
+	if slices.ContainsFunc(keys, isSegment) {
+		r.answers++
+	}
 	var announced []Evidence
-	for _, s := range segments {
-		known := r.segment(s.ID, now)
+	for _, key := range keys {
+		known := r.record(key, now)
 		if known == nil {
 			continue
 		}
 		wasActive := known.isActive()
 		known.ownProgress = now
-		r.addProgress(s.ID, known, now)
+		r.addProgress(known, now)
 		if wasActive {
-			announced = r.appendProgress(announced, s.ID, now)
+			announced = r.appendProgress(announced, key, now)
 		}
 	}
 	r.announce(announced)
 }
 
+// isSegment reports whether a key is a Segment.
+func isSegment(key Key) bool {
+	_, ok := key.(Segment)
+	return ok
+}
+
 // Merge records evidence of other entries.
 func (r *Registry) Merge(evidence []Evidence, now time.Time) {
 	r.mu.Lock()
@@ -127,17 +137,18 @@
 	for _, e := range evidence {
 		switch e := e.(type) {
 		case Crash:
-			if e.Age < evidenceTTL && r.addCrash(e.Segment, crash{server: e.Server, at: now.Add(-e.Age)}, now) {
-				announced = r.appendProgress(announced, e.Segment, now)
+			c := crash{server: e.Server, at: now.Add(-e.Age), sentAt: now.Add(-e.SentAge)}
+			if e.Age < evidenceTTL && r.addCrash(e.Key, c, now) {
+				announced = r.appendProgress(announced, e.Key, now)
 			}
 		case Progress:
-			known := r.segment(e.Segment, now)
+			known := r.record(e.Key, now)
 			if known != nil {
-				r.addProgress(e.Segment, known, now.Add(-e.Age))
+				r.addProgress(known, now.Add(-e.Age))
 			}
 		case Verdict:
-			if e.Age < Duration && !r.learn(e.Segment, now.Add(-e.Age), now) {
-				announced = r.appendProgress(announced, e.Segment, now)
+			if e.Age < Duration && !r.learn(e.Key, now.Add(-e.Age), now) {
+				announced = r.appendProgress(announced, e.Key, now)
 			}
 		}
 	}
@@ -145,23 +156,23 @@
 	r.announce(announced)
 }
 
-// Remaining returns how long the longest quarantine of the given segments lasts, or 0 if
-// none is in quarantine.
-func (r *Registry) Remaining(segments []place.PrefixSegment, now time.Time) time.Duration {
-	if r.quarantined.Load() == 0 {
+// Remaining returns how long the longest quarantine of the given keys lasts, or 0 if none
+// is in quarantine.
+func (r *Registry) Remaining(keys []Key, now time.Time) time.Duration {
+	if r.Count() == 0 {
 		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var longest time.Duration
-	for _, s := range segments {
-		known := r.active[s.ID]
+	for _, key := range keys {
+		known := r.active[key]
 		if known == nil || known.quarantinedAt.IsZero() {
 			continue
 		}
 		remaining := known.quarantinedAt.Add(Duration).Sub(now)
 		if remaining <= 0 {
-			r.expire(s.ID, known)
+			r.expire(known)
 			continue
 		}
 		longest = max(longest, remaining)
@@ -169,35 +180,49 @@
 	return longest
 }
 
-// Count returns the number of segments in quarantine.
+// Count returns the number of keys in quarantine.
 func (r *Registry) Count() int64 {
-	return r.quarantined.Load()
+	return r.quarantinedSegments.Load() + r.quarantinedRequests.Load()
+}
+
+// CountRequests returns the number of requests in quarantine.
+func (r *Registry) CountRequests() int64 {
+	return r.quarantinedRequests.Load()
+}
+
+// countQuarantined adds to the number of keys in quarantine of one kind.
+func (r *Registry) countQuarantined(key Key, added int64) {
+	if isSegment(key) {
+		r.quarantinedSegments.Add(added)
+		return
+	}
+	r.quarantinedRequests.Add(added)
 }
 
 // Sample returns up to limit random pieces of the evidence to repeat to other entries:
-// verdicts, the crashes that are recent or not the only one of their segment, and this
-// entry's progress with their segments.
+// verdicts, the crashes that are recent or not the only one of their key, and this entry's
+// progress with their keys.
 func (r *Registry) Sample(limit int, now time.Time) []Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var evidence []Evidence
-	for id, s := range r.active {
-		age := now.Sub(s.quarantinedAt)
-		if !s.quarantinedAt.IsZero() && age >= Duration {
-			r.expire(id, s)
+	for key, known := range r.active {
+		age := now.Sub(known.quarantinedAt)
+		if !known.quarantinedAt.IsZero() && age >= Duration {
+			r.expire(known)
 			continue
 		}
-		if !s.quarantinedAt.IsZero() {
-			evidence = append(evidence, Verdict{Segment: id, Age: age})
+		if !known.quarantinedAt.IsZero() {
+			evidence = append(evidence, Verdict{Key: key, Age: age})
 			continue
 		}
-		if !s.ownProgress.IsZero() {
-			evidence = append(evidence, Progress{Segment: id, Age: now.Sub(s.ownProgress)})
+		if !known.ownProgress.IsZero() {
+			evidence = append(evidence, Progress{Key: key, Age: now.Sub(known.ownProgress)})
 		}
-		for _, c := range s.crashes {
+		for _, c := range known.crashes {
 			age := now.Sub(c.at)
-			if age < freshCrash || len(s.crashes) > 1 && age < evidenceTTL {
-				evidence = append(evidence, Crash{Segment: id, Server: c.server, Age: age})
+			if age < freshCrash || len(known.crashes) > 1 && age < evidenceTTL {
+				evidence = append(evidence, Crash{Key: key, Server: c.server, Age: age, SentAge: now.Sub(c.sentAt)})
 			}
 		}
 	}
@@ -207,56 +232,57 @@
 
 // addCrash adds a crash, unless a segment in quarantine explains it, and reports whether it
 // is new; mu is held.
-func (r *Registry) addCrash(id uint64, c crash, now time.Time) bool {
-	s := r.segment(id, now)
-	if s == nil {
+func (r *Registry) addCrash(key Key, c crash, now time.Time) bool {
+	known := r.record(key, now)
+	if known == nil {
 		return false
 	}
-	s.dropOldCrashes(now)
+	known.dropOldCrashes(now)
 	c.answers = r.answers
-	if s.quarantinedAt.IsZero() && r.isExplained(c) || !s.addCrash(c) {
+	if known.quarantinedAt.IsZero() && r.isExplained(c) || !known.addCrash(c) {
 		return false
 	}
-	r.active[id] = s
+	r.active[key] = known
 	return true
 }
 
 // isExplained reports whether the server has crashed under a segment in quarantine; mu is
-// held.
+// held. A request in quarantine explains nothing: its crashes may be those of a segment
+// that it has.
 func (r *Registry) isExplained(c crash) bool {
-	for _, s := range r.active {
-		if !s.quarantinedAt.IsZero() && s.hasCrash(c.server) {
+	for key, known := range r.active {
+		if isSegment(key) && !known.quarantinedAt.IsZero() && known.hasCrash(c) {
 			return true
 		}
 	}
 	return false
 }
 
-// convict begins the quarantine of the segments whose crashes suffice, those with most
-// crashes first: these explain the crashes of segments that share prompts with them. mu is
+// convict begins the quarantine of the keys whose crashes suffice, those with most
+// crashes first: these explain the crashes of keys that share requests with them. mu is
 // held.
 func (r *Registry) convict(now time.Time) {
 	for {
-		var convicted []uint64
+		var convicted []*record
 		most := 0
-		for id, s := range r.active {
-			if !s.quarantinedAt.IsZero() || !s.isConvicted() {
+		for _, known := range r.active {
+			if !known.quarantinedAt.IsZero() || !known.isConvicted() {
 				continue
 			}
-			count := s.separateCrashes()
+			count := known.separateCrashes()
 			if count > most {
 				most = count
 				convicted = nil
 			}
 			if count == most {
-				convicted = append(convicted, id)
+				convicted = append(convicted, known)
 			}
 		}
 		if len(convicted) == 0 {
 			return
 		}
-		for _, id := range convicted {
-			r.begin(id, r.active[id], now, EventQuarantined)
+		for _, known := range convicted {
+			r.begin(known, now, EventQuarantined)
 		}
 		r.dropExplained()
 	}
@@ -265,127 +291,138 @@
 // dropExplained removes the crashes that segments in quarantine explain from all others;
 // mu is held.
 func (r *Registry) dropExplained() {
-	for id, s := range r.active {
-		if !s.quarantinedAt.IsZero() {
+	for key, known := range r.active {
+		if !known.quarantinedAt.IsZero() {
 			continue
 		}
-		s.crashes = slices.DeleteFunc(s.crashes, r.isExplained)
-		if !s.isActive() {
-			delete(r.active, id)
+		known.crashes = slices.DeleteFunc(known.crashes, r.isExplained)
+		if !known.isActive() {
+			delete(r.active, key)
 		}
 	}
 }
 
-// dropOldCrashes removes the crashes that no longer count.
-func (s *segment) dropOldCrashes(now time.Time) {
-	for len(s.crashes) > 0 && now.Sub(s.crashes[0].at) >= evidenceTTL {
-		s.crashes = s.crashes[1:]
-	}
-}
-
 // addProgress adds progress at the given time; mu is held.
-func (r *Registry) addProgress(id uint64, s *segment, at time.Time) {
-	released := s.addProgress(at)
-	if !s.isActive() {
-		delete(r.active, id)
+func (r *Registry) addProgress(known *record, at time.Time) {
+	released := known.addProgress(at)
+	if !known.isActive() {
+		delete(r.active, known.key)
 	}
 	if released {
-		r.quarantined.Add(-1)
-		r.changed(id, s, EventCleared)
+		r.countQuarantined(known.key, -1)
+		r.changed(known, EventCleared)
 	}
 }
 
 // learn begins a quarantine that another entry has begun at the given time. It reports
-// false if an answer has gone on with the segment: the other entry may not know of it, and
+// false if an answer has gone on with the key: the other entry may not know of it, and
 // what it has seen crash is known here too. mu is held.
-func (r *Registry) learn(id uint64, at, now time.Time) bool {
-	s := r.segment(id, now)
-	if s == nil || !s.quarantinedAt.IsZero() {
+func (r *Registry) learn(key Key, at, now time.Time) bool {
+	known := r.record(key, now)
+	if known == nil || !known.quarantinedAt.IsZero() {
 		return true
 	}
-	if !s.progress.IsZero() {
+	if !known.progress.IsZero() {
 		return false
 	}
-	r.active[id] = s
-	r.begin(id, s, at, EventLearned)
+	r.active[key] = known
+	r.begin(known, at, EventLearned)
 	r.dropExplained()
 	return true
 }
 
 // begin begins a quarantine; mu is held.
-func (r *Registry) begin(id uint64, s *segment, at time.Time, event string) {
-	s.quarantinedAt = at
-	r.quarantined.Add(1)
-	r.changed(id, s, event)
+func (r *Registry) begin(known *record, at time.Time, event string) {
+	known.quarantinedAt = at
+	r.countQuarantined(known.key, 1)
+	r.changed(known, event)
 }
 
 // expire ends a quarantine that has lasted for Duration and forgets its evidence; mu is
 // held.
-func (r *Registry) expire(id uint64, s *segment) {
-	delete(r.segments, id)
-	delete(r.active, id)
-	r.quarantined.Add(-1)
-	r.changed(id, s, EventExpired)
+func (r *Registry) expire(known *record) {
+	r.remove(known)
+	r.countQuarantined(known.key, -1)
+	r.changed(known, EventExpired)
+}
+
+// remove forgets a key; mu is held.
+func (r *Registry) remove(known *record) {
+	delete(r.records, known.key)
+	delete(r.active, known.key)
+	if !isSegment(known.key) {
+		r.requests--
+	}
 }
 
-// appendProgress appends this entry's own progress with a segment, if there is any that
-// was not announced a short time ago; mu is held.
-func (r *Registry) appendProgress(evidence []Evidence, id uint64, now time.Time) []Evidence {
-	s := r.segments[id]
-	if s == nil || s.ownProgress.IsZero() || now.Sub(s.announcedProgress) < progressInterval {
+// appendProgress appends this entry's own progress with a key, if there is any that was
+// not announced a short time ago; mu is held.
+func (r *Registry) appendProgress(evidence []Evidence, key Key, now time.Time) []Evidence {
+	known := r.records[key]
+	if known == nil || known.ownProgress.IsZero() || now.Sub(known.announcedProgress) < progressInterval {
 		return evidence
 	}
-	s.announcedProgress = now
-	return append(evidence, Progress{Segment: id, Age: now.Sub(s.ownProgress)})
+	known.announcedProgress = now
+	return append(evidence, Progress{Key: key, Age: now.Sub(known.ownProgress)})
 }
 
-// segment returns what is known of a segment, which it adds if there is room; mu is held.
-func (r *Registry) segment(id uint64, now time.Time) *segment {
-	if r.segments == nil {
-		r.segments = make(map[uint64]*segment)
-		r.active = make(map[uint64]*segment)
+// record returns what is known of a key, which it adds if there is room; mu is held.
+func (r *Registry) record(key Key, now time.Time) *record {
+	if r.records == nil {
+		r.records = make(map[Key]*record)
+		r.active = make(map[Key]*record)
 	}
-	s := r.segments[id]
-	if s == nil {
-		if len(r.segments) >= maxSegments && !r.sweep(now) {
+	known := r.records[key]
+	if known == nil {
+		if !r.hasRoom(key) && !r.sweep(key, now) {
 			return nil
 		}
-		s = &segment{}
-		r.segments[id] = s
+		known = &record{key: key}
+		r.records[key] = known
+		if !isSegment(key) {
+			r.requests++
+		}
+	}
+	known.usedAt = now
+	return known
+}
+
+// hasRoom reports whether another key of the same kind may be remembered; mu is held.
+func (r *Registry) hasRoom(key Key) bool {
+	if isSegment(key) {
+		return len(r.records)-r.requests < maxSegments
 	}
-	s.usedAt = now
-	return s
+	return r.requests < maxRequests
 }
 
-// sweep removes unused segments, or else one without evidence against it, and reports
-// whether there is room for another one; mu is held.
-func (r *Registry) sweep(now time.Time) bool {
+// sweep removes unused keys, or else one of the kind of the given key without evidence
+// against it, and reports whether there is room for that key; mu is held.
+func (r *Registry) sweep(key Key, now time.Time) bool {
 	if now.Sub(r.lastSweep) >= sweepInterval {
 		r.lastSweep = now
 		r.removeUnused(now)
 	}
-	for id, s := range r.segments {
-		if len(r.segments) < maxSegments {
+	for other, known := range r.records {
+		if r.hasRoom(key) {
 			break
 		}
-		if !s.isActive() {
-			delete(r.segments, id)
+		if isSegment(other) == isSegment(key) && !known.isActive() {
+			r.remove(known)
 		}
 	}
-	return len(r.segments) < maxSegments
+	return r.hasRoom(key)
 }
 
-// removeUnused removes the segments that were not seen for evidenceTTL, and ends the
+// removeUnused removes the keys that were not seen for evidenceTTL, and ends the
 // quarantines that have lasted for Duration; mu is held.
 func (r *Registry) removeUnused(now time.Time) {
-	for id, s := range r.segments {
-		inQuarantine := !s.quarantinedAt.IsZero()
+	for _, known := range r.records {
+		inQuarantine := !known.quarantinedAt.IsZero()
 		switch {
-		case inQuarantine && now.Sub(s.quarantinedAt) >= Duration:
-			r.expire(id, s)
-		case !inQuarantine && now.Sub(s.usedAt) >= evidenceTTL:
-			delete(r.segments, id)
-			delete(r.active, id)
+		case inQuarantine && now.Sub(known.quarantinedAt) >= Duration:
+			r.expire(known)
+		case !inQuarantine && now.Sub(known.usedAt) >= evidenceTTL:
+			r.remove(known)
 		}
 	}
 }
@@ -398,8 +435,8 @@
 }
 
 // changed calls Changed; mu is held.
-func (r *Registry) changed(id uint64, s *segment, event string) {
+func (r *Registry) changed(known *record, event string) {
 	if r.Changed != nil {
-		r.Changed(Change{Segment: id, Event: event, Crashes: len(s.crashes)})
+		r.Changed(Change{Key: known.key, Event: event, Crashes: len(known.crashes)})
 	}
 }
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/cactusbay/cactusbay/internal/place"
 )
 
 const (
@@ -26,12 +24,21 @@
 }
 
 // prefix returns the segments with the given ids.
-func prefix(ids ...uint64) []place.PrefixSegment {
-	var segments []place.PrefixSegment
+func prefix(ids ...uint64) []Key {
+	var keys []Key
 	for _, id := range ids {
-		segments = append(segments, place.PrefixSegment{ID: id})
+		keys = append(keys, Segment(id))
+	}
+	return keys
+}
+
+// suspects returns suspects with the given keys, whose requests were sent at one time.
+func suspects(sentAt time.Time, keys ...Key) []Suspect {
+	var result []Suspect
+	for _, key := range keys {
+		result = append(result, Suspect{Key: key, SentAt: sentAt})
 	}
-	return segments
+	return result
 }
 
 // crashServers records crashes of count servers under the given segments, interval apart
@@ -39,7 +46,7 @@
 func crashServers(r *Registry, count int, from, interval time.Duration, segments ...uint64) {
 	for i := range count {
 		r.RecordProgress(prefix(bystander), at(from+time.Duration(i)*interval-time.Millisecond))
-		r.RecordCrash(fmt.Sprintf("i-%s-%d", from, i), prefix(segments...), at(from+time.Duration(i)*interval))
+		r.RecordCrash(fmt.Sprintf("i-%s-%d", from, i), suspects(at(from+time.Duration(i)*interval), prefix(segments...)...), at(from+time.Duration(i)*interval))
 	}
 }
 
@@ -62,7 +69,7 @@
 	for i := range 3 {
 		offset := time.Duration(i) * second
 		r.RecordProgress(prefix(shared, subject), at(offset))
-		r.RecordCrash(fmt.Sprint("i-", i), prefix(shared, culprit), at(offset+second/2))
+		r.RecordCrash(fmt.Sprint("i-", i), suspects(at(offset+second/2), prefix(shared, culprit)...), at(offset+second/2))
 	}
 	expectQuarantined(t, &r, 3*second, map[uint64]bool{shared: false, culprit: true, subject: false})
 }
@@ -88,7 +95,7 @@
 	var r Registry
 	r.RecordProgress(prefix(shared), at(0))
 	for i := range 10 {
-		r.RecordCrash(fmt.Sprint("i-", i), prefix(shared, subject), at(time.Duration(1+i)*second))
+		r.RecordCrash(fmt.Sprint("i-", i), suspects(at(time.Duration(1+i)*second), prefix(shared, subject)...), at(time.Duration(1+i)*second))
 	}
 	expectQuarantined(t, &r, 11*second, map[uint64]bool{shared: false, subject: false})
 }
@@ -111,7 +118,7 @@
 func TestOneServerConvictsNoSegment(t *testing.T) {
 	var r Registry
 	for i := range 10 {
-		r.RecordCrash("i-1", prefix(subject), at(time.Duration(i)*second))
+		r.RecordCrash("i-1", suspects(at(time.Duration(i)*second), prefix(subject)...), at(time.Duration(i)*second))
 	}
 	expectQuarantined(t, &r, 10*second, map[uint64]bool{subject: false})
 }
@@ -152,7 +159,7 @@
 		for j := range entries {
 			entries[j].RecordProgress(prefix(bystander), at(time.Duration(i)*second))
 		}
-		entries[i].RecordCrash(fmt.Sprint("i-", i), prefix(culprit), at(time.Duration(i)*second))
+		entries[i].RecordCrash(fmt.Sprint("i-", i), suspects(at(time.Duration(i)*second), prefix(culprit)...), at(time.Duration(i)*second))
 	}
 	for i := range entries {
 		expectQuarantined(t, &entries[i], 3*second, map[uint64]bool{culprit: true})
@@ -197,7 +204,7 @@
 	}
 	expectQuarantined(t, &a, 8*second, map[uint64]bool{subject: false})
 	expectQuarantined(t, &b, 8*second, map[uint64]bool{subject: false})
-	first := b.segments[subject].crashes[0].at
+	first := b.records[Segment(subject)].crashes[0].at
 	if drift := first.Sub(at(0)); drift > 5*time.Millisecond {
 		t.Errorf("the first crash moved by %s", drift)
 	}
@@ -220,8 +227,8 @@
 	for id := range uint64(3 * maxSegments) {
 		r.RecordProgress(prefix(100+id), at(4*second))
 	}
-	if len(r.segments) > maxSegments {
-		t.Errorf("%d segments are remembered, at most %d allowed", len(r.segments), maxSegments)
+	if len(r.records) > maxSegments {
+		t.Errorf("%d segments are remembered, at most %d allowed", len(r.records), maxSegments)
 	}
 	expectQuarantined(t, &r, 5*second, map[uint64]bool{culprit: true})
 }
@@ -233,7 +240,78 @@
 	r.RecordProgress(prefix(shared, subject), at(0))
 	crashServers(&r, 8, second, second, shared, subject, culprit)
 	expectQuarantined(t, &r, 10*second, map[uint64]bool{shared: false, subject: false, culprit: true})
-	if crashes := len(r.segments[subject].crashes); crashes != 0 {
+	if crashes := len(r.records[Segment(subject)].crashes); crashes != 0 {
 		t.Errorf("%d crashes are left against the sound segment, want 0", crashes)
 	}
 }
+
+// crashUnder records the crash of a server under a request that was sent to it some time
+// before.
+func crashUnder(r *Registry, server string, sentAt, crashedAt time.Duration, digest Request) {
+	r.RecordCrash(server, suspects(at(sentAt), digest), at(crashedAt))
+}
+
+// TestRepeatsThatEndAllServersAreQuarantined guards against a request that ends all servers
+// of a small service, one right after the other, so that no other answer goes on between.
+func TestRepeatsThatEndAllServersAreQuarantined(t *testing.T) {
+	var r Registry
+	crashUnder(&r, "i-0", 0, 40*time.Millisecond, culprit)
+	crashUnder(&r, "i-1", 41*time.Millisecond, 85*time.Millisecond, culprit)
+	if r.Remaining([]Key{Request(culprit)}, at(second)) != 0 {
+		t.Error("two crashes suffice")
+	}
+	crashUnder(&r, "i-2", 90*time.Millisecond, 130*time.Millisecond, culprit)
+	if r.Remaining([]Key{Request(culprit)}, at(second)) == 0 {
+		t.Error("the request isn't in quarantine")
+	}
+	if r.Remaining(prefix(culprit), at(second)) != 0 {
+		t.Error("the segment with the number of the request is in quarantine")
+	}
+}
+
+// TestServersThatEndTogetherConvictNoRequest guards against the quarantine of a sound
+// request that is at all servers when they end at the same moment.
+func TestServersThatEndTogetherConvictNoRequest(t *testing.T) {
+	var r Registry
+	for i := range 5 {
+		crashUnder(&r, fmt.Sprint("i-", i), 0, time.Duration(10+i)*time.Millisecond, subject)
+	}
+	if r.Count() != 0 {
+		t.Error("the request is in quarantine")
+	}
+}
+
+// TestAnsweredRequestNeedsMoreCrashes guards against the quarantine of a sound request that
+// is often sent and loses a few servers in a row.
+func TestAnsweredRequestNeedsMoreCrashes(t *testing.T) {
+	var r Registry
+	r.RecordProgress([]Key{Request(subject)}, at(0))
+	for i := range 4 {
+		crashUnder(&r, fmt.Sprint("i-", i), time.Duration(i+1)*second, time.Duration(i+1)*second+second/2, subject)
+	}
+	if r.Count() != 0 {
+		t.Error("the request is in quarantine after four crashes")
+	}
+	crashUnder(&r, "i-5", 6*second, 7*second, subject)
+	if r.Count() != 1 {
+		t.Error("the request isn't in quarantine after five crashes")
+	}
+}
+
+// TestServerThatStartsAgainUnderItsIDCounts guards against a request that ends the only
+// server of a service, which keeps its id, again and again.
+func TestServerThatStartsAgainUnderItsIDCounts(t *testing.T) {
+	var r Registry
+	for i := range 3 {
+		begin := time.Duration(3*i) * second
+		crashUnder(&r, "i-0", begin, begin+second/10, culprit)
+		// Another entry notices the same end somewhat later.
+		r.Merge([]Evidence{Crash{Key: Request(culprit), Server: ServerNumber("i-0"), SentAge: 100 * time.Millisecond}}, at(begin+second/5))
+		if crashes := len(r.records[Request(culprit)].crashes); crashes != i+1 {
+			t.Errorf("%d crashes are known after %d", crashes, i+1)
+		}
+	}
+	if r.Count() != 1 {
+		t.Error("the request isn't in quarantine")
+	}
+}
