--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -69,7 +69,7 @@
 	epochID := rand.Text()
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
-		Upstream:      &upstream.Client{Network: environment.Network},
+		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
 		Fleet:         &place.Fleet{},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
@@ -102,6 +102,15 @@
 	return nil
 }
 
+// backendNetwork returns the network for connections to backend servers: the given one,
+// unless the settings name an address to open them from.
+func backendNetwork(s *settings.Seeded, network transport.Network) transport.Network {
+	if s.SourceAddress == "" {
+		return network
+	}
+	return transport.TCP{Source: s.SourceAddress}
+}
+
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -31,6 +31,9 @@
 	Tolerance Tolerance `json:"tolerance,omitzero"`
 	// InstanceList is the address from which the list of backend servers is read.
 	InstanceList string `json:"instance_list"`
+	// SourceAddress is the IP address from which connections to backend servers are
+	// opened; empty means that the operating system chooses one.
+	SourceAddress string `json:"source_address,omitempty"`
 	// Retries limits the retries of the whole fleet.
 	Retries Retries `json:"retries,omitzero"`
 	// MemoryMB is the memory available to the process in MiB; 0 means no limit.
@@ -84,6 +87,9 @@
 	for i, seed := range s.Seeds {
 		checkAddress(fmt.Sprintf("seeded.seeds[%d]", i), seed, faults)
 	}
+	if s.SourceAddress != "" && net.ParseIP(s.SourceAddress) == nil {
+		faults.Add("seeded.source_address", "must be an IP address")
+	}
 	if s.PeerPort <= 0 || s.PeerPort > maxPort {
 		faults.Add("seeded.peer_port", "must be a port from 1 to %d", maxPort)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -30,7 +30,11 @@
 }
 
 // TCP is the Network of the operating system. Its zero value is ready to use.
-type TCP struct{}
+type TCP struct {
+	// Source is the IP address that connections are opened from; empty means that the
+	// operating system chooses one.
+	Source string
+}
 
 // Listen implements Network.
 func (TCP) Listen(address string) (net.Listener, error) {
@@ -44,7 +48,7 @@
 // DialContext implements Network. Keep-alive probes close a connection whose peer
 // no longer knows it, and the TCP user timeout closes one whose peer acknowledges
 // nothing.
-func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+func (t TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUserTimeout,
@@ -55,6 +59,9 @@
 			Count:    keepAliveCount,
 		},
 	}
+	if t.Source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(t.Source)}
+	}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", address, err)
