Reach: an entry without a path to backend servers passes requests to one that has it

Callers of entries that had lost their links to the backend servers got refusals, or no answer until their deadlines, while other entries served the same requests.

Cause: an entry had no other way than its own. It could not tell a broken path from broken servers either: both showed as ejections. Excluded: readiness (a balancer moves new connections only, and uses all entries of a failure domain again when most are not ready).

What an entry's attempts show per upstream (silence, requests that can't be sent, connections that break without an answer) raises the question; other entries say when the servers last answered them; two health checks decide. While it is cut off it passes requests on, one hop at most, to the entry with fewest of its requests among those that have had answers since. That one reserves the tokens, counts the request and makes the attempts. Ejections made meanwhile end with the cut.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -123,7 +123,7 @@
 		t.w.Header().Del("Content-Length")
 		t.w.WriteHeader(response.Status)
 	}
-	s := &eventStream{task: t, ctx: ctx, version: placement.Version, response: response, controller: http.NewResponseController(t.w)}
+	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w)}
 	if t.allowsAttemptAfter(t.startedAttempts) {
 		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
 	}
@@ -162,10 +162,9 @@
 
 // eventStream copies the event stream of one attempt to the caller.
 type eventStream struct {
-	task *task
-	ctx  context.Context
-	// version is the version of the server's software.
-	version    string
+	task       *task
+	ctx        context.Context
+	placement  *place.Placement
 	response   *upstream.Response
 	controller *http.ResponseController
 	// pending holds bytes that are not forwarded yet; it ends with an incomplete
@@ -206,6 +205,7 @@
 		if n > 0 {
 			s.endSilence()
 			s.task.lastReceived = time.Now()
+			s.placement.RecordAnswer(s.task.lastReceived)
 		}
 		if s.task.next != nil {
 			return errSuperseded
@@ -275,7 +275,9 @@
 	if end == 0 {
 		return nil
 	}
-	s.task.recordVersion(s.version)
+	if !s.placement.Peer {
+		s.task.recordVersion(s.placement.Version)
+	}
 	if s.events >= eventsOfProgress {
 		s.recordProgress()
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -50,6 +50,12 @@
 	return header
 }
 
+func (testTranslator) RelayHeader(request *forward.Request, timeout time.Duration) http.Header {
+	header := request.Header.Clone()
+	header.Set("Left", timeout.String())
+	return header
+}
+
 func (testTranslator) IsResponseTo(header http.Header, request *forward.Request) bool {
 	return header.Get("Id") == request.AttemptID
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -57,9 +57,9 @@
 
 // recordCrash records evidence against the request and the segments of its prompt, if err
 // says that the server ended the connection before its answer had gone on, and the server
-// has ended too.
+// has ended too. The end of another entry is none of a server.
 func (t *task) recordCrash(placement *place.Placement, err error) {
-	if !isConnectionEnd(err) {
+	if placement.Peer || !isConnectionEnd(err) {
 		return
 	}
 	var suspects []quarantine.Suspect
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -18,6 +18,7 @@
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
+	"github.com/cactusbay/cactusbay/internal/reach"
 	"github.com/cactusbay/cactusbay/internal/retry"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
@@ -37,7 +38,7 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Streams, ListAge and ListFollowedFor may be nil.
+// before the first request; only Peers, Streams, ListAge and ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -46,6 +47,8 @@
 	Retries    *retry.Budget
 	// Quarantine knows the prompt segments and the requests under which servers crash.
 	Quarantine quarantine.Registry
+	// Peers knows which other entries reach the servers of an upstream; nil knows of none.
+	Peers reach.Peers
 	// Streams knows where streams began; nil knows of none.
 	Streams StreamOrigins
 	// ListAge returns the age of the list of backend servers. If it is nil, the
@@ -93,6 +96,16 @@
 	s.drain.Store(&plan)
 }
 
+// HealthPath returns the path of the health check of an upstream's servers, or an empty
+// string.
+func (s *Server) HealthPath(upstream string) string {
+	table := s.table.Load()
+	if table == nil {
+		return ""
+	}
+	return table.healthPaths[upstream]
+}
+
 // listAge returns the age of the list of backend servers, or 0 if it is unknown.
 func (s *Server) listAge() time.Duration {
 	if s.ListAge == nil {
@@ -105,12 +118,18 @@
 // close the caller's connection if the response has started and can't be
 // completed, or if the caller has disconnected.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, false)
+}
+
+// serve serves a request of a caller, or one that another entry has passed on if relayed is
+// set.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	t := &task{server: s, w: w, start: time.Now()}
+	t := &task{server: s, w: w, start: time.Now(), relayed: relayed}
 	refused := t.admit(r)
 	if refused == nil {
 		refused = t.run(r.Context())
@@ -194,7 +213,7 @@
 	return &refusal{reason: reasonCallerLeft}
 }
 
-// run reserves tokens and makes attempts until the response is delivered or no
+// run makes attempts until the response is delivered or no
 // further attempt is allowed.
 func (t *task) run(callerCtx context.Context) *refusal {
 	ctx, cancel := context.WithDeadline(callerCtx, t.deadline)
@@ -207,7 +226,22 @@
 	if refused != nil {
 		return refused
 	}
-	refused = t.resolveVersion(ctx)
+	defer t.abandonNext()
+	for {
+		refused, shouldRetry := t.attempt(ctx)
+		if !shouldRetry {
+			return refused
+		}
+	}
+}
+
+// prepare resolves the version, reserves the tokens and counts the request once, before its
+// first attempt at a server.
+func (t *task) prepare(ctx context.Context) *refusal {
+	if t.prepared {
+		return nil
+	}
+	refused := t.resolveVersion(ctx)
 	if refused != nil {
 		return refused
 	}
@@ -215,14 +249,9 @@
 	if refused != nil {
 		return refused
 	}
+	t.prepared = true
 	t.server.Retries.CountRequest(t.upstream, time.Now())
-	defer t.abandonNext()
-	for {
-		refused, shouldRetry := t.attempt(ctx)
-		if !shouldRetry {
-			return refused
-		}
-	}
+	return nil
 }
 
 // reserve sets aside the tokens of a request to a model engine if its workspace
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -18,7 +18,9 @@
 	Version    uint64
 	hosts      map[string][]*Route
 	workspaces map[string]*Workspace
-	Limits     config.Limits
+	// healthPaths holds the paths of the health checks by upstream.
+	healthPaths map[string]string
+	Limits      config.Limits
 	// requiresKeys is set if callers must present a key on routes that are not
 	// public.
 	requiresKeys bool
@@ -48,6 +50,7 @@
 		Version:      version,
 		hosts:        make(map[string][]*Route),
 		workspaces:   make(map[string]*Workspace),
+		healthPaths:  make(map[string]string),
 		Limits:       document.Limits,
 		requiresKeys: len(document.Workspaces) > 0,
 	}
@@ -62,6 +65,9 @@
 		host := strings.ToLower(hostRoute.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 	}
+	for name, upstream := range document.Upstreams {
+		t.healthPaths[name] = upstream.HealthPath
+	}
 	for name, workspace := range document.Workspaces {
 		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil}
 		for _, hash := range workspace.KeyHashes {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -58,6 +58,12 @@
 	// attempts, it has no deadline.
 	callerCtx   context.Context
 	reservation *escrow.Reservation
+	// prepared is set once the request may be sent to servers.
+	prepared bool
+	// relayed is set if another entry has passed the request on, and peersTried counts the
+	// other entries that this one has passed it to.
+	relayed    bool
+	peersTried int
 
 	// requestDigest is the digest of the request once digested is set.
 	requestDigest uint64
@@ -112,14 +118,23 @@
 	if refused != nil {
 		return refused, false
 	}
+	if peer := t.pickPeer(); peer != nil {
+		return t.sendTo(ctx, peer, nil)
+	}
+	refused = t.prepare(ctx)
+	if refused != nil {
+		return refused, false
+	}
 	switch d := t.pick(t.tried).(type) {
 	case place.Chosen:
 		return t.sendTo(ctx, d.Placement, nil)
 	case place.Full:
 		return t.fail(reasonServersFull, d.RetryAfter), false
-	default:
-		return t.fail(reasonNoServer, retryAfterLater), false
 	}
+	if peer := t.placeAtPeer(); peer != nil {
+		return t.sendTo(ctx, peer, nil)
+	}
+	return t.fail(reasonNoServer, retryAfterLater), false
 }
 
 // pick places the request at a server other than those of tried.
@@ -164,6 +179,9 @@
 	}
 	t.lastReceived = time.Now()
 	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
+	if placement.Peer {
+		return t.deliverRelayed(ctx, placement, response, info)
+	}
 	t.server.recordServerState(placement, info)
 	if info.OtherServer || info.NotRun {
 		d := t.endDeclined(placement, response, info)
@@ -176,10 +194,20 @@
 	return t.deliver(ctx, placement, response, info)
 }
 
+// deliverRelayed handles the response of another entry: that of a server, or its own.
+func (t *task) deliverRelayed(ctx context.Context, placement *place.Placement, response *upstream.Response, info ResponseInfo) (refused *refusal, shouldRetry bool) {
+	if !info.Genuine {
+		return t.handlePeerRefusal(placement, response)
+	}
+	t.mayHaveRun = true
+	t.useUpAttempts()
+	return t.deliver(ctx, placement, response, info)
+}
+
 // recordServerState records what a response states about its server.
 func (s *Server) recordServerState(placement *place.Placement, info ResponseInfo) {
 	now := time.Now()
-	placement.RecordAnswer()
+	placement.RecordAnswer(now)
 	s.crashChecks.recordAnswer(placement)
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, now)
@@ -235,6 +263,9 @@
 	if next != nil {
 		return next.wait()
 	}
+	if placement.Peer {
+		return t.server.Upstream.Do(ctx, placement.ID, placement.Address, t.relayRequest())
+	}
 	if !t.allowsAttemptAfter(t.startedAttempts + 1) {
 		return t.server.Upstream.Do(ctx, placement.ID, placement.Address, t.upstreamRequest(placement))
 	}
@@ -303,21 +334,36 @@
 			t.notRepeated = deniedByDeadline
 			refused = t.fail(reasonNotSent, retryAfterSoon)
 		case t.unsentAttempts > maxUnsentAttempts:
-			t.notRepeated = deniedByAttempts
-			refused = t.fail(reasonNotSent, retryAfterSoon)
+			return t.passToPeer(ctx, placement, err)
 		}
 		t.reportFailedAttempt(placement, "not_sent", err.Error(), refused == nil)
 		return refused, refused == nil
 	}
 	placement.Done(place.Failed{}, now)
-	t.recordCrash(placement, err)
 	t.mayHaveRun = true
-	t.startedAttempts++
+	if placement.Peer {
+		t.useUpAttempts()
+	} else {
+		t.startedAttempts++
+		t.recordCrash(placement, err)
+	}
 	refused, shouldRetry = t.retryOr(ctx, badGateway(reasonOutcomeUnclear))
 	t.reportFailedAttempt(placement, "no_answer", err.Error(), shouldRetry)
 	return refused, shouldRetry
 }
 
+// passToPeer makes the last attempt, at another entry, of a request that could not be sent
+// to several servers. Without such an entry it fails the request.
+func (t *task) passToPeer(ctx context.Context, placement *place.Placement, err error) (refused *refusal, shouldRetry bool) {
+	peer := t.placeAtPeer()
+	t.reportFailedAttempt(placement, "not_sent", err.Error(), peer != nil)
+	if peer != nil {
+		return t.sendTo(ctx, peer, nil)
+	}
+	t.notRepeated = deniedByAttempts
+	return t.fail(reasonNotSent, retryAfterSoon), false
+}
+
 // retryDeclined asks for another attempt after a server declined the request
 // without running it, if maxDeclinedAttempts and the retry budget allow one.
 // Otherwise it fails the request with cause.
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -84,6 +84,9 @@
 	Request(r *http.Request) (*Request, error)
 	// Header returns the header to send to a backend server.
 	Header(attempt *Attempt) http.Header
+	// RelayHeader returns the header to send to another entry: the caller's, with the time
+	// that remains.
+	RelayHeader(request *Request, timeout time.Duration) http.Header
 	// IsResponseTo reports whether a response with this header belongs to
 	// request.
 	IsResponseTo(header http.Header, request *Request) bool
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,7 +3,8 @@
 // each engine, lends tokens to entries that can't draw any from the control
 // group, and tells others where a stream began: its origin, a text that only
 // package forward reads. It also shares the evidence against prompt segments
-// under which engines crash, and the limits that backend servers name. A lost
+// under which engines crash, and the limits that backend servers name, and says
+// whether it reaches the servers of an upstream. A lost
 // datagram leads to a worse placement, to a loan whose tokens then count as
 // spent, or to a stream whose origin is unknown; evidence and limits are
 // repeated.
@@ -73,6 +74,7 @@
 	queries  streamQueries
 	evidence evidenceQueue
 	limits   chan limitMessage
+	reach    reachAnswers
 	members  memberHistory
 
 	stop context.CancelFunc
@@ -290,6 +292,10 @@
 		return g.handleEvidence(data)
 	case formatLimit:
 		return g.handleLimit(data)
+	case formatReachQuery:
+		return g.handleReachQuery(data, from)
+	case formatReachAnswer:
+		return g.handleReachAnswer(data, from)
 	case formatStreamAnnouncement:
 		return g.handleStreamAnnouncement(data)
 	case formatStreamQuery:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -21,6 +21,8 @@
 	formatStreamAnswer       = 7
 	formatEvidence           = 8
 	formatLimit              = 9
+	formatReachQuery         = 10
+	formatReachAnswer        = 11
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -89,6 +89,11 @@
 	departures instances.Departures
 
 	versions versionHistory
+
+	// paths holds the state of the path to each upstream, and peers that of other entries
+	// that requests are passed to, by address.
+	paths map[string]*reach
+	peers map[string]*server
 }
 
 // Placement counts a request in flight at a server. Done must be called once.
@@ -105,11 +110,15 @@
 	// prefix cache.
 	CachedTokens int64
 
+	// Peer is set if the request is placed at another entry, which places it at a server.
+	Peer bool
 	// StartedAt is when the request was placed.
 	StartedAt time.Time
 
 	fleet  *Fleet
 	server *server
+	// answered is set once the server has sent something for this request.
+	answered bool
 	// tookToken is set if the placement counts against the server's limit.
 	tookToken bool
 }
@@ -363,6 +372,7 @@
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
 	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now}
 	s.inFlight++
+	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
@@ -385,11 +395,15 @@
 	s.prefixes.record(prompt.Prefix, now)
 }
 
-// RecordAnswer records that the server has answered.
-func (p *Placement) RecordAnswer() {
+// RecordAnswer records that the server has sent something.
+func (p *Placement) RecordAnswer(now time.Time) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
+	p.answered = true
 	p.server.answered = true
+	if !p.Peer {
+		p.fleet.reachOf(p.server.upstream).recordAnswer(now)
+	}
 }
 
 // HasAnswered reports whether the server has answered this entry.
@@ -412,8 +426,12 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.inFlight--
+	p.recordPath(outcome, now)
 	previouslyEjectedUntil, wasHalfOpen := p.server.ejectedUntil, p.server.halfOpen
 	p.server.recordOutcome(outcome, now)
+	if p.Peer {
+		return
+	}
 	if p.server.ejectedUntil != previouslyEjectedUntil {
 		p.fleet.notify(p.server, EventEjected, p.server.ejectedUntil.Sub(now))
 	}
@@ -430,6 +448,22 @@
 	}
 }
 
+// recordPath records what the end of the placement says about the path to the server; mu is
+// held.
+func (p *Placement) recordPath(outcome Outcome, now time.Time) {
+	if p.Peer {
+		return
+	}
+	r := p.fleet.reachOf(p.server.upstream)
+	r.end()
+	switch outcome.(type) {
+	case Unreachable, Failed:
+		if !p.answered {
+			r.recordUnreachable(p.server.id, now)
+		}
+	}
+}
+
 // cancelPrefill removes the prompt from the engine's backlog when the engine
 // never started it.
 func (p *Placement) cancelPrefill(now time.Time) {
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -113,3 +113,12 @@
 	s.ejectedUntil = now.Add(duration)
 	s.halfOpen = true
 }
+
+// readmit ends the ejection of the server and forgets its failures.
+func (s *server) readmit() {
+	s.failureRate = 0
+	s.consecutiveFailures = 0
+	s.ejections = 0
+	s.ejectedUntil = time.Time{}
+	s.halfOpen = false
+}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -245,7 +245,7 @@
 // until shortly before the deadline of ctx and releases all resources.
 func (e *Entry) Shutdown(ctx context.Context) {
 	lag := e.settings.Shutdown.Lag.Or(defaultShutdownLag)
-	drainCallers(ctx, e.callers, lag, e.leave)
+	drainCallers(ctx, lag, e.leave, e.callers)
 	e.closers.close()
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
+	"github.com/cactusbay/cactusbay/internal/reach"
 	"github.com/cactusbay/cactusbay/internal/retry"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
@@ -44,9 +45,11 @@
 	Server  *forward.Server
 	Watcher *group.Watcher
 
-	settings     *settings.Settings
-	directory    *group.Directory
-	callers      *listener
+	settings  *settings.Settings
+	directory *group.Directory
+	callers   *listener
+	// relays accepts the requests that other entries pass on.
+	relays       *listener
 	closers      closers
 	shuttingDown atomic.Bool
 }
@@ -88,15 +91,17 @@
 	g.Server.Fleet.LimitShare = gossiper.LimitShare
 	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
+	g.Server.Peers = gossiper
 	err = g.startWatcher(environment, dialect, client, epochID, gossiper)
 	if err != nil {
 		return err
 	}
 	g.Server.Entries = g.Watcher.Entries
-	err = g.serve(environment, dialect)
+	err = g.serve(environment, dialect, gossiper.Address)
 	if err != nil {
 		return err
 	}
+	g.monitorReach(environment, gossiper)
 	meter := startMeter(environment.Telemetry.Scope, func(m *meter) { g.measure(m, gossiper) })
 	g.closers.add(meter.close)
 	return nil
@@ -164,6 +169,19 @@
 	g.closers.add(keeper.Close)
 }
 
+// monitorReach starts to watch the paths to backend servers.
+func (g *Gateway) monitorReach(environment Environment, gossiper *gossip.Gossiper) {
+	monitor := &reach.Monitor{
+		Fleet:      g.Server.Fleet,
+		Client:     g.Server.Upstream,
+		Peers:      gossiper,
+		HealthPath: g.Server.HealthPath,
+		Log:        environment.Telemetry.Log,
+	}
+	monitor.Start()
+	g.closers.add(monitor.Close)
+}
+
 // logQuarantine logs the begin or the end of a quarantine.
 func (g *Gateway) logQuarantine(change quarantine.Change) {
 	switch key := change.Key.(type) {
@@ -241,14 +259,20 @@
 	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "for_ms", change.EjectedFor.Milliseconds())
 }
 
-// serve opens the listeners for callers, for status and, if set, for metrics.
-func (g *Gateway) serve(environment Environment, dialect Dialect) error {
+// serve opens the listeners for callers, for other entries at peerAddress, for status and,
+// if set, for metrics.
+func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
 	callers, err := listen(environment.Network, g.settings.CallerAddress, g.Server)
 	if err != nil {
 		return err
 	}
 	g.callers = callers
 	g.closers.add(callers.close)
+	g.relays, err = listen(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed))
+	if err != nil {
+		return err
+	}
+	g.closers.add(g.relays.close)
 	mux := http.NewServeMux()
 	mux.Handle("/", statusHandler(environment.Telemetry, g.isReady))
 	mux.HandleFunc(dialect.ReadyPath(), g.serveReady)
@@ -296,7 +320,7 @@
 // in progress until shortly before the deadline of ctx, returns the unused
 // tokens to the control group and releases all resources.
 func (g *Gateway) Shutdown(ctx context.Context) {
-	drainCallers(ctx, g.callers, acceptDuration, g.leave)
+	drainCallers(ctx, acceptDuration, g.leave, g.callers, g.relays)
 	returnCtx, cancel := context.WithTimeout(context.Background(), returnTimeout)
 	defer cancel()
 	g.Server.Holder.ReturnAll(returnCtx)
--- a/internal/process/shutdown.go
+++ b/internal/process/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/drain"
@@ -12,12 +13,12 @@
 // and exit within the limit.
 const exitMargin = 400 * time.Millisecond
 
-// drainCallers shuts down the listener for callers of an entry instance, of a listed or a
+// drainCallers shuts down the listeners for requests of an entry instance, of a listed or a
 // seeded site, and waits for the requests in progress until shortly before the deadline
 // of ctx. leave makes the instance report not ready and refuse the requests that its
 // plan refuses; lag is how long new connections are accepted after that, because the
 // load balancer notices with a delay.
-func drainCallers(ctx context.Context, callers *listener, lag time.Duration, leave func(drain.Plan)) {
+func drainCallers(ctx context.Context, lag time.Duration, leave func(drain.Plan), listeners ...*listener) {
 	plan := drain.Plan{AcceptUntil: time.Now().Add(lag)}
 	if deadline, limited := ctx.Deadline(); limited {
 		plan.End = deadline.Add(-exitMargin)
@@ -26,5 +27,9 @@
 		ctx = endCtx
 	}
 	leave(plan)
-	callers.shutdown(ctx, lag)
+	var closing sync.WaitGroup
+	for _, l := range listeners {
+		closing.Go(func() { l.shutdown(ctx, lag) })
+	}
+	closing.Wait()
 }
