--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -59,16 +59,15 @@
 }
 
 // relayRequest returns the request to send to the other entry of a placement: the caller's,
-// with the time that is left.
+// with the time that is left. Entries answer each request on a connection once, and in turn.
 func (t *task) relayRequest() *upstream.Request {
 	return &upstream.Request{
-		Method:     t.request.Method,
-		Target:     t.request.Target,
-		Host:       t.request.Host,
-		Header:     t.server.Translator.RelayHeader(t.request, time.Until(t.deadline)),
-		Body:       t.request.Body,
-		Once:       !t.route.retriable(),
-		IsResponse: func(header http.Header) bool { return t.server.Translator.IsResponseTo(header, t.request) },
+		Method: t.request.Method,
+		Target: t.request.Target,
+		Host:   t.request.Host,
+		Header: t.server.Translator.RelayHeader(t.request, time.Until(t.deadline)),
+		Body:   t.request.Body,
+		Once:   !t.route.retriable(),
 	}
 }
 
--- /dev/null
+++ b/internal/forward/relay_test.go
@@ -0,0 +1,101 @@
+package forward_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+)
+
+// stubPeers are the addresses of other entries that reach all servers.
+type stubPeers []string
+
+// AskReach implements reach.Peers.
+func (stubPeers) AskReach(string) {}
+
+// Reaching implements reach.Peers.
+func (p stubPeers) Reaching(string, time.Time) []string { return p }
+
+// relayFixture is an entry that is cut off from its servers, whose peer is the server of
+// another fixture.
+func relayFixture(t *testing.T, route config.HostRoute, peer *fixture) *fixture {
+	t.Helper()
+	f := newFixture(t, route, hang)
+	relays := httptest.NewServer(http.HandlerFunc(peer.server.ServeRelayed))
+	t.Cleanup(relays.Close)
+	f.server.Peers = stubPeers{strings.TrimPrefix(relays.URL, "http://")}
+	f.server.Fleet.CutOff("pool", time.Now())
+	return f
+}
+
+// TestCutOffEntryPassesRequestsOn guards against refusals by an entry that reaches no
+// server while another one does.
+func TestCutOffEntryPassesRequestsOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		route  config.HostRoute
+		answer responder
+		status int
+		body   string
+	}{
+		"whole response": {onceRoute, respond(200, signatureHeader, "done"), 200, "done"},
+		"server error":   {onceRoute, respond(500, signatureHeader, "bad"), 500, "bad"},
+		"stream":         {streamRoute, streamEvents(1, 3, "", true), 200, eventText(1, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer := newFixture(t, c.route, c.answer)
+			f := relayFixture(t, c.route, peer)
+			status, body, complete, _ := f.send("/a/x", "secret")
+			if status != c.status || body != c.body || !complete {
+				t.Errorf("status %d, body %q, complete %v; want %d and %q", status, body, complete, c.status, c.body)
+			}
+			if f.attempts() != 0 || peer.attempts() != 1 {
+				t.Errorf("%d attempts here and %d at the peer, want 0 and 1", f.attempts(), peer.attempts())
+			}
+		})
+	}
+}
+
+// TestRefusalOfThePeerIsPassedOn guards against a refusal that says not run for a request
+// that may have run at the peer, and against one without the peer's Retry-After.
+func TestRefusalOfThePeerIsPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer responder
+		status int
+		body   string
+	}{
+		"not run":      {respond(503, notRunHeader, ""), 503, "declined_by_servers\n"},
+		"may have run": {resetConn, 502, "outcome_unclear\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer := newFixture(t, onceRoute, c.answer, c.answer, c.answer)
+			f := relayFixture(t, onceRoute, peer)
+			status, body, _, header := f.send("/a/x", "secret")
+			if status != c.status || body != c.body {
+				t.Errorf("status %d, body %q; want %d and %q", status, body, c.status, c.body)
+			}
+			if status == http.StatusServiceUnavailable && header.Get("Retry-After") == "" {
+				t.Error("the refusal has no Retry-After")
+			}
+		})
+	}
+}
+
+// TestRelayedRequestIsNotPassedOnAgain guards against requests that go round among entries
+// that are all cut off.
+func TestRelayedRequestIsNotPassedOnAgain(t *testing.T) {
+	peer := newFixture(t, onceRoute, respond(200, signatureHeader, "done"))
+	f := relayFixture(t, onceRoute, peer)
+	third := newFixture(t, onceRoute, respond(200, signatureHeader, "done"))
+	for _, listener := range peer.listeners {
+		_ = listener.Close()
+	}
+	peer.server.Peers = stubPeers{strings.TrimPrefix(third.entry.URL, "http://")}
+	peer.server.Fleet.CutOff("pool", time.Now())
+	status, _, _, _ := f.send("/a/x", "secret")
+	if status == http.StatusOK || third.attempts() != 0 {
+		t.Errorf("status %d with %d attempts at a third entry, want a failure and none", status, third.attempts())
+	}
+}
--- a/internal/gossip/evidence_test.go
+++ b/internal/gossip/evidence_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("a message of %d bytes exceeds %d", length, maxDatagramLength)
 	}
 }
+
+// TestEntriesSayWhetherTheyReachServers guards against an entry that is cut off from servers
+// and does not learn which others are not, or takes one for such that has had no answer.
+func TestEntriesSayWhetherTheyReachServers(t *testing.T) {
+	site := startSite(t, 3)
+	site[1].Fleet.Reached("app", time.Now())
+	deadline := time.Now().Add(waitLimit)
+	for len(site[0].Reaching("app", time.Now().Add(-time.Second))) == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("no entry reaches the servers")
+		}
+		site[0].AskReach("app")
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := site[0].Reaching("app", time.Now().Add(-time.Second)); len(got) != 1 || got[0] != site[1].Address {
+		t.Errorf("%v reach the servers, want only %s", got, site[1].Address)
+	}
+	if got := site[0].Reaching("app", time.Now().Add(time.Second)); len(got) != 0 {
+		t.Errorf("%v have had answers since, want none", got)
+	}
+}
