Place: brittle servers get no more requests than they have slots

Servers of a service that say that they are brittle fell over again and again: each that fell left its requests to the others, and none of the entries counted what the rest sent.

Cause: nothing read what servers say, a full server was recognized by its rejection only, and a rejected request went to further servers at once.

While the servers of an upstream say so, their slots are divided among the entries as limits are (LimitShare): parts add up to the slots, so that nothing is turned away. Where there are many more entries than slots each may have one request, and one that was turned away sends that server nothing for a time that keeps the rejections of all entries below half of what the server bears. A rejected request is not tried again. The state belongs to the upstream, so that a restarted server is known to be brittle.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -212,6 +212,9 @@
 	if info.Load != nil {
 		placement.SetLoad(*info.Load, now)
 	}
+	if info.Brittle.Named || info.Genuine && !info.OtherServer {
+		placement.RecordBrittle(info.Brittle, now)
+	}
 	if info.Limit.Named || info.Genuine && !info.OtherServer {
 		placement.RecordLimit(info.Limit, now)
 	}
@@ -365,11 +368,12 @@
 }
 
 // retryDeclined asks for another attempt after a server declined the request
-// without running it, if maxDeclinedAttempts and the retry budget allow one.
+// without running it, if maxDeclinedAttempts and the retry budget allow one. A brittle
+// server might fall over by the same request.
 // Otherwise it fails the request with cause.
 func (t *task) retryDeclined(cause reason) (refused *refusal, shouldRetry bool) {
 	t.declinedAttempts++
-	if t.declinedAttempts >= maxDeclinedAttempts {
+	if t.declinedAttempts >= maxDeclinedAttempts || t.server.Fleet.IsBrittle(t.upstream, time.Now()) {
 		t.notRepeated = deniedByAttempts
 		return t.fail(cause, retryAfterSoon), false
 	}
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -72,6 +72,8 @@
 	RetryAfter time.Duration
 	// Limit is the limit that the server names for all entries together.
 	Limit place.Limit
+	// Brittle says whether the server falls over when it turns requests away.
+	Brittle place.Brittle
 	// Load is the load that the server reports; nil if it reports none.
 	Load *place.Load
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -94,6 +94,9 @@
 	// that requests are passed to, by address.
 	paths map[string]*reach
 	peers map[string]*server
+
+	// brittle holds what servers have stated about rejections, by upstream.
+	brittle map[string]brittleness
 }
 
 // Placement counts a request in flight at a server. Done must be called once.
@@ -307,6 +310,9 @@
 	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
 		return fullRetryAfter
 	}
+	if wait := f.brittleWait(s, now); wait > 0 {
+		return wait
+	}
 	return f.limitWait(s, now)
 }
 
@@ -427,6 +433,7 @@
 	defer p.fleet.mu.Unlock()
 	p.server.inFlight--
 	p.recordPath(outcome, now)
+	p.fleet.recordBrittleOutcome(p.server, outcome, now)
 	previouslyEjectedUntil, wasHalfOpen := p.server.ejectedUntil, p.server.halfOpen
 	p.server.recordOutcome(outcome, now)
 	if p.Peer {
@@ -490,9 +497,7 @@
 func (p *Placement) HoldOff(until time.Time) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	if until.After(p.server.heldOffUntil) {
-		p.server.heldOffUntil = until
-	}
+	p.server.heldOffUntil = later(p.server.heldOffUntil, until)
 }
 
 // MarkReplaced records that another server now has the address; the fleet
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -106,6 +106,8 @@
 	EventReplaced   = "replaced at its address"
 	EventLimited    = "limited"
 	EventUnlimited  = "unlimited"
+	EventBrittle    = "brittle"
+	EventNotBrittle = "not brittle any more"
 )
 
 // Change reports a state change of a server.
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -48,6 +48,11 @@
 
 	limit rateLimit
 
+	// ownSlots is how many requests this entry may have at the server while it is brittle,
+	// as of ownSlotsAt.
+	ownSlots   int
+	ownSlotsAt time.Time
+
 	load           Load
 	loadReportedAt time.Time
 
