Reach: metrics; no probes of servers that want no requests

A server that wants no requests for a time gets no health check either, and an upstream whose servers are gone is forgotten.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -20,6 +20,7 @@
 // ServeRelayed is the HTTP handler for requests that another entry, which reaches no
 // server, passes on. They are served like those of callers, but never passed on again.
 func (s *Server) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	s.Scope.Counter("requests_taken_over").Inc(1)
 	s.serve(w, r, true)
 }
 
@@ -43,6 +44,7 @@
 	placement := t.server.Fleet.PickPeer(peers, t.tried, now)
 	if placement != nil {
 		t.peersTried++
+		t.server.Scope.Counter("requests_passed_on").Inc(1)
 		t.releaseReservation()
 	}
 	return placement
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -201,6 +201,8 @@
 	Ejected int
 	// Limited counts servers that name a limit, which are counted above too.
 	Limited int
+	// CutOff counts the upstreams whose servers this entry can't reach while others do.
+	CutOff int
 	// InFlight counts this entry's requests at servers.
 	InFlight int
 	// Backlog is the longest prefill backlog of an engine.
@@ -227,6 +229,11 @@
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
+	for _, r := range f.paths {
+		if !r.cutOffSince.IsZero() {
+			counts.CutOff++
+		}
+	}
 	return counts
 }
 
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -161,7 +161,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var broken []Path
-	for upstream := range f.paths {
+	for upstream, r := range f.paths {
+		if r.inFlight == 0 && len(f.available(upstream)) == 0 {
+			delete(f.paths, upstream)
+			continue
+		}
 		path := f.path(upstream, now)
 		if !path.Since.IsZero() {
 			broken = append(broken, path)
@@ -255,11 +259,12 @@
 	Address string
 }
 
-// Endpoints returns at most count random servers of an upstream that are not leaving.
-func (f *Fleet) Endpoints(upstream string, count int) []Endpoint {
+// Endpoints returns at most count random servers of an upstream that are not leaving and
+// want requests now.
+func (f *Fleet) Endpoints(upstream string, count int, now time.Time) []Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	servers := f.available(upstream)
+	servers := slices.DeleteFunc(f.available(upstream), func(s *server) bool { return now.Before(s.heldOffUntil) })
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	var endpoints []Endpoint
 	for _, s := range servers[:min(count, len(servers))] {
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -129,9 +129,13 @@
 func (m *Monitor) probe(ctx context.Context, path place.Path) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	endpoints := m.Fleet.Endpoints(path.Upstream, probedServers, time.Now())
+	if len(endpoints) == 0 {
+		return
+	}
 	var asked sync.WaitGroup
 	var reached atomic.Bool
-	for _, endpoint := range m.Fleet.Endpoints(path.Upstream, probedServers) {
+	for _, endpoint := range endpoints {
 		asked.Go(func() {
 			if m.isReached(probeCtx, path.Upstream, endpoint) {
 				reached.Store(true)
@@ -156,7 +160,7 @@
 		if path.CutOff {
 			m.Log.Info("backend servers in reach again", "upstream", path.Upstream)
 		}
-	case !path.CutOff && path.Lost && len(others) > 0:
+	case path.Lost && len(others) > 0 && !m.Fleet.IsCutOff(path.Upstream):
 		m.Fleet.CutOff(path.Upstream, path.Since)
 		m.Log.Info("backend servers out of reach", "upstream", path.Upstream, "broken_ms", now.Sub(path.Since).Milliseconds(), "entries_that_reach_them", len(others))
 	}
