Forward: a success of another entry without a server's signature is a failure

A response that no server has signed is the other entry's own. Its refusals were passed on with their status; a success would have been too. Found by reading; TestUnsignedSuccessOfThePeerIsNoSuccess failed before by reading only: the status went out unchanged.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -98,7 +98,8 @@
 }
 
 // peerRefusal decodes the refusal of another entry. One that does not know the route or the
-// workspace has another configuration, and the caller may come again.
+// workspace has another configuration, and the caller may come again. A success without a
+// server's signature is none.
 func peerRefusal(response *upstream.Response) *refusal {
 	body := make([]byte, maxPeerRefusalBytes)
 	n, _ := response.Read(body)
@@ -108,9 +109,11 @@
 	if err == nil && seconds > 0 {
 		r.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	switch r.status {
-	case http.StatusUnauthorized, http.StatusNotFound:
+	switch {
+	case r.status == http.StatusUnauthorized || r.status == http.StatusNotFound:
 		return serviceUnavailable(reasonNoConfiguration, retryAfterSoon)
+	case r.status < http.StatusBadRequest:
+		return badGateway(reasonBadResponse)
 	}
 	return r
 }
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// TestUnsignedSuccessOfThePeerIsNoSuccess guards against a success without a server's
+// signature that reaches the caller as one.
+func TestUnsignedSuccessOfThePeerIsNoSuccess(t *testing.T) {
+	f := newFixture(t, onceRoute, hang)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }))
+	t.Cleanup(peer.Close)
+	f.server.Peers = stubPeers{strings.TrimPrefix(peer.URL, "http://")}
+	f.server.Fleet.CutOff("pool", time.Now())
+	status, body, _, _ := f.send("/a/x", "secret")
+	if status != http.StatusBadGateway || body != "bad_answer\n" {
+		t.Errorf("status %d, body %q; want 502", status, body)
+	}
+}
+
 // TestRelayedRequestIsNotPassedOnAgain guards against requests that go round among entries
 // that are all cut off.
 func TestRelayedRequestIsNotPassedOnAgain(t *testing.T) {
