--- a/internal/gossip/evidence.go
+++ b/internal/gossip/evidence.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -191,9 +190,8 @@
 		return
 	}
 	data := appendEvidence(nil, evidence)
-	peers := g.peerAddresses()
-	for _, i := range rand.Perm(len(peers))[:min(evidencePeers, len(peers))] {
-		g.trySend(data, peers[i])
+	for _, peer := range g.randomPeers(evidencePeers) {
+		g.trySend(data, peer)
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,15 +3,15 @@
 // each engine, lends tokens to entries that can't draw any from the control
 // group, and tells others where a stream began: its origin, a text that only
 // package forward reads. It also shares the evidence against prompt segments
-// under which engines crash, and the limits that backend servers name, and says
-// whether it reaches the servers of an upstream. A lost
-// datagram leads to a worse placement, to a loan whose tokens then count as
-// spent, or to a stream whose origin is unknown; evidence and limits are
-// repeated.
+// and requests under which servers crash, and the limits that backend servers
+// name, and says whether it reaches the servers of an upstream. A lost datagram
+// leads to a worse placement, to a loan whose tokens then count as spent, or to a
+// stream whose origin is unknown; evidence and limits are repeated.
 package gossip
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -198,6 +198,13 @@
 	return *peers
 }
 
+// randomPeers returns at most count random peer entries.
+func (g *Gossiper) randomPeers(count int) []netip.AddrPort {
+	peers := slices.Clone(g.peerAddresses())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
+
 // sendAll sends a datagram to all peers.
 func (g *Gossiper) sendAll(data []byte) {
 	for _, peer := range g.peerAddresses() {
--- a/internal/gossip/loan.go
+++ b/internal/gossip/loan.go
@@ -242,10 +242,9 @@
 
 // RandomPeers returns the addresses of up to count peers in random order.
 func (g *Gossiper) RandomPeers(count int) []string {
-	peers := g.peerAddresses()
 	var addresses []string
-	for _, i := range rand.Perm(len(peers))[:min(count, len(peers))] {
-		addresses = append(addresses, peers[i].String())
+	for _, peer := range g.randomPeers(count) {
+		addresses = append(addresses, peer.String())
 	}
 	return addresses
 }
--- a/internal/gossip/reach.go
+++ b/internal/gossip/reach.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"math"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -90,9 +89,8 @@
 		return
 	}
 	query := appendReachQuery(nil, upstream)
-	peers := g.peerAddresses()
-	for _, i := range rand.Perm(len(peers))[:min(askedPeers, len(peers))] {
-		g.trySend(query, peers[i])
+	for _, peer := range g.randomPeers(askedPeers) {
+		g.trySend(query, peer)
 	}
 }
 
--- a/internal/place/brittle.go
+++ b/internal/place/brittle.go
@@ -94,11 +94,8 @@
 // of all entries add up to its slots; where there are many more entries than slots, each
 // may have one request, and brittleHold spreads the rejections. mu is held.
 func (f *Fleet) brittleSlots(s *server) int {
-	if f.LimitShare == nil {
-		return s.slots
-	}
-	share := f.LimitShare(s.id, s.slots)
-	entries := 1 / f.LimitShare(s.id, maxCountedEntries)
+	share := f.limitShare(s, s.slots)
+	entries := 1 / f.limitShare(s, maxCountedEntries)
 	if share == 0 && entries <= float64(manyEntries*s.slots) {
 		return 0
 	}
@@ -117,12 +114,9 @@
 // brittleHold returns a random time for which this entry sends nothing to a brittle server;
 // mu is held.
 func (f *Fleet) brittleHold(s *server) time.Duration {
-	share := 1.0
-	if f.LimitShare != nil {
-		share = f.LimitShare(s.id, maxCountedEntries)
-	}
 	seconds := maxBrittleHold.Seconds()
-	if risked := rejectionUse * f.brittle[s.upstream].PerSecond * share; risked > 0 {
+	risked := rejectionUse * f.brittle[s.upstream].PerSecond * f.limitShare(s, maxCountedEntries)
+	if risked > 0 {
 		seconds = min(seconds, max(minBrittleHold.Seconds(), 1/risked))
 	}
 	mean := time.Duration(seconds * float64(time.Second))
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -113,10 +113,16 @@
 	l := &s.limit
 	l.fill(now)
 	l.sharedAt = now
-	l.share = 1
-	if f.LimitShare != nil {
-		l.share = f.LimitShare(s.id, l.maxEntries())
+	l.share = f.limitShare(s, l.maxEntries())
+}
+
+// limitShare returns the part of what a server takes that this entry may use, of which at
+// most the given number of entries may use any; mu is held.
+func (f *Fleet) limitShare(s *server, maxEntries int) float64 {
+	if f.LimitShare == nil {
+		return 1
 	}
+	return f.LimitShare(s.id, maxEntries)
 }
 
 // takeToken counts the placement against the server's limit, if it names one; mu is held.
