Budget: targets of holders leave out reserved tokens; control instances plan draws

Cause: a target counted what requests in progress had reserved as held. Change: the target is of unreserved tokens. The draw is planned by the control instance that serves the exchange, and the log carries the planned draw, so that members of several versions apply the same. What is left is kept as sums beside each account: an exchange of a workspace costs the same however many entries hold it.

--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -107,7 +107,16 @@
 // Idle returns how many tokens a ledger with this target should return to the
 // pool.
 func (e Escrow) Idle(target int64) int64 {
-	excess := e.Available() + e.Reserved - target
+	return e.idle(e.Available()+e.Reserved, target)
+}
+
+// IdleUnreserved is like Idle for a target that leaves out reserved tokens.
+func (e Escrow) IdleUnreserved(target int64) int64 {
+	return e.idle(e.Available(), target)
+}
+
+func (e Escrow) idle(held, target int64) int64 {
+	excess := held - target
 	if excess <= target/idleDivisor {
 		return 0
 	}
@@ -116,7 +125,15 @@
 
 // Low reports whether a ledger with this target should draw ahead.
 func (e Escrow) Low(target int64) bool {
-	held := e.Available() + e.Reserved
+	return isLow(e.Available()+e.Reserved, target)
+}
+
+// LowUnreserved is like Low for a target that leaves out reserved tokens.
+func (e Escrow) LowUnreserved(target int64) bool {
+	return isLow(e.Available(), target)
+}
+
+func isLow(held, target int64) bool {
 	return held < target-target/lowDivisor
 }
 
--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -81,93 +81,171 @@
 // a target that limits the loss when the holder crashes. As with Draw, it draws
 // nothing if known differs from the current cumulative grant. If it returns an
 // error, which wraps ErrBroken, the account is unchanged.
+//
+// It applies exchanges in the log that carry no planned draw, which earlier
+// versions wrote. All members must apply these alike, so its policy must not change.
 func (a *Account) Exchange(epoch string, counters Counters, known int64, request DrawRequest) (ExchangeResult, error) {
+	var result ExchangeResult
+	err := a.reportAndDraw(epoch, counters, func() { result = a.drawToBoundedTarget(epoch, known, request) })
+	return result, err
+}
+
+// ExchangePlanned records the counters of a holder's epoch and draws request.Need
+// tokens for it, as PlanDraw returned them. It returns the cumulative grant. As with
+// Draw, it draws nothing if known differs from the current cumulative grant. If it
+// returns an error, which wraps ErrBroken, the account is unchanged.
+func (a *Account) ExchangePlanned(epoch string, counters Counters, known int64, request DrawRequest) (int64, error) {
+	var granted int64
+	err := a.reportAndDraw(epoch, counters, func() {
+		a.collectOwed()
+		granted, _ = a.drawToTarget(epoch, known, DrawRequest{
+			Need:            request.Need,
+			Demand:          request.Demand,
+			DelegatedDemand: request.DelegatedDemand,
+		}, 0, func() int64 { return 0 })
+	})
+	return granted, err
+}
+
+// reportAndDraw records the counters of epoch and calls draw. It restores the
+// account and returns an error that wraps ErrBroken if the tokens do not add up.
+func (a *Account) reportAndDraw(epoch string, counters Counters, draw func()) error {
 	before := *a
 	grant, found := a.Grants[epoch]
 	err := a.Report(epoch, counters)
 	if err != nil {
-		return ExchangeResult{}, err
+		return err
 	}
-	result := a.drawToBoundedTarget(epoch, known, request)
+	draw()
 	// The other grants are unchanged. Together with the pool and this grant they
 	// must equal the deposits if they did so before.
-	if a.Pool < 0 || a.Deposited-a.Pool-a.Grants[epoch].Held() != before.Deposited-before.Pool-grant.Held() {
-		err = errors.Newf("exchange of epoch %s: pool %d, held %d: %w", epoch, a.Pool, a.Grants[epoch].Held(), ErrBroken)
-		*a = before
-		if found {
-			a.setGrant(epoch, grant)
-		} else {
-			delete(a.Grants, epoch)
-		}
-		return ExchangeResult{}, err
+	if a.Pool >= 0 && a.Deposited-a.Pool-a.Grants[epoch].Held() == before.Deposited-before.Pool-grant.Held() {
+		return nil
+	}
+	err = errors.Newf("exchange of epoch %s: pool %d, held %d: %w", epoch, a.Pool, a.Grants[epoch].Held(), ErrBroken)
+	*a = before
+	if found {
+		a.setGrant(epoch, grant)
+	} else {
+		delete(a.Grants, epoch)
 	}
-	return result, nil
+	return err
 }
 
 // drawToBoundedTarget collects owed tokens and then draws up to the bounded
 // target, leaving the pool reserve in place.
 func (a *Account) drawToBoundedTarget(epoch string, known int64, request DrawRequest) ExchangeResult {
 	a.collectOwed()
-	var s sums
+	var s Sums
 	granted, target := a.drawToTarget(epoch, known, request, a.poolReserve(), func() int64 {
-		s = a.sums()
-		return a.boundedTarget(epoch, s)
+		s = a.Sums()
+		return a.boundedTarget(a.Grants[epoch], s, a.RemainingOf(s))
 	})
-	return ExchangeResult{Granted: granted, Target: target, Unspent: s.remaining, Reserved: s.reserved}
+	return ExchangeResult{Granted: granted, Target: target, Unspent: a.RemainingOf(s), Reserved: s.Reserved}
 }
 
-// sums are totals over the pool and the open grants of an account, in tokens.
-type sums struct {
-	// holders is the number of open grants.
-	holders int64
-	// remaining is the number of unspent tokens less those owed.
-	remaining int64
-	// reserved is how many of these tokens requests in progress have reserved.
-	reserved int64
-	// demand is in tokens per hour.
-	demand float64
+// PlanDraw returns how many tokens a holder should draw and its target: the number
+// of unreserved tokens that it should hold. Tokens that requests in progress have
+// reserved do not count, because they are about to be spent: a holder with many long
+// requests would otherwise hold nothing for the next ones once it cannot reach the
+// control group. counters are the holder's new ones, and s are the sums before them.
+func (a *Account) PlanDraw(epoch string, counters Counters, request DrawRequest, s Sums) (need, target int64) {
+	old, found := a.Grants[epoch]
+	grant := old
+	grant.Counters = counters
+	grant.Demand = request.Demand
+	grant.DelegatedDemand = request.DelegatedDemand
+	s.add(grant)
+	if found {
+		s.remove(old)
+	}
+	pool := a.Pool + counters.Returned - old.Counters.Returned
+	unreserved := max(0, pool-a.Owed+s.Unspent-s.Reserved)
+	target = a.boundedTarget(grant, s, unreserved)
+	need = request.Need
+	if request.UpToTarget {
+		need = max(need, min(target-(grant.Unspent()-counters.Reserved), pool-a.poolReserve()))
+	}
+	return max(0, need), target
+}
+
+// Sums are totals over the open grants of an account, in tokens.
+type Sums struct {
+	// Holders is the number of open grants.
+	Holders int64
+	// Unspent is the number of unspent tokens.
+	Unspent int64
+	// Reserved is how many of these tokens requests in progress have reserved.
+	Reserved int64
+	// Demand is in tokens per hour.
+	Demand int64
 }
 
-// sums returns the totals over the pool and the open grants.
-func (a *Account) sums() sums {
-	s := sums{remaining: a.Pool - a.Owed}
+// Sums returns the totals over the open grants.
+func (a *Account) Sums() Sums {
+	var s Sums
 	for _, grant := range a.Grants {
-		if grant.Closed {
-			continue
-		}
-		s.holders++
-		s.remaining += grant.Unspent()
-		s.reserved += grant.Counters.Reserved
-		s.demand += float64(grant.demand())
+		s.add(grant)
 	}
-	s.remaining = max(0, s.remaining)
 	return s
 }
 
-// boundedTarget returns the unspent tokens that a holder should hold. They follow
-// from its portion of the demand and are bounded by its demand within the horizon,
-// but are at least the minimum target that is equal for all holders. The target is
-// 0 once only the pool reserve remains.
-func (a *Account) boundedTarget(epoch string, s sums) int64 {
-	spare := s.remaining - a.poolReserve()
-	grant := a.Grants[epoch]
-	if spare <= 0 || grant.Closed || s.demand == 0 {
+// Replace updates the sums after the grant old has become changed. A grant that did
+// not exist before is closed.
+func (s *Sums) Replace(old, changed Grant) {
+	s.remove(old)
+	s.add(changed)
+}
+
+func (s *Sums) add(g Grant) {
+	if g.Closed {
+		return
+	}
+	s.Holders++
+	s.Unspent += g.Unspent()
+	s.Reserved += g.Counters.Reserved
+	s.Demand += g.demand()
+}
+
+func (s *Sums) remove(g Grant) {
+	if g.Closed {
+		return
+	}
+	s.Holders--
+	s.Unspent -= g.Unspent()
+	s.Reserved -= g.Counters.Reserved
+	s.Demand -= g.demand()
+}
+
+// boundedTarget returns the tokens that the holder of grant should hold out of the
+// remaining ones. They follow from its portion of the demand and are bounded by its
+// demand within the horizon, but are at least the minimum target that is equal for
+// all holders. The target is 0 once only the pool reserve remains.
+func (a *Account) boundedTarget(grant Grant, s Sums, remaining int64) int64 {
+	spare := remaining - a.poolReserve()
+	if spare <= 0 || grant.Closed || s.Demand == 0 {
 		return 0
 	}
-	floor := spare / (floorDivisor * max(expectedHolders, s.holders))
-	if floor < minimumFloor || s.remaining < a.Deposited/2 {
+	floor := spare / (floorDivisor * max(expectedHolders, s.Holders))
+	if floor < minimumFloor || remaining < a.Deposited/2 {
 		floor = 0
 	}
-	fraction := float64(grant.demand()) / s.demand
+	fraction := float64(grant.demand()) / float64(s.Demand)
 	heldFraction := max(fraction/manyHoldersDivisor, fraction*fraction/singleHolderDivisor)
 	demand := (grant.Demand + grant.DelegatedDemand) * horizonSeconds / secondsPerHour
 	return max(floor, min(int64(float64(spare)*heldFraction), demand))
 }
 
+// RemainingOf returns the number of unspent tokens in the pool and in the open
+// grants, less those owed. s are the sums over these grants.
+func (a *Account) RemainingOf(s Sums) int64 {
+	return max(0, a.Pool-a.Owed+s.Unspent)
+}
+
 // Remaining returns the number of unspent tokens in the pool and in open grants,
 // less those owed.
 func (a *Account) Remaining() int64 {
-	return a.sums().remaining
+	return a.RemainingOf(a.Sums())
 }
 
 // poolReserve returns how many tokens stay in the pool when holders draw ahead.
--- a/internal/budget/total_test.go
+++ b/internal/budget/total_test.go
@@ -28,7 +28,7 @@
 			e := escrows[name]
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
-				e.Return(e.Idle(account.boundedTarget(name, account.sums())))
+				e.Return(e.Idle(account.boundedTarget(account.Grants[name], account.Sums(), account.Remaining())))
 				err := account.Report(name, e.Counters())
 				if err != nil {
 					t.Fatal(err)
@@ -98,7 +98,7 @@
 				e = &Escrow{}
 				escrows[name] = e
 			}
-			e.Return(e.Idle(account.boundedTarget(name, account.sums())))
+			e.Return(e.Idle(account.boundedTarget(account.Grants[name], account.Sums(), account.Remaining())))
 			err := account.Report(name, e.Counters())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -85,7 +85,7 @@
 // account is the holder's state of one workspace's budget.
 type account struct {
 	escrow budget.Escrow
-	// target is the number of unspent tokens that the holder should hold.
+	// target is the number of unreserved tokens that the holder should hold.
 	target int64
 	// The results of the last exchange: totalRemaining is the number of unspent
 	// tokens of the workspace in the pool and all grants, totalReserved is how
@@ -181,7 +181,7 @@
 	a := h.account(workspace)
 	a.demand.Observe(time.Now(), tokens)
 	if a.escrow.Reserve(tokens) {
-		low := a.escrow.Low(a.target)
+		low := a.escrow.LowUnreserved(a.target)
 		h.mu.Unlock()
 		if low {
 			h.wakeExchange()
@@ -210,7 +210,7 @@
 	Billed int64
 	// Lent is the part of Billed that was lent to other holders.
 	Lent int64
-	// Target is the number of unspent tokens that the holder should hold.
+	// Target is the number of unreserved tokens that the holder should hold.
 	Target int64
 	// Remaining is the number of unspent tokens of the workspace in the pool and
 	// all grants, as of the last exchange.
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -47,11 +47,12 @@
 	defer g.mu.Unlock()
 	results := make(map[string]group.ExchangeResult)
 	for workspace, item := range exchange.Workspaces {
-		result, err := g.account.Exchange(exchange.Epoch, item.Counters, item.KnownGrant, budget.DrawRequest{Need: item.Need, UpToTarget: !item.Leaving, Demand: item.Demand})
+		result, err := g.exchangeAccount(exchange.Epoch, item)
 		if err != nil {
 			return nil, err
 		}
-		results[workspace] = group.ExchangeResult{Granted: result.Granted, Target: result.Target, Unspent: result.Unspent, Reserved: result.Reserved, Lenders: g.lendersExcept(exchange.Epoch)}
+		result.Lenders = g.lendersExcept(exchange.Epoch)
+		results[workspace] = result
 	}
 	if g.responsesToLose > 0 {
 		g.responsesToLose--
@@ -60,6 +61,16 @@
 	return results, nil
 }
 
+// exchangeAccount plans and applies an exchange as a control instance does.
+func (g *fakeGroup) exchangeAccount(epoch string, item group.ExchangeItem) (group.ExchangeResult, error) {
+	request := budget.DrawRequest{Need: item.Need, UpToTarget: !item.Leaving, Demand: item.Demand}
+	need, target := g.account.PlanDraw(epoch, item.Counters, request, g.account.Sums())
+	request.Need = need
+	granted, err := g.account.ExchangePlanned(epoch, item.Counters, item.KnownGrant, request)
+	sums := g.account.Sums()
+	return group.ExchangeResult{Granted: granted, Target: target, Unspent: g.account.RemainingOf(sums), Reserved: sums.Reserved}, err
+}
+
 func (g *fakeGroup) lendersExcept(epoch string) []string {
 	var addresses []string
 	for _, lender := range g.lenders {
--- a/internal/escrow/exchange.go
+++ b/internal/escrow/exchange.go
@@ -76,13 +76,13 @@
 			a.target = 0
 		}
 		wanted := a.waitingTokens + unmetLoanDrawFactor*a.unmetLoanAt(now)
-		idle := a.escrow.Idle(a.target)
+		idle := a.escrow.IdleUnreserved(a.target)
 		if wanted == 0 && idle > 0 {
 			a.escrow.Return(idle)
 		}
 		counters := a.escrow.Counters()
 		recent := a.exchangeCount > 0 && now.Sub(a.lastExchange) < refreshInterval
-		if recent && wanted == 0 && counters == a.reported && !a.escrow.Low(a.target) {
+		if recent && wanted == 0 && counters == a.reported && !a.escrow.LowUnreserved(a.target) {
 			continue
 		}
 		items[workspace] = group.ExchangeItem{
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -52,6 +52,8 @@
 	// holdersByDomain caches the sorted open epochs of holders by failure
 	// domain; it is nil after the epochs change.
 	holdersByDomain map[string][]string
+	// sums caches the sums over the open grants by workspace; see sumsOf.
+	sums map[string]*budget.Sums
 }
 
 func newState() *state {
@@ -213,6 +215,7 @@
 		return Result{Code: CodeInvalid, Detail: err.Error()}
 	}
 	s.Accounts[workspace] = account
+	delete(s.sums, workspace)
 	return result
 }
 
