Group: exchanges cost the same at any number of entries

Cause: each exchange compared all holders of each of its workspaces, when it was applied at every member and again for its lenders, and contained every workspace each second, used or not; the restart of an entry copied, sorted and checked all accounts. Change: sums beside the accounts; lenders are ranked again after 1 ms for each holder; workspaces that an entry neither holds nor uses are exchanged every 5 s; the end of an epoch changes accounts in place.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -95,6 +95,8 @@
 	totalReserved  int64
 	lenders        []string
 	demand         budget.Demand
+	// lastUsed is when a request last asked for tokens.
+	lastUsed time.Time
 	// waitingTokens is the number of tokens that requests wait for.
 	waitingTokens int64
 	// reported is the counters of the last successful exchange.
@@ -179,7 +181,9 @@
 func (h *Holder) Reserve(ctx context.Context, workspace string, tokens int64) (*Reservation, error) {
 	h.mu.Lock()
 	a := h.account(workspace)
-	a.demand.Observe(time.Now(), tokens)
+	now := time.Now()
+	a.demand.Observe(now, tokens)
+	a.lastUsed = now
 	if a.escrow.Reserve(tokens) {
 		low := a.escrow.LowUnreserved(a.target)
 		h.mu.Unlock()
--- a/internal/escrow/exchange.go
+++ b/internal/escrow/exchange.go
@@ -16,6 +16,10 @@
 	// even if nothing changed. The holder then learns its new target and
 	// returns tokens that other holders need.
 	refreshInterval = time.Second
+	// idleRefreshInterval is the same for an account that holds no tokens and that
+	// no request has used for as long. At a site of hundreds of entries these are
+	// nearly all accounts.
+	idleRefreshInterval = 5 * time.Second
 	// exchangeTimeout bounds one exchange. It is longer than a commit of the
 	// control group takes on slow disks.
 	exchangeTimeout = 800 * time.Millisecond
@@ -81,7 +85,7 @@
 			a.escrow.Return(idle)
 		}
 		counters := a.escrow.Counters()
-		recent := a.exchangeCount > 0 && now.Sub(a.lastExchange) < refreshInterval
+		recent := a.exchangeCount > 0 && now.Sub(a.lastExchange) < a.refreshInterval(now)
 		if recent && wanted == 0 && counters == a.reported && !a.escrow.LowUnreserved(a.target) {
 			continue
 		}
@@ -99,6 +103,15 @@
 	return &group.Exchange{Epoch: h.Epoch, Instance: h.Instance, FailureDomain: h.FailureDomain, Address: h.Address, Workspaces: items}
 }
 
+// refreshInterval returns the time after which an exchange includes the account even if
+// nothing changed.
+func (a *account) refreshInterval(now time.Time) time.Duration {
+	if a.escrow.Available() == 0 && a.escrow.Reserved == 0 && now.Sub(a.lastUsed) >= idleRefreshInterval {
+		return idleRefreshInterval
+	}
+	return refreshInterval
+}
+
 // recordExchangeFailure makes waiting requests, and those that arrive before the
 // next successful exchange, borrow from other holders without waiting.
 func (h *Holder) recordExchangeFailure() {
--- a/internal/group/exchange.go
+++ b/internal/group/exchange.go
@@ -69,7 +69,7 @@
 		return Result{Code: CodeNotFound, Detail: "the epoch is closed"}
 	}
 	if !found {
-		s.closeEarlierEpochs(c.Instance, check)
+		s.closeEarlierEpochs(c.Instance)
 		s.Epochs[c.Epoch] = Epoch{Instance: c.Instance, FailureDomain: c.FailureDomain, Address: c.Address}
 		s.holdersByDomain = nil
 	}
@@ -93,12 +93,12 @@
 // closeEarlierEpochs closes the epochs of an instance's earlier runs and
 // removes their grants. Tokens that those runs did not return to the pool count
 // as spent.
-func (s *state) closeEarlierEpochs(instance string, check *invariant.Checker) {
+func (s *state) closeEarlierEpochs(instance string) {
 	for name, epoch := range s.Epochs {
 		if epoch.Instance != instance || epoch.Closed {
 			continue
 		}
-		s.endEpoch(name, check, (*budget.Account).Forget)
+		s.endEpoch(name, (*budget.Account).Forget)
 	}
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -53,6 +53,8 @@
 
 	instances       instanceTable
 	combinedPatches patchCache
+	// lendersByWorkspace caches the lenders of workspaces; see rankedLenders.
+	lendersByWorkspace map[string]*workspaceLenders
 }
 
 // New returns an empty group state that reports violated invariants to check,
--- a/internal/group/lenders.go
+++ b/internal/group/lenders.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"github.com/cactusbay/cactusbay/internal/budget"
 )
@@ -19,6 +20,9 @@
 	// smallHolderLimit is the demand, in tokens per hour, below which a holder's
 	// own tokens do not cover a single large request.
 	smallHolderLimit = 3000 * 3600
+	// rankingIntervalPerHolder is the time for each holder of a workspace's tokens
+	// between two comparisons of these holders.
+	rankingIntervalPerHolder = time.Millisecond
 )
 
 // lender is a holder that other holders may borrow from, with its unspent
@@ -48,27 +52,41 @@
 	r.lenders = r.lenders[:min(len(r.lenders), r.limit)]
 }
 
+// workspaceLenders are the holders with the most unspent tokens of a workspace in each
+// failure domain, as of rankedAt.
+type workspaceLenders struct {
+	rankedAt time.Time
+	// holders is the number of grants that were compared.
+	holders  int
+	byDomain map[string]*lenderRanking
+}
+
+// expired reports whether the holders must be compared again. The time between two
+// comparisons grows with their number, so that these cost the same at any number.
+func (w *workspaceLenders) expired(now time.Time) bool {
+	return w == nil || now.Sub(w.rankedAt) >= time.Duration(w.holders)*rankingIntervalPerHolder
+}
+
 // lenders returns the addresses of the holders with the most unspent tokens of
 // a workspace, except epoch itself. Those in its failure domain come first.
 func (g *Group) lenders(epoch, workspace string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	ranked := g.rankedLenders(workspace)
 	domain := g.state.Epochs[epoch].FailureDomain
+	own := g.state.Epochs[epoch].Address
 	near := lenderRanking{limit: maxNearLenders}
 	far := lenderRanking{limit: maxFarLenders}
-	for name, grant := range g.state.Accounts[workspace].Grants {
-		if name == epoch || grant.Closed || grant.Unspent() <= 0 {
-			continue
+	for name, ranking := range ranked.byDomain {
+		nearOrFar := &far
+		if name == domain {
+			nearOrFar = &near
 		}
-		other := g.state.Epochs[name]
-		if other.Address == "" {
-			continue
-		}
-		rank := &far
-		if other.FailureDomain == domain {
-			rank = &near
+		for _, l := range ranking.lenders {
+			if l.address != own {
+				nearOrFar.add(l)
+			}
 		}
-		rank.add(lender{address: other.Address, unspent: grant.Unspent()})
 	}
 	var addresses []string
 	for _, l := range append(near.lenders, far.lenders...) {
@@ -77,6 +95,45 @@
 	return addresses
 }
 
+// rankedLenders returns the lenders of a workspace; mu is held.
+func (g *Group) rankedLenders(workspace string) *workspaceLenders {
+	now := time.Now()
+	ranked := g.lendersByWorkspace[workspace]
+	if !ranked.expired(now) {
+		return ranked
+	}
+	ranked = g.state.rankLenders(workspace)
+	ranked.rankedAt = now
+	if g.lendersByWorkspace == nil {
+		g.lendersByWorkspace = make(map[string]*workspaceLenders)
+	}
+	g.lendersByWorkspace[workspace] = ranked
+	return ranked
+}
+
+// rankLenders compares all holders of a workspace's tokens.
+func (s *state) rankLenders(workspace string) *workspaceLenders {
+	grants := s.Accounts[workspace].Grants
+	ranked := &workspaceLenders{holders: len(grants), byDomain: make(map[string]*lenderRanking)}
+	for name, grant := range grants {
+		if grant.Closed || grant.Unspent() <= 0 {
+			continue
+		}
+		holder := s.Epochs[name]
+		if holder.Address == "" {
+			continue
+		}
+		ranking := ranked.byDomain[holder.FailureDomain]
+		if ranking == nil {
+			// One more than a holder is told of, because it may be among them.
+			ranking = &lenderRanking{limit: max(maxNearLenders, maxFarLenders) + 1}
+			ranked.byDomain[holder.FailureDomain] = ranking
+		}
+		ranking.add(lender{address: holder.Address, unspent: grant.Unspent()})
+	}
+	return ranked
+}
+
 // smallHolderDemand returns the part of the small holders' demand, in tokens per
 // hour, that epoch holds tokens for. It is 0 unless epoch is a designated
 // lender of the workspace in its failure domain.
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -84,7 +84,7 @@
 	case OpenEpoch:
 		return s.openEpoch(c)
 	case CloseEpoch:
-		return s.closeEpoch(c, check)
+		return s.closeEpoch(c)
 	case Draw:
 		return s.draw(c, check)
 	case Report:
@@ -141,29 +141,32 @@
 	return Result{Code: CodeDone}
 }
 
-func (s *state) closeEpoch(c CloseEpoch, check *invariant.Checker) Result {
+func (s *state) closeEpoch(c CloseEpoch) Result {
 	_, found := s.Epochs[c.Epoch]
 	if !found {
 		return Result{Code: CodeNotFound, Detail: "no ledger epoch of that name"}
 	}
-	s.endEpoch(c.Epoch, check, (*budget.Account).Close)
+	s.endEpoch(c.Epoch, (*budget.Account).Close)
 	return Result{Code: CodeDone}
 }
 
 // endEpoch marks an epoch closed and calls endGrant for each account in which
-// it has a grant.
-func (s *state) endEpoch(name string, check *invariant.Checker, endGrant func(account *budget.Account, epoch string)) {
+// it has a grant. It changes the accounts in place: to copy and check them all would
+// cost the square of the number of holders when these restart together.
+func (s *state) endEpoch(name string, endGrant func(account *budget.Account, epoch string)) {
 	epoch := s.Epochs[name]
 	epoch.Closed = true
 	s.Epochs[name] = epoch
 	s.holdersByDomain = nil
-	for workspace := range s.Accounts {
-		account := s.account(workspace)
-		_, granted := account.Grants[name]
-		if granted {
-			endGrant(&account, name)
-			s.storeAccount(workspace, account, check, Result{})
+	for workspace, account := range s.Accounts {
+		grant, granted := account.Grants[name]
+		if !granted {
+			continue
 		}
+		sums := s.sumsOf(workspace)
+		endGrant(&account, name)
+		s.Accounts[workspace] = account
+		sums.Replace(grant, budget.Grant{Closed: true})
 	}
 }
 
