Budget: holders hold less after tokens were lost with ended holders

Cause: entries that are killed together lose what they hold, and hold the same part of what is left when they are back. Change: the tokens lost of a total reduce the targets of its holders.

--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -30,6 +30,9 @@
 	// runs out, no single holder has enough tokens for a large request.
 	manyHoldersDivisor  = 3
 	singleHolderDivisor = 1.5
+	// lossAversion is how many times the tokens lost with ended holders count when a
+	// target is reduced by them.
+	lossAversion = 4
 	// minimumFloor is the smallest equal minimum target, in tokens; smaller ones
 	// are 0.
 	minimumFloor = 4 << 10
@@ -161,7 +164,7 @@
 	}
 	pool := a.Pool + counters.Returned - old.Counters.Returned
 	unreserved := max(0, pool-a.Owed+s.Unspent-s.Reserved)
-	target = a.boundedTarget(grant, s, unreserved)
+	target = a.afterLosses(a.boundedTarget(grant, s, unreserved))
 	need = request.Need
 	if request.UpToTarget {
 		need = max(need, min(target-(grant.Unspent()-counters.Reserved), pool-a.poolReserve()))
@@ -169,6 +172,17 @@
 	return max(0, need), target
 }
 
+// afterLosses reduces a target by what ended holders have already lost of the total: a
+// site whose holders crashed together may crash again, and would lose the same part of
+// what is left each time.
+func (a *Account) afterLosses(target int64) int64 {
+	lost := a.EndedTotals.Held - a.EndedTotals.Billed
+	if lost <= 0 {
+		return target
+	}
+	return int64(float64(target) * float64(a.Deposited) / float64(a.Deposited+lossAversion*lost))
+}
+
 // Sums are totals over the open grants of an account, in tokens.
 type Sums struct {
 	// Holders is the number of open grants.
