Revert "Overload: an entry that can't keep up lets callers go to other entries"

Entries let callers go seven times; the next entry, which gets all new connections of the caller, is crowded within seconds and holds no tokens of its workspace. Not worth a mechanism.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
-	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/reach"
@@ -62,11 +60,9 @@
 	// Entries returns the number of entries that share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
-	// Overload tells when the entry can't keep up with its callers.
-	Overload overload.Detector
-	Log      *log.Logger
-	Scope    tally.Scope
-	Tracer   trace.Tracer
+	Log           *log.Logger
+	Scope         tally.Scope
+	Tracer        trace.Tracer
 
 	table   atomic.Pointer[Table]
 	running atomic.Int64
@@ -130,7 +126,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.drain.Load() != nil || !relayed && s.letsGo(r) {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	t := &task{server: s, w: w, start: time.Now(), relayed: relayed}
@@ -149,17 +145,6 @@
 	refused.write(w)
 }
 
-// letsGo reports whether the connection of a request is to be closed because the entry is
-// overloaded: every second one, chosen by the caller's port, so that the others stay.
-func (s *Server) letsGo(r *http.Request) bool {
-	if !s.Overload.IsShedding(time.Now()) {
-		return false
-	}
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(r.RemoteAddr))
-	return hash.Sum32()%2 == 0
-}
-
 // admit decodes a request, finds its route and workspace, and reads its body.
 func (t *task) admit(r *http.Request) *refusal {
 	t.table = t.server.table.Load()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -81,7 +81,6 @@
 		Tracer:        environment.Telemetry.Tracer,
 	}
 	g.Server.Fleet.Changed = g.logServerChange
-	g.watchOverload()
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
 		return err
@@ -120,7 +119,6 @@
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
-	m.setBool("shedding_callers", g.Server.Overload.IsShedding(time.Now()))
 	requests := g.Server.Quarantine.CountRequests()
 	m.set("segments_quarantined", float64(g.Server.Quarantine.Count()-requests))
 	m.set("requests_quarantined", float64(requests))
@@ -171,16 +169,6 @@
 	g.closers.add(keeper.Close)
 }
 
-// watchOverload lets the server tell from its connections to backend servers whether it is
-// overloaded.
-func (g *Gateway) watchOverload() {
-	detector := &g.Server.Overload
-	detector.Began = func(dials, slow int) {
-		g.Server.Log.Warn("overloaded; letting callers go to other entries", "dials", dials, "slow_dials", slow, "requests", g.Server.Running())
-	}
-	g.Server.Upstream.Dialed = func(took time.Duration) { detector.RecordDial(took, time.Now()) }
-}
-
 // monitorReach starts to watch the paths to backend servers.
 func (g *Gateway) monitorReach(environment Environment, gossiper *gossip.Gossiper) {
 	monitor := &reach.Monitor{
@@ -308,9 +296,8 @@
 	return g.Server.Table() != nil && !g.shuttingDown.Load()
 }
 
-// serveReady tells the load balancer whether the instance takes new connections.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.isReady() || g.Server.Overload.IsShedding(time.Now()) {
+	if !g.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -67,15 +67,6 @@
 	m.scope.Gauge(name).Update(value)
 }
 
-// setBool sets a gauge to 1 or 0.
-func (m *meter) setBool(name string, value bool) {
-	if value {
-		m.set(name, 1)
-		return
-	}
-	m.set(name, 0)
-}
-
 // setAge sets a gauge to an age in seconds; negative ages mean that nothing is known.
 func (m *meter) setAge(name string, age time.Duration) {
 	m.set(name, max(-1, age.Seconds()))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -67,9 +66,6 @@
 type Client struct {
 	// Network opens the connections; nil means TCP.
 	Network transport.Network
-	// Dialed, if not nil, is called with how long opening a connection took, or how long
-	// it was tried in vain. Dials that were canceled are left out.
-	Dialed func(took time.Duration)
 
 	pool pool
 }
@@ -146,17 +142,13 @@
 
 // dial opens a connection to a server.
 func (c *Client) dial(ctx context.Context, id, address string) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	network := c.Network
 	if network == nil {
 		network = transport.TCP{}
 	}
-	started := time.Now()
-	socket, err := network.DialContext(dialCtx, "tcp", address)
-	if c.Dialed != nil && ctx.Err() == nil {
-		c.Dialed(time.Since(started))
-	}
+	socket, err := network.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %w", id, err)
 	}
