--- a/internal/forward/billing_test.go
+++ b/internal/forward/billing_test.go
@@ -46,9 +46,8 @@
 }
 
 // TestRequestsAreBilledForWhatRan checks what a request whose response did not arrive in
-// whole is billed. It guards against prompts that are billed although their caller left
-// before a server began to respond: servers drop these requests unrun, and a workspace
-// whose callers are impatient would lose that part of its budget.
+// whole is billed. It guards against a total that is overspent: a request that was sent may
+// have run, also if its caller left before a server began to respond.
 func TestRequestsAreBilledForWhatRan(t *testing.T) {
 	const (
 		prompt     = 100
@@ -67,7 +66,7 @@
 		billed int64
 	}{
 		"complete":                         {streamRoute, []responder{streamEvents(1, 3, "", true)}, 0, prompt + 3},
-		"caller leaves before a response":  {streamRoute, []responder{silent}, 100 * time.Millisecond, 0},
+		"caller leaves before a response":  {streamRoute, []responder{silent}, 100 * time.Millisecond, prompt + eventsLost},
 		"caller leaves after an event":     {streamRoute, []responder{oneEvent}, 100 * time.Millisecond, prompt + 1 + eventsLost},
 		"server breaks off":                {streamRoute, []responder{resetConn}, 0, prompt + eventsLost},
 		"caller leaves the second attempt": {resumableRoute, []responder{resetConn, silent}, 100 * time.Millisecond, prompt + eventsLost},
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -279,15 +279,13 @@
 
 // settle ends the reservation. If a server may have run the request, it bills the
 // prompt and the delivered events, and inFlightEvents more if the response is
-// incomplete. A request that its caller gave up unanswered is free: servers drop it
-// before it runs, but for the few that begin at that moment, which the part of the
-// total that is never granted covers.
+// incomplete.
 func (t *task) settle() {
 	if t.reservation == nil {
 		return
 	}
 	var used int64
-	if (t.mayHaveRun || t.responseStarted) && !t.abandonedUnanswered {
+	if t.mayHaveRun || t.responseStarted {
 		events := t.events
 		if !t.responseComplete {
 			events += inFlightEvents
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -77,9 +77,6 @@
 	startedAttempts int
 	// mayHaveRun is set once a server may have run the request, even in part.
 	mayHaveRun bool
-	// abandonedUnanswered is set if the caller left before any server had begun to respond
-	// or had failed.
-	abandonedUnanswered bool
 	// lastServer is the id of the server of the latest attempt.
 	lastServer string
 	// lastVersion is the version of that server's software.
@@ -328,7 +325,6 @@
 	now := time.Now()
 	if t.callerCtx.Err() != nil {
 		placement.Done(place.Abandoned{}, now)
-		t.abandonedUnanswered = !t.mayHaveRun
 		t.mayHaveRun = t.mayHaveRun || !upstream.IsNotSent(err)
 		return &refusal{reason: reasonCallerLeft}, false
 	}
