Log: requests that the end of a shutdown cuts are told from those whose callers left

An entry that ended logged both as caller_left, and nothing said how long after the signal a request had been taken. Now the reason is interrupted_by_shutdown, also in responses_cut, and taken_after_signal_ms stands in the lines of an entry that shuts down.

No change in behaviour.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -64,8 +64,7 @@
 	Check         *invariant.Checker
 
 	running atomic.Int64
-	// drain is set once the instance is shutting down.
-	drain atomic.Pointer[drain.Plan]
+	drain   drain.Drain
 }
 
 // Handler returns the handler of the callers' HTTP API.
@@ -86,7 +85,7 @@
 // sending requests. Requests that arrive are still served, except those that plan
 // refuses.
 func (s *Server) Drain(plan drain.Plan) {
-	s.drain.Store(&plan)
+	s.drain.Begin(plan)
 }
 
 // Running returns the number of requests in progress.
@@ -101,7 +100,7 @@
 
 // ready handles /readyz. It fails without a configuration and during a shutdown.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.drain.Load() != nil {
+	if s.drain.Plan() != nil {
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 		return
 	}
@@ -182,7 +181,7 @@
 // refuseWhenLeaving returns a refusal if the end of a shutdown may cut the request.
 func (s *Server) refuseWhenLeaving(req *request) *Refusal {
 	now := time.Now()
-	if !s.drain.Load().Refuses(now, now.Add(req.work.DeadlineOrDefault())) {
+	if !s.drain.Plan().Refuses(now, now.Add(req.work.DeadlineOrDefault())) {
 		return nil
 	}
 	return notRun(http.StatusServiceUnavailable, codeShuttingDown, "the instance is shutting down: send the request to another one", retrySoon)
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -32,6 +32,7 @@
 	reasonBadResponse     reason = "bad_answer"
 	reasonBrokenStream    reason = "stream_broken"
 	reasonCallerLeft      reason = "caller_left"
+	reasonInterrupted     reason = "interrupted_by_shutdown"
 )
 
 // refusal ends a request without a complete response of a backend server.
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -60,6 +60,10 @@
 	if t.route != nil {
 		fields[3] = t.route.Name
 	}
+	plan := t.server.drain.Plan()
+	if plan != nil {
+		fields = append(fields, "taken_after_signal_ms", t.start.Sub(plan.Start).Milliseconds())
+	}
 	return fields
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -68,8 +68,7 @@
 	running atomic.Int64
 	// crashChecks tells whether servers that closed connections have ended.
 	crashChecks crashChecks
-	// drain is set once the instance is shutting down.
-	drain atomic.Pointer[drain.Plan]
+	drain       drain.Drain
 }
 
 // Install replaces the configuration for new requests and draws tokens for the
@@ -93,7 +92,7 @@
 // Drain starts the shutdown: every further response closes its connection, and
 // requests on keep-alive connections that may outlast the drain are refused.
 func (s *Server) Drain(plan drain.Plan) {
-	s.drain.Store(&plan)
+	s.drain.Begin(plan)
 }
 
 // HealthPath returns the path of the health check of an upstream's servers, or an empty
@@ -126,7 +125,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.drain.Load() != nil {
+	if s.drain.Plan() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	t := &task{server: s, w: w, start: time.Now(), relayed: relayed}
@@ -134,6 +133,7 @@
 	if refused == nil {
 		refused = t.run(r.Context())
 	}
+	refused = s.attributeEnd(refused)
 	t.settle()
 	t.report(refused)
 	if refused == nil {
@@ -145,6 +145,15 @@
 	refused.write(w)
 }
 
+// attributeEnd names the end of the shutdown as the reason if that has closed the caller's
+// connection. Without it, the caller would seem to have left.
+func (s *Server) attributeEnd(refused *refusal) *refusal {
+	if refused == nil || refused.reason != reasonCallerLeft || !s.drain.Plan().HasEnded(time.Now()) {
+		return refused
+	}
+	return &refusal{reason: reasonInterrupted}
+}
+
 // admit decodes a request, finds its route and workspace, and reads its body.
 func (t *task) admit(r *http.Request) *refusal {
 	t.table = t.server.table.Load()
@@ -167,7 +176,7 @@
 	}
 	t.deadline = t.start.Add(t.timeout())
 	refused := t.readBody(r)
-	if refused == nil && t.server.drain.Load().Refuses(t.start, t.deadline) {
+	if refused == nil && t.server.drain.Plan().Refuses(t.start, t.deadline) {
 		return serviceUnavailable(reasonLeaving, retryAfterOtherEntry)
 	}
 	return refused
--- a/internal/process/shutdown.go
+++ b/internal/process/shutdown.go
@@ -19,7 +19,8 @@
 // plan refuses; lag is how long new connections are accepted after that, because the
 // load balancer notices with a delay.
 func drainCallers(ctx context.Context, lag time.Duration, leave func(drain.Plan), listeners ...*listener) {
-	plan := drain.Plan{AcceptUntil: time.Now().Add(lag)}
+	now := time.Now()
+	plan := drain.Plan{Start: now, AcceptUntil: now.Add(lag)}
 	if deadline, limited := ctx.Deadline(); limited {
 		plan.End = deadline.Add(-exitMargin)
 		endCtx, cancel := context.WithDeadline(ctx, plan.End)
