Drain: requests that may outlast a shutdown are refused once it could be noticed

Cause: one moment served two purposes. Until connections were no longer accepted (3.2 s, on a listed site 5 s by default) every request was taken, whatever time it might need; requests in progress are cut at 7.6 s of 8 s. Load balancers notice within 2 s, so nothing is gained by it after that. Besides, a request was judged by the arrival of its header, not of its body.

From then on a request whose deadline lies after the end is refused as not run, over old and new connections alike. Shorter ones are still served. It is judged when its body is complete.

The case "new connections still arrive" of the drain test asserted that every request is taken while connections are accepted; it keeps its check under the name of what matters, that callers can't have noticed yet. The new tests fail on the code before: status 200 for a body that ends late, and the plan took requests up to the end of the lag.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -10,18 +10,19 @@
 type Plan struct {
 	// Start is when the shutdown began.
 	Start time.Time
-	// AcceptUntil is the time until which new connections still arrive.
-	AcceptUntil time.Time
+	// NoticedBy is when callers and load balancers have had the time to notice that the
+	// instance is leaving. It may still accept connections for longer.
+	NoticedBy time.Time
 	// End is when requests in progress are interrupted; zero means never.
 	End time.Time
 }
 
-// Refuses reports whether a request that arrives at now with the given deadline must
-// be refused because the end of the shutdown may interrupt it. While new connections
-// still arrive no request is refused: their callers don't know yet that the instance
-// is leaving. A nil Plan refuses none.
+// Refuses reports whether a request that is complete at now and has the given deadline
+// must be refused because the end of the shutdown may interrupt it. Before NoticedBy no
+// request is refused, because most end much sooner than at their deadline. A nil Plan
+// refuses none.
 func (p *Plan) Refuses(now, deadline time.Time) bool {
-	return p != nil && !p.End.IsZero() && now.After(p.AcceptUntil) && deadline.After(p.End)
+	return p != nil && !p.End.IsZero() && now.After(p.NoticedBy) && deadline.After(p.End)
 }
 
 // HasEnded reports whether requests in progress are interrupted at now. A nil Plan never
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -1,6 +1,10 @@
 package forward_test
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,18 +12,17 @@
 )
 
 // TestDrainRefusesRequestsThatMayOutlastIt guards against requests that are
-// accepted during a drain and then interrupted by its end. A caller with a
-// keep-alive connection can still send a request after the entry has stopped
-// accepting connections.
+// accepted during a drain and then interrupted by its end. Callers can still send
+// requests after they could have noticed the drain.
 func TestDrainRefusesRequestsThatMayOutlastIt(t *testing.T) {
 	now := time.Now()
 	cases := []struct {
-		name             string
-		acceptUntil, end time.Time
-		status           int
-		attempts         int
+		name           string
+		noticedBy, end time.Time
+		status         int
+		attempts       int
 	}{
-		{"new connections still arrive", now.Add(time.Minute), now.Add(time.Second), 200, 1},
+		{"callers can't have noticed yet", now.Add(time.Minute), now.Add(time.Second), 200, 1},
 		{"request may outlast the drain", now, now.Add(time.Second), 503, 0},
 		{"request ends before the drain", now, now.Add(time.Minute), 200, 1},
 		{"drain has no end", now, time.Time{}, 200, 1},
@@ -27,7 +30,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, streamRoute, streamEvents(1, 3, "", true))
-			f.server.Drain(drain.Plan{AcceptUntil: c.acceptUntil, End: c.end})
+			f.server.Drain(drain.Plan{NoticedBy: c.noticedBy, End: c.end})
 			status, body, complete, header := f.send("/a/x", "secret")
 			if status != c.status || !complete || f.attempts() != c.attempts {
 				t.Errorf("unexpected response: status %d, body %q, complete %v, %d attempts", status, body, complete, f.attempts())
@@ -38,3 +41,27 @@
 		})
 	}
 }
+
+// TestRequestWhoseBodyEndsLateInADrainIsRefused guards against requests that are taken
+// because their header came in time, although their body came too late.
+func TestRequestWhoseBodyEndsLateInADrainIsRefused(t *testing.T) {
+	f := newFixture(t, streamRoute, streamEvents(1, 3, "", true))
+	const notice = 100 * time.Millisecond
+	now := time.Now()
+	f.server.Drain(drain.Plan{Start: now, NoticedBy: now.Add(notice), End: now.Add(time.Second)})
+	conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "POST /a/x HTTP/1.1\r\nHost: one.example\r\nId: a1\r\nKey: secret\r\nContent-Length: 4\r\n\r\nwo")
+	time.Sleep(2 * notice)
+	_, _ = io.WriteString(conn, "rk")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable || f.attempts() != 0 {
+		t.Errorf("status %d after %d attempts, want 503 and none", response.StatusCode, f.attempts())
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -89,8 +89,8 @@
 	return s.running.Load()
 }
 
-// Drain starts the shutdown: every further response closes its connection, and
-// requests on keep-alive connections that may outlast the drain are refused.
+// Drain starts the shutdown: every further response closes its connection, and requests
+// that plan refuses get a 503.
 func (s *Server) Drain(plan drain.Plan) {
 	s.drain.Begin(plan)
 }
@@ -176,7 +176,7 @@
 	}
 	t.deadline = t.start.Add(t.timeout())
 	refused := t.readBody(r)
-	if refused == nil && t.server.drain.Plan().Refuses(t.start, t.deadline) {
+	if refused == nil && t.server.drain.Plan().Refuses(time.Now(), t.deadline) {
 		return serviceUnavailable(reasonLeaving, retryAfterOtherEntry)
 	}
 	return refused
