Drain: requests that the end of a shutdown interrupts get an answer

What callers saw: at the end of a shutdown the connections of all requests in progress were closed, also of those whose response had not begun. A caller could not tell a request that no server had from one that may have run.

Change: package drain interrupts the contexts of the requests 0.2 s before the connections are closed. A request without a response is then answered: 502 interrupted_by_shutdown, or 503 if no server can have it; on a listed site outcome_unknown, settled and with its run cancelled. A stream that has begun is cut, visibly incomplete. The interruption is 0.2 s earlier than the end was, so that the process still returns its tokens in time.

Evidence: TestEndOfDrainAnswersRequestsWithoutResponse got 504 after 1.5 s in place of an answer at the end (the drain interrupted nothing); TestRequestThatAShutdownInterruptsIsAnswered, listed site, got a closed connection (status 0). Both pass now.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -53,7 +53,7 @@
 		refusal.write(w)
 		return
 	}
-	ctx, cancel := req.workContext(ctx)
+	ctx, cancel := s.workContext(ctx, req)
 	defer cancel()
 	maxOutputTokens := chat.tokenLimit(req.work)
 	body, err := req.engineBody(maxOutputTokens)
@@ -66,15 +66,21 @@
 	relay.serve(ctx)
 }
 
-// workContext returns a context that ends at the work's deadline. If the request
-// has an idempotency key or is not repeatable, the context outlives the caller's
-// connection, so that the response is stored for a retry and a non-repeatable
-// request is completed.
-func (r *request) workContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if r.key != "" || !r.repeatable {
+// workContext returns a context that ends at the work's deadline or at the end of a
+// shutdown, so that the caller gets a response before the connection is closed. If the
+// request has an idempotency key or is not repeatable, the context outlives the caller's
+// connection, so that the response is stored for a retry and a non-repeatable request is
+// completed.
+func (s *Server) workContext(ctx context.Context, req *request) (context.Context, context.CancelFunc) {
+	if req.key != "" || !req.repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, r.work.DeadlineOrDefault())
+	ctx, release := s.drain.Context(ctx)
+	ctx, cancel := context.WithTimeout(ctx, req.work.DeadlineOrDefault())
+	return ctx, func() {
+		cancel()
+		release()
+	}
 }
 
 // parseChat decodes and validates the body and resolves the route that is named
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -34,7 +34,7 @@
 	}
 	path := servicePath(r, service)
 	req.target = r.Method + " " + path
-	ctx, cancel := req.workContext(ctx)
+	ctx, cancel := s.workContext(ctx, req)
 	defer cancel()
 	c := &call{dispatcher: dispatcher{server: s, request: req}, w: w}
 	c.call = backend.Call{
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -145,7 +145,7 @@
 	case ctx.Err() != nil:
 		response.Abandon()
 		placement.Done(place.Abandoned{}, now)
-		return &refusal{reason: reasonTimeout}, false
+		return t.endWith(ctx), false
 	}
 	response.Abandon()
 	placement.Done(place.Failed{}, now)
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/drain"
 )
 
@@ -65,3 +66,49 @@
 		t.Errorf("status %d after %d attempts, want 503 and none", response.StatusCode, f.attempts())
 	}
 }
+
+// TestEndOfDrainAnswersRequestsWithoutResponse guards against requests that are cut without
+// an answer at the end of a drain, and against a stream that it cuts and that looks complete.
+func TestEndOfDrainAnswersRequestsWithoutResponse(t *testing.T) {
+	stalledStream := func(conn net.Conn, request *http.Request) {
+		streamEvents(1, 2, "", true)(&unfinishedConn{Conn: conn}, request)
+		hang(conn, request)
+	}
+	for _, c := range []struct {
+		name      string
+		route     config.HostRoute
+		responder responder
+		status    int
+		body      string
+		complete  bool
+	}{
+		{"once", onceRoute, hang, 502, "interrupted_by_shutdown\n", true},
+		{"idempotent", idempotentRoute, hang, 502, "interrupted_by_shutdown\n", true},
+		{"stream that has begun", streamRoute, stalledStream, 200, eventText(1, 2), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, c.route, c.responder, c.responder)
+			now := time.Now()
+			f.server.Drain(drain.Plan{Start: now, NoticedBy: now.Add(time.Minute), End: now.Add(300 * time.Millisecond)})
+			status, body, complete, _ := f.send("/a/x", "secret")
+			if status != c.status || body != c.body || complete != c.complete {
+				t.Errorf("unexpected response: status %d, body %q, complete %v", status, body, complete)
+			}
+			if took := time.Since(now); took > time.Second {
+				t.Errorf("the response ended %s after the begin of the drain, want 300 ms", took)
+			}
+		})
+	}
+}
+
+// unfinishedConn drops the last chunk of a chunked body.
+type unfinishedConn struct {
+	net.Conn
+}
+
+func (c *unfinishedConn) Write(p []byte) (int, error) {
+	if string(p) == "0\r\n\r\n" {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -89,8 +89,8 @@
 	return s.running.Load()
 }
 
-// Drain starts the shutdown: every further response closes its connection, and requests
-// that plan refuses get a 503.
+// Drain starts the shutdown: every further response closes its connection, requests that
+// plan refuses get a 503, and those in progress at its end are interrupted.
 func (s *Server) Drain(plan drain.Plan) {
 	s.drain.Begin(plan)
 }
@@ -225,7 +225,9 @@
 // run makes attempts until the response is delivered or no
 // further attempt is allowed.
 func (t *task) run(callerCtx context.Context) *refusal {
-	ctx, cancel := context.WithDeadline(callerCtx, t.deadline)
+	ctx, release := t.server.drain.Context(callerCtx)
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
 	ctx, span := t.server.Tracer.Start(ctx, "forward", trace.WithAttributes(attribute.String("route", t.route.Name)))
 	defer span.End()
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/upstream"
@@ -41,6 +42,7 @@
 	deniedByRetryBudget denial = "retry_budget"
 	deniedByQuarantine  denial = "quarantined"
 	deniedByServers     denial = "no_other_server"
+	deniedByShutdown    denial = "shutdown"
 )
 
 // task holds the state of one request.
@@ -333,6 +335,8 @@
 		t.server.Upstream.CloseIdle(placement.ID)
 		t.unsentAttempts++
 		switch {
+		case drain.IsInterrupted(ctx):
+			refused = t.endWith(ctx)
 		case ctx.Err() != nil:
 			t.notRepeated = deniedByDeadline
 			refused = t.fail(reasonNotSent, retryAfterSoon)
@@ -390,8 +394,7 @@
 	// The idle timeout of a stream may end a read shortly before the deadline, which
 	// then passes before the context's timer has fired.
 	if ctx.Err() != nil || !time.Now().Before(t.deadline) {
-		t.notRepeated = deniedByDeadline
-		return &refusal{reason: reasonTimeout, status: http.StatusGatewayTimeout}, false
+		return t.endWith(ctx), false
 	}
 	if t.next == nil && !t.spendRetry() {
 		return refused, false
@@ -399,6 +402,17 @@
 	return nil, true
 }
 
+// endWith returns the refusal of a request whose deadline has passed, or that the end of
+// the shutdown has interrupted, as the context of its attempts tells.
+func (t *task) endWith(ctx context.Context) *refusal {
+	if drain.IsInterrupted(ctx) {
+		t.notRepeated = deniedByShutdown
+		return t.fail(reasonInterrupted, retryAfterOtherEntry)
+	}
+	t.notRepeated = deniedByDeadline
+	return &refusal{reason: reasonTimeout, status: http.StatusGatewayTimeout}
+}
+
 // allowsAttemptAfter reports whether the route allows another attempt after
 // startedAttempts attempts that a server may have started to run.
 func (t *task) allowsAttemptAfter(startedAttempts int) bool {
--- a/internal/process/shutdown.go
+++ b/internal/process/shutdown.go
@@ -12,16 +12,19 @@
 	// noticeDuration is the time in which load balancers notice that an instance is not
 	// ready: two checks, one second apart, and a connection opened just before.
 	noticeDuration = 2500 * time.Millisecond
-	// exitMargin is the time before the shutdown limit at which requests in progress are cut
-	// off, so that the process can return its tokens or report its settlements
+	// interruptMargin is the time before the shutdown limit at which requests in progress
+	// are interrupted, so that those without a response still get one.
+	interruptMargin = 600 * time.Millisecond
+	// exitMargin is the time before the shutdown limit at which connections that are still
+	// open are closed, so that the process can return its tokens or report its settlements
 	// and exit within the limit.
 	exitMargin = 400 * time.Millisecond
 )
 
 // drainCallers shuts down the listeners for requests of an entry instance, of a listed or a
 // seeded site, and waits for the requests in progress until shortly before the deadline
-// of ctx. leave makes the instance report not ready and refuse the requests that its plan
-// refuses; lag is how long new connections are
+// of ctx. leave makes the instance report not ready, refuse the requests that its plan
+// refuses and interrupt those in progress at its end; lag is how long new connections are
 // accepted after that, because the load balancer notices with a delay.
 func drainCallers(ctx context.Context, lag time.Duration, leave func(drain.Plan), listeners ...*listener) {
 	leave(newPlan(ctx, lag, time.Now()))
@@ -44,7 +47,7 @@
 	plan := drain.Plan{Start: now, NoticedBy: now.Add(min(lag, noticeDuration))}
 	deadline, limited := ctx.Deadline()
 	if limited {
-		plan.End = deadline.Add(-exitMargin)
+		plan.End = deadline.Add(-interruptMargin)
 	}
 	return plan
 }
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -274,6 +274,27 @@
 	})
 }
 
+// TestRequestThatAShutdownInterruptsIsAnswered guards against a request in progress whose
+// connection the end of a shutdown closes without an answer.
+func TestRequestThatAShutdownInterruptsIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000_000, "a")
+		// The handlers of interrupted requests settle their reservations after Shutdown.
+		defer time.Sleep(callTimeout)
+		defer s.close()
+		long := make(chan callResponse, 1)
+		go func() { long <- s.chat("a", "", 4000) }()
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		s.entries["a"].Shutdown(ctx)
+		got := <-long
+		if got.err != nil || got.code() != "outcome_unknown" || got.notRun() {
+			t.Errorf("got %+v, want a response with code outcome_unknown", got)
+		}
+	})
+}
+
 // TestRollingRestartOfControlRefusesNothing guards against requests that are cut or
 // refused, and configuration changes that don't reach the entries, while the control
 // instances restart one after another: reservations move to other ledgers, another
