Command: a repeated SIGTERM no longer cuts the requests in progress

What callers saw: a supervisor that sends SIGTERM again while an entry shuts down ended the shutdown at once; every request in progress lost its connection.

Change: only an interrupt ends a shutdown early. A repeated SIGTERM changes nothing; the limit of the settings and SIGKILL still end the process.

--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -66,10 +65,10 @@
 }
 
 // newShutdownContext returns a context for the graceful shutdown. It ends at the
-// next interrupt or termination signal, or after the shutdown limit in the
-// settings.
+// next interrupt from a terminal, or after the shutdown limit in the settings. A
+// repeated SIGTERM changes nothing, because a supervisor may send several.
 func newShutdownContext(s *settings.Settings) (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	limit := s.Shutdown.Limit.Or(0)
 	if limit == 0 {
 		return ctx, stop
