Forward: only the rest of the same stream continues a stream that broke off

Callers saw the text of a next server's error among the events of their stream, which then ended as if it were complete.

Cause: a resumed attempt took any genuine 200 for the rest of the stream and copied what looks like an event, also from a JSON or text body. Other statuses ended the stream although another attempt was allowed.

Ruled out by cases that passed before: the text of a 4xx or 5xx, with or without a signature, in the stream. A relayed request can't continue a stream: entries pass on only what no server may have run.

A response continues a stream if it is a 200 with the same media type and encoding as the first; the search for a successor asks the same. Any other is a failed attempt, which ends visibly cut where none may follow. The check in deliverWhole can no longer be reached and goes.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -32,8 +32,8 @@
 }
 
 // deliver forwards a server's response to the caller. It returns shouldRetry
-// instead if the response is not genuine, is a server error or breaks off, and
-// another attempt is allowed.
+// instead if the response is not genuine, is a server error, can't continue the
+// stream that the caller is receiving or breaks off, and another attempt is allowed.
 func (t *task) deliver(ctx context.Context, placement *place.Placement, response *upstream.Response, info ResponseInfo) (refused *refusal, shouldRetry bool) {
 	failed := response.Status >= http.StatusInternalServerError
 	if !info.Genuine {
@@ -43,6 +43,9 @@
 		t.reportFailedAttempt(placement, "not_genuine", "the response has no server signature", shouldRetry)
 		return refused, shouldRetry
 	}
+	if t.responseStarted && !t.continuesResponse(response) {
+		return t.rejectContinuation(ctx, placement, response)
+	}
 	if failed && ctx.Err() == nil && t.spendRetry() {
 		t.discardResponse(response)
 		placement.Done(place.Failed{}, time.Now())
@@ -55,6 +58,36 @@
 	return t.deliverWhole(ctx, placement, response, failed)
 }
 
+// continuesResponse reports whether the body of a response can follow what the caller has
+// received: it is the rest of a stream in the same format.
+func (t *task) continuesResponse(response *upstream.Response) bool {
+	return response.Status == http.StatusOK && formatOf(response.Header) == t.format
+}
+
+// rejectContinuation ends an attempt whose response can't continue that of the caller.
+func (t *task) rejectContinuation(ctx context.Context, placement *place.Placement, response *upstream.Response) (refused *refusal, shouldRetry bool) {
+	t.discardResponse(response)
+	placement.Done(place.Failed{}, time.Now())
+	refused, shouldRetry = t.retryOr(ctx, &refusal{reason: reasonBrokenStream})
+	t.reportFailedAttempt(placement, "no_continuation", "the response is no rest of the stream: "+strconv.Itoa(response.Status), shouldRetry)
+	return refused, shouldRetry
+}
+
+// bodyFormat tells how the bytes of a response body are to be read.
+type bodyFormat struct {
+	mediaType string
+	encoding  string
+}
+
+// formatOf returns the format that a response header states.
+func formatOf(header http.Header) bodyFormat {
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return bodyFormat{
+		mediaType: strings.ToLower(strings.TrimSpace(mediaType)),
+		encoding:  strings.ToLower(header.Get("Content-Encoding")),
+	}
+}
+
 // deliverWhole reads a response to its end before it forwards any of it, so that
 // the request can be retried when the response breaks off.
 func (t *task) deliverWhole(ctx context.Context, placement *place.Placement, response *upstream.Response, failed bool) (refused *refusal, shouldRetry bool) {
@@ -78,9 +111,6 @@
 		outcome = place.Failed{}
 	}
 	placement.Done(outcome, time.Now())
-	if t.responseStarted {
-		return &refusal{reason: reasonBrokenStream}, false
-	}
 	t.responseComplete = true
 	if isSuccess(response.Status) {
 		t.recordProgress()
@@ -103,6 +133,7 @@
 func (t *task) startResponse(response *upstream.Response) {
 	t.responseStarted = true
 	t.status = response.Status
+	t.format = formatOf(response.Header)
 	t.timeToFirstByte = time.Since(t.start)
 	StripHopByHopHeaders(response.Header)
 	header := t.w.Header()
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -51,6 +51,9 @@
 	// breaksAt is the number of the event before which the server closes the
 	// connection of a stream from its start; 0 means that it does not.
 	breaksAt int
+	// errorType is the content type of an error text with which the server answers
+	// requests that resume a stream; empty means that it resumes them.
+	errorType string
 	// version is the version of the server's software.
 	version string
 	// domain is the server's failure domain; empty means b. The entry and the first
@@ -78,6 +81,11 @@
 	_, _ = fmt.Sscan(r.Header.Get("Last"), &first)
 	if r.Header.Get("Last") != "" {
 		first++
+		if s.errorType != "" {
+			w.Header().Set("Content-Type", s.errorType)
+			_, _ = io.WriteString(w, errorText+"\n\n")
+			return
+		}
 	}
 	for number := first; number <= eventCount; number++ {
 		if number == s.pauseAt {
@@ -213,6 +221,7 @@
 		{"within the stream, others unreachable", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {unreachable: true}, {unreachable: true}, {unreachable: true}, {unreachable: true}, {unreachable: true}}},
 		{"within the stream, others decline", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {declines: true}, {declines: true}, {declines: true}}},
 		{"within the stream, the other resets", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {resets: true}}},
+		{"within the stream, the other answers with text", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {errorType: "text/plain"}}},
 		{"within the stream, the other is silent too", plenty, []pausingServer{{pauseAt: 3, pause: pause}, {pauseAt: 3, pause: pause}}},
 		{"before the stream, others decline", plenty, []pausingServer{{pauseAt: 1, pause: pause}, {declines: true}, {declines: true}, {declines: true}}},
 		{"before the stream, the other resets", plenty, []pausingServer{{pauseAt: 1, pause: pause}, {resets: true}}},
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -105,7 +105,7 @@
 		info = t.server.Translator.ResponseInfo(response.Status, response.Header)
 		t.server.recordServerState(placement, info)
 	}
-	if err == nil && s.hasBegun(response.Status, info) {
+	if err == nil && s.hasBegun(response, info) {
 		s.takeOver()
 	}
 	if s.keepResult(response, err) {
@@ -158,11 +158,14 @@
 
 // hasBegun reports whether a server has begun to respond to the request in a way that
 // the caller's response can use.
-func (s *successor) hasBegun(status int, info ResponseInfo) bool {
+func (s *successor) hasBegun(response *upstream.Response, info ResponseInfo) bool {
 	if info.NotRun || info.OtherServer || !info.Genuine {
 		return false
 	}
-	return status == http.StatusOK || !s.task.responseStarted && status < http.StatusInternalServerError
+	if s.task.responseStarted {
+		return s.task.continuesResponse(response)
+	}
+	return response.Status < http.StatusInternalServerError
 }
 
 // takeOver makes the server that the request was sent to the successor, unless the
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -93,6 +93,8 @@
 
 	// responseStarted is set once the response to the caller has started.
 	responseStarted bool
+	// format is the format of that response's body.
+	format bodyFormat
 	// responseComplete is set once a server's response was read to its end.
 	responseComplete bool
 	// events counts the events of a stream that were forwarded.
