Forward: what is no event is not forwarded in the middle of a stream

Callers found the text of an error, at times the whole head of a response, in the middle of their stream, and at times a proper end after it.

Cause: whatever lies before an empty line was forwarded as an event. The head of a response ends with an empty line, so a server that writes a second response into the body of its first, or into that with which it resumes a stream, reached callers. So did an error in the form of an event.

After the first event, each line of a text/event-stream must be a comment or a field with a proper name, and each event must hold a comment or a field that readers know. The data of a resumed stream must go on with an event that has an id, as that after which it was resumed. Anything else is a broken attempt. The first event of a response, and bodies of other types, stay the server's business.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -39,6 +39,7 @@
 		return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", status, header, len(errorText)+2, errorText+"\n\n")
 	}
 	json := "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: application/json\r\n" + chunkedHead
+	head := "HTTP/1.1 500 " + errorText + "\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nbad"
 	return map[string]string{
 		"500":                         plain(500, signedHead),
 		"500 without a signature":     plain(500, "Id: %ID%\r\n"),
@@ -54,6 +55,11 @@
 		"JSON like an event":          json + chunk("{\"error\":\""+errorText+"\"}\n\n") + finalChunk,
 		"JSON":                        json + chunk("{\"error\":\""+errorText+"\"}") + finalChunk,
 		"no content type":             "HTTP/1.1 200 OK\r\n" + signedHead + chunkedHead + chunk(errorText+"\n\n") + finalChunk,
+		"head in the body":            streamHead + chunkedHead + chunk(head) + finalChunk,
+		"head in the body, unframed":  streamHead + "\r\n" + head,
+		"head like an event":          streamHead + chunkedHead + chunk(strings.TrimSuffix(head, "bad")) + finalChunk,
+		"text like an event":          streamHead + chunkedHead + chunk("error: "+errorText+"\n\n") + finalChunk,
+		"error event":                 streamHead + chunkedHead + chunk("event: error\ndata: "+errorText+"\n\n") + finalChunk,
 		"interim response, then none": "HTTP/1.1 100 Continue\r\n\r\n",
 	}
 }
@@ -87,3 +93,25 @@
 		})
 	}
 }
+
+// TestHeadWithinAStreamIsNoEvent guards against a second response within the body of a
+// stream that only the end of the connection ends.
+func TestHeadWithinAStreamIsNoEvent(t *testing.T) {
+	second := "HTTP/1.1 500 " + errorText + "\r\nContent-Length: 0\r\n\r\n"
+	f := newFixture(t, streamRoute, sendRaw(streamHead+"\r\n"+eventText(1, 2)+second))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != eventText(1, 2) || complete {
+		t.Errorf("body %q, complete %v; want two events of a cut stream", body, complete)
+	}
+}
+
+// TestResumedStreamKeepsCommentsAndOtherFields guards against a sound stream that is cut
+// because of lines that are no data.
+func TestResumedStreamKeepsCommentsAndOtherFields(t *testing.T) {
+	rest := ": comment\n\n" + "retry: 10\n\n" + "\n\n" + "weights-version: 2\r\nid: 3\r\ndata: x\r\n\r\n" + "data: x\n\n" + "data\nid: 4\n\n"
+	f := newFixture(t, resumableRoute, streamEvents(1, 2, "", false), sendRaw(streamHead+chunkedHead+chunk(rest)+finalChunk))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != eventText(1, 2)+rest || !complete {
+		t.Errorf("body %q, complete %v; want the whole stream", body, complete)
+	}
+}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -154,7 +154,7 @@
 		t.w.Header().Del("Content-Length")
 		t.w.WriteHeader(response.Status)
 	}
-	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w)}
+	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w), awaitsID: t.lastEventID != ""}
 	if t.allowsAttemptAfter(t.startedAttempts) {
 		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
 	}
@@ -191,6 +191,9 @@
 // errCallerWrite reports that a write to the caller failed.
 var errCallerWrite = errors.New("write response to caller failed")
 
+// errNoEvent reports bytes within a stream that are no event of it.
+var errNoEvent = errors.New("the bytes are no event of the stream")
+
 // eventStream copies the event stream of one attempt to the caller.
 type eventStream struct {
 	task       *task
@@ -206,6 +209,11 @@
 	// gone on beyond its begin.
 	events     int
 	progressed bool
+	// awaitsID is set until an event with an id has come, if the stream was resumed after
+	// one.
+	awaitsID bool
+	// malformed is set once the pending bytes begin with what is no event of the stream.
+	malformed bool
 	// successor is sought while the server is silent; nil at other times.
 	successor *successor
 }
@@ -249,6 +257,8 @@
 		switch {
 		case writeErr != nil:
 			return writeErr
+		case s.malformed:
+			return errNoEvent
 		case len(s.pending) > maxEventBytes || s.hasTooManyEvents():
 			return upstream.ErrTooLarge
 		case err == nil:
@@ -325,7 +335,7 @@
 }
 
 // countEvents counts the complete pending events, records the id of the last one
-// and returns their total length in bytes.
+// and returns their total length in bytes. It stops at what is no event of the stream.
 func (s *eventStream) countEvents() int {
 	t := s.task
 	end := 0
@@ -336,9 +346,15 @@
 			return end
 		}
 		s.searched = 0
-		id := t.server.Translator.EventID(s.pending[end : end+length])
+		event := s.pending[end : end+length]
+		id := t.server.Translator.EventID(event)
+		if !s.accepts(event, id) {
+			s.malformed = true
+			return end
+		}
 		if id != "" {
 			t.lastEventID = id
+			s.awaitsID = false
 		}
 		t.events++
 		s.events++
@@ -346,6 +362,17 @@
 	}
 }
 
+// accepts reports whether an event may follow those that the caller has. The first one
+// is the server's own business. The data of a resumed stream goes on with an event that has
+// an id, like the one after which it was resumed.
+func (s *eventStream) accepts(event []byte, id string) bool {
+	if s.task.events == 0 || s.task.format.mediaType != eventStreamType {
+		return true
+	}
+	fields := fieldsOf(event)
+	return !fields.malformed && (!s.awaitsID || id != "" || !fields.data)
+}
+
 // eventLength returns the length of the first complete event in bytes, or 0 if
 // there is none. An empty line ends an event. No event ends within the first searched
 // bytes.
