--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -164,6 +164,15 @@
 	return listener.Addr().String()
 }
 
+// close ends the fixture before the test does.
+func (f *fixture) close() {
+	f.entry.Close()
+	f.server.Upstream.CloseIdleExcept(func(string) bool { return false })
+	for _, listener := range f.listeners {
+		_ = listener.Close()
+	}
+}
+
 // serve passes each request on conn to the next responder.
 func (f *fixture) serve(id string, conn net.Conn, responders []responder) {
 	defer func() { _ = conn.Close() }()
