Forward: a resumed stream without a further event is not complete

Callers got a stream that ended as if it were complete, without its last events: the server that was to resume it had answered 200 with no event.

Cause: an attempt was complete once its body ended properly. A first response may be empty, but one that resumes a stream is empty only if the first server had sent its last event and nothing but the end of the stream was lost. What comes from the servers doesn't tell this from a failure, and the number of tokens in the request is only an upper bound.

"no events, unframed" passed before. After: all pass.

Such an attempt now counts as broken: another server is asked if the route allows, and otherwise the stream is visibly cut. A caller that resumes an ended stream itself still gets the empty response of the server as it is.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -60,6 +60,9 @@
 		"head like an event":          streamHead + chunkedHead + chunk(strings.TrimSuffix(head, "bad")) + finalChunk,
 		"text like an event":          streamHead + chunkedHead + chunk("error: "+errorText+"\n\n") + finalChunk,
 		"error event":                 streamHead + chunkedHead + chunk("event: error\ndata: "+errorText+"\n\n") + finalChunk,
+		"no events":                   streamHead + chunkedHead + finalChunk,
+		"no events, length":           streamHead + "Content-Length: 0\r\n\r\n",
+		"no events, unframed":         streamHead + "\r\n",
 		"interim response, then none": "HTTP/1.1 100 Continue\r\n\r\n",
 	}
 }
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -234,9 +234,8 @@
 	extraEvents = 16
 )
 
-// copy forwards events until the stream ends. It returns nil if the stream is
-// complete, and upstream.ErrTruncated if it ends within an event, or before the first
-// one where only the end of the connection tells the end of the stream.
+// copy forwards events until the stream ends. It returns nil if the stream is complete, and
+// upstream.ErrTruncated if it ends within an event or before one that it must have.
 func (s *eventStream) copy() error {
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -264,7 +263,7 @@
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return err
-		case len(s.pending) > 0 || s.events == 0 && s.response.EndsWithConnection():
+		case len(s.pending) > 0 || s.lacksEvent():
 			return upstream.ErrTruncated
 		default:
 			s.recordProgress()
@@ -273,6 +272,13 @@
 	}
 }
 
+// lacksEvent reports whether the stream can't be taken for complete: it has no event although
+// only the end of the connection ends it, or it does not go on with the stream that it
+// resumes. Nothing tells an empty rest from a response that failed.
+func (s *eventStream) lacksEvent() bool {
+	return s.awaitsID || s.events == 0 && s.response.EndsWithConnection()
+}
+
 // hasTooManyEvents reports whether the stream has more events than the request may
 // generate tokens, each of which fills an event at least in part.
 func (s *eventStream) hasTooManyEvents() bool {
