--- /dev/null
+++ b/internal/forward/continuation_test.go
@@ -0,0 +1,120 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// errorText is text of an error response that no caller may find in its stream.
+const errorText = "Internal Server Error"
+
+// sendRaw returns a responder that sends text, in which %ID% stands for the id of the
+// request, and closes the connection.
+func sendRaw(text string) responder {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%ID%", request.Header.Get("Id")))
+		_ = conn.Close()
+	}
+}
+
+// chunk returns text as one chunk of a chunked body.
+func chunk(text string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+}
+
+const (
+	signedHead  = "Id: %ID%\r\nStamp: s\r\n"
+	chunkedHead = "Transfer-Encoding: chunked\r\n\r\n"
+	finalChunk  = "0\r\n\r\n"
+	streamHead  = "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\n"
+)
+
+// unusableContinuations are responses that can't continue a stream that has begun.
+func unusableContinuations() map[string]string {
+	plain := func(status int, header string) string {
+		return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", status, header, len(errorText)+2, errorText+"\n\n")
+	}
+	json := "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: application/json\r\n" + chunkedHead
+	head := "HTTP/1.1 500 " + errorText + "\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nbad"
+	return map[string]string{
+		"500":                         plain(500, signedHead),
+		"500 without a signature":     plain(500, "Id: %ID%\r\n"),
+		"500 without an id":           plain(500, ""),
+		"503":                         plain(503, signedHead),
+		"404":                         plain(404, signedHead),
+		"404 without a signature":     plain(404, "Id: %ID%\r\n"),
+		"206":                         plain(206, signedHead),
+		"204":                         "HTTP/1.1 204 x\r\n" + signedHead + "\r\n",
+		"101":                         "HTTP/1.1 101 x\r\n" + signedHead + "\r\n" + errorText + "\n\n",
+		"200 without a signature":     plain(200, "Id: %ID%\r\n"),
+		"text":                        plain(200, signedHead),
+		"JSON like an event":          json + chunk("{\"error\":\""+errorText+"\"}\n\n") + finalChunk,
+		"JSON":                        json + chunk("{\"error\":\""+errorText+"\"}") + finalChunk,
+		"no content type":             "HTTP/1.1 200 OK\r\n" + signedHead + chunkedHead + chunk(errorText+"\n\n") + finalChunk,
+		"head in the body":            streamHead + chunkedHead + chunk(head) + finalChunk,
+		"head in the body, unframed":  streamHead + "\r\n" + head,
+		"head like an event":          streamHead + chunkedHead + chunk(strings.TrimSuffix(head, "bad")) + finalChunk,
+		"text like an event":          streamHead + chunkedHead + chunk("error: "+errorText+"\n\n") + finalChunk,
+		"error event":                 streamHead + chunkedHead + chunk("event: error\ndata: "+errorText+"\n\n") + finalChunk,
+		"no events":                   streamHead + chunkedHead + finalChunk,
+		"no events, length":           streamHead + "Content-Length: 0\r\n\r\n",
+		"no events, unframed":         streamHead + "\r\n",
+		"interim response, then none": "HTTP/1.1 100 Continue\r\n\r\n",
+	}
+}
+
+// TestBrokenStreamGoesOnOnlyAsAStream guards against an error response in the middle of a
+// caller's stream, and against a stream that ends with one as if it were complete.
+func TestBrokenStreamGoesOnOnlyAsAStream(t *testing.T) {
+	for name, text := range unusableContinuations() {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, resumableRoute, streamEvents(1, 2, "", false), sendRaw(text))
+			status, body, complete, _ := f.send("/a/x", "secret")
+			if status != http.StatusOK || body != eventText(1, 2) || complete {
+				t.Errorf("status %d, body %q, complete %v; want two events of a cut stream", status, body, complete)
+			}
+		})
+	}
+}
+
+// TestUnusableContinuationIsAFailedAttempt guards against a stream that ends with a response
+// that can't continue it, although the route allows an attempt at another server.
+func TestUnusableContinuationIsAFailedAttempt(t *testing.T) {
+	route := resumableRoute
+	route.MaxAttempts = 3
+	for name, text := range unusableContinuations() {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, route, streamEvents(1, 2, "", false), sendRaw(text), streamEvents(3, 5, "", true))
+			status, body, complete, _ := f.send("/a/x", "secret")
+			if status != http.StatusOK || body != eventText(1, 5) || !complete {
+				t.Errorf("status %d, body %q, complete %v; want five events of a complete stream", status, body, complete)
+			}
+		})
+	}
+}
+
+// TestHeadWithinAStreamIsNoEvent guards against a second response within the body of a
+// stream that only the end of the connection ends.
+func TestHeadWithinAStreamIsNoEvent(t *testing.T) {
+	second := "HTTP/1.1 500 " + errorText + "\r\nContent-Length: 0\r\n\r\n"
+	f := newFixture(t, streamRoute, sendRaw(streamHead+"\r\n"+eventText(1, 2)+second))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != eventText(1, 2) || complete {
+		t.Errorf("body %q, complete %v; want two events of a cut stream", body, complete)
+	}
+}
+
+// TestResumedStreamKeepsCommentsAndOtherFields guards against a sound stream that is cut
+// because of lines that are no data.
+func TestResumedStreamKeepsCommentsAndOtherFields(t *testing.T) {
+	rest := ": comment\n\n" + "retry: 10\n\n" + "\n\n" + "weights-version: 2\r\nid: 3\r\ndata: x\r\n\r\n" + "data: x\n\n" + "data\nid: 4\n\n"
+	f := newFixture(t, resumableRoute, streamEvents(1, 2, "", false), sendRaw(streamHead+chunkedHead+chunk(rest)+finalChunk))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != eventText(1, 2)+rest || !complete {
+		t.Errorf("body %q, complete %v; want the whole stream", body, complete)
+	}
+}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -32,8 +32,8 @@
 }
 
 // deliver forwards a server's response to the caller. It returns shouldRetry
-// instead if the response is not genuine, is a server error or breaks off, and
-// another attempt is allowed.
+// instead if the response is not genuine, is a server error, can't continue the
+// stream that the caller is receiving or breaks off, and another attempt is allowed.
 func (t *task) deliver(ctx context.Context, placement *place.Placement, response *upstream.Response, info ResponseInfo) (refused *refusal, shouldRetry bool) {
 	failed := response.Status >= http.StatusInternalServerError
 	if !info.Genuine {
@@ -43,6 +43,9 @@
 		t.reportFailedAttempt(placement, "not_genuine", "the response has no server signature", shouldRetry)
 		return refused, shouldRetry
 	}
+	if t.responseStarted && !t.continuesResponse(response) {
+		return t.rejectContinuation(ctx, placement, response)
+	}
 	if failed && ctx.Err() == nil && t.spendRetry() {
 		t.discardResponse(response)
 		placement.Done(place.Failed{}, time.Now())
@@ -55,6 +58,36 @@
 	return t.deliverWhole(ctx, placement, response, failed)
 }
 
+// continuesResponse reports whether the body of a response can follow what the caller has
+// received: it is the rest of a stream in the same format.
+func (t *task) continuesResponse(response *upstream.Response) bool {
+	return response.Status == http.StatusOK && formatOf(response.Header) == t.format
+}
+
+// rejectContinuation ends an attempt whose response can't continue that of the caller.
+func (t *task) rejectContinuation(ctx context.Context, placement *place.Placement, response *upstream.Response) (refused *refusal, shouldRetry bool) {
+	t.discardResponse(response)
+	placement.Done(place.Failed{}, time.Now())
+	refused, shouldRetry = t.retryOr(ctx, &refusal{reason: reasonBrokenStream})
+	t.reportFailedAttempt(placement, "no_continuation", "the response is no rest of the stream: "+strconv.Itoa(response.Status), shouldRetry)
+	return refused, shouldRetry
+}
+
+// bodyFormat tells how the bytes of a response body are to be read.
+type bodyFormat struct {
+	mediaType string
+	encoding  string
+}
+
+// formatOf returns the format that a response header states.
+func formatOf(header http.Header) bodyFormat {
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return bodyFormat{
+		mediaType: strings.ToLower(strings.TrimSpace(mediaType)),
+		encoding:  strings.ToLower(header.Get("Content-Encoding")),
+	}
+}
+
 // deliverWhole reads a response to its end before it forwards any of it, so that
 // the request can be retried when the response breaks off.
 func (t *task) deliverWhole(ctx context.Context, placement *place.Placement, response *upstream.Response, failed bool) (refused *refusal, shouldRetry bool) {
@@ -78,9 +111,6 @@
 		outcome = place.Failed{}
 	}
 	placement.Done(outcome, time.Now())
-	if t.responseStarted {
-		return &refusal{reason: reasonBrokenStream}, false
-	}
 	t.responseComplete = true
 	if isSuccess(response.Status) {
 		t.recordProgress()
@@ -103,6 +133,7 @@
 func (t *task) startResponse(response *upstream.Response) {
 	t.responseStarted = true
 	t.status = response.Status
+	t.format = formatOf(response.Header)
 	t.timeToFirstByte = time.Since(t.start)
 	StripHopByHopHeaders(response.Header)
 	header := t.w.Header()
@@ -123,7 +154,7 @@
 		t.w.Header().Del("Content-Length")
 		t.w.WriteHeader(response.Status)
 	}
-	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w)}
+	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w), awaitsID: t.lastEventID != ""}
 	if t.allowsAttemptAfter(t.startedAttempts) {
 		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
 	}
@@ -160,6 +191,9 @@
 // errCallerWrite reports that a write to the caller failed.
 var errCallerWrite = errors.New("write response to caller failed")
 
+// errNoEvent reports bytes within a stream that are no event of it.
+var errNoEvent = errors.New("the bytes are no event of the stream")
+
 // eventStream copies the event stream of one attempt to the caller.
 type eventStream struct {
 	task       *task
@@ -175,6 +209,11 @@
 	// gone on beyond its begin.
 	events     int
 	progressed bool
+	// awaitsID is set until an event with an id has come, if the stream was resumed after
+	// one.
+	awaitsID bool
+	// malformed is set once the pending bytes begin with what is no event of the stream.
+	malformed bool
 	// successor is sought while the server is silent; nil at other times.
 	successor *successor
 }
@@ -195,9 +234,8 @@
 	extraEvents = 16
 )
 
-// copy forwards events until the stream ends. It returns nil if the stream is
-// complete, and upstream.ErrTruncated if it ends within an event, or before the first
-// one where only the end of the connection tells the end of the stream.
+// copy forwards events until the stream ends. It returns nil if the stream is complete, and
+// upstream.ErrTruncated if it ends within an event or before one that it must have.
 func (s *eventStream) copy() error {
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -218,12 +256,14 @@
 		switch {
 		case writeErr != nil:
 			return writeErr
+		case s.malformed:
+			return errNoEvent
 		case len(s.pending) > maxEventBytes || s.hasTooManyEvents():
 			return upstream.ErrTooLarge
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return err
-		case len(s.pending) > 0 || s.events == 0 && s.response.EndsWithConnection():
+		case len(s.pending) > 0 || s.lacksEvent():
 			return upstream.ErrTruncated
 		default:
 			s.recordProgress()
@@ -232,6 +272,13 @@
 	}
 }
 
+// lacksEvent reports whether the stream can't be taken for complete: it has no event although
+// only the end of the connection ends it, or it does not go on with the stream that it
+// resumes. Nothing tells an empty rest from a response that failed.
+func (s *eventStream) lacksEvent() bool {
+	return s.awaitsID || s.events == 0 && s.response.EndsWithConnection()
+}
+
 // hasTooManyEvents reports whether the stream has more events than the request may
 // generate tokens, each of which fills an event at least in part.
 func (s *eventStream) hasTooManyEvents() bool {
@@ -294,7 +341,7 @@
 }
 
 // countEvents counts the complete pending events, records the id of the last one
-// and returns their total length in bytes.
+// and returns their total length in bytes. It stops at what is no event of the stream.
 func (s *eventStream) countEvents() int {
 	t := s.task
 	end := 0
@@ -305,9 +352,15 @@
 			return end
 		}
 		s.searched = 0
-		id := t.server.Translator.EventID(s.pending[end : end+length])
+		event := s.pending[end : end+length]
+		id := t.server.Translator.EventID(event)
+		if !s.accepts(event, id) {
+			s.malformed = true
+			return end
+		}
 		if id != "" {
 			t.lastEventID = id
+			s.awaitsID = false
 		}
 		t.events++
 		s.events++
@@ -315,6 +368,17 @@
 	}
 }
 
+// accepts reports whether an event may follow those that the caller has. The first one
+// is the server's own business. The data of a resumed stream goes on with an event that has
+// an id, like the one after which it was resumed.
+func (s *eventStream) accepts(event []byte, id string) bool {
+	if s.task.events == 0 || s.task.format.mediaType != eventStreamType {
+		return true
+	}
+	fields := fieldsOf(event)
+	return !fields.malformed && (!s.awaitsID || id != "" || !fields.data)
+}
+
 // eventLength returns the length of the first complete event in bytes, or 0 if
 // there is none. An empty line ends an event. No event ends within the first searched
 // bytes.
