Forward: a refusal that names no attempt on a reused connection promises nothing

What callers saw: a request that may run once was answered 503 ("not run") although a server had run it or was running it, or it ran at up to three servers.

Cause: a response without an attempt id and without a signature is taken for the response to the request that is waiting, on any connection. On one that carried an earlier request it can be a copy of that request's refusal (a health check has no attempt id, so neither has its refusal; the same for a request of a caller that sent none), and on one that was idle it can be what a server writes before it closes (408, 400, 503). Its mark "not run" was believed: the request was sent to another server, and after three of these it was refused.

Ruled out: a copy that names the earlier attempt is skipped; a stamped response that names no attempt is rejected; a 421 closes its connection, so that no copy of it can follow there, but one without an id could be believed like the others.

Fix: upstream.Response.Reused says that the connection was idle before the request, and ResponseInfo.Identified that the response names its attempt. As the first response on a connection that was just opened, such a refusal can belong to this request only and is believed as before. Another entry's own refusals name no attempt; an entry answers the requests on a connection once and in turn.

The test's translator takes a response without an id as platform/callers does; it rejected it before.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -57,12 +57,14 @@
 }
 
 func (testTranslator) IsResponseTo(header http.Header, request *forward.Request) bool {
-	return header.Get("Id") == request.AttemptID
+	id := header.Get("Id")
+	return id == request.AttemptID || id == "" && header.Get("Stamp") == ""
 }
 
 func (testTranslator) ResponseInfo(status int, header http.Header) forward.ResponseInfo {
 	retryAfter, _ := time.ParseDuration(header.Get("Hold-Off"))
 	return forward.ResponseInfo{
+		Identified:  header.Get("Id") != "",
 		Leaving:     header.Get("Leaving") != "",
 		RetryAfter:  retryAfter,
 		NotRun:      header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -102,7 +102,7 @@
 	overlap.Stop()
 	var info ResponseInfo
 	if err == nil {
-		info = t.server.Translator.ResponseInfo(response.Status, response.Header)
+		info = t.server.responseInfo(placement, response)
 		t.server.recordServerState(placement, info)
 	}
 	if err == nil && s.hasBegun(response.Status, info) {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -178,7 +178,7 @@
 		return t.handleSendError(ctx, placement, err)
 	}
 	t.lastReceived = time.Now()
-	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
+	info := t.server.responseInfo(placement, response)
 	if placement.Peer {
 		return t.deliverRelayed(ctx, placement, response, info)
 	}
@@ -204,6 +204,18 @@
 	return t.deliver(ctx, placement, response, info)
 }
 
+// responseInfo decodes the response from a placement. A server's response that names no
+// attempt, on a connection that was idle before, may repeat the response to an earlier
+// request or come from the end of the idle time. It states nothing about this request, which
+// may have run.
+func (s *Server) responseInfo(placement *place.Placement, response *upstream.Response) ResponseInfo {
+	info := s.Translator.ResponseInfo(response.Status, response.Header)
+	if response.Reused && !info.Identified && !placement.Peer {
+		return ResponseInfo{}
+	}
+	return info
+}
+
 // recordServerState records what a response states about its server.
 func (s *Server) recordServerState(placement *place.Placement, info ResponseInfo) {
 	now := time.Now()
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -58,6 +58,8 @@
 // ResponseInfo is what the status and the header of a response state about the
 // request and its server.
 type ResponseInfo struct {
+	// Identified is set if the response names the attempt that it belongs to.
+	Identified bool
 	// NotRun is set if the server did not run the request and never will.
 	NotRun bool
 	// OtherServer is set if a server other than the addressed one responded.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -160,7 +160,15 @@
 		stopInterrupt()
 		return nil, errors.Newf("read response from %s: %w", c.id, err)
 	}
-	return &Response{Status: parsed.StatusCode, Header: parsed.Header, conn: c, parsed: parsed, stopInterrupt: stopInterrupt, requestBody: requestBody}, nil
+	return &Response{
+		Status:        parsed.StatusCode,
+		Header:        parsed.Header,
+		Reused:        !c.idleSince.IsZero(),
+		conn:          c,
+		parsed:        parsed,
+		stopInterrupt: stopInterrupt,
+		requestBody:   requestBody,
+	}, nil
 }
 
 // reset clears what an earlier request on the connection has set.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,6 +21,9 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Reused is set if the connection was idle before the request. The response may then
+	// belong to an earlier request, or to none, unless its header says otherwise.
+	Reused bool
 
 	conn          *conn
 	pool          *pool
