Forward: an attempt isn't sent again on a connection that has carried it

What callers saw: 502, or a stream that goes on at one server while another still works on it, though the server that was asked last had begun to run the request.

Cause: while a server is silent, others are asked to take over. One that declines is not counted among the servers tried, and its connection goes back to the idle pool. If the silent server then fails, the request can be sent to that server again, and on the same connection. A late copy of the first refusal carries the right attempt id there, because all sends of an attempt have the same one.

Ruled out: requests that may run once. No other server is sought for them, and each server that declined is counted as tried: TestDeclinedAttemptReachesEachServerOnce passed before too. The search itself always sends on new connections. By accident, an idle connection whose response was discarded passes for closed after 200 ms, once the read deadline of the discarding is over; so it happened only within that time.

Fix: a task keeps the servers that declined in a search. A request to one of them has upstream.Request.Again set and is sent on a new connection.

Before, TestAttemptIsNotRepeatedOnItsConnection:

stale_test.go:110: the attempt was sent again on a connection that had carried it stale_test.go:110: the attempt was sent again on a connection that had carried it stale_test.go:120: status 502, body "no_server\n"; want the response of a server that has recovered

After: passes in five of five runs, with the race detector in one of one; the tests of internal/upstream, internal/forward, internal/reach, internal/process, platform/callers and test pass.

--- a/internal/forward/stale_test.go
+++ b/internal/forward/stale_test.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/instances"
 )
 
 // connUse counts the requests that servers received on each connection.
@@ -84,3 +87,57 @@
 		t.Errorf("status %d, body %q, %d attempts; want 200 in the second attempt", status, body, f.attempts())
 	}
 }
+
+// TestAttemptIsNotRepeatedOnItsConnection guards against a copy of the refusal of an earlier
+// send of the same attempt. A server that has refused to take over from a silent one gets the
+// request again once that one has failed.
+func TestAttemptIsNotRepeatedOnItsConnection(t *testing.T) {
+	const refusals = 4
+	refused := make(chan struct{}, refusals)
+	silent := func(conn net.Conn, request *http.Request) {
+		for range refusals {
+			<-refused
+		}
+		time.Sleep(20 * time.Millisecond)
+		resetConn(conn, request)
+	}
+	use := &connUse{}
+	refuse := func(conn net.Conn, request *http.Request) {
+		use.next(conn)
+		respond(503, notRunHeader, "")(conn, request)
+		refused <- struct{}{}
+	}
+	recovered := func(conn net.Conn, request *http.Request) {
+		if use.next(conn) > 0 {
+			t.Error("the attempt was sent again on a connection that had carried it")
+			respond(503, notRunHeader, "")(conn, request)
+			return
+		}
+		respond(200, signatureHeader, "done")(conn, request)
+	}
+	responders := append([]responder{silent}, repeated(refusals, refuse)...)
+	f := newFixture(t, idempotentRoute, append(responders, repeated(4, recovered)...)...)
+	status, body, _, _ := f.send("/a/x", "secret")
+	if status != http.StatusOK || body != "done" {
+		t.Errorf("status %d, body %q; want the response of a server that has recovered", status, body)
+	}
+}
+
+// TestDeclinedAttemptReachesEachServerOnce guards against a copy of the first refusal of a
+// request that may run once being taken for the refusal of a second send to the same server.
+func TestDeclinedAttemptReachesEachServerOnce(t *testing.T) {
+	responders := repeated(9, respond(503, notRunHeader, ""))
+	f := newFixture(t, onceRoute)
+	f.server.Fleet.Update([]instances.Instance{
+		{ID: "one", Upstream: "pool", Address: f.startBackend("one", responders), Slots: 8},
+		{ID: "two", Upstream: "pool", Address: f.startBackend("two", responders), Slots: 8},
+	}, time.Now())
+	status, _, _, _ := f.send("/a/x", "secret")
+	seen := make(map[string]int)
+	for _, id := range f.receivedBy {
+		seen[id]++
+	}
+	if status != http.StatusServiceUnavailable || len(seen) != 2 || f.attempts() != 2 {
+		t.Errorf("status %d, requests by server %v; want a refusal after one request at each of the two servers", status, seen)
+	}
+}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -54,10 +54,12 @@
 	placement *place.Placement
 
 	// failed holds the servers that may have run the request and failed, and avoided
-	// those that did not take it. They may be read once done is closed, like the
+	// those that did not take it, until all others were tried too. declined holds those
+	// that received and declined it. They may be read once done is closed, like the
 	// result of the attempt and the obstacle that kept others from taking over.
 	failed   []string
 	avoided  []string
+	declined []string
 	response *upstream.Response
 	err      error
 	obstacle denial
@@ -224,6 +226,7 @@
 	if info.OtherServer || info.NotRun {
 		d := s.task.endDeclined(placement, response, info)
 		s.avoided = append(s.avoided, placement.ID)
+		s.declined = append(s.declined, placement.ID)
 		s.task.reportFailedAttempt(placement, d.outcome, d.cause, true)
 		return
 	}
@@ -254,15 +257,17 @@
 	if !s.timer.Stop() {
 		<-s.done
 	}
-	s.task.countFailed(s.failed)
+	s.task.recordSearch(s)
 	return false
 }
 
-// countFailed counts attempts of a search that servers may have run and that failed.
-func (t *task) countFailed(servers []string) {
-	t.tried = append(t.tried, servers...)
-	t.startedAttempts += len(servers)
-	t.mayHaveRun = t.mayHaveRun || len(servers) > 0
+// recordSearch counts the attempts of a search that servers may have run and that failed,
+// and records the servers that declined.
+func (t *task) recordSearch(s *successor) {
+	t.tried = append(t.tried, s.failed...)
+	t.declinedBy = append(t.declinedBy, s.declined...)
+	t.startedAttempts += len(s.failed)
+	t.mayHaveRun = t.mayHaveRun || len(s.failed) > 0
 }
 
 // wait returns the result of the attempt at the server that has taken over.
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,7 +71,10 @@
 	digested      bool
 
 	// tried holds the ids of the servers of all attempts so far.
-	tried            []string
+	tried []string
+	// declinedBy holds the ids of the servers that have declined to take over from a
+	// silent one. They may be tried again.
+	declinedBy       []string
 	unsentAttempts   int
 	declinedAttempts int
 	// startedAttempts counts the attempts that a server may have started to run.
@@ -111,7 +115,7 @@
 	if t.next != nil {
 		next := t.next
 		t.next = nil
-		t.countFailed(next.failed)
+		t.recordSearch(next)
 		return t.sendTo(ctx, next.placement, next)
 	}
 	refused = t.refuseQuarantined()
@@ -327,6 +331,7 @@
 		Header:     t.server.Translator.Header(attempt),
 		Body:       t.request.Body,
 		Once:       !t.route.retriable(),
+		Again:      slices.Contains(t.declinedBy, placement.ID),
 		IsResponse: func(header http.Header) bool { return t.server.Translator.IsResponseTo(header, t.request) },
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,6 +56,10 @@
 	// new or recently used connection: if the server closes an idle connection
 	// just as the request is sent, it is unknown whether the request has run.
 	Once bool
+	// Again is set if the server may have responded to an earlier request with the same
+	// id. The request is sent only on a new connection: on one that carried the earlier
+	// request, a copy of its response can't be told from the response to this one.
+	Again bool
 	// IsResponse reports whether a response with this header belongs to the
 	// request; nil accepts every response.
 	IsResponse func(http.Header) bool
@@ -75,17 +79,25 @@
 // response body too. The caller must finish or abandon the response. If no byte of
 // the request was sent, the error satisfies IsNotSent.
 func (c *Client) Do(ctx context.Context, id, address string, request *Request) (*Response, error) {
-	conn := c.pool.get(id, request.Once)
-	if conn != nil {
-		return (&Connection{conn: conn, pool: &c.pool}).Do(ctx, request)
-	}
-	connection, err := c.Dial(ctx, id, address)
+	connection, err := c.connect(ctx, id, address, request)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
 	return connection.Do(ctx, request)
 }
 
+// connect returns an idle connection that can carry the request, or a new one.
+func (c *Client) connect(ctx context.Context, id, address string, request *Request) (*Connection, error) {
+	if request.Again {
+		return c.Dial(ctx, id, address)
+	}
+	conn := c.pool.get(id, request.Once)
+	if conn == nil {
+		return c.Dial(ctx, id, address)
+	}
+	return &Connection{conn: conn, pool: &c.pool}, nil
+}
+
 // Dial opens a connection to the server with the given id and address for one
 // request. The caller must use or release it.
 func (c *Client) Dial(ctx context.Context, id, address string) (*Connection, error) {
