Upstream: a connection on which a late response was skipped isn't reused

What callers saw: 502 for a request that a sound run had answered, once a server repeated more than one earlier response on a connection; and 503 or a second run where a response without an attempt id followed one of another attempt on a new connection.

Cause: one late response is skipped for each request, and the connection went back to the idle pool although the server had shown that it repeats responses there. And after a skipped response, the next one isn't the first on its connection any more, but counted as such.

Fix: a skipped response marks its connection. It is closed after the response to the current request, which counts as one on a reused connection.

What can't happen, with tests that passed before too: a late response that arrives in two pieces around the request, wherever it is split, is not taken for the response to it (TestLateResponseInPiecesIsSkipped); a connection on which the first byte of one arrives while it is idle is not reused (TestBytesOnIdleConnectionCloseIt).

--- a/internal/forward/stale_test.go
+++ b/internal/forward/stale_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// TestUnidentifiedRefusalAfterAnotherResponseIsNoPromise guards against such a refusal on a
+// new connection whose first response belongs to another attempt.
+func TestUnidentifiedRefusalAfterAnotherResponseIsNoPromise(t *testing.T) {
+	f := newFixture(t, onceRoute, func(conn net.Conn, request *http.Request) {
+		request.Header.Set("Id", "another")
+		respond(200, signatureHeader, "done")(conn, request)
+		respondUnidentified(conn, 503)
+	}, respond(200, signatureHeader, "done"))
+	status, body, _, _ := f.send("/a/x", "secret")
+	if status != http.StatusBadGateway || f.attempts() != 1 {
+		t.Errorf("status %d, body %q, %d attempts; want 502 after one", status, body, f.attempts())
+	}
+}
+
 // TestAttemptIsNotRepeatedOnItsConnection guards against a copy of the refusal of an earlier
 // send of the same attempt. A server that has refused to take over from a silent one gets the
 // request again once that one has failed.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,6 +49,9 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
+	// skipped is set once a response that belongs to no current request was skipped.
+	// Others may follow, so that the connection carries no further request.
+	skipped bool
 
 	// readLimit is how many bytes may still be read, if limited is set. Both belong to the
 	// goroutine that reads.
@@ -163,7 +166,7 @@
 	return &Response{
 		Status:        parsed.StatusCode,
 		Header:        parsed.Header,
-		Reused:        !c.idleSince.IsZero(),
+		Reused:        c.skipped || !c.idleSince.IsZero(),
 		conn:          c,
 		parsed:        parsed,
 		stopInterrupt: stopInterrupt,
@@ -235,6 +238,7 @@
 		if request.IsResponse == nil || request.IsResponse(parsed.Header) {
 			return parsed, nil
 		}
+		c.skipped = true
 		err = discardBody(parsed)
 		if err != nil {
 			return nil, err
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,8 +21,9 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Reused is set if the connection was idle before the request. The response may then
-	// belong to an earlier request, or to none, unless its header says otherwise.
+	// Reused is set if the connection was idle before the request, or another response
+	// came first. This one may then belong to an earlier request, or to none, unless its
+	// header says otherwise.
 	Reused bool
 
 	conn          *conn
@@ -178,9 +179,9 @@
 }
 
 // closesConnection reports whether the connection can't be reused: the response
-// ends with it, or more bytes follow the response.
+// ends with it, more bytes follow it, or a late response came before it.
 func (r *Response) closesConnection() bool {
-	return r.parsed.Close || r.EndsWithConnection() || r.conn.reader.Buffered() > 0
+	return r.parsed.Close || r.conn.skipped || r.EndsWithConnection() || r.conn.reader.Buffered() > 0
 }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that
