Forward: the response that another entry passes on must name the attempt

What callers could see: the answer to another request, where one entry passes a request on to another entry and gets a server's response that names another attempt.

Cause: requests to other entries had no check of the response; a signed one was delivered whatever attempt it names. The other entry checks what its servers send, and answers the requests on a connection once and in turn, so no way is known in which this happens with entries as they are; the check no longer depends on it.

Fix: the check of servers' responses applies to relayed requests too. An entry's own refusals name no attempt and have no signature; they are accepted as before.

Before, TestRelayedResponseOfAnotherAttemptIsNotDelivered:

stale_test.go:176: status 200, body "not yours"; want a failure

After: passes, and so do the tests of internal/forward, internal/process, internal/reach and platform/callers.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -61,15 +61,17 @@
 }
 
 // relayRequest returns the request to send to the other entry of a placement: the caller's,
-// with the time that is left. Entries answer each request on a connection once, and in turn.
+// with the time that is left. Entries answer each request on a connection once, and in
+// turn, so that their own refusals need not name the attempt.
 func (t *task) relayRequest() *upstream.Request {
 	return &upstream.Request{
-		Method: t.request.Method,
-		Target: t.request.Target,
-		Host:   t.request.Host,
-		Header: t.server.Translator.RelayHeader(t.request, time.Until(t.deadline)),
-		Body:   t.request.Body,
-		Once:   !t.route.retriable(),
+		Method:     t.request.Method,
+		Target:     t.request.Target,
+		Host:       t.request.Host,
+		Header:     t.server.Translator.RelayHeader(t.request, time.Until(t.deadline)),
+		Body:       t.request.Body,
+		Once:       !t.route.retriable(),
+		IsResponse: t.isResponse,
 	}
 }
 
--- a/internal/forward/stale_test.go
+++ b/internal/forward/stale_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -155,3 +158,21 @@
 		t.Errorf("status %d, requests by server %v; want a refusal after one request at each of the two servers", status, seen)
 	}
 }
+
+// TestRelayedResponseOfAnotherAttemptIsNotDelivered guards against the response to another
+// request that another entry passes on.
+func TestRelayedResponseOfAnotherAttemptIsNotDelivered(t *testing.T) {
+	f := newFixture(t, onceRoute, hang)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "another")
+		w.Header().Set("Stamp", "s")
+		_, _ = io.WriteString(w, "not yours")
+	}))
+	t.Cleanup(peer.Close)
+	f.server.Peers = stubPeers{strings.TrimPrefix(peer.URL, "http://")}
+	f.server.Fleet.CutOff("pool", time.Now())
+	status, body, _, _ := f.send("/a/x", "secret")
+	if status == http.StatusOK || body == "not yours" {
+		t.Errorf("status %d, body %q; want a failure", status, body)
+	}
+}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -332,10 +332,15 @@
 		Body:       t.request.Body,
 		Once:       !t.route.retriable(),
 		Again:      slices.Contains(t.declinedBy, placement.ID),
-		IsResponse: func(header http.Header) bool { return t.server.Translator.IsResponseTo(header, t.request) },
+		IsResponse: t.isResponse,
 	}
 }
 
+// isResponse reports whether a response with this header belongs to the request.
+func (t *task) isResponse(header http.Header) bool {
+	return t.server.Translator.IsResponseTo(header, t.request)
+}
+
 // handleSendError decides whether to retry after an attempt that failed with err
 // before a response header arrived.
 func (t *task) handleSendError(ctx context.Context, placement *place.Placement, err error) (refused *refusal, shouldRetry bool) {
