--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,7 +73,10 @@
 	digested      bool
 
 	// tried holds the ids of the servers of all attempts so far.
-	tried            []string
+	tried []string
+	// declinedBy holds the ids of the servers that have declined to take over from a
+	// silent one. They may be tried again.
+	declinedBy       []string
 	unsentAttempts   int
 	declinedAttempts int
 	// startedAttempts counts the attempts that a server may have started to run.
@@ -115,7 +119,7 @@
 	if t.next != nil {
 		next := t.next
 		t.next = nil
-		t.countFailed(next.failed)
+		t.recordSearch(next)
 		return t.sendTo(ctx, next.placement, next)
 	}
 	refused = t.refuseQuarantined()
@@ -182,7 +186,7 @@
 		return t.handleSendError(ctx, placement, err)
 	}
 	t.lastReceived = time.Now()
-	info := t.server.Translator.ResponseInfo(response.Status, response.Header)
+	info := t.server.responseInfo(placement, response)
 	if placement.Peer {
 		return t.deliverRelayed(ctx, placement, response, info)
 	}
@@ -208,6 +212,18 @@
 	return t.deliver(ctx, placement, response, info)
 }
 
+// responseInfo decodes the response from a placement. A server's response that names no
+// attempt, on a connection that was idle before, may repeat the response to an earlier
+// request or come from the end of the idle time. It states nothing about this request, which
+// may have run.
+func (s *Server) responseInfo(placement *place.Placement, response *upstream.Response) ResponseInfo {
+	info := s.Translator.ResponseInfo(response.Status, response.Header)
+	if response.Reused && !info.Identified && !placement.Peer {
+		return ResponseInfo{}
+	}
+	return info
+}
+
 // recordServerState records what a response states about its server.
 func (s *Server) recordServerState(placement *place.Placement, info ResponseInfo) {
 	now := time.Now()
@@ -319,10 +335,16 @@
 		Header:     t.server.Translator.Header(attempt),
 		Body:       t.request.Body,
 		Once:       !t.route.retriable(),
-		IsResponse: func(header http.Header) bool { return t.server.Translator.IsResponseTo(header, t.request) },
+		Again:      slices.Contains(t.declinedBy, placement.ID),
+		IsResponse: t.isResponse,
 	}
 }
 
+// isResponse reports whether a response with this header belongs to the request.
+func (t *task) isResponse(header http.Header) bool {
+	return t.server.Translator.IsResponseTo(header, t.request)
+}
+
 // handleSendError decides whether to retry after an attempt that failed with err
 // before a response header arrived.
 func (t *task) handleSendError(ctx context.Context, placement *place.Placement, err error) (refused *refusal, shouldRetry bool) {
