Listener: a request that was read is answered although its connection closes as idle

Callers saw a connection close without an answer while an entry shut down, although the entry had read the request, or the first part of its header.

Cause: closeIdle closed connections by the state that net/http reports. That state changes from new or idle to active only once the whole header has been read, so that a connection whose request had been read, or was arriving, was closed. closeWhenDraining then aborted the request. A connection was also closed without a look at the bytes in its socket.

Ruled out: a past read deadline alone. net/http resets the deadline before the state changes to active, so that a deadline set in between would cut the body; it would also close a connection after half a header; and a read after its deadline doesn't look at the socket.

Change: accepted connections are wrapped. The wrapper knows whether a byte of a request has been read since the last response, sees the deadlines that net/http sets, and is told of the states. An idle connection is not closed: the read that waits on it fails, unless bytes were read or lie in the socket, in which case the deadline of net/http is restored and the request is served whole. net/http closes the connection after the failed read. So the read itself decides between closing and serving, and nothing is left to abort: closedAsIdle, the abort and the context key are gone. CloseWrite is passed on, because net/http half-closes a connection whose request it hasn't read to the end.

shutdown also waits until the accept loop has ended before it looks for open connections: one that had just been accepted was unknown to it, and net/http drops a request that it reads after its own shutdown has begun.

--- /dev/null
+++ b/internal/process/connection.go
@@ -0,0 +1,137 @@
+package process
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+// pastDeadline makes the reads of a connection fail at once.
+var pastDeadline = time.Unix(1, 0)
+
+// connectionListener wraps the connections that it accepts.
+type connectionListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l connectionListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn, idleSince: time.Now()}, nil
+}
+
+// connection is an accepted connection that can be closed while it is idle without
+// losing a request. It isn't closed from outside, because the HTTP server may have
+// read a request already. Instead, the read that waits for the next request fails,
+// upon which the HTTP server closes the connection. As soon as bytes of a request
+// have been read, or are in the socket, reads no longer fail.
+type connection struct {
+	net.Conn
+
+	mu sync.Mutex
+	// inRequest is set from the first byte of a request to the end of its response.
+	inRequest bool
+	idleSince time.Time
+	// closing is set while reads fail so that the HTTP server closes the connection.
+	closing bool
+	// deadline is the read deadline that the HTTP server has set.
+	deadline time.Time
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.endRead(n) {
+			return n, err
+		}
+	}
+}
+
+// endRead evaluates a read of n bytes and reports whether it must be repeated, because
+// bytes arrived after it had failed.
+func (c *connection) endRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.setInRequest()
+		return false
+	}
+	if !c.closing || c.isSocketEmpty() {
+		return false
+	}
+	c.setInRequest()
+	return true
+}
+
+// isSocketEmpty reports whether a closing connection is open and has no unread bytes.
+// A read after its deadline doesn't look at the socket. The caller holds mu.
+func (c *connection) isSocketEmpty() bool {
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	empty := transport.IsReusable(c.Conn)
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return empty
+}
+
+// setInRequest keeps the connection open for a request. The caller holds mu.
+func (c *connection) setInRequest() {
+	c.inRequest = true
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// CloseWrite ends the response while the rest of a request is still unread, so that the
+// close doesn't reset the connection before the caller has the response. The HTTP server
+// calls it.
+func (c *connection) CloseWrite() error {
+	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return halfCloser.CloseWrite()
+}
+
+// beginRequest records that the HTTP server has read the header of a request.
+func (c *connection) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setInRequest()
+}
+
+// endRequest records that the response is complete.
+func (c *connection) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest = false
+	c.idleSince = time.Now()
+}
+
+// closeAfter makes the HTTP server close the connection if it has been idle for the
+// duration.
+func (c *connection) closeAfter(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inRequest || time.Since(c.idleSince) < idle {
+		return
+	}
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -34,22 +34,9 @@
 	draining atomic.Bool
 
 	mu    sync.Mutex
-	conns map[net.Conn]*connection
+	conns map[*connection]struct{}
 }
 
-// connection is the state of an accepted connection, guarded by the listener's mu.
-type connection struct {
-	state      http.ConnState
-	stateSince time.Time
-	// closedAsIdle is set when the listener closes the connection as idle. A
-	// request that was read before that must not be served, because its response
-	// would be lost.
-	closedAsIdle bool
-}
-
-// connectionKey is the context key of the *connection of a request.
-type connectionKey struct{}
-
 // listen starts serving handler on address.
 func listen(network transport.Network, address string, handler http.Handler) (*listener, error) {
 	socket, err := network.Listen(address)
@@ -59,7 +46,7 @@
 	l := &listener{
 		socket: socket,
 		done:   make(chan struct{}),
-		conns:  make(map[net.Conn]*connection),
+		conns:  make(map[*connection]struct{}),
 	}
 	l.server = &http.Server{
 		Handler:           l.closeWhenDraining(handler),
@@ -67,7 +54,6 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         l.trackState,
-		ConnContext:       l.withConnection,
 	}
 	go l.run()
 	return l, nil
@@ -75,18 +61,15 @@
 
 func (l *listener) run() {
 	defer close(l.done)
-	_ = l.server.Serve(l.socket)
+	_ = l.server.Serve(connectionListener{l.socket})
 }
 
 // closeWhenDraining makes the responses of a draining listener close their
-// connections. It aborts requests whose connection was closed as idle.
+// connections.
 func (l *listener) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
-			if l.isClosedAsIdle(r) {
-				panic(http.ErrAbortHandler)
-			}
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -95,56 +78,32 @@
 // trackState records the state of a connection. The HTTP server calls it at each
 // change.
 func (l *listener) trackState(conn net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(l.conns, conn)
+	c, ok := conn.(*connection)
+	if !ok {
 		return
 	}
-	c := l.connection(conn)
-	c.state = state
-	c.stateSince = time.Now()
-}
-
-// connection returns the state of conn and creates it if needed. The caller holds
-// mu.
-func (l *listener) connection(conn net.Conn) *connection {
-	c := l.conns[conn]
-	if c == nil {
-		c = &connection{stateSince: time.Now()}
-		l.conns[conn] = c
-	}
-	return c
-}
-
-// withConnection adds the state of conn to the context of its requests.
-func (l *listener) withConnection(ctx context.Context, conn net.Conn) context.Context {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return context.WithValue(ctx, connectionKey{}, l.connection(conn))
-}
-
-// isClosedAsIdle reports whether the connection of r was closed as idle.
-func (l *listener) isClosedAsIdle(r *http.Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c, ok := r.Context().Value(connectionKey{}).(*connection)
-	return ok && c.closedAsIdle
+	switch state {
+	case http.StateNew:
+		l.conns[c] = struct{}{}
+	case http.StateActive:
+		c.beginRequest()
+	case http.StateIdle:
+		c.endRequest()
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
+	}
 }
 
-// closeIdle closes the connections that have no request in progress and have
-// been idle for minIdleTime, so that a new request on them is unlikely. It
-// reports whether all connections are closed.
+// closeIdle starts to close the connections that have been idle for minIdleTime, so
+// that a new request on them is unlikely. It reports whether all connections are
+// closed.
 func (l *listener) closeIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for conn, c := range l.conns {
-		if c.state == http.StateActive || time.Since(c.stateSince) < minIdleTime {
-			continue
-		}
-		c.closedAsIdle = true
-		_ = conn.Close()
-		delete(l.conns, conn)
+	for c := range l.conns {
+		c.closeAfter(minIdleTime)
 	}
 	return len(l.conns) == 0
 }
@@ -156,11 +115,13 @@
 
 // shutdown keeps serving for lag. Then it accepts no new connections, closes idle
 // ones and waits until the requests in progress have ended. When ctx ends, it
-// closes the remaining connections.
+// closes the remaining connections. The HTTP server is only told to shut down after
+// that, because it doesn't serve a request that it reads later.
 func (l *listener) shutdown(ctx context.Context, lag time.Duration) {
 	l.draining.Store(true)
 	sleep.For(ctx, lag)
 	_ = l.socket.Close()
+	<-l.done
 	for ctx.Err() == nil && !l.closeIdle() {
 		sleep.For(ctx, drainPollInterval)
 	}
@@ -168,7 +129,6 @@
 	if err != nil {
 		_ = l.server.Close()
 	}
-	<-l.done
 }
 
 // close stops the server and closes all connections.
