Tests: backend servers of the forward tests listen on addresses of their process

Seen once, while all packages ran at a load of 14: TestPlainRequestsThatCrashServersAreRefused/by_a_reset got 502 outcome_unclear in place of a refusal.

Cause: the test closes the listener of a server that "has ended", and another test process gets its port. The check whether a server has ended then finds a server, and requests of one process reach another: with 24 processes at once, 5 of 24 panicked in a responder whose own fixture did not exist yet.

Change: each process listens on a loopback address of its own.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -145,10 +146,17 @@
 	return parsed
 }
 
+// backendHost returns a loopback address that other test processes are unlikely to use:
+// they could otherwise listen on the port of a backend server that has ended.
+func backendHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
 // startBackend starts a backend server and returns its address. The servers
 // share the responders: each request that reaches any of them uses the next one.
 func (f *fixture) startBackend(id string, responders []responder) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", backendHost()+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
