Listener: a shutdown serves the connections that wait to be accepted

Callers saw a reset of a connection that was established, and on which they had sent a request, when an entry that was shutting down closed its listening socket.

Cause: the kernel resets what waits in the queue of a listening socket when that is closed. A request there can't have been read, so that this isn't a lost request, but it has no answer either, and the entry leaves no trace of it.

Change: at the end of the lag, the accept loop goes on until no connection has come for queueTimeout, for maxQueueDuration at most, and closes the socket then. An accept after its deadline doesn't look at the queue, so that a short deadline in the future is set for each. Listeners without deadlines are closed as before.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -2,29 +2,67 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
-// pastDeadline makes the reads of a connection fail at once.
+// queueTimeout is how long no connection must arrive for the queue of a listener to
+// count as empty.
+const queueTimeout = 100 * time.Millisecond
+
+// pastDeadline makes reads and accepts fail at once.
 var pastDeadline = time.Unix(1, 0)
 
+// deadlineListener is a listener whose Accept has a deadline, such as one of TCP.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(at time.Time) error
+}
+
 // connectionListener wraps the connections that it accepts.
 type connectionListener struct {
 	net.Listener
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After stop, it returns the connections that wait in
+// the queue, then net.ErrClosed.
 func (l connectionListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		conn, err = l.acceptQueued()
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &connection{Conn: conn, idleSince: time.Now()}, nil
 }
 
+// acceptQueued accepts a connection that waits in the queue. An accept after its deadline
+// doesn't look at the queue.
+func (l connectionListener) acceptQueued() (net.Conn, error) {
+	limited, ok := l.Listener.(deadlineListener)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	_ = limited.SetDeadline(time.Now().Add(queueTimeout))
+	conn, err := limited.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed
+	}
+	return conn, err
+}
+
+// stop makes Accept end as soon as the queue is empty. It reports whether it can.
+func (l connectionListener) stop() bool {
+	limited, ok := l.Listener.(deadlineListener)
+	return ok && limited.SetDeadline(pastDeadline) == nil
+}
+
 // connection is an accepted connection that can be closed while it is idle without
 // losing a request. It isn't closed from outside, because the HTTP server may have
 // read a request already. Instead, the read that waits for the next request fails,
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -22,12 +22,15 @@
 	// shutdown closes it.
 	minIdleTime       = time.Second
 	drainPollInterval = 50 * time.Millisecond
+	// maxQueueDuration bounds the time in which a graceful shutdown serves the
+	// connections that wait to be accepted.
+	maxQueueDuration = 500 * time.Millisecond
 )
 
 // listener is an HTTP server on one address.
 type listener struct {
 	server *http.Server
-	socket net.Listener
+	socket connectionListener
 	done   chan struct{}
 	// draining adds "Connection: close" to each response, so that callers open
 	// their next connection elsewhere.
@@ -44,7 +47,7 @@
 		return nil, errors.Newf("start listener: %w", err)
 	}
 	l := &listener{
-		socket: socket,
+		socket: connectionListener{socket},
 		done:   make(chan struct{}),
 		conns:  make(map[*connection]struct{}),
 	}
@@ -61,7 +64,7 @@
 
 func (l *listener) run() {
 	defer close(l.done)
-	_ = l.server.Serve(connectionListener{l.socket})
+	_ = l.server.Serve(l.socket)
 }
 
 // closeWhenDraining makes the responses of a draining listener close their
@@ -113,15 +116,14 @@
 	return l.socket.Addr().String()
 }
 
-// shutdown keeps serving for lag. Then it accepts no new connections, closes idle
-// ones and waits until the requests in progress have ended. When ctx ends, it
-// closes the remaining connections. The HTTP server is only told to shut down after
-// that, because it doesn't serve a request that it reads later.
+// shutdown keeps serving for lag. Then it accepts no connections beyond those that wait
+// in the queue, closes idle ones and waits until the requests in progress have ended.
+// When ctx ends, it closes the remaining connections. The HTTP server is only told to
+// shut down after that, because it doesn't serve a request that it reads later.
 func (l *listener) shutdown(ctx context.Context, lag time.Duration) {
 	l.draining.Store(true)
 	sleep.For(ctx, lag)
-	_ = l.socket.Close()
-	<-l.done
+	l.stopAccepting(ctx)
 	for ctx.Err() == nil && !l.closeIdle() {
 		sleep.For(ctx, drainPollInterval)
 	}
@@ -131,6 +133,23 @@
 	}
 }
 
+// stopAccepting serves the connections that are established and wait to be accepted,
+// which the close of the socket would reset, and closes the socket. When ctx ends or
+// connections keep arriving for maxQueueDuration, it closes the socket at once.
+func (l *listener) stopAccepting(ctx context.Context) {
+	if l.socket.stop() {
+		limit := time.NewTimer(maxQueueDuration)
+		defer limit.Stop()
+		select {
+		case <-l.done:
+		case <-limit.C:
+		case <-ctx.Done():
+		}
+	}
+	_ = l.socket.Close()
+	<-l.done
+}
+
 // close stops the server and closes all connections.
 func (l *listener) close() {
 	_ = l.server.Close()
