Listener: callers are accepted as soon as a descriptor is free

Callers of an entry with no free descriptors wait in its accept queue. net/http doubles its pause at each failed accept, up to a second, so that they went on waiting after descriptors were free, and gave the connection up.

Cause: the back-off is meant for errors that last; a full descriptor table changes with each request that ends.

Change: the listener itself tries again every 10 ms for EMFILE and ENFILE, and logs the first failure. Other temporary errors are still left to net/http.

Not changed: nothing bounds the connections of callers that an entry keeps, so that kept idle connections can use up the descriptors that requests need.

Before: --- FAIL: TestCallersAreAcceptedAsSoonAsADescriptorIsFree the caller was answered 575ms after a descriptor was free: <nil> After: it passes (at most 50 ms). ./internal/process passes three times with the race detector, make lint is clean.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -1,9 +1,11 @@
 package process
 
 import (
+	"log"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,9 +13,13 @@
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
-// queueTimeout is how long no connection must arrive for the queue of a listener to
-// count as empty.
-const queueTimeout = 100 * time.Millisecond
+const (
+	// queueTimeout is how long no connection must arrive for the queue of a listener
+	// to count as empty.
+	queueTimeout = 100 * time.Millisecond
+	// acceptRetryInterval is the pause between accepts while no descriptors are free.
+	acceptRetryInterval = 10 * time.Millisecond
+)
 
 // pastDeadline makes reads and accepts fail at once.
 var pastDeadline = time.Unix(1, 0)
@@ -30,11 +36,17 @@
 }
 
 // Accept implements net.Listener. After stop, it returns the connections that wait in
-// the queue, then net.ErrClosed.
+// the queue, then net.ErrClosed. While no descriptors are free, it tries again at short
+// intervals: the HTTP server would double its pause at each failure, and callers would
+// wait although descriptors are free again.
 func (l connectionListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		conn, err = l.acceptQueued()
+	conn, err := l.acceptNext()
+	if isExhausted(err) {
+		log.Printf("accept connection: %v; retrying every %s", err, acceptRetryInterval)
+	}
+	for isExhausted(err) {
+		time.Sleep(acceptRetryInterval)
+		conn, err = l.acceptNext()
 	}
 	if err != nil {
 		return nil, err
@@ -42,6 +54,20 @@
 	return &connection{Conn: conn, idleSince: time.Now()}, nil
 }
 
+// isExhausted reports whether an accept failed because no descriptors are free.
+func isExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// acceptNext waits for a connection, or only looks at the queue after stop.
+func (l connectionListener) acceptNext() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.acceptQueued()
+	}
+	return conn, err
+}
+
 // acceptQueued accepts a connection that waits in the queue. An accept after its deadline
 // doesn't look at the queue.
 func (l connectionListener) acceptQueued() (net.Conn, error) {
