Backend: later requests of an attempt go on new connections

What callers could see: not_run for a chat that an engine runs, or settlement with a state of the attempt that is out of date.

Cause: opening, resuming, querying and cancelling an attempt all have its id, and so have their responses. After a complete response the connection is reused, and a late copy of, say, the refusal to resume was taken for the response to the same attempt's next request there. If that one sends the chat to the same engine once more, the refusal was believed.

Ruled out: responses without an id or with another one are rejected on this path (Client.send). A call to a plain service ends with its first complete response, and an incomplete one closes its connection.

Before, TestAttemptIsNotRepeatedOnItsConnection:

stale_test.go:53: GET /v1/streams/one of attempt one follows another request of the attempt on its connection (likewise GET and DELETE /v1/attempts/one, POST /v1/chat/completions)

After: passes, with the race detector too, and so do the tests of internal/backend, internal/upstream, internal/caller, internal/process, internal/ledger and test.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -59,7 +59,7 @@
 func (c *Client) requestAttemptReport(ctx context.Context, method, address, attempt string) (AttemptReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptRequestTimeout)
 	defer cancel()
-	request := &upstream.Request{Method: method, Target: attemptsPath + url.PathEscape(attempt)}
+	request := &upstream.Request{Method: method, Target: attemptsPath + url.PathEscape(attempt), Again: true}
 	response, err := c.send(ctx, address, request, attempt)
 	if err != nil {
 		return AttemptReport{}, errors.Newf("%s attempt: %w", method, err)
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -38,6 +38,8 @@
 	Body []byte
 	// Once is set for a request that must not run twice.
 	Once bool
+	// Again is set if the engine may have received the attempt before.
+	Again bool
 }
 
 // Usage is an engine's token count of a response.
@@ -121,14 +123,14 @@
 	header := make(http.Header)
 	header.Set("Content-Type", "application/json")
 	header.Set(priorityHeader, chat.Priority)
-	request := &upstream.Request{Method: http.MethodPost, Target: chatPath, Header: header, Body: chat.Body, Once: chat.Once}
+	request := &upstream.Request{Method: http.MethodPost, Target: chatPath, Header: header, Body: chat.Body, Once: chat.Once, Again: chat.Again}
 	return c.stream(ctx, request, chat)
 }
 
 // Resume streams the response of a dispatched attempt again from its start. Errors
 // are those of Open.
 func (c *Client) Resume(ctx context.Context, chat Chat) (*Stream, error) {
-	return c.stream(ctx, &upstream.Request{Method: http.MethodGet, Target: streamsPath + chat.Attempt}, chat)
+	return c.stream(ctx, &upstream.Request{Method: http.MethodGet, Target: streamsPath + chat.Attempt, Again: true}, chat)
 }
 
 // stream sends request for the attempt of chat and returns the stream of its
