Caller: a refusal after an unclear dispatch at the same engine isn't not_run

What callers saw: not_run, with nothing billed, for a chat of which an engine had generated a part. The reservation was released, so the workspace could spend the same tokens again.

Cause: a repeatable chat whose dispatch broke off is sent again, to the same engine if there is no other. Only replaced dispatches at another engine were remembered; a refusal of the second dispatch by the same engine counted as if nothing had been dispatched before.

Ruled out: a late copy is not needed; the engine's own refusal does it. Service calls decide by the first dispatch. With two engines, TestRefusalAfterAnUnclearDispatchIsNotCalledNotRun passed before too.

Fix: the relay remembers that it dispatched the request again after an unclear outcome. A refusal then ends the request with outcome_unknown, and the engine's count is billed.

Before, TestRefusalAfterAnUnclearDispatchAtTheOnlyEngine:

answer_test.go:262: got response {status:503 [...] "code":"no_capacity","not_run":true}} [...]}, want one without not_run answer_test.go:265: billed 0, want the 6 tokens or more that the engine generated

After: passes, and so do the tests of internal/caller, internal/process and test.

--- a/internal/caller/chat_relay.go
+++ b/internal/caller/chat_relay.go
@@ -40,6 +40,9 @@
 	// unresolved holds the dispatches whose outcome is unknown and that were
 	// replaced by a dispatch to another backend server.
 	unresolved []backend.Chat
+	// unclear is set once the request was dispatched again after a dispatch that may have
+	// run it, so that a refusal of the latest one doesn't mean that it has not run.
+	unclear bool
 	// dispatchedAt is when the request was last dispatched; resuming a stream does
 	// not change it.
 	dispatchedAt time.Time
@@ -66,7 +69,7 @@
 	for r.failOver(ctx, err) {
 		err = r.receive(spanCtx)
 	}
-	if isRefused(err) && len(r.unresolved) == 0 {
+	if isRefused(err) && !r.unclear {
 		return r.attempt.refuse(ctx, err)
 	}
 	r.finish(ctx, err)
@@ -172,6 +175,7 @@
 	if lease.Name != r.attempt.lease.Name {
 		r.cancelInBackground(ctx)
 	}
+	r.unclear = true
 	r.moveTo(lease)
 	r.sink.reset()
 	return true
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -250,6 +250,23 @@
 	})
 }
 
+// TestRefusalAfterAnUnclearDispatchAtTheOnlyEngine guards against a false not_run where
+// the engine that crashed is the one that refuses the retry.
+func TestRefusalAfterAnUnclearDispatchAtTheOnlyEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100_000, "a")
+		defer s.close()
+		s.engines["a"].Inject(fake.Crash{After: 5}, fake.Refuse{Status: http.StatusServiceUnavailable})
+		got := s.chat("a", "", 16)
+		if strings.Contains(got.body, `"not_run":true`) {
+			t.Errorf("got response %+v, want one without not_run", got)
+		}
+		if billed := s.billed(); billed < 6 {
+			t.Errorf("billed %d, want the 6 tokens or more that the engine generated", billed)
+		}
+	})
+}
+
 // TestAnswerComesDespiteSilentConnections guards against requests that wait on
 // keep-alive connections whose packets are dropped without a reset: at most 5 retries
 // may be refused with ledger_unreachable before the entry uses new connections.
