Forward: a request that a successor's server had is no longer refused as not run

What callers saw: 503, which says not run, for a repeatable request that a server had; and the prompt of such a request was not billed.

Cause: while the first server is silent, a successor may get the request before it takes over. If the request ended then, by its deadline or by the end of a shutdown, the attempt at the successor was dropped without a record; when the first attempt had never been sent (a connection that is not established), the request counted as one that no server had. The interruption of requests at the end of a shutdown makes the case likelier, but it is older: it also happened at the deadline.

Ruled out: requests that may run once; they have no successor.

Evidence, before: at_the_end_of_a_drain: status 503, body "interrupted_by_shutdown\n" after 1 requests that servers received, want 502 after 1 at_the_deadline: status 503, body "not_sent\n" after 1 requests that servers received, want 502 after 1 After: both pass, five times in a row; the package passes with the race detector; ./test and ./platform/... pass.

Change: the search for a successor records that a server had the request when its attempt was ended, and the request takes that over. One that a successor has taken over counts as a request that may have run. The number of attempts is counted as before.

--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -56,11 +56,13 @@
 	// failed holds the servers that may have run the request and failed, and avoided
 	// those that did not take it. They may be read once done is closed, like the
 	// result of the attempt and the obstacle that kept others from taking over.
-	failed   []string
-	avoided  []string
-	response *upstream.Response
-	err      error
-	obstacle denial
+	// mayHaveRun is set if a server had the request when its attempt was ended.
+	failed     []string
+	avoided    []string
+	mayHaveRun bool
+	response   *upstream.Response
+	err        error
+	obstacle   denial
 }
 
 // seekSuccessor starts the search after delay, until ctx ends. started counts the
@@ -196,6 +198,7 @@
 	s.obstacle = deniedByServers
 	switch {
 	case s.ctx.Err() != nil:
+		s.mayHaveRun = s.mayHaveRun || !upstream.IsNotSent(err) && !info.NotRun
 		abandonResponse(response)
 		placement.Done(place.Abandoned{}, time.Now())
 	case err != nil:
@@ -255,6 +258,7 @@
 		<-s.done
 	}
 	s.task.countFailed(s.failed)
+	s.task.mayHaveRun = s.task.mayHaveRun || s.mayHaveRun
 	return false
 }
 
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -281,6 +281,7 @@
 		return response, err
 	}
 	t.next = s
+	t.mayHaveRun = true
 	abandonResponse(response)
 	if err == nil {
 		err = errSuperseded
