Callers: the answer to a call with an unknown outcome does not wait for the ledger

What callers saw: listed site, a call to a plain service that the end of a shutdown interrupted while its ledger did not respond: the connection was closed without an answer.

Cause: the answer outcome_unknown was written only after the settlement, which may take a second. The connections of a shutdown are closed 0.2 s after the interruption; this time is meant for answers, and the settlement used it up. Chats have always answered first.

Evidence: TestInterruptedCallIsAnsweredWithoutItsLedger, before: /services/records/door/7: got {status:0 header:map[] body: err:...}, want a response with code outcome_unknown /services/orders/new: got {status:0 header:map[] body: err:...}, want a response with code outcome_unknown After: passes 20 times with the race detector; ./test and ./internal/caller pass.

Change: the answer is written and flushed first, then the call is settled. The settlement doesn't decide the answer, because its result was ignored here, and the whole reservation is billed as before.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -152,13 +152,15 @@
 }
 
 // finish settles the attempt and responds to the caller. A call with an unknown
-// outcome is billed with the whole reservation.
+// outcome is billed with the whole reservation; its answer does not wait for the ledger,
+// because the connection may soon be closed by the end of a shutdown.
 func (c *call) finish(ctx context.Context, result backend.Response, err error) {
 	if err != nil {
 		c.attempt.lease.Result.Failed = ctx.Err() == nil
 		c.attempt.log().Warn("call failed, its outcome is unknown", "server", c.attempt.lease.Name, "err", err.Error())
-		_ = c.attempt.settle(ctx, c.attempt.tokens, ledger.Response{})
 		unknownOutcome().write(c.w)
+		_ = http.NewResponseController(c.w).Flush()
+		_ = c.attempt.settle(ctx, c.attempt.tokens, ledger.Response{})
 		return
 	}
 	response := ledger.Response{Status: result.Status, ContentType: result.ContentType, Body: result.Body}
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -338,3 +338,28 @@
 		}
 	})
 }
+
+// TestInterruptedCallIsAnsweredWithoutItsLedger guards against a call that a shutdown
+// interrupts and whose answer waits for a ledger until the connection is closed.
+func TestInterruptedCallIsAnsweredWithoutItsLedger(t *testing.T) {
+	for _, path := range []string{"/services/orders/new", "/services/records/door/7"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 100_000, "a")
+			defer time.Sleep(callTimeout)
+			defer s.close()
+			s.services["a"].Inject(fake.Hang{})
+			answered := make(chan callResponse, 1)
+			go func() { answered <- s.send("a", path, "", "door 7") }()
+			time.Sleep(100 * time.Millisecond)
+			s.network.Cut("entry-a", "control-a")
+			defer s.network.Heal("entry-a", "control-a")
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			s.entries["a"].Shutdown(ctx)
+			got := <-answered
+			if got.err != nil || got.code() != "outcome_unknown" || got.notRun() {
+				t.Errorf("%s: got %+v, want a response with code outcome_unknown", path, got)
+			}
+		})
+	}
+}
