--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -57,12 +57,14 @@
 	// those that did not take it, until all others were tried too. declined holds those
 	// that received and declined it. They may be read once done is closed, like the
 	// result of the attempt and the obstacle that kept others from taking over.
-	failed   []string
-	avoided  []string
-	declined []string
-	response *upstream.Response
-	err      error
-	obstacle denial
+	// mayHaveRun is set if a server had the request when its attempt was ended.
+	failed     []string
+	avoided    []string
+	declined   []string
+	mayHaveRun bool
+	response   *upstream.Response
+	err        error
+	obstacle   denial
 }
 
 // seekSuccessor starts the search after delay, until ctx ends. started counts the
@@ -201,6 +203,7 @@
 	s.obstacle = deniedByServers
 	switch {
 	case s.ctx.Err() != nil:
+		s.mayHaveRun = s.mayHaveRun || !upstream.IsNotSent(err) && !info.NotRun
 		abandonResponse(response)
 		placement.Done(place.Abandoned{}, time.Now())
 	case err != nil:
@@ -270,7 +273,7 @@
 	t.tried = append(t.tried, s.failed...)
 	t.declinedBy = append(t.declinedBy, s.declined...)
 	t.startedAttempts += len(s.failed)
-	t.mayHaveRun = t.mayHaveRun || len(s.failed) > 0
+	t.mayHaveRun = t.mayHaveRun || s.mayHaveRun || len(s.failed) > 0
 }
 
 // wait returns the result of the attempt at the server that has taken over.
