Forward: a stream whose last data has no id is not resumed

Callers of a resumable route got the events of a stream twice.

Cause: after a stream broke off, the next server was asked to go on after the last event id. Where the events have no ids, or the last of them have none, that server sends again what the caller already has.

Such a stream gets no further attempt and seeks no successor; the log names "no_event_id". A stream of which nothing but comments was forwarded starts again from its beginning.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -118,3 +118,33 @@
 		t.Errorf("body %q, complete %v; want the whole stream", body, complete)
 	}
 }
+
+// TestDataWithoutIDIsNotSentTwice guards against data that comes twice because it has no
+// id, after which another server could go on.
+func TestDataWithoutIDIsNotSentTwice(t *testing.T) {
+	for name, c := range map[string]struct{ first, rest, want string }{
+		"no ids":             {"data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", ""},
+		"none in the end":    {eventText(1, 1) + "data: b\n\n", "id: 2\ndata: b\n\n", ""},
+		"comment in the end": {eventText(1, 1) + ": comment\n\n", eventText(2, 3), eventText(2, 3)},
+		"only a comment":     {": comment\n\n", eventText(1, 3), eventText(1, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, resumableRoute, sendRaw(streamHead+chunkedHead+chunk(c.first)), sendRaw(streamHead+chunkedHead+chunk(c.rest)+finalChunk))
+			_, body, complete, _ := f.send("/a/x", "secret")
+			if body != c.first+c.want || complete != (c.want != "") {
+				t.Errorf("body %q, complete %v; want %q", body, complete, c.first+c.want)
+			}
+		})
+	}
+}
+
+// TestOtherBodyIsNotSentTwice guards against a body of a stream's route that comes twice,
+// because it is no event stream and has no ids.
+func TestOtherBodyIsNotSentTwice(t *testing.T) {
+	line := strings.Replace(streamHead, "text/event-stream", "application/json", 1) + chunkedHead + chunk("{}\n\n")
+	f := newFixture(t, resumableRoute, sendRaw(line), sendRaw(line+finalChunk))
+	_, body, complete, _ := f.send("/a/x", "secret")
+	if body != "{}\n\n" || complete {
+		t.Errorf("body %q, complete %v; want one line of a cut response", body, complete)
+	}
+}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -354,7 +354,8 @@
 		s.searched = 0
 		event := s.pending[end : end+length]
 		id := t.server.Translator.EventID(event)
-		if !s.accepts(event, id) {
+		fields := fieldsOf(event)
+		if !s.accepts(fields, id) {
 			s.malformed = true
 			return end
 		}
@@ -362,6 +363,8 @@
 			t.lastEventID = id
 			s.awaitsID = false
 		}
+		isData := fields.data || t.format.mediaType != eventStreamType
+		t.lastDataLacksID = id == "" && (isData || t.lastDataLacksID)
 		t.events++
 		s.events++
 		end += length
@@ -371,11 +374,10 @@
 // accepts reports whether an event may follow those that the caller has. The first one
 // is the server's own business. The data of a resumed stream goes on with an event that has
 // an id, like the one after which it was resumed.
-func (s *eventStream) accepts(event []byte, id string) bool {
+func (s *eventStream) accepts(fields eventFields, id string) bool {
 	if s.task.events == 0 || s.task.format.mediaType != eventStreamType {
 		return true
 	}
-	fields := fieldsOf(event)
 	return !fields.malformed && (!s.awaitsID || id != "" || !fields.data)
 }
 
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -41,6 +41,7 @@
 	deniedByRetryBudget denial = "retry_budget"
 	deniedByQuarantine  denial = "quarantined"
 	deniedByServers     denial = "no_other_server"
+	deniedByEventID     denial = "no_event_id"
 )
 
 // task holds the state of one request.
@@ -102,7 +103,10 @@
 	// responseBytes is the size of the response body sent to the caller.
 	responseBytes int64
 	// lastEventID is the id of the last forwarded event.
-	lastEventID     string
+	lastEventID string
+	// lastDataLacksID is set if data was forwarded after the event of lastEventID, or
+	// without any id. No server can go on right after it.
+	lastDataLacksID bool
 	status          int
 	timeToFirstByte time.Duration
 }
@@ -401,10 +405,10 @@
 	return nil, true
 }
 
-// allowsAttemptAfter reports whether the route allows another attempt after
+// allowsAttemptAfter reports whether the route and the stream allow another attempt after
 // startedAttempts attempts that a server may have started to run.
 func (t *task) allowsAttemptAfter(startedAttempts int) bool {
-	return t.route.retriable() && startedAttempts < t.route.maxAttempts()
+	return t.route.retriable() && !t.lastDataLacksID && startedAttempts < t.route.maxAttempts()
 }
 
 // spendRetry reports whether the route and the retry budget allow another attempt
@@ -414,6 +418,10 @@
 		t.notRepeated = deniedByRoute
 		return false
 	}
+	if t.lastDataLacksID {
+		t.notRepeated = deniedByEventID
+		return false
+	}
 	if t.isQuarantined() {
 		t.notRepeated = deniedByQuarantine
 		return false
