Forward: a cut stream looks cut to HTTP/1.0 callers

Callers that speak HTTP/1.0 got a broken stream that looked complete.

Cause: a stream is cut by closing the caller's connection without the final chunk. Before HTTP/1.1 there are no chunks, and a closed connection is the proper end of a body without a length.

Before: TestCutStreamLooksCutToAnOldCaller: response "HTTP/1.0 200 OK... id: 1\ndata: x\n\nid: 2\ndata: x\n\n" ended with a closed connection, want a reset one. After: passes (20 of 20 runs), and TestOldCallerGetsTheWholeStream, which passed before, still does.

The connection of such a caller is now reset when its response is aborted. Not covered: connections that the process itself closes, at the end of a shutdown or by crashing.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -140,7 +140,7 @@
 		return
 	}
 	if t.responseStarted || refused.status == 0 {
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r)
 	}
 	refused.write(w)
 }
