--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -159,7 +159,13 @@
 		http.Error(w, "the attempt was cancelled", http.StatusGone)
 		return
 	}
-	e.streamResponse(w, r, g, e.nextFault())
+	fault := e.nextFault()
+	refuse, refused := fault.(Refuse)
+	if refused {
+		http.Error(w, "overloaded", refuse.Status)
+		return
+	}
+	e.streamResponse(w, r, g, fault)
 }
 
 func (e *Engine) serveAttempt(w http.ResponseWriter, r *http.Request) {
--- a/test/answer_test.go
+++ b/test/answer_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// TestRefusedResumptionLeavesNoTextInTheStream guards against the text of an engine's error
+// in the middle of a stream, and against a stream that looks complete after it.
+func TestRefusedResumptionLeavesNoTextInTheStream(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusNotFound, http.StatusPartialContent} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 100_000, "a")
+			defer s.close()
+			s.engines["a"].KeepsRunning = true
+			refuse := fake.Refuse{Status: status}
+			s.engines["a"].Inject(fake.Crash{After: 5}, refuse, refuse, refuse, refuse, refuse, refuse)
+			got := s.stream("a", "")
+			if strings.Contains(got.body, "overloaded") || strings.Contains(got.body, "[DONE]") || strings.Count(got.body, "content") != 5 || !strings.Contains(got.body, "event: error") {
+				t.Errorf("status %d: got response %+v, want five tokens and an error event of the entry's own", status, got)
+			}
+		})
+	}
+}
+
 // TestUnstreamedAnswerRestartsElsewhere guards against a failed or doubly billed
 // request when the engine crashes while it generates a response that isn't
 // streamed: the entry must send the request to another engine.
