Drain: no request is taken after the end of a shutdown

What callers saw: with a shutdown limit of about three seconds or less, requests that arrived after the end were taken, interrupted at once, and answered 502 if they had reached a server by then.

Cause: a request was refused only after the moment by which the shutdown could be noticed, 2.5 s after its begin, also when the end came first.

Evidence, before: TestPlanRefusesRequestsAfterItsEnd: "after 1.5s: refused false, want true". After: it passes, as do ./internal/drain, forward, process and cmd. ./test and ./platform/... were not run on this commit.

Ruled out: the deployments with a limit of 8 s; there the end is the later one. The 502 was found by reading the code.

Change: the plan of a shutdown refuses every request once it has ended.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -28,9 +28,12 @@
 
 // Refuses reports whether a request that is complete at now and has the given deadline
 // must be refused because the end of the shutdown may interrupt it. Before NoticedBy no
-// request is refused, because most end much sooner than at their deadline. A nil Plan
-// refuses none.
+// request is refused, because most end much sooner than at their deadline; after the end
+// every one would be interrupted at once. A nil Plan refuses none.
 func (p *Plan) Refuses(now, deadline time.Time) bool {
+	if p.HasEnded(now) {
+		return true
+	}
 	return p != nil && !p.End.IsZero() && now.After(p.NoticedBy) && deadline.After(p.End)
 }
 
