Forward: a stream without an event is answered when it ends

What callers saw: a server had sent the header of a stream but no event; when the stream broke off, timed out or was interrupted by a shutdown, the caller's connection was closed without a byte.

Cause: the response counted as begun with the server's header, though nothing goes out before the first event is flushed.

Change: the first event starts the response to the caller. Without one, the caller gets 502, 504 or the answer of another server, and the header that goes out is that of the server whose events follow.

Two tests demanded a closed connection for streams that break off before an event; they now demand the exact answer, 502 stream_broken.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -133,7 +133,6 @@
 func (t *task) startResponse(response *upstream.Response) {
 	t.responseStarted = true
 	t.status = response.Status
-	t.format = formatOf(response.Header)
 	t.timeToFirstByte = time.Since(t.start)
 	StripHopByHopHeaders(response.Header)
 	header := t.w.Header()
@@ -146,14 +145,10 @@
 	}
 }
 
-// deliverStream forwards complete events as they arrive. A resumed stream
-// continues the response that an earlier attempt started.
+// deliverStream forwards complete events as they arrive. The first one starts the response
+// to the caller; a resumed stream continues the response that an earlier attempt started.
 func (t *task) deliverStream(ctx context.Context, placement *place.Placement, response *upstream.Response) (refused *refusal, shouldRetry bool) {
-	if !t.responseStarted {
-		t.startResponse(response)
-		t.w.Header().Del("Content-Length")
-		t.w.WriteHeader(response.Status)
-	}
+	t.format = formatOf(response.Header)
 	s := &eventStream{task: t, ctx: ctx, placement: placement, response: response, controller: http.NewResponseController(t.w), awaitsID: t.lastEventID != ""}
 	if t.allowsAttemptAfter(t.startedAttempts) {
 		response.WatchSilence(streamIdleTimeout, s.seekSuccessor)
@@ -165,6 +160,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
+		t.startStream(response)
 		t.responseComplete = true
 		response.Finish()
 		placement.Done(place.Served{}, now)
@@ -183,11 +179,22 @@
 	if !s.progressed {
 		t.recordCrash(placement, err)
 	}
-	refused, shouldRetry = t.retryOr(ctx, &refusal{reason: reasonBrokenStream})
+	refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBrokenStream))
 	t.reportFailedAttempt(placement, "broken_stream", err.Error(), shouldRetry)
 	return refused, shouldRetry
 }
 
+// startStream starts the response to the caller with the header of a stream, unless it has
+// started.
+func (t *task) startStream(response *upstream.Response) {
+	if t.responseStarted {
+		return
+	}
+	t.startResponse(response)
+	t.w.Header().Del("Content-Length")
+	t.w.WriteHeader(response.Status)
+}
+
 // errCallerWrite reports that a write to the caller failed.
 var errCallerWrite = errors.New("write response to caller failed")
 
@@ -328,6 +335,7 @@
 	if s.events >= eventsOfProgress {
 		s.recordProgress()
 	}
+	s.task.startStream(s.response)
 	s.task.responseBytes += int64(end)
 	_, err := s.task.w.Write(s.pending[:end])
 	if err == nil {
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -70,6 +70,10 @@
 // TestEndOfDrainAnswersRequestsWithoutResponse guards against requests that are cut without
 // an answer at the end of a drain, and against a stream that it cuts and that looks complete.
 func TestEndOfDrainAnswersRequestsWithoutResponse(t *testing.T) {
+	stalledHeader := func(conn net.Conn, request *http.Request) {
+		streamEvents(1, 0, "", true)(&unfinishedConn{Conn: conn}, request)
+		hang(conn, request)
+	}
 	stalledStream := func(conn net.Conn, request *http.Request) {
 		streamEvents(1, 2, "", true)(&unfinishedConn{Conn: conn}, request)
 		hang(conn, request)
@@ -84,6 +88,7 @@
 	}{
 		{"once", onceRoute, hang, 502, "interrupted_by_shutdown\n", true},
 		{"idempotent", idempotentRoute, hang, 502, "interrupted_by_shutdown\n", true},
+		{"stream without an event", streamRoute, stalledHeader, 502, "interrupted_by_shutdown\n", true},
 		{"stream that has begun", streamRoute, stalledStream, 200, eventText(1, 2), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -26,18 +26,27 @@
 // TestStreamWithoutEndIsBrokenOff guards against a server whose event, or whose stream,
 // does not end, and against the memory that it takes.
 func TestStreamWithoutEndIsBrokenOff(t *testing.T) {
-	for name, filler := range map[string]string{"one event": "x", "lines of one event": "data: x\n", "events": "id: 1\ndata: x\n\n"} {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, streamRoute, sendWithoutEnd(filler))
+	for _, c := range []struct {
+		name, filler string
+		// status is that of a complete refusal, or of the stream that is cut.
+		status   int
+		complete bool
+	}{
+		{"one event", "x", 502, true},
+		{"lines of one event", "data: x\n", 502, true},
+		{"events", "id: 1\ndata: x\n\n", 200, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, streamRoute, sendWithoutEnd(c.filler))
 			f.server.Translator = segmentTranslator{}
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			start := time.Now()
-			_, _, complete, _ := f.send("/a/x", "secret")
+			status, _, complete, _ := f.send("/a/x", "secret")
 			took := time.Since(start)
 			runtime.ReadMemStats(&after)
-			if complete || took > time.Second {
-				t.Errorf("complete %v after %s, want a broken response before the timeout", complete, took)
+			if status != c.status || complete != c.complete || took > time.Second {
+				t.Errorf("status %d, complete %v after %s, want %d and %v before the timeout", status, complete, took, c.status, c.complete)
 			}
 			if taken := after.TotalAlloc - before.TotalAlloc; taken > 64<<20 {
 				t.Errorf("%d bytes were allocated", taken)
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -105,9 +105,9 @@
 // connection being passed on as a complete stream without events.
 func TestStreamWithoutFramingIsBrokenBeforeItsFirstEvent(t *testing.T) {
 	f := newFixture(t, streamRoute, closeUnframed(""))
-	_, body, complete, _ := f.send("/a/x", "secret")
-	if body != "" || complete {
-		t.Errorf("body %q, complete %v; want a broken response", body, complete)
+	status, body, complete, _ := f.send("/a/x", "secret")
+	if status != http.StatusBadGateway || body != "stream_broken\n" || !complete {
+		t.Errorf("status %d, body %q, complete %v; want 502 stream_broken", status, body, complete)
 	}
 	f = newFixture(t, streamRoute, closeUnframed(eventText(1, 2)))
 	_, body, complete, _ = f.send("/a/x", "secret")
