Drain: the time to notice a shutdown follows its limit

An entry of a site with slow load balancers and a long limit (lag 20 s, limit 30 s) refused long requests from 2.5 s on, although callers could not have noticed yet and most of the limit was left. Cause: the time was a constant that fits one kind of load balancer.

Now at most three tenths of the limit, and never more than the lag, are given to noticing: 2.4 s of 8 s, 9 s of 30 s.

--- a/internal/process/shutdown.go
+++ b/internal/process/shutdown.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// noticeDuration is the time in which load balancers notice that an instance is not
-	// ready: two checks, one second apart, and a connection opened just before.
-	noticeDuration = 2500 * time.Millisecond
+	// noticeShare is the part of the shutdown limit, at most, that is given to load
+	// balancers which have not noticed yet. The rest belongs to the requests.
+	noticeShare = 0.3
 	// interruptMargin is the time before the shutdown limit at which requests in progress
 	// are interrupted, so that those without a response still get one.
 	interruptMargin = 600 * time.Millisecond
@@ -44,9 +44,12 @@
 // newPlan returns the plan of a shutdown that starts now, accepts connections for lag and
 // must be over at the deadline of ctx, if there is one.
 func newPlan(ctx context.Context, lag time.Duration, now time.Time) drain.Plan {
-	plan := drain.Plan{Start: now, NoticedBy: now.Add(min(lag, noticeDuration))}
+	plan := drain.Plan{Start: now, NoticedBy: now.Add(lag)}
 	deadline, limited := ctx.Deadline()
 	if limited {
+		limit := deadline.Sub(now)
+		notice := time.Duration(float64(limit) * noticeShare)
+		plan.NoticedBy = now.Add(min(lag, notice))
 		plan.End = deadline.Add(-interruptMargin)
 	}
 	return plan
