Forward: a caller that resumes a stream gets nothing but a stream

What callers saw: a server answered a resumed stream with 200 and a text. The entry passed it on, and the caller put it behind the events that it had.

Cause: the check of what may follow looked only at what this entry had sent the caller itself, not at the attempt that the caller resumes.

Change: one check, canFollow, for both; such a response is a failed attempt, also for the search for a successor.

Evidence: TestCallerThatResumesGetsOnlyAStream got status 200 and the text.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// TestCallerThatResumesGetsOnlyAStream guards against a text that a caller appends to the
+// events which it has from an earlier attempt.
+func TestCallerThatResumesGetsOnlyAStream(t *testing.T) {
+	f := newFixture(t, resumableRoute, respond(200, signatureHeader+"Content-Type: text/plain\r\n", errorText+"\n\n"), streamEvents(3, 5, "", true))
+	origins := &streamOrigins{}
+	origins.Began("a0", "pool\n")
+	f.server.Streams = origins
+	status, body, complete, _ := f.sendWith("/a/x", "secret", http.Header{"Last": {"2"}, "Continues": {"a0"}})
+	if status != http.StatusOK || body != eventText(3, 5) || !complete {
+		t.Errorf("status %d, body %q, complete %v; want the rest of the stream from another server", status, body, complete)
+	}
+}
+
 // TestHeadWithinAStreamIsNoEvent guards against a second response within the body of a
 // stream that only the end of the connection ends.
 func TestHeadWithinAStreamIsNoEvent(t *testing.T) {
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -43,7 +43,7 @@
 		t.reportFailedAttempt(placement, "not_genuine", "the response has no server signature", shouldRetry)
 		return refused, shouldRetry
 	}
-	if t.responseStarted && !t.continuesResponse(response) {
+	if !t.canFollow(response) {
 		return t.rejectContinuation(ctx, placement, response)
 	}
 	if failed && ctx.Err() == nil && t.spendRetry() {
@@ -58,17 +58,23 @@
 	return t.deliverWhole(ctx, placement, response, failed)
 }
 
-// continuesResponse reports whether the body of a response can follow what the caller has
-// received: it is the rest of a stream in the same format.
-func (t *task) continuesResponse(response *upstream.Response) bool {
-	return response.Status == http.StatusOK && formatOf(response.Header) == t.format
+// canFollow reports whether a response can follow what the caller has received, now or from
+// the attempt that it resumes: the body must be the rest of a stream, in the same format if
+// that is known.
+func (t *task) canFollow(response *upstream.Response) bool {
+	format := formatOf(response.Header)
+	if t.responseStarted {
+		return response.Status == http.StatusOK && format == t.format
+	}
+	resumes := t.route.Repetition == config.RepeatStream && t.request.LastEventID != ""
+	return !resumes || response.Status != http.StatusOK || format.mediaType == eventStreamType
 }
 
 // rejectContinuation ends an attempt whose response can't continue that of the caller.
 func (t *task) rejectContinuation(ctx context.Context, placement *place.Placement, response *upstream.Response) (refused *refusal, shouldRetry bool) {
 	t.discardResponse(response)
 	placement.Done(place.Failed{}, time.Now())
-	refused, shouldRetry = t.retryOr(ctx, &refusal{reason: reasonBrokenStream})
+	refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBrokenStream))
 	t.reportFailedAttempt(placement, "no_continuation", "the response is no rest of the stream: "+strconv.Itoa(response.Status), shouldRetry)
 	return refused, shouldRetry
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -214,6 +215,12 @@
 // send sends one request with the given key. It returns the status, the body,
 // whether the body is complete, and the header.
 func (f *fixture) send(path, key string) (status int, body string, complete bool, header http.Header) {
+	f.t.Helper()
+	return f.sendWith(path, key, nil)
+}
+
+// sendWith is send with further headers.
+func (f *fixture) sendWith(path, key string, further http.Header) (status int, body string, complete bool, header http.Header) {
 	f.t.Helper()
 	request, err := http.NewRequest(http.MethodPost, f.entry.URL+path, strings.NewReader("work"))
 	if err != nil {
@@ -222,6 +229,7 @@
 	request.Host = "one.example"
 	request.Header.Set("Id", "a1")
 	request.Header.Set("Key", key)
+	maps.Copy(request.Header, further)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return 0, "", false, nil
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -166,10 +166,7 @@
 	if info.NotRun || info.OtherServer || !info.Genuine {
 		return false
 	}
-	if s.task.responseStarted {
-		return s.task.continuesResponse(response)
-	}
-	return response.Status < http.StatusInternalServerError
+	return response.Status < http.StatusInternalServerError && s.task.canFollow(response)
 }
 
 // takeOver makes the server that the request was sent to the successor, unless the
