Listener: accepted connections can be reset

Joining two parts undid one: streams that are cut for HTTP/1.0 callers reset their connection, but the connections that the listener wraps could not be, so that they were closed and the stream looked complete.

TestAcceptedConnectionCanBeReset failed with "the connection can't be reset". The wrapper passes SetLinger on, as it does CloseWrite.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -173,6 +173,16 @@
 	return halfCloser.CloseWrite()
 }
 
+// SetLinger makes the close reset the connection if seconds is 0, as that of a TCP
+// connection does. It does nothing for other connections.
+func (c *connection) SetLinger(seconds int) error {
+	lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	return lingerer.SetLinger(seconds)
+}
+
 // beginRequest records that the HTTP server has read the header of a request.
 func (c *connection) beginRequest() {
 	c.mu.Lock()
--- a/internal/process/idle_test.go
+++ b/internal/process/idle_test.go
@@ -11,9 +11,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
@@ -369,30 +372,57 @@
 	t.Error("new connections are still accepted")
 }
 
-// TestAcceptedConnectionCanBeHalfClosed guards against a response that is lost because
-// its connection is reset: the HTTP server half-closes a connection whose request it
-// hasn't read to the end.
-func TestAcceptedConnectionCanBeHalfClosed(t *testing.T) {
+// acceptOne returns both ends of a connection that a connectionListener has accepted.
+func acceptOne(t *testing.T) (caller, accepted net.Conn) {
+	t.Helper()
 	socket, err := transport.TCP{}.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = socket.Close() })
-	caller, err := net.Dial("tcp", socket.Addr().String())
+	caller, err = net.Dial("tcp", socket.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = caller.Close() })
-	accepted, err := connectionListener{socket}.Accept()
+	accepted, err = connectionListener{socket}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = accepted.Close() })
+	return caller, accepted
+}
+
+// TestAcceptedConnectionCanBeReset guards against a cut stream that looks complete to a
+// caller to which only a reset tells the difference.
+func TestAcceptedConnectionCanBeReset(t *testing.T) {
+	caller, accepted := acceptOne(t)
+	lingerer, ok := accepted.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		t.Fatal("the connection can't be reset")
+	}
+	err := lingerer.SetLinger(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = caller.Read(make([]byte, 1))
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the caller sees %v in place of a reset", err)
+	}
+}
+
+// TestAcceptedConnectionCanBeHalfClosed guards against a response that is lost because
+// its connection is reset: the HTTP server half-closes a connection whose request it
+// hasn't read to the end.
+func TestAcceptedConnectionCanBeHalfClosed(t *testing.T) {
+	caller, accepted := acceptOne(t)
 	halfCloser, ok := accepted.(interface{ CloseWrite() error })
 	if !ok {
 		t.Fatal("the HTTP server can't half-close the connection")
 	}
-	err = halfCloser.CloseWrite()
+	err := halfCloser.CloseWrite()
 	if err != nil {
 		t.Fatal(err)
 	}
