Forward: an event that is held back at a take-over comes once

What callers saw: an event twice in one stream, when a successor took over from a server that had fallen silent within a chunk.

Cause: complete events are held back while more bytes are buffered. If the next read ended only because the successor had taken over, it brought no bytes, and only a read with bytes looked for a successor. The events were written, and the successor, asked to go on after an earlier one, sent them again.

Evidence: TestEventHeldBackAtTheTakeOverComesOnce got ids 1, 2, 2, 3, 4. Now each read looks for a successor, and what is held back then is left to it.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -253,8 +253,8 @@
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := s.response.Read(buffer)
+		s.endSilence()
 		if n > 0 {
-			s.endSilence()
 			s.task.lastReceived = time.Now()
 			s.placement.RecordAnswer(s.task.lastReceived)
 		}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -330,6 +330,47 @@
 	}
 }
 
+// serveHalfAChunk answers one request with an event, then with another one that is followed
+// by the begin of a chunk, and then is silent.
+func serveHalfAChunk(listener net.Listener) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%s", request.Header.Get("Id"), chunk(eventText(1, 1)))
+	time.Sleep(300 * time.Millisecond)
+	_, _ = io.WriteString(conn, chunk(eventText(2, 2))+"1")
+	time.Sleep(5 * time.Second)
+}
+
+// TestEventHeldBackAtTheTakeOverComesOnce guards against an event that the entry has read but
+// not forwarded when a successor takes over, and that the successor sends again.
+func TestEventHeldBackAtTheTakeOverComesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := retry.Limits{Ratio: 10, Slack: 100, Window: time.Second}
+		network, entry, stop := startPausingSite(t, limits, []pausingServer{{}, {}})
+		defer stop()
+		silent := instances.Instance{ID: "silent", Upstream: "pool", Address: "10.0.0.50:80", Slots: 8, FailureDomain: "a"}
+		sound := instances.Instance{ID: "s1", Upstream: "pool", Address: "10.0.0.2:80", Slots: 8, FailureDomain: "b"}
+		entry.Fleet.Update([]instances.Instance{silent}, time.Now())
+		listener, err := network.Host("silent").Listen(silent.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		go serveHalfAChunk(listener)
+		time.AfterFunc(700*time.Millisecond, func() {
+			entry.Fleet.Update([]instances.Instance{silent, sound}, time.Now())
+		})
+		expectWholeStream(t, network)
+	})
+}
+
 // TestStreamIsResumedOnceAnotherServerIsReachable guards against a search that gives up
 // on servers which were unreachable for a while.
 func TestStreamIsResumedOnceAnotherServerIsReachable(t *testing.T) {
