Forward: a first event that can't be read is not sent twice

What callers saw: the first event twice. A stream whose first event begins with a byte order mark, or has an odd line, broke off; the request was sent again from the start.

Cause: the first event is not checked, and one that can't be read counted as one without data, after which a stream may begin anew.

Evidence: the case "byte order mark" of TestDataWithoutIDIsNotSentTwice got "data: a" twice. An event that can't be read now counts as data without an id.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -139,6 +139,7 @@
 		"no ids":             {"data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", ""},
 		"none in the end":    {eventText(1, 1) + "data: b\n\n", "id: 2\ndata: b\n\n", ""},
 		"comment in the end": {eventText(1, 1) + ": comment\n\n", eventText(2, 3), eventText(2, 3)},
+		"byte order mark":    {"\ufeffdata: a\n\n", "data: a\n\ndata: b\n\n", ""},
 		"only a comment":     {": comment\n\n", eventText(1, 3), eventText(1, 3)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -377,7 +377,7 @@
 			t.lastEventID = id
 			s.awaitsID = false
 		}
-		isData := fields.data || t.format.mediaType != eventStreamType
+		isData := fields.data || fields.malformed || t.format.mediaType != eventStreamType
 		t.lastDataLacksID = id == "" && (isData || t.lastDataLacksID)
 		t.events++
 		s.events++
