--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -73,6 +73,10 @@
 // rejectContinuation ends an attempt whose response can't continue that of the caller.
 func (t *task) rejectContinuation(ctx context.Context, placement *place.Placement, response *upstream.Response) (refused *refusal, shouldRetry bool) {
 	t.discardResponse(response)
+	if t.callerCtx.Err() != nil {
+		placement.Done(place.Abandoned{}, time.Now())
+		return &refusal{reason: reasonCallerLeft}, false
+	}
 	placement.Done(place.Failed{}, time.Now())
 	refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBrokenStream))
 	t.reportFailedAttempt(placement, "no_continuation", "the response is no rest of the stream: "+strconv.Itoa(response.Status), shouldRetry)
@@ -105,7 +109,7 @@
 			placement.Done(place.Abandoned{}, time.Now())
 			return &refusal{reason: reasonCallerLeft}, false
 		}
-		placement.Done(place.Failed{}, time.Now())
+		placement.Done(t.outcomeOfError(ctx), time.Now())
 		t.recordCrash(placement, err)
 		refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBadResponse))
 		t.reportFailedAttempt(placement, "broken_answer", err.Error(), shouldRetry)
@@ -385,8 +389,8 @@
 	}
 }
 
-// accepts reports whether an event may follow those that the caller has. The first one
-// is the server's own business. The data of a resumed stream goes on with an event that has
+// accepts reports whether an event may follow those that the caller has. The first event of
+// the caller's response is not checked. The data of a resumed stream goes on with an event that has
 // an id, like the one after which it was resumed.
 func (s *eventStream) accepts(fields eventFields, id string) bool {
 	if s.task.events == 0 || s.task.format.mediaType != eventStreamType {
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -8,7 +8,7 @@
 // eventStreamType is the media type of streams of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// knownFields are the fields of a server-sent event; others are ignored by who reads it.
+// knownFields are the fields of a server-sent event; readers ignore others.
 var knownFields = []string{"data", "event", "id", "retry"}
 
 // eventFields tells what the lines of a server-sent event hold.
@@ -31,7 +31,7 @@
 		}
 		lines++
 		name, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.ContainsFunc(name, isNoNameRune) {
+		if bytes.ContainsFunc(name, isOutsideName) {
 			return eventFields{malformed: true}
 		}
 		known = known || len(name) == 0 || slices.Contains(knownFields, string(name))
@@ -41,8 +41,8 @@
 	return fields
 }
 
-// isNoNameRune reports whether a rune can't be part of a field's name.
-func isNoNameRune(r rune) bool {
+// isOutsideName reports whether a rune can't be part of a field's name.
+func isOutsideName(r rune) bool {
 	letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
 	digit := r >= '0' && r <= '9'
 	return !letter && !digit && r != '-' && r != '_' && r != '.'
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -53,18 +53,22 @@
 	// placement is the server that the request was sent to; nil if there is none.
 	placement *place.Placement
 
-	// failed holds the servers that may have run the request and failed, and avoided
-	// those that did not take it, until all others were tried too. declined holds those
-	// that received and declined it. They may be read once done is closed, like the
-	// result of the attempt and the obstacle that kept others from taking over.
+	// The fields below may be read once done is closed.
+
+	// failed holds the servers that may have run the request and failed.
+	failed []string
+	// avoided holds the servers that did not take the request. It is emptied once no
+	// other server is left to ask.
+	avoided []string
+	// declined holds the servers that received the request and declined it.
+	declined []string
 	// mayHaveRun is set if a server had the request when its attempt was ended.
-	failed     []string
-	avoided    []string
-	declined   []string
 	mayHaveRun bool
-	response   *upstream.Response
-	err        error
-	obstacle   denial
+	// response and err are the result of the attempt, and obstacle is what kept other
+	// servers from taking over.
+	response *upstream.Response
+	err      error
+	obstacle denial
 }
 
 // seekSuccessor starts the search after delay, until ctx ends. started counts the
@@ -101,8 +105,9 @@
 		return false
 	}
 	s.setPlacement(placement)
+	request := t.upstreamRequest(placement)
 	overlap := time.AfterFunc(maxOverlap, s.takeOver)
-	response, err := connection.Do(s.ctx, t.upstreamRequest(placement))
+	response, err := connection.Do(s.ctx, request)
 	overlap.Stop()
 	var info ResponseInfo
 	if err == nil {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -100,7 +100,7 @@
 
 	// responseStarted is set once the response to the caller has started.
 	responseStarted bool
-	// format is the format of that response's body.
+	// format is the body's format of the latest stream.
 	format bodyFormat
 	// responseComplete is set once a server's response was read to its end.
 	responseComplete bool
@@ -375,7 +375,7 @@
 		t.reportFailedAttempt(placement, "not_sent", err.Error(), refused == nil)
 		return refused, refused == nil
 	}
-	placement.Done(place.Failed{}, now)
+	placement.Done(t.outcomeOfError(ctx), now)
 	t.mayHaveRun = true
 	if placement.Peer {
 		t.useUpAttempts()
@@ -388,6 +388,15 @@
 	return refused, shouldRetry
 }
 
+// outcomeOfError returns the outcome for the placement of an attempt that ended with an
+// error: its server is not to blame for the end of a shutdown.
+func (t *task) outcomeOfError(ctx context.Context) place.Outcome {
+	if drain.IsInterrupted(ctx) {
+		return place.Abandoned{}
+	}
+	return place.Failed{}
+}
+
 // passToPeer makes the last attempt, at another entry, of a request that could not be sent
 // to several servers. Without such an entry it fails the request.
 func (t *task) passToPeer(ctx context.Context, placement *place.Placement, err error) (refused *refusal, shouldRetry bool) {
