--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -284,19 +284,29 @@
 	})
 }
 
+// acceptRequest accepts a connection and reads a request from it.
+func acceptRequest(listener net.Listener) (net.Conn, *http.Request, error) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return nil, nil, err
+	}
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	return conn, request, nil
+}
+
 // serveInParts answers one request with a stream that is silent between an event and
 // the end of its chunk, and again after that.
 func serveInParts(listener net.Listener) {
 	const silence = 1500 * time.Millisecond
-	conn, err := listener.Accept()
+	conn, request, err := acceptRequest(listener)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
 	chunk := func(number int) string {
 		text := eventText(number, number)
 		return fmt.Sprintf("%x\r\n%s", len(text), text)
@@ -333,15 +343,11 @@
 // serveHalfAChunk answers one request with an event, then with another one that is followed
 // by the begin of a chunk, and then is silent.
 func serveHalfAChunk(listener net.Listener) {
-	conn, err := listener.Accept()
+	conn, request, err := acceptRequest(listener)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%s", request.Header.Get("Id"), chunk(eventText(1, 1)))
 	time.Sleep(300 * time.Millisecond)
 	_, _ = io.WriteString(conn, chunk(eventText(2, 2))+"1")
--- a/internal/upstream/stale_test.go
+++ b/internal/upstream/stale_test.go
@@ -26,16 +26,7 @@
 			_, _ = io.WriteString(conn, text)
 		}
 	})
-	client := &upstream.Client{}
-	for _, id := range []string{"a", "b", "c"} {
-		body, err := send(t, client, s, request(id))
-		if err != nil || body != id {
-			t.Errorf("request %s: body %q, error %v; want its id as the body", id, body, err)
-		}
-	}
-	if client.Dials() != 2 {
-		t.Errorf("%d connections opened, want 2", client.Dials())
-	}
+	expectDials(t, s, 2, 0, "a", "b", "c")
 }
 
 // TestLateResponseInPiecesIsSkipped guards against a late response whose parts arrive around
@@ -74,17 +65,7 @@
 		_, _ = io.WriteString(conn, "H")
 		_, _ = readRequest(reader)
 	})
-	client := &upstream.Client{}
-	for _, id := range []string{"a", "b"} {
-		body, err := send(t, client, s, request(id))
-		if err != nil || body != id {
-			t.Errorf("request %s: body %q, error %v; want its id as the body", id, body, err)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	if client.Dials() != 2 {
-		t.Errorf("%d connections opened, want 2", client.Dials())
-	}
+	expectDials(t, s, 2, 20*time.Millisecond, "a", "b")
 }
 
 // TestRepeatedIDNeedsNewConnection guards against a copy of an earlier response with the same
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -104,16 +104,7 @@
 			_, _ = io.WriteString(conn, responseText(id, id))
 		}
 	})
-	client := &upstream.Client{}
-	for _, id := range []string{"a", "b", "c"} {
-		body, err := send(t, client, s, request(id))
-		if err != nil || body != id {
-			t.Fatalf("request %s: body %q, error %v; want its id as the body", id, body, err)
-		}
-	}
-	if client.Dials() != 1 {
-		t.Errorf("%d connections opened, want 1", client.Dials())
-	}
+	expectDials(t, s, 1, 0, "a", "b", "c")
 }
 
 // TestLateResponseIsSkipped guards against the response to an earlier request being
@@ -146,16 +137,23 @@
 		_, _ = io.WriteString(conn, responseText(id, id)+responseText(id, id))
 		_, _ = readRequest(reader)
 	})
+	expectDials(t, s, 2, 10*time.Millisecond, "a", "b")
+}
+
+// expectDials checks that requests with the given ids, with a pause after each, get their
+// responses over want connections.
+func expectDials(t *testing.T, s *scriptedServer, want int64, pause time.Duration, ids ...string) {
+	t.Helper()
 	client := &upstream.Client{}
-	for _, id := range []string{"a", "b"} {
+	for _, id := range ids {
 		body, err := send(t, client, s, request(id))
 		if err != nil || body != id {
 			t.Fatalf("request %s: body %q, error %v; want its id as the body", id, body, err)
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(pause)
 	}
-	if client.Dials() != 2 {
-		t.Errorf("%d connections opened, want 2", client.Dials())
+	if client.Dials() != want {
+		t.Errorf("%d connections opened, want %d", client.Dials(), want)
 	}
 }
 
