Settings: the failure domains of a seeded site and their regions

Cause: an instance knows only its own failure domain, so that it can neither refuse a wrong name nor tell the region of a server. Empty means not known.

--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -36,6 +36,9 @@
 	SourceAddress string `json:"source_address,omitempty"`
 	// Retries limits the retries of the whole fleet.
 	Retries Retries `json:"retries,omitzero"`
+	// FailureDomains maps the name of each failure domain of the site to its region.
+	// Empty means that the names are not known, and then none is refused.
+	FailureDomains map[string]string `json:"failure_domains,omitempty"`
 	// MemoryMB is the memory available to the process in MiB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 }
@@ -101,6 +104,10 @@
 		faults.Add("seeded.retries", "must hold numbers of 0 or more")
 	}
 	faults.Positive("seeded.retries.window", s.Retries.Window)
+	_, unnamed := s.FailureDomains[""]
+	if unnamed {
+		faults.Add("seeded.failure_domains", "must not hold an empty name")
+	}
 	if s.MemoryMB < 0 {
 		faults.Add("seeded.memory_mb", "must be 1 or more megabytes")
 	}
