Group: orders to evacuate a failure domain change the configuration

Cause: an operator has no way to take the servers of a failure domain out of service at once. Change: the document has failure_domains as its last section; the command ChangeEvacuation replaces it at the end of the encoding when it is applied, so that it conflicts with no other change. A whole document keeps the section. Result: go test ./internal/config ./internal/group passes.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -52,6 +52,9 @@
 	HostRoutes     map[string]HostRoute     `json:"host_routes,omitempty"`
 	Upstreams      map[string]Upstream      `json:"upstreams,omitempty"`
 	Limits         Limits                   `json:"limits,omitzero"`
+	// FailureDomains are those that operators gave an order for. It must stay the last
+	// field: Encoded.WithFailureDomains replaces it at the end of the encoding.
+	FailureDomains map[string]FailureDomain `json:"failure_domains,omitempty"`
 }
 
 // Workspace is a tenant with a prepaid budget and API keys for its callers.
--- a/internal/config/incremental.go
+++ b/internal/config/incremental.go
@@ -93,6 +93,8 @@
 		return patchEntries(&d.Upstreams, patch)
 	case "limits":
 		return patchValue(&d.Limits, patch)
+	case "failure_domains":
+		return patchEntries(&d.FailureDomains, patch)
 	default:
 		return errWhole
 	}
--- a/internal/config/incremental_test.go
+++ b/internal/config/incremental_test.go
@@ -15,7 +15,7 @@
 		return rapid.SampledFrom([]string{"a", "b", "c", "d", "no name"}).Draw(t, label)
 	}
 	value := func() any {
-		switch rapid.IntRange(0, 11).Draw(t, "value") {
+		switch rapid.IntRange(0, 12).Draw(t, "value") {
 		case 0:
 			return nil
 		case 1:
@@ -38,13 +38,15 @@
 			return map[string]any{"host": "a", "path_prefix": "/", "repetition": "once", "timeout": "1s", "upstreams": []any{map[string]any{"upstream": "a", "weight": 1}}}
 		case 10:
 			return map[string]any{"engine": map[string]any{"slots": 3, "cache_tokens": nil}}
+		case 11:
+			return map[string]any{"evacuated": rapid.SampledFrom([]any{true, false, nil, 1}).Draw(t, "evacuated")}
 		default:
 			return map[string]any{}
 		}
 	}
 	patch := make(map[string]any)
 	for range rapid.IntRange(0, 2).Draw(t, "sections") {
-		section := rapid.SampledFrom([]string{"workspaces", "backend_servers", "works", "routes", "host_routes", "upstreams", "limits", "release", "unknown"}).Draw(t, "section")
+		section := rapid.SampledFrom([]string{"workspaces", "backend_servers", "works", "routes", "host_routes", "upstreams", "limits", "failure_domains", "release", "unknown"}).Draw(t, "section")
 		if section == "limits" || section == "release" || rapid.IntRange(0, 9).Draw(t, "whole") == 0 {
 			patch[section] = value()
 			continue
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -67,6 +67,7 @@
 	}
 	d.validateHostRoutes(faults, order)
 	validateLimits(d.Limits, faults)
+	d.validateFailureDomains(faults, order)
 }
 
 func validateNames[V any](path string, named map[string]V, faults *check.Faults, order nameOrder) {
--- a/internal/group/command.go
+++ b/internal/group/command.go
@@ -122,6 +122,7 @@
 	ReplaceConfiguration *ReplaceConfiguration `cbor:"10,keyasint,omitempty"`
 	Exchange             *Exchange             `cbor:"11,keyasint,omitempty"`
 	ChangeQuarantine     *ChangeQuarantine     `cbor:"12,keyasint,omitempty"`
+	ChangeEvacuation     *ChangeEvacuation     `cbor:"13,keyasint,omitempty"`
 }
 
 // encodeCommand returns the encoded envelope of command.
@@ -152,6 +153,8 @@
 		e.Exchange = &c
 	case ChangeQuarantine:
 		e.ChangeQuarantine = &c
+	case ChangeEvacuation:
+		e.ChangeEvacuation = &c
 	default:
 		return nil, errors.Newf("unknown command %T", command)
 	}
@@ -190,6 +193,8 @@
 		return *e.Exchange, nil
 	case e.ChangeQuarantine != nil:
 		return *e.ChangeQuarantine, nil
+	case e.ChangeEvacuation != nil:
+		return *e.ChangeEvacuation, nil
 	default:
 		return nil, errors.New("empty command")
 	}
--- a/internal/group/replace.go
+++ b/internal/group/replace.go
@@ -49,18 +49,22 @@
 	}, nil
 }
 
-// replace applies a whole document or changes nothing. The history continues
-// with a new segment, which avoids computing a patch here.
+// replace applies a whole document, with the current evacuations, or changes nothing. The
+// history continues with a new segment, which avoids computing a patch here.
 func (c *configuration) replace(command ReplaceConfiguration) Result {
 	if command.Release <= c.Release {
 		return Result{Code: CodeDone, Version: c.Number, Release: c.Release}
 	}
+	document, err := c.keepEvacuations(command.Document)
+	if err != nil {
+		return Result{Code: CodeInvalid, Detail: err.Error(), Version: c.Number, Release: c.Release}
+	}
 	c.Number++
-	c.Document = command.Document
+	c.Document = document
 	c.parsed = nil
 	c.Release = command.Release
 	c.Source = command.Source
-	c.startSegment(segment{Number: c.Number, Document: command.Document})
+	c.startSegment(segment{Number: c.Number, Document: document})
 	return Result{Code: CodeDone, Version: c.Number, Release: c.Release}
 }
 
--- a/internal/group/snapshot_test.go
+++ b/internal/group/snapshot_test.go
@@ -26,6 +26,7 @@
 		Draw{Epoch: "e", Workspace: "north", Want: 60},
 		Report{Epoch: "e", Counters: map[string]budget.Counters{"north": {Billed: 7}}},
 		Claim{Workspace: "north", Key: "k", BodyHash: []byte("h"), Holder: "x"},
+		ChangeEvacuation{ID: "order", FailureDomain: "a", Evacuated: true},
 	}
 	for _, command := range commands {
 		result, err := Propose(t.Context(), directLog{group: g}, command)
--- a/internal/group/state.go
+++ b/internal/group/state.go
@@ -77,6 +77,8 @@
 		return s.exchange(c, check)
 	case ChangeQuarantine:
 		return s.changeQuarantine(c)
+	case ChangeEvacuation:
+		return s.Configuration.changeEvacuation(c)
 	case Deposit:
 		return s.runOnce("deposit/"+c.ID, commandHash(c), func() Result { return s.deposit(c, check) })
 	case ReleaseInDoubt:
