Entries: no request goes to servers of an evacuated failure domain

Cause: the configuration can say that a failure domain is evacuated, and no entry obeyed it. Change: place.Fleet.SetEvacuated, called before a version is in force, takes the servers out of the choice of first attempts, repeats, successors and probes. If all servers of an upstream are evacuated, the request is refused as not run (evacuated, Retry-After 1 s) and not passed to another entry. Servers there that end are no evidence against prompts, and none for a lost path.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -50,8 +50,12 @@
 }
 
 // start checks the server of a placement, or adds the suspects to a check that runs. A
-// request that was sent after the server had ended is no evidence.
+// request that was sent after the server had ended is no evidence. Neither is the end of a
+// server in an evacuated failure domain, which may be shut down.
 func (c *crashChecks) start(server *Server, placement *place.Placement, suspects []quarantine.Suspect) {
+	if placement.IsEvacuated() {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	endedAt, ended := c.ended[placement.ID]
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -24,6 +24,7 @@
 	reasonQuarantined     reason = "quarantined"
 	reasonUnknownVersion  reason = "stream_version_unknown"
 	reasonNoServer        reason = "no_server"
+	reasonEvacuated       reason = "evacuated"
 	reasonServersFull     reason = "servers_full"
 	reasonDeclined        reason = "declined_by_servers"
 	reasonNotSent         reason = "not_sent"
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -39,6 +39,9 @@
 	if t.relayed || t.mayHaveRun || t.server.Peers == nil || t.peersTried >= maxPeersTried {
 		return nil
 	}
+	if t.isEvacuated() {
+		return nil
+	}
 	now := time.Now()
 	peers := t.server.Peers.Reaching(t.upstream, t.server.Fleet.ProvenSince(t.upstream, now))
 	placement := t.server.Fleet.PickPeer(peers, t.tried, now)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -74,6 +74,7 @@
 // Install replaces the configuration for new requests and draws tokens for the
 // workspaces with budgets. Requests in progress keep the previous one.
 func (s *Server) Install(version uint64, document *config.Document) {
+	s.obeyEvacuations(version, document)
 	table := NewTable(version, document)
 	s.table.Store(table)
 	s.Holder.Prepare(table.budgetedWorkspaces())
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -146,6 +146,9 @@
 	if peer := t.placeAtPeer(); peer != nil {
 		return t.sendTo(ctx, peer, nil)
 	}
+	if t.isEvacuated() {
+		return t.fail(reasonEvacuated, retryAfterLater), false
+	}
 	return t.fail(reasonNoServer, retryAfterLater), false
 }
 
--- /dev/null
+++ b/internal/place/evacuation.go
@@ -0,0 +1,88 @@
+package place
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// EvacuationChange holds the sorted names of the failure domains whose evacuation began or
+// ended.
+type EvacuationChange struct {
+	Begun []string
+	Ended []string
+}
+
+// evacuations holds which failure domains are evacuated. Its zero value has none.
+type evacuations struct {
+	domains map[string]bool
+	// endedAt is when the evacuation of a failure domain was last seen to end.
+	endedAt map[string]time.Time
+}
+
+// SetEvacuated replaces the failure domains that are evacuated: their servers get no
+// requests and no probes. Requests that run there are not affected.
+func (f *Fleet) SetEvacuated(domains map[string]bool, now time.Time) EvacuationChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations.set(domains, now)
+}
+
+func (e *evacuations) set(domains map[string]bool, now time.Time) EvacuationChange {
+	change := EvacuationChange{Begun: namesMissing(domains, e.domains), Ended: namesMissing(e.domains, domains)}
+	for _, name := range change.Begun {
+		delete(e.endedAt, name)
+	}
+	if e.endedAt == nil {
+		e.endedAt = make(map[string]time.Time)
+	}
+	for _, name := range change.Ended {
+		e.endedAt[name] = now
+	}
+	e.domains = maps.Clone(domains)
+	return change
+}
+
+// namesMissing returns the sorted names that are set in one map and not in the other.
+func namesMissing(in, from map[string]bool) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(in)) {
+		if in[name] && !from[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// isEvacuated reports whether the failure domain of a server is evacuated; mu is held.
+func (f *Fleet) isEvacuated(s *server) bool {
+	return f.evacuations.domains[s.failureDomain]
+}
+
+// IsEvacuated reports whether an upstream has servers of the given version and all of them
+// are in evacuated failure domains.
+func (f *Fleet) IsEvacuated(upstream string, version VersionLimit) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.evacuations.domains) == 0 {
+		return false
+	}
+	evacuated := false
+	for _, s := range f.servers {
+		if s.upstream != upstream || s.leaving || !version.allows(s.version) {
+			continue
+		}
+		if !f.isEvacuated(s) {
+			return false
+		}
+		evacuated = true
+	}
+	return evacuated
+}
+
+// IsEvacuated reports whether the server's failure domain is evacuated.
+func (p *Placement) IsEvacuated() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return !p.Peer && p.fleet.isEvacuated(p.server)
+}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -95,6 +95,8 @@
 	paths map[string]*reach
 	peers map[string]*server
 
+	evacuations evacuations
+
 	// brittle holds what servers have stated about rejections, by upstream.
 	brittle map[string]brittleness
 }
@@ -195,10 +197,13 @@
 
 // Counts sums up the state of a fleet's servers.
 type Counts struct {
-	// Ready, Leaving and Ejected count servers; each is counted once.
-	Ready   int
-	Leaving int
-	Ejected int
+	// Ready, Leaving, Evacuated and Ejected count servers; each is counted once.
+	Ready     int
+	Leaving   int
+	Evacuated int
+	Ejected   int
+	// EvacuatedDomains counts the evacuated failure domains.
+	EvacuatedDomains int
 	// Limited counts servers that name a limit, which are counted above too.
 	Limited int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
@@ -218,6 +223,8 @@
 		switch {
 		case s.leaving:
 			counts.Leaving++
+		case f.isEvacuated(s):
+			counts.Evacuated++
 		case s.isEjected(now):
 			counts.Ejected++
 		default:
@@ -229,6 +236,7 @@
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
+	counts.EvacuatedDomains = len(f.evacuations.domains)
 	for _, r := range f.paths {
 		if !r.cutOffSince.IsZero() {
 			counts.CutOff++
@@ -301,6 +309,9 @@
 
 // isEligible reports whether a server may be chosen; mu is held.
 func (f *Fleet) isEligible(s *server, allowed eligible, now time.Time) bool {
+	if f.isEvacuated(s) {
+		return false
+	}
 	if s.leaving {
 		since, known := f.departures.Since(departureKey(s.id, s.address))
 		return allowed.leaving && !s.replaced && known && now.Sub(since) < leavingGrace
@@ -358,7 +369,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || !q.Version.allows(s.version) || s.isEjected(q.Now) {
+		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || s.isEjected(q.Now) {
 			continue
 		}
 		weight := rendezvousWeight(segment, s.id)
@@ -463,7 +474,8 @@
 }
 
 // recordPath records what the end of the placement says about the path to the server; mu is
-// held.
+// held. The failure of a server in an evacuated failure domain, which may be shut down, says
+// nothing.
 func (p *Placement) recordPath(outcome Outcome, now time.Time) {
 	if p.Peer {
 		return
@@ -472,7 +484,7 @@
 	r.end()
 	switch outcome.(type) {
 	case Unreachable, Failed:
-		if !p.answered {
+		if !p.answered && !p.fleet.isEvacuated(p.server) {
 			r.recordUnreachable(p.server.id, now)
 		}
 	}
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -197,11 +197,12 @@
 	return since.Add(othersMargin)
 }
 
-// available returns the servers of an upstream that are not leaving; mu is held.
+// available returns the servers of an upstream that are neither leaving nor in an evacuated
+// failure domain; mu is held.
 func (f *Fleet) available(upstream string) []*server {
 	var servers []*server
 	for _, s := range f.servers {
-		if s.upstream == upstream && !s.leaving {
+		if s.upstream == upstream && !s.leaving && !f.isEvacuated(s) {
 			servers = append(servers, s)
 		}
 	}
@@ -259,8 +260,8 @@
 	Address string
 }
 
-// Endpoints returns at most count random servers of an upstream that are not leaving and
-// want requests now.
+// Endpoints returns at most count random servers of an upstream that are neither leaving nor
+// in an evacuated failure domain, and want requests now.
 func (f *Fleet) Endpoints(upstream string, count int, now time.Time) []Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
