--- a/internal/operator/releases.go
+++ b/internal/operator/releases.go
@@ -46,7 +46,7 @@
 		r.Log.Info("configuration refused", "release", document.Release, "err", err.Error())
 		return errors.Newf("%s: %w", err.Error(), ErrInvalidDocument)
 	}
-	if !r.mayAcknowledge() {
+	if !mayAcknowledge(r.Node, r.Voters, r.Started) {
 		return errors.Newf("the control group is still growing: %w", peer.ErrUnavailable)
 	}
 	result, err := group.Propose(ctx, r.Node, command)
@@ -61,16 +61,16 @@
 	return nil
 }
 
-// mayAcknowledge reports whether the group has at least Voters voters, or
-// voterWaitTimeout has passed since the start.
-func (r *Releases) mayAcknowledge() bool {
+// mayAcknowledge reports whether the group has at least the given number of voters, or
+// voterWaitTimeout has passed since the instance started.
+func mayAcknowledge(node *quorum.Node, wanted int, started time.Time) bool {
 	voters := 0
-	for _, member := range r.Node.Status().Members {
+	for _, member := range node.Status().Members {
 		if !member.Learner {
 			voters++
 		}
 	}
-	return voters >= r.Voters || time.Since(r.Started) > voterWaitTimeout
+	return voters >= wanted || time.Since(started) > voterWaitTimeout
 }
 
 // Newest returns the newest committed document; its Release is 0 if there is none.
--- a/internal/process/dialect.go
+++ b/internal/process/dialect.go
@@ -14,7 +14,7 @@
 	// Translator returns the protocol that callers and backend servers use.
 	Translator() forward.Translator
 	// Operators returns the HTTP handler of the operators' API.
-	Operators(releases *operator.Releases) http.Handler
+	Operators(releases *operator.Releases, evacuations *operator.Evacuations) http.Handler
 	// Lister returns a reader of the list of backend servers at address.
 	Lister(client *http.Client, address string) instances.Lister
 	// ReadyPath returns the URL path that the platform polls for the
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -136,9 +136,16 @@
 		Voters:  s.Seeded.Tolerance.Voters(),
 		Started: time.Now(),
 	}
+	evacuations := &operator.Evacuations{
+		Node:           m.Quorum,
+		Log:            environment.Telemetry.Log,
+		Voters:         releases.Voters,
+		Started:        releases.Started,
+		FailureDomains: s.Seeded.FailureDomains,
+	}
 	handlers := map[string]http.Handler{
 		s.PeerListenAddress(): mux,
-		s.OperatorAddress:     dialect.Operators(releases),
+		s.OperatorAddress:     dialect.Operators(releases, evacuations),
 	}
 	if s.MetricsAddress != "" {
 		handlers[s.MetricsAddress] = statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
