Cold servers: configuration, list of servers and response header

Cause: a server is cold for seconds after its start, and nothing told the entries so.

Change: upstreams have cold_start and cold_requests_per_second, listed servers say whether they are cold and whether the list knows, responses state for how long. Nothing uses them yet. The checksum of the list is that of earlier builds unless a server is cold.

--- a/internal/config/hostroute.go
+++ b/internal/config/hostroute.go
@@ -66,6 +66,11 @@
 	MaxConnections int `json:"max_connections,omitempty"`
 	// Engine is set if the backend servers run a model.
 	Engine *Engine `json:"engine,omitempty"`
+	// ColdStart is how long a backend server is cold after its start; nil means never.
+	ColdStart *check.Duration `json:"cold_start,omitempty"`
+	// ColdRequestsPerSecond is how many requests a second a cold backend server takes from
+	// all entries together; 0 means no bound.
+	ColdRequestsPerSecond float64 `json:"cold_requests_per_second,omitempty"`
 }
 
 // Engine describes the model engines of an upstream.
@@ -89,9 +94,19 @@
 		d.validateHostRoute("host_routes."+key, key, d.HostRoutes[key], faults)
 	}
 	for _, name := range namesOf(d.Upstreams, order) {
-		if d.Upstreams[name].MaxConnections < 0 {
-			faults.Add("upstreams."+name+".max_connections", "must be 1 or more")
-		}
+		validateUpstream("upstreams."+name, d.Upstreams[name], faults)
+	}
+}
+
+func validateUpstream(path string, upstream Upstream, faults *check.Faults) {
+	if upstream.MaxConnections < 0 {
+		faults.Add(path+".max_connections", "must be 1 or more")
+	}
+	if upstream.ColdStart != nil && *upstream.ColdStart < 0 {
+		faults.Add(path+".cold_start", "must not be below zero")
+	}
+	if upstream.ColdRequestsPerSecond < 0 {
+		faults.Add(path+".cold_requests_per_second", "must not be below zero")
 	}
 }
 
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -76,6 +76,9 @@
 	Limit place.Limit
 	// Brittle says whether the server falls over when it turns requests away.
 	Brittle place.Brittle
+	// ColdFor is how long the server stays cold, if ColdStated says that it states that.
+	ColdFor    time.Duration
+	ColdStated bool
 	// Load is the load that the server reports; nil if it reports none.
 	Load *place.Load
 }
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -21,6 +21,11 @@
 	Version string `cbor:"7,keyasint,omitempty" json:"version,omitempty"`
 	// Leaving is set when the server is about to stop.
 	Leaving bool `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
+	// Cold is set while the server is cold after its start. It is no remaining time, which
+	// would change the list at each read.
+	Cold bool `cbor:"8,keyasint,omitempty" json:"cold,omitempty"`
+	// ColdStated is set if the list says whether the server is cold.
+	ColdStated bool `cbor:"9,keyasint,omitempty" json:"cold_stated,omitempty"`
 }
 
 // Reading is the complete list as it was Age ago.
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -180,3 +180,31 @@
 		}
 	})
 }
+
+// TestChecksumChangesOnlyWithColdServers guards against a view that takes a list for its own
+// although a server became cold, and against builds that no longer confirm each other's lists
+// because one of them knows whether servers are cold.
+func TestChecksumChangesOnlyWithColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			told      instances.Instance
+			confirmed bool
+		}{
+			{instances.Instance{ID: "i"}, true},
+			{instances.Instance{ID: "i", ColdStated: true}, true},
+			{instances.Instance{ID: "i", ColdStated: true, Cold: true}, false},
+		} {
+			var checksum uint64
+			reader := &instances.View{Lister: &fakeLister{list: []instances.Instance{{ID: "i"}}}, Log: discardLog, Announce: func(sum uint64, _ time.Duration) { checksum = sum }}
+			reader.Start()
+			time.Sleep(time.Second)
+			reader.Close()
+			view := &instances.View{}
+			view.Offer(instances.Listing{Reader: "r", Number: 1, Instances: []instances.Instance{c.told}}, time.Second)
+			view.ConfirmChecksum(checksum, 0)
+			if got := view.Age() == 0; got != c.confirmed {
+				t.Errorf("%+v: confirmed %t, want %t", c.told, got, c.confirmed)
+			}
+		}
+	})
+}
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -218,11 +219,15 @@
 	}
 }
 
-// checksumOf returns a hash of the list, which depends on its order.
+// checksumOf returns a hash of the list, which depends on its order. Only a cold server
+// adds to its line, so that builds that know of none compute the same for all other lists.
 func checksumOf(list []Instance) uint64 {
 	hash := fnv.New64a()
 	for _, i := range list {
 		_, _ = fmt.Fprintf(hash, "%s %s %s %s %d %q %t\n", i.ID, i.Upstream, i.Address, i.FailureDomain, i.Slots, i.Version, i.Leaving)
+		if i.Cold {
+			_, _ = io.WriteString(hash, "cold\n")
+		}
 	}
 	return hash.Sum64()
 }
