Cold servers: bound of the rate of all entries together

Cause: 70 entries send a server that has just started as much as any other, and it crashes well above its cold rate.

Change: a server counts as cold while the list or the server says so, and for cold_start when it may have started: listed for the first time, reachable again, its failure domain in use again (Fleet.markDomainCold, for the withdrawal of an evacuation). While cold it gets what the shares of the entries allow, by the mechanism for limits that servers name. At 14 requests a second 4 entries have a share: 10 requests a second, 14 in any second. Entries tell each other what servers state (format 14). A probe with a request counts against the share.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,6 +65,7 @@
 
 func (testTranslator) ResponseInfo(status int, header http.Header) forward.ResponseInfo {
 	retryAfter, _ := time.ParseDuration(header.Get("Hold-Off"))
+	coldFor, err := time.ParseDuration(header.Get("Cold"))
 	return forward.ResponseInfo{
 		Identified:  header.Get("Id") != "",
 		Leaving:     header.Get("Leaving") != "",
@@ -72,6 +73,8 @@
 		NotRun:      header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherServer: status == http.StatusMisdirectedRequest,
 		Genuine:     header.Get("Stamp") != "",
+		ColdFor:     coldFor,
+		ColdStated:  err == nil,
 	}
 }
 
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -242,6 +242,9 @@
 	if info.Limit.Named || info.Genuine && !info.OtherServer {
 		placement.RecordLimit(info.Limit, now)
 	}
+	if info.ColdStated {
+		placement.RecordCold(info.ColdFor, now)
+	}
 	if info.Leaving {
 		placement.MarkLeaving(now)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -74,6 +74,7 @@
 	queries  streamQueries
 	evidence evidenceQueue
 	limits   chan limitMessage
+	colds    chan coldMessage
 	reach    reachAnswers
 	members  memberHistory
 
@@ -102,10 +103,12 @@
 	g.queue = make(chan promptMessage, maxQueuedPrompts)
 	g.evidence.start()
 	g.limits = make(chan limitMessage, maxQueuedLimits)
+	g.colds = make(chan coldMessage, maxQueuedColds)
 	g.done.Go(g.receiveLoop)
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
 	g.done.Go(func() { g.limitLoop(ctx) })
+	g.done.Go(func() { g.coldLoop(ctx) })
 	return nil
 }
 
@@ -299,6 +302,8 @@
 		return g.handleEvidence(data)
 	case formatLimit:
 		return g.handleLimit(data)
+	case formatCold:
+		return g.handleCold(data)
 	case formatReachQuery:
 		return g.handleReachQuery(data, from)
 	case formatReachAnswer:
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -84,6 +84,18 @@
 	// the given time ago, if other entries may not know it. It must not call the fleet.
 	LimitStated func(server string, limit Limit, age time.Duration)
 
+	// IsLearning reports whether this entry can't know yet how many other entries there are.
+	// If it is nil, it knows. It must not call the fleet.
+	IsLearning func() bool
+	// ColdStated, if not nil, is called when a server has stated that it stays cold for the
+	// given time, if other entries may not know it. It must not call the fleet.
+	ColdStated func(server string, coldFor time.Duration)
+
+	// policies holds what the configuration states about upstreams.
+	policies map[string]UpstreamPolicy
+	// hasList is set once a list had servers, and firstList while that one is applied.
+	hasList, firstList bool
+
 	// departures tracks the leaving servers by departureKey, also after they were
 	// removed, because an outdated list may show them again as available.
 	departures instances.Departures
@@ -124,6 +136,8 @@
 	answered bool
 	// tookToken is set if the placement counts against the server's limit.
 	tookToken bool
+	// tookColdToken is set if it counts against this entry's share of a cold server.
+	tookColdToken bool
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -137,6 +151,8 @@
 	}
 	f.departures.Prune(now)
 	f.versions.update(list, now)
+	f.firstList = !f.hasList
+	f.hasList = f.hasList || len(list) > 0
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
 		listed[instance.ID] = true
@@ -161,7 +177,7 @@
 	if f.Changed == nil {
 		return
 	}
-	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.PerSecond, EjectedFor: ejectedFor})
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.PerSecond, Cold: s.cold.reported, EjectedFor: ejectedFor})
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
@@ -182,6 +198,7 @@
 	s.failureDomain = instance.FailureDomain
 	s.slots = max(1, instance.Slots)
 	s.version = instance.Version
+	f.applyCold(s, instance, known, now)
 	if known && leaving == s.leaving {
 		return
 	}
@@ -201,6 +218,8 @@
 	Ejected int
 	// Limited counts servers that name a limit, which are counted above too.
 	Limited int
+	// Cold counts servers that count as cold, which are counted above too.
+	Cold int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
 	CutOff int
 	// InFlight counts this entry's requests at servers.
@@ -226,6 +245,9 @@
 		if s.limit.Named {
 			counts.Limited++
 		}
+		if f.isCold(s, now) {
+			counts.Cold++
+		}
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
@@ -320,7 +342,10 @@
 	if wait := f.brittleWait(s, now); wait > 0 {
 		return wait
 	}
-	return f.limitWait(s, now)
+	if wait := f.limitWait(s, now); wait > 0 {
+		return wait
+	}
+	return f.coldWait(s, now)
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
@@ -387,6 +412,7 @@
 	s.inFlight++
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
+	p.takeColdToken(q.Now)
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
 		p.PrefillTime = s.prefillTime(q.Prompt)
@@ -414,6 +440,7 @@
 	defer p.fleet.mu.Unlock()
 	p.answered = true
 	p.server.answered = true
+	p.recordColdAnswer(now)
 	if !p.Peer {
 		p.fleet.reachOf(p.server.upstream).recordAnswer(now)
 	}
@@ -446,15 +473,18 @@
 	if p.Peer {
 		return
 	}
-	if p.server.ejectedUntil != previouslyEjectedUntil {
+	ejected := p.server.ejectedUntil != previouslyEjectedUntil
+	if ejected {
 		p.fleet.notify(p.server, EventEjected, p.server.ejectedUntil.Sub(now))
 	}
+	p.recordColdOutcome(outcome, ejected, now)
 	if wasHalfOpen && !p.server.halfOpen {
 		p.fleet.notify(p.server, EventReadmitted, 0)
 	}
 	switch outcome.(type) {
 	case Unreachable, Unused:
 		p.returnToken()
+		p.returnColdToken()
 		p.cancelPrefill(now)
 	case Declined:
 		p.cancelPrefill(now)
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -51,9 +51,7 @@
 	// share is the part of the limit that this entry may use, as of sharedAt.
 	share    float64
 	sharedAt time.Time
-	// tokens is the number of requests that may be sent, as of filledAt.
-	tokens   float64
-	filledAt time.Time
+	bucket
 }
 
 // rate returns how many requests a second this entry may send.
@@ -68,9 +66,7 @@
 
 // fill adds the tokens since the last call.
 func (l *rateLimit) fill(now time.Time) {
-	elapsed := max(0, now.Sub(l.filledAt).Seconds())
-	l.tokens = min(l.capacity(), l.tokens+l.rate()*elapsed)
-	l.filledAt = now
+	l.bucket.fill(l.rate(), l.capacity(), now)
 }
 
 // maxEntries returns how many entries may use the limit.
@@ -81,14 +77,7 @@
 // wait returns how long the limit allows no request; 0 if it allows one now.
 func (l *rateLimit) wait(now time.Time) time.Duration {
 	l.fill(now)
-	missing := 1 - l.tokens
-	if missing <= 0 {
-		return 0
-	}
-	if l.rate() == 0 {
-		return noShareWait
-	}
-	return time.Duration(missing/l.rate()*float64(time.Second)) + time.Millisecond
+	return l.bucket.wait(l.rate(), noShareWait)
 }
 
 // limitWait returns how long the server's limit allows no request of this entry; mu is
@@ -189,7 +178,7 @@
 	}
 	changed = l.Limit != limit
 	if !l.Named {
-		*l = rateLimit{filledAt: now}
+		*l = rateLimit{bucket: bucket{filledAt: now}}
 	}
 	l.fill(now)
 	l.Limit = limit
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -108,6 +108,8 @@
 	EventUnlimited  = "unlimited"
 	EventBrittle    = "brittle"
 	EventNotBrittle = "not brittle any more"
+	EventCold       = "cold"
+	EventWarm       = "not cold any more"
 )
 
 // Change reports a state change of a server.
@@ -124,6 +126,8 @@
 	// Limit is the number of requests a second that the server takes from all entries
 	// together; 0 if it names none.
 	Limit float64
+	// Cold is why the server counts as cold; empty if it does not.
+	Cold string
 	// EjectedFor is how long an ejected server receives no requests; 0 for
 	// other events.
 	EjectedFor time.Duration
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -234,6 +234,8 @@
 	if !r.cutOffSince.IsZero() {
 		for _, s := range f.available(upstream) {
 			s.readmit()
+			s.cold.forgetUnreachable()
+			f.isCold(s, now)
 		}
 	}
 	r.cutOffSince = time.Time{}
@@ -257,10 +259,12 @@
 type Endpoint struct {
 	ID      string
 	Address string
+	// ConnectOnly is set if the server is cold and must get no request of this entry now.
+	ConnectOnly bool
 }
 
 // Endpoints returns at most count random servers of an upstream that are not leaving and
-// want requests now.
+// want requests now. A probe of a cold one counts against this entry's share.
 func (f *Fleet) Endpoints(upstream string, count int, now time.Time) []Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -268,7 +272,11 @@
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	var endpoints []Endpoint
 	for _, s := range servers[:min(count, len(servers))] {
-		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address})
+		wait := f.coldWait(s, now)
+		if wait == 0 && f.isCold(s, now) {
+			s.cold.tokens--
+		}
+		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, ConnectOnly: wait > 0})
 	}
 	return endpoints
 }
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -47,6 +47,7 @@
 	heldOffUntil time.Time
 
 	limit rateLimit
+	cold  coldness
 
 	// ownSlots is how many requests this entry may have at the server while it is brittle,
 	// as of ownSlotsAt.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -89,6 +89,8 @@
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
 	g.Server.Fleet.LimitStated = gossiper.AnnounceLimit
 	g.Server.Fleet.LimitShare = gossiper.LimitShare
+	g.Server.Fleet.IsLearning = gossiper.IsLearning
+	g.Server.Fleet.ColdStated = gossiper.AnnounceCold
 	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
 	g.Server.Peers = gossiper
@@ -176,6 +178,7 @@
 		Client:     g.Server.Upstream,
 		Peers:      gossiper,
 		HealthPath: g.Server.HealthPath,
+		Answered:   g.Server.RecordProbe,
 		Log:        environment.Telemetry.Log,
 	}
 	monitor.Start()
@@ -256,7 +259,7 @@
 
 // logServerChange logs a change in how the entry sees a backend server.
 func (g *Gateway) logServerChange(change place.Change) {
-	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "for_ms", change.EjectedFor.Milliseconds())
+	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "cold", change.Cold, "for_ms", change.EjectedFor.Milliseconds())
 }
 
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -90,6 +90,7 @@
 	m.setServers(counts.Ready, counts.Leaving, counts.Ejected)
 	m.set("attempts_in_progress", float64(counts.InFlight))
 	m.set("backend_servers_limited", float64(counts.Limited))
+	m.set("backend_servers_cold", float64(counts.Cold))
 	m.set("upstreams_out_of_reach", float64(counts.CutOff))
 	m.set("prefill_backlog_seconds", max(0, counts.Backlog.Seconds()))
 }
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -51,7 +51,10 @@
 	// HealthPath returns the path of the health check of an upstream's servers; empty if
 	// they have none, and then a connection is probe enough.
 	HealthPath func(upstream string) string
-	Log        *log.Logger
+	// Answered, if not nil, is called with the response to a probe that was sent at the
+	// given time.
+	Answered func(endpoint place.Endpoint, sentAt time.Time, response *upstream.Response)
+	Log      *log.Logger
 
 	// watches holds the upstreams whose paths seem broken. It belongs to run.
 	watches map[string]*watch
@@ -167,21 +170,25 @@
 }
 
 // isReached reports whether a server answers a health check on a new connection. Any
-// response will do.
+// response will do, and a connection if the server must get no request.
 func (m *Monitor) isReached(ctx context.Context, name string, endpoint place.Endpoint) bool {
 	connection, err := m.Client.Dial(ctx, endpoint.ID, endpoint.Address)
 	if err != nil {
 		return false
 	}
 	path := m.HealthPath(name)
-	if path == "" {
+	if path == "" || endpoint.ConnectOnly {
 		time.Sleep(connectionTime)
 		return connection.Release()
 	}
+	sentAt := time.Now()
 	response, err := connection.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: path, Host: endpoint.Address})
 	if err != nil {
 		return false
 	}
+	if m.Answered != nil {
+		m.Answered(endpoint, sentAt, response)
+	}
 	if response.Discard() {
 		response.Finish()
 	} else {
