Cold servers: entries with a share probe those that may have started again

Only responses to health checks are sure to state coldness, and nobody asked.

Ruled out: telling all entries that a server could not be reached. An entry with a broken path would make all servers count as cold.

--- a/internal/gossip/cold.go
+++ b/internal/gossip/cold.go
@@ -1,7 +1,10 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -49,12 +52,17 @@
 	}
 }
 
-// coldLoop sends the queued announcements of cold servers to all peers until ctx ends.
+// coldLoop sends the queued announcements of cold servers to all peers, and the queued doubts
+// to some, until ctx ends.
 func (g *Gossiper) coldLoop(ctx context.Context) {
 	for {
 		select {
 		case m := <-g.colds:
 			g.trySendAll(m.append(nil))
+		case d := <-g.doubts:
+			for _, peer := range g.firstEntries(d.server, d.entries) {
+				g.trySend(d.append(nil), peer)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -71,6 +79,49 @@
 	return nil
 }
 
+// doubt tells some peers that a server could not be reached, so that they probe it. It is
+// encoded as the format and the server id.
+type doubt struct {
+	server string
+	// entries is how many entries are told; it is not encoded.
+	entries int
+}
+
+// append appends the encoded message to buffer.
+func (d doubt) append(buffer []byte) []byte {
+	buffer = append(buffer, formatDoubt)
+	return append(buffer, d.server[:min(len(d.server), maxNameLength)]...)
+}
+
+// AskForProbes queues the request that the given number of entries, which may send the server
+// requests while it is cold, probe it. It never blocks: the request is dropped if the queue is
+// full.
+func (g *Gossiper) AskForProbes(server string, entries int) {
+	select {
+	case g.doubts <- doubt{server: server, entries: entries}:
+	default:
+		g.dropped.Add(1)
+	}
+}
+
+// handleDoubt records that a peer could not reach a server.
+func (g *Gossiper) handleDoubt(data []byte) error {
+	if len(data) < 2 {
+		return errInvalidDatagram
+	}
+	g.Fleet.RecordDoubt(string(data[1:]), time.Now())
+	return nil
+}
+
+// firstEntries returns at most count other entries, those with the highest rendezvous weights
+// for a server.
+func (g *Gossiper) firstEntries(server string, count int) []netip.AddrPort {
+	others, _ := g.members.known(time.Now())
+	key := serverKey(server)
+	slices.SortFunc(others, func(a, b netip.AddrPort) int { return cmp.Compare(keeperWeight(key, b), keeperWeight(key, a)) })
+	return others[:min(count, len(others))]
+}
+
 // IsLearning reports whether other entries may not be listed yet, because this one has just
 // learned of its peers.
 func (g *Gossiper) IsLearning() bool {
--- a/internal/gossip/cold_test.go
+++ b/internal/gossip/cold_test.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +58,41 @@
 		}
 	})
 }
+
+// TestOnlyEntriesWithAShareAreAskedToProbe guards against a question to all entries, each of
+// which would then send a server that has just started a probe.
+func TestOnlyEntriesWithAShareAreAskedToProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLimitSite(70, 1, place.Limit{})
+		time.Sleep(learningTime)
+		holders := 0
+		asked := s.entries[0].firstEntries(limitedServer, 4)
+		for _, g := range s.entries {
+			if g.LimitShare(limitedServer, 4) == 0 {
+				continue
+			}
+			holders++
+			if g != s.entries[0] && !slices.Contains(asked, netip.MustParseAddrPort(g.Address)) {
+				t.Errorf("entry %s has a share and is not asked", g.Address)
+			}
+		}
+		if holders != 4 || len(asked) != 4 {
+			t.Errorf("%d entries have a share and %d are asked, want 4", holders, len(asked))
+		}
+	})
+}
+
+// TestDoubtMakesAnEntryProbe checks the datagram that asks for a probe, and that a malformed
+// one is dropped.
+func TestDoubtMakesAnEntryProbe(t *testing.T) {
+	g := &Gossiper{Fleet: &place.Fleet{}}
+	g.Fleet.SetUpstreams(map[string]place.UpstreamPolicy{"pool": {ColdStart: time.Second, ColdRequestsPerSecond: 14}})
+	g.Fleet.Update([]instances.Instance{{ID: "s", Upstream: "pool", Address: "a", Slots: 1, ColdStated: true}}, time.Now())
+	if g.handleDoubt([]byte{formatDoubt}) == nil {
+		t.Error("a datagram without a server was accepted")
+	}
+	err := g.handleDoubt(doubt{server: "s"}.append(nil))
+	if err != nil || len(g.Fleet.StartColdProbes(time.Now())) != 1 {
+		t.Errorf("error %v, want one probe", err)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -75,6 +75,7 @@
 	evidence evidenceQueue
 	limits   chan limitMessage
 	colds    chan coldMessage
+	doubts   chan doubt
 	reach    reachAnswers
 	members  memberHistory
 
@@ -104,6 +105,7 @@
 	g.evidence.start()
 	g.limits = make(chan limitMessage, maxQueuedLimits)
 	g.colds = make(chan coldMessage, maxQueuedColds)
+	g.doubts = make(chan doubt, maxQueuedColds)
 	g.done.Go(g.receiveLoop)
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
@@ -304,6 +306,8 @@
 		return g.handleLimit(data)
 	case formatCold:
 		return g.handleCold(data)
+	case formatDoubt:
+		return g.handleDoubt(data)
 	case formatReachQuery:
 		return g.handleReachQuery(data, from)
 	case formatReachAnswer:
--- a/internal/gossip/limit.go
+++ b/internal/gossip/limit.go
@@ -126,9 +126,7 @@
 	if err != nil {
 		return len(others)
 	}
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(server))
-	key := hash.Sum64()
+	key := serverKey(server)
 	weight := keeperWeight(key, own)
 	rank := 0
 	for _, other := range others {
@@ -139,6 +137,13 @@
 	return rank
 }
 
+// serverKey hashes the id of a server for rendezvous hashing.
+func serverKey(server string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(server))
+	return hash.Sum64()
+}
+
 // memberHistory remembers the other entries that were listed. Its zero value is ready to
 // use.
 type memberHistory struct {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -24,6 +24,7 @@
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
 	formatCold               = 14
+	formatDoubt              = 15
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/instances"
@@ -50,6 +49,8 @@
 	// has not answered since. It counts as cold until retryAt.
 	unreachableAt time.Time
 	retryAt       time.Time
+	// probe is the state of the probes that find out whether the server has started again.
+	probe coldProbe
 	// announcedAt is when an entry last told the others that the server is cold.
 	announcedAt time.Time
 	// reported is the last reason for coldness that was reported to Fleet.Changed.
@@ -188,36 +189,19 @@
 }
 
 // recordColdOutcome makes the server count as cold if the placement has ended without an
-// answer and has ejected it. The time for which it does, if it does not answer, is random:
-// otherwise all entries without a share would try it at once. mu is held.
+// answer and has ejected it; mu is held.
 func (p *Placement) recordColdOutcome(outcome Outcome, ejected bool, now time.Time) {
 	s := p.server
-	coldStart := p.fleet.policies[s.upstream].ColdStart
-	if !ejected || p.answered || s.replaced || coldStart <= 0 {
+	if !ejected || p.answered || s.replaced || !p.fleet.boundsColdStart(s.upstream) {
 		return
 	}
 	switch outcome.(type) {
 	case Unreachable, Failed:
-		s.cold.unreachableAt = now
-		s.cold.retryAt = now.Add(coldStart + rand.N(coldStart))
-		p.fleet.isCold(s, now)
+		p.fleet.recordUnreachable(s, now)
+		p.fleet.askForProbes(s, now)
 	}
 }
 
-// recordColdAnswer makes a server count as cold that was unreachable and answers again. The
-// answer to a request that was sent before shows that it has not started again. mu is held.
-func (p *Placement) recordColdAnswer(now time.Time) {
-	c := &p.server.cold
-	if c.unreachableAt.IsZero() {
-		return
-	}
-	if !p.StartedAt.Before(c.unreachableAt) {
-		c.suppose(coldReachable, c.unreachableAt, now)
-	}
-	c.forgetUnreachable()
-	p.fleet.isCold(p.server, now)
-}
-
 // forgetUnreachable forgets that connections to the server failed.
 func (c *coldness) forgetUnreachable() {
 	c.unreachableAt = time.Time{}
--- a/internal/place/cold_test.go
+++ b/internal/place/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,13 +25,15 @@
 	coldDomain      = "c"
 	// coldWindow is the time in which requests are counted.
 	coldWindow = time.Second
-	coldStep   = 10 * time.Millisecond
+	coldStep   = 20 * time.Millisecond
 	// coldArrivals is the number of requests a second.
 	coldArrivals = 740
 	// coldPrefixes is the number of different prompt prefixes, and coldPromptTokens the
 	// length of a prompt.
 	coldPrefixes     = 1000
 	coldPromptTokens = 1500
+	// probeStep is how often entries look for servers to probe.
+	probeStep = 100 * time.Millisecond
 	// listLag is the time after which entries learn from the list that a server is cold.
 	listLag = 1700 * time.Millisecond
 	// coldSettled exceeds the time in which entries learn of their peers.
@@ -125,6 +128,13 @@
 			}
 		}
 	}
+	e.fleet.Unreached = func(server string, maxEntries int) {
+		for _, other := range s.entries {
+			if other != e && !e.cutOff && !other.cutOff && other.gossiper.LimitShare(server, maxEntries) > 0 {
+				other.fleet.RecordDoubt(server, time.Now())
+			}
+		}
+	}
 	e.fleet.SetUpstreams(coldPolicy)
 	e.fleet.Update(s.list, time.Now())
 	return e
@@ -186,6 +196,7 @@
 func (s *coldSite) run(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		s.finish()
+		s.probe()
 		s.due += s.perSecond * coldStep.Seconds()
 		for ; s.due >= 1; s.due-- {
 			sent := s.send(s.randomEntry())
@@ -232,6 +243,28 @@
 	return false
 }
 
+// probe answers the probes of all entries, which look for some to send every probeStep.
+func (s *coldSite) probe() {
+	now := time.Now()
+	if now.UnixNano()%int64(probeStep) >= int64(coldStep) {
+		return
+	}
+	for _, e := range s.entries {
+		for _, endpoint := range e.fleet.StartColdProbes(now) {
+			server := s.servers[endpoint.ID]
+			if server.down {
+				e.fleet.EndColdProbe(endpoint, place.NotConnected, now)
+				continue
+			}
+			if now.Before(server.coldUntil) {
+				server.arrivals = append(server.arrivals, now)
+			}
+			e.fleet.RecordProbedCold(endpoint.ID, max(0, server.coldUntil.Sub(now)), now, now)
+			e.fleet.EndColdProbe(endpoint, place.Answered, now)
+		}
+	}
+}
+
 // finish answers the requests whose time has come.
 func (s *coldSite) finish() {
 	now := time.Now()
@@ -313,6 +346,27 @@
 	})
 }
 
+// join restarts entries from the given one on, and starts as many new ones. The list that
+// they get may be too old to know of cold servers.
+func (s *coldSite) join(first, count int) {
+	for i := range count {
+		s.entries[first+i] = s.newEntry(s.entries[first+i].gossiper.Address)
+		s.addEntry()
+	}
+	s.tellPeers()
+}
+
+// listCold gives every entry a list that says whether the servers of coldDomain are cold.
+func (s *coldSite) listCold(cold bool) {
+	s.list = slices.Clone(s.list)
+	for i := range s.list {
+		s.list[i].Cold = cold && s.list[i].FailureDomain == coldDomain
+	}
+	for _, e := range s.entries {
+		e.fleet.Update(s.list, time.Now())
+	}
+}
+
 // TestEntriesThatJoinOrRestartKeepToTheBound guards against entries that just started and do
 // not know how many others share a cold server, or that get a full share beside the others'.
 func TestEntriesThatJoinOrRestartKeepToTheBound(t *testing.T) {
@@ -323,12 +377,12 @@
 		}
 		s.withdraw()
 		s.run(time.Second)
-		for i := range 10 {
-			s.entries[i] = s.newEntry(s.entries[i].gossiper.Address)
-			s.addEntry()
-		}
-		s.tellPeers()
+		s.join(0, 3)
+		s.run(listLag - time.Second)
+		s.listCold(true)
+		s.join(3, 10)
 		s.run(3 * time.Second)
+		s.listCold(false)
 		s.chill()
 		for _, e := range s.entries {
 			e.fleet.MarkDomainCold(coldDomain, time.Now())
@@ -344,9 +398,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newColdSite(t, 3)
 		s.chill()
-		for i := range s.list {
-			s.list[i].Cold = s.list[i].FailureDomain == coldDomain
-		}
+		s.listCold(true)
 		e := s.newEntry("10.0.0.99:7")
 		e.gossiper.SetPeers([]string{s.entries[0].gossiper.Address})
 		for range 200 {
@@ -418,12 +470,12 @@
 
 // TestServersBackUnderTheirOldIDsAreNotOverloaded guards against servers that restart under
 // the same id and address without the list ever missing them. Some entries notice that they
-// were down; the others learn that they are cold from the list.
+// were down, and those with a share probe them and tell the others; the list is late.
 func TestServersBackUnderTheirOldIDsAreNotOverloaded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newColdSite(t, coldEntries)
-		for _, instance := range s.list[:coldServers] {
-			s.servers[instance.ID].down = true
+		for id, server := range s.servers {
+			server.down = id != "s100"
 		}
 		s.run(2 * time.Second)
 		for _, instance := range s.list[:coldServers] {
@@ -431,10 +483,7 @@
 		}
 		s.chill()
 		s.run(listLag)
-		for i := range coldServers {
-			s.list[i].Cold = true
-		}
-		s.tellList(0)
+		s.listCold(true)
 		s.run(4 * time.Second)
 		s.expectBounded(0)
 	})
--- a/internal/place/coldness_test.go
+++ b/internal/place/coldness_test.go
@@ -193,3 +193,63 @@
 		}
 	}
 }
+
+// TestUnreachableServerIsProbedByThoseWithAShare checks that a server which could not be
+// reached is probed, counts as cold for as long as it then says, and that the entries with a
+// share are asked to probe it as well.
+func TestUnreachableServerIsProbedByThoseWithAShare(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := coldFleet(start)
+	asked := 0
+	f.Unreached = func(_ string, entries int) { asked += entries }
+	if len(f.StartColdProbes(start)) != 0 {
+		t.Error("a server that was never unreachable is probed")
+	}
+	placeOne(t, f, start).Done(Unreachable{}, start)
+	if asked != 4 {
+		t.Errorf("%d entries were asked to probe the server, want 4", asked)
+	}
+	for i := range 3 {
+		at := start.Add(time.Duration(i+1) * coldProbeInterval)
+		probes := f.StartColdProbes(at)
+		if len(probes) != 1 || len(f.StartColdProbes(at)) != 0 {
+			t.Fatalf("%d probes are sent in the first look, want 1, and none in the second", len(probes))
+		}
+		f.EndColdProbe(probes[0], NotConnected, at)
+	}
+	back := start.Add(2 * time.Second)
+	probe := f.StartColdProbes(back)[0]
+	f.RecordProbedCold("s", time.Second, back, back)
+	f.EndColdProbe(probe, Answered, back)
+	expectCold(t, f, back.Add(900*time.Millisecond), true, "as long as the server said")
+	expectCold(t, f, back.Add(time.Second), false, "then")
+	if len(f.StartColdProbes(back.Add(time.Second))) != 0 {
+		t.Error("the server is probed although it has answered")
+	}
+}
+
+// TestProbeThatAnswersSaysNothingAboutColdness checks that a server without the response
+// header counts as cold for its cold start once it is reachable again.
+func TestProbeThatAnswersSaysNothingAboutColdness(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := coldFleet(start)
+	f.RecordDoubt("s", start)
+	doubted := f.StartColdProbes(start)
+	f.EndColdProbe(doubted[0], Answered, start)
+	expectCold(t, f, start, false, "doubt of another entry, and an answer")
+	f.RecordDoubt("s", start.Add(time.Second))
+	f.EndColdProbe(f.StartColdProbes(start.Add(time.Second))[0], NotConnected, start.Add(time.Second))
+	f.EndColdProbe(f.StartColdProbes(start.Add(2 * time.Second))[0], Answered, start.Add(2*time.Second))
+	expectCold(t, f, start.Add(4*time.Second), true, "reachable again")
+	expectCold(t, f, start.Add(5*time.Second), false, "cold start is over")
+}
+
+// TestEntryThatLostItsPathAsksForNoProbes guards against an entry that makes others probe all
+// servers because it can reach none.
+func TestEntryThatLostItsPathAsksForNoProbes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := coldFleet(start)
+	f.Unreached = func(string, int) { t.Error("others were asked to probe a server") }
+	f.CutOff("pool", start)
+	placeOne(t, f, start).Done(Unreachable{}, start)
+}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -90,6 +90,10 @@
 	// ColdStated, if not nil, is called when a server has stated that it stays cold for the
 	// given time, if other entries may not know it. It must not call the fleet.
 	ColdStated func(server string, coldFor time.Duration)
+	// Unreached, if not nil, is called when a server could not be reached that may be cold
+	// when it is back, with the number of entries that may send it requests then. It must
+	// not call the fleet.
+	Unreached func(server string, maxEntries int)
 
 	// policies holds what the configuration states about upstreams.
 	policies map[string]UpstreamPolicy
@@ -440,7 +444,7 @@
 	defer p.fleet.mu.Unlock()
 	p.answered = true
 	p.server.answered = true
-	p.recordColdAnswer(now)
+	p.fleet.recordReachable(p.server, p.StartedAt, now)
 	if !p.Peer {
 		p.fleet.reachOf(p.server.upstream).recordAnswer(now)
 	}
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -259,6 +259,8 @@
 type Endpoint struct {
 	ID      string
 	Address string
+	// Upstream is the server's upstream.
+	Upstream string
 	// ConnectOnly is set if the server is cold and must get no request of this entry now.
 	ConnectOnly bool
 }
@@ -276,7 +278,7 @@
 		if wait == 0 && f.isCold(s, now) {
 			s.cold.tokens--
 		}
-		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, ConnectOnly: wait > 0})
+		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, Upstream: upstream, ConnectOnly: wait > 0})
 	}
 	return endpoints
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -91,6 +91,7 @@
 	g.Server.Fleet.LimitShare = gossiper.LimitShare
 	g.Server.Fleet.IsLearning = gossiper.IsLearning
 	g.Server.Fleet.ColdStated = gossiper.AnnounceCold
+	g.Server.Fleet.Unreached = gossiper.AskForProbes
 	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
 	g.Server.Peers = gossiper
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -94,6 +94,7 @@
 		select {
 		case <-ticker.C:
 			m.check(ctx)
+			m.probeCold(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -128,6 +129,18 @@
 	}
 }
 
+// probeCold asks the servers that may have started again whether they are cold.
+func (m *Monitor) probeCold(ctx context.Context) {
+	for _, endpoint := range m.Fleet.StartColdProbes(time.Now()) {
+		m.probes.Go(func() {
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			result := m.ask(probeCtx, endpoint)
+			m.Fleet.EndColdProbe(endpoint, result, time.Now())
+		})
+	}
+}
+
 // probe asks some servers of an upstream and records whether one has answered.
 func (m *Monitor) probe(ctx context.Context, path place.Path) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -140,7 +153,7 @@
 	var reached atomic.Bool
 	for _, endpoint := range endpoints {
 		asked.Go(func() {
-			if m.isReached(probeCtx, path.Upstream, endpoint) {
+			if m.ask(probeCtx, endpoint) == place.Answered {
 				reached.Store(true)
 			}
 		})
@@ -169,22 +182,25 @@
 	}
 }
 
-// isReached reports whether a server answers a health check on a new connection. Any
-// response will do, and a connection if the server must get no request.
-func (m *Monitor) isReached(ctx context.Context, name string, endpoint place.Endpoint) bool {
+// ask sends a server a health check on a new connection. Any response will do, and a
+// connection if the server must get no request.
+func (m *Monitor) ask(ctx context.Context, endpoint place.Endpoint) place.Probed {
 	connection, err := m.Client.Dial(ctx, endpoint.ID, endpoint.Address)
 	if err != nil {
-		return false
+		return place.NotConnected
 	}
-	path := m.HealthPath(name)
+	path := m.HealthPath(endpoint.Upstream)
 	if path == "" || endpoint.ConnectOnly {
 		time.Sleep(connectionTime)
-		return connection.Release()
+		if connection.Release() {
+			return place.Answered
+		}
+		return place.NotConnected
 	}
 	sentAt := time.Now()
 	response, err := connection.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: path, Host: endpoint.Address})
 	if err != nil {
-		return false
+		return place.NotAnswered
 	}
 	if m.Answered != nil {
 		m.Answered(endpoint, sentAt, response)
@@ -194,5 +210,5 @@
 	} else {
 		response.Abandon()
 	}
-	return true
+	return place.Answered
 }
