--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -76,6 +76,7 @@
 func (s *Server) Install(version uint64, document *config.Document) {
 	s.obeyEvacuations(version, document)
 	table := NewTable(version, document)
+	s.Fleet.SetUpstreams(table.policies)
 	s.table.Store(table)
 	s.Holder.Prepare(table.budgetedWorkspaces())
 }
--- a/internal/place/evacuation.go
+++ b/internal/place/evacuation.go
@@ -16,29 +16,23 @@
 // evacuations holds which failure domains are evacuated. Its zero value has none.
 type evacuations struct {
 	domains map[string]bool
-	// endedAt is when the evacuation of a failure domain was last seen to end.
-	endedAt map[string]time.Time
 }
 
 // SetEvacuated replaces the failure domains that are evacuated: their servers get no
-// requests and no probes. Requests that run there are not affected.
+// requests and no probes. Requests that run there are not affected. Servers of a failure
+// domain that is in use again count as cold.
 func (f *Fleet) SetEvacuated(domains map[string]bool, now time.Time) EvacuationChange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.evacuations.set(domains, now)
+	change := f.evacuations.set(domains)
+	for _, domain := range change.Ended {
+		f.markDomainCold(domain, now)
+	}
+	return change
 }
 
-func (e *evacuations) set(domains map[string]bool, now time.Time) EvacuationChange {
+func (e *evacuations) set(domains map[string]bool) EvacuationChange {
 	change := EvacuationChange{Begun: namesMissing(domains, e.domains), Ended: namesMissing(e.domains, domains)}
-	for _, name := range change.Begun {
-		delete(e.endedAt, name)
-	}
-	if e.endedAt == nil {
-		e.endedAt = make(map[string]time.Time)
-	}
-	for _, name := range change.Ended {
-		e.endedAt[name] = now
-	}
 	e.domains = maps.Clone(domains)
 	return change
 }
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -51,7 +51,10 @@
 	// HealthPath returns the path of the health check of an upstream's servers; empty if
 	// they have none, and then a connection is probe enough.
 	HealthPath func(upstream string) string
-	Log        *log.Logger
+	// Answered, if not nil, is called with the response to a probe that was sent at the
+	// given time.
+	Answered func(endpoint place.Endpoint, sentAt time.Time, response *upstream.Response)
+	Log      *log.Logger
 
 	// watches holds the upstreams whose paths seem broken. It belongs to run.
 	watches map[string]*watch
@@ -91,6 +94,7 @@
 		select {
 		case <-ticker.C:
 			m.check(ctx)
+			m.probeCold(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -125,6 +129,18 @@
 	}
 }
 
+// probeCold asks the servers that may have started again whether they are cold.
+func (m *Monitor) probeCold(ctx context.Context) {
+	for _, endpoint := range m.Fleet.StartColdProbes(time.Now()) {
+		m.probes.Go(func() {
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			result := m.ask(probeCtx, endpoint)
+			m.Fleet.EndColdProbe(endpoint, result, time.Now())
+		})
+	}
+}
+
 // probe asks some servers of an upstream and records whether one has answered.
 func (m *Monitor) probe(ctx context.Context, path place.Path) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -137,7 +153,7 @@
 	var reached atomic.Bool
 	for _, endpoint := range endpoints {
 		asked.Go(func() {
-			if m.isReached(probeCtx, path.Upstream, endpoint) {
+			if m.ask(probeCtx, endpoint) == place.Answered {
 				reached.Store(true)
 			}
 		})
@@ -166,26 +182,33 @@
 	}
 }
 
-// isReached reports whether a server answers a health check on a new connection. Any
-// response will do.
-func (m *Monitor) isReached(ctx context.Context, name string, endpoint place.Endpoint) bool {
+// ask sends a server a health check on a new connection. Any response will do, and a
+// connection if the server must get no request.
+func (m *Monitor) ask(ctx context.Context, endpoint place.Endpoint) place.Probed {
 	connection, err := m.Client.Dial(ctx, endpoint.ID, endpoint.Address)
 	if err != nil {
-		return false
+		return place.NotConnected
 	}
-	path := m.HealthPath(name)
-	if path == "" {
+	path := m.HealthPath(endpoint.Upstream)
+	if path == "" || endpoint.ConnectOnly {
 		time.Sleep(connectionTime)
-		return connection.Release()
+		if connection.Release() {
+			return place.Answered
+		}
+		return place.NotConnected
 	}
+	sentAt := time.Now()
 	response, err := connection.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: path, Host: endpoint.Address})
 	if err != nil {
-		return false
+		return place.NotAnswered
+	}
+	if m.Answered != nil {
+		m.Answered(endpoint, sentAt, response)
 	}
 	if response.Discard() {
 		response.Finish()
 	} else {
 		response.Abandon()
 	}
-	return true
+	return place.Answered
 }
