Gossip: datagrams that peers echo

Cause: an entry cannot see the queue at its own link or processor.

An older build drops both as invalid and then counts as a peer that never answers. An entry without a controller neither sends nor answers.

--- /dev/null
+++ b/internal/gossip/echo.go
@@ -0,0 +1,136 @@
+package gossip
+
+import (
+	"context"
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/overload"
+)
+
+const (
+	echoRequestLength = 1 + 8
+	// minEchoAnswerLength is that of an answer of this build; later ones may add bytes.
+	minEchoAnswerLength = 1 + 8 + 1 + 1
+	// echoDelayUnit and echoMinimumUnit are the units of the two times of an answer.
+	echoDelayUnit   = 4 * time.Millisecond
+	echoMinimumUnit = 2 * time.Millisecond
+	// unknownEchoTime is the encoded time of an entry that has measured nothing.
+	unknownEchoTime = math.MaxUint8
+)
+
+// An echo request is encoded as the format and an identifier. The answer is encoded as the
+// format, the identifier, and of the answering entry its queueing delay and the usual
+// minimum of its round-trip times, in units of echoDelayUnit and echoMinimumUnit. Numbers are
+// big-endian.
+
+// echoAnswer is what an entry answers to an echo request.
+type echoAnswer struct {
+	id uint64
+	// delay is the queueing delay, if delayKnown is set.
+	delay      time.Duration
+	delayKnown bool
+	// minimum is the usual minimum of round-trip times; 0 if unknown.
+	minimum time.Duration
+}
+
+// append appends the encoded answer to buffer.
+func (a echoAnswer) append(buffer []byte) []byte {
+	delay, minimum := byte(unknownEchoTime), byte(unknownEchoTime)
+	if a.delayKnown {
+		delay = byte(min(unknownEchoTime-1, a.delay/echoDelayUnit))
+	}
+	if a.minimum > 0 {
+		// Rounded up, because a minimum below the unit would be encoded as none.
+		minimum = byte(min(unknownEchoTime-1, (a.minimum+echoMinimumUnit-1)/echoMinimumUnit))
+	}
+	buffer = binary.BigEndian.AppendUint64(append(buffer, formatEchoAnswer), a.id)
+	return append(buffer, delay, minimum)
+}
+
+// decodeEchoAnswer decodes an echoAnswer or returns errInvalidDatagram.
+func decodeEchoAnswer(data []byte) (echoAnswer, error) {
+	if len(data) < minEchoAnswerLength || data[0] != formatEchoAnswer {
+		return echoAnswer{}, errInvalidDatagram
+	}
+	a := echoAnswer{id: binary.BigEndian.Uint64(data[1:])}
+	if data[9] != unknownEchoTime {
+		a.delay, a.delayKnown = time.Duration(data[9])*echoDelayUnit, true
+	}
+	if data[10] != unknownEchoTime {
+		a.minimum = time.Duration(data[10]) * echoMinimumUnit
+	}
+	return a, nil
+}
+
+// startEchoes starts to probe peers if the entry has a controller.
+func (g *Gossiper) startEchoes(ctx context.Context) {
+	if g.Overload == nil {
+		return
+	}
+	g.prober.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.done.Go(func() { g.echoLoop(ctx) })
+}
+
+// echoLoop probes one peer every overload.ProbeInterval until ctx ends.
+func (g *Gossiper) echoLoop(ctx context.Context) {
+	ticker := time.NewTicker(overload.ProbeInterval)
+	defer ticker.Stop()
+	var buffer []byte
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, sample := range g.prober.Expire(time.Now()) {
+			g.Overload.RecordEcho(time.Now(), sample)
+		}
+		probe, ok := g.prober.Next(time.Now(), g.peerAddresses())
+		if !ok {
+			continue
+		}
+		buffer = binary.BigEndian.AppendUint64(append(buffer[:0], formatEchoRequest), probe.ID)
+		g.trySend(buffer, probe.Peer)
+	}
+}
+
+// handleEchoRequest answers a peer at once. An entry without a controller does not answer,
+// like an older build.
+func (g *Gossiper) handleEchoRequest(data []byte, from netip.AddrPort) error {
+	if len(data) < echoRequestLength {
+		return errInvalidDatagram
+	}
+	if g.Overload == nil {
+		return nil
+	}
+	status := g.Overload.Status(time.Now())
+	answer := echoAnswer{
+		id:         binary.BigEndian.Uint64(data[1:]),
+		delay:      status.Delay,
+		delayKnown: status.Known,
+		minimum:    g.prober.Minimum(),
+	}
+	g.trySend(answer.append(nil), from)
+	return nil
+}
+
+// handleEchoAnswer passes what an echo has shown to the controller.
+func (g *Gossiper) handleEchoAnswer(data []byte, from netip.AddrPort) error {
+	answer, err := decodeEchoAnswer(data)
+	if err != nil || g.Overload == nil {
+		return err
+	}
+	now := time.Now()
+	sample, ok := g.prober.Echo(now, answer.id, from, answer.minimum)
+	if ok {
+		g.Overload.RecordEcho(now, sample)
+	}
+	if answer.delayKnown {
+		g.Overload.RecordPeer(now, from.String(), answer.delay)
+	}
+	return nil
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,7 +4,8 @@
 // group, and tells others where a stream began: its origin, a text that only
 // package forward reads. It also shares the evidence against prompt segments
 // and requests under which servers crash, and the limits that backend servers
-// name, and says whether it reaches the servers of an upstream. A lost datagram
+// name, says whether it reaches the servers of an upstream, and echoes the datagrams by which
+// entries measure their own delay. A lost datagram
 // leads to a worse placement, to a loan whose tokens then count as spent, or to a
 // stream whose origin is unknown; evidence and limits are repeated.
 package gossip
@@ -23,6 +24,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 )
@@ -57,6 +59,9 @@
 	// Evidence receives and repeats the evidence against what crashes servers; nil shares
 	// none.
 	Evidence *quarantine.Registry
+	// Overload receives the delays that echoes of peers show; nil sends and answers no
+	// echoes.
+	Overload *overload.Controller
 	Log      *log.Logger
 
 	socket *net.UDPConn
@@ -76,6 +81,7 @@
 	limits   chan limitMessage
 	reach    reachAnswers
 	members  memberHistory
+	prober   overload.Prober
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -106,6 +112,7 @@
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
 	g.done.Go(func() { g.limitLoop(ctx) })
+	g.startEchoes(ctx)
 	return nil
 }
 
@@ -309,6 +316,10 @@
 		return g.handleStreamQuery(data, from)
 	case formatStreamAnswer:
 		return g.handleStreamAnswer(data, from)
+	case formatEchoRequest:
+		return g.handleEchoRequest(data, from)
+	case formatEchoAnswer:
+		return g.handleEchoAnswer(data, from)
 	default:
 		return errInvalidDatagram
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,6 +23,8 @@
 	formatLimit              = 9
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
+	formatEchoRequest        = 14
+	formatEchoAnswer         = 15
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
