--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -38,6 +38,17 @@
 	Retries Retries `json:"retries,omitzero"`
 	// MemoryMB is the memory available to the process in MiB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
+	// Overload makes an entry measure its own delay and refuse requests while it is
+	// overloaded; nil means that it does neither.
+	Overload *Overload `json:"overload,omitempty"`
+}
+
+// Overload states the resources of an entry.
+type Overload struct {
+	// LinkMbps is the bandwidth of the entry's link in each direction, in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
+	// MemoryMB is the memory of the entry in MiB.
+	MemoryMB int `json:"memory_mb"`
 }
 
 // Tolerance is the number of instances and failure domains that may be lost at
@@ -104,4 +115,17 @@
 	if s.MemoryMB < 0 {
 		faults.Add("seeded.memory_mb", "must be 1 or more megabytes")
 	}
+	s.Overload.validate(faults)
+}
+
+func (o *Overload) validate(faults *check.Faults) {
+	if o == nil {
+		return
+	}
+	if o.LinkMbps <= 0 {
+		faults.Add("seeded.overload.link_mbps", "must be more than 0 Mbit/s")
+	}
+	if o.MemoryMB <= 0 {
+		faults.Add("seeded.overload.memory_mb", "must be 1 or more megabytes")
+	}
 }
