Entry: refuse requests before the body while overloaded

Cause: an overloaded entry read and placed every request, and served it late.

Change: task.admit asks the controller once route and workspace are known. Resumed streams are not shed. An entry that passed a request on tries another one. Writes to callers that block are a second sample of the delay.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -131,7 +131,9 @@
 	}
 	t.w.WriteHeader(response.Status)
 	t.responseBytes = int64(len(body))
+	writeStart := time.Now()
 	_, err = t.w.Write(body)
+	t.recordWrite(writeStart)
 	if err != nil {
 		return &refusal{reason: reasonCallerLeft}, false
 	}
@@ -347,10 +349,12 @@
 	}
 	s.task.startStream(s.response)
 	s.task.responseBytes += int64(end)
+	writeStart := time.Now()
 	_, err := s.task.w.Write(s.pending[:end])
 	if err == nil {
 		err = s.controller.Flush()
 	}
+	s.task.recordWrite(writeStart)
 	if err != nil {
 		return errCallerWrite
 	}
--- /dev/null
+++ b/internal/forward/overload.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/overload"
+)
+
+const (
+	// headerBytes is what the headers of a request and its response add to their bodies.
+	headerBytes = 2 << 10
+	// promptTokenBytes is the usual size of a prompt token, for bodies without a length.
+	promptTokenBytes = 4
+	// eventBytes is the usual size of an event of a stream with its framing.
+	eventBytes = 160
+	// maxIgnoredBodyBytes is the size up to which the body of a refused request is read
+	// after all, so that its connection stays open. It has then arrived with the header.
+	maxIgnoredBodyBytes = 4 << 10
+)
+
+// refuseOverloaded refuses a request that the entry would serve late, before its body is
+// read.
+func (t *task) refuseOverloaded(r *http.Request) *refusal {
+	controller := t.server.Overload
+	if controller == nil {
+		return nil
+	}
+	decision := controller.Admit(t.start, overload.Request{
+		Workspace:     t.workspaceName(),
+		Priority:      t.route.priority(t.workspace),
+		LatencyTarget: t.route.LatencyTarget.Or(0),
+		Remaining:     t.timeout(),
+		Bytes:         t.expectedBytes(r),
+		Resumes:       t.request.LastEventID != "",
+	})
+	refused, ok := decision.(overload.Refused)
+	if !ok {
+		return nil
+	}
+	// The HTTP server reads up to 256 KB of the body before it sends the refusal, unless
+	// the connection closes.
+	if r.ContentLength < 0 || r.ContentLength > maxIgnoredBodyBytes {
+		t.w.Header().Set("Connection", "close")
+	}
+	return serviceUnavailable(reason(refused.Reason), retryAfterOtherEntry)
+}
+
+// expectedBytes estimates what the request and its response send over the link in one
+// direction, from the headers.
+func (t *task) expectedBytes(r *http.Request) int64 {
+	bytes := headerBytes + max(0, r.ContentLength)
+	prompt := t.request.Prompt
+	if prompt == nil {
+		return bytes
+	}
+	if r.ContentLength < 0 {
+		bytes += promptTokenBytes * prompt.Tokens
+	}
+	return bytes + eventBytes*(prompt.Output/max(1, t.route.EventTokens))
+}
+
+// recordWrite records how long a write to the caller has blocked that began at start.
+func (t *task) recordWrite(start time.Time) {
+	if t.server.Overload != nil {
+		now := time.Now()
+		t.server.Overload.RecordWrite(now, now.Sub(start))
+	}
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
 // reason names why a request ends without a complete response of a backend
@@ -33,6 +35,8 @@
 	reasonBrokenStream    reason = "stream_broken"
 	reasonCallerLeft      reason = "caller_left"
 	reasonInterrupted     reason = "interrupted_by_shutdown"
+	reasonOverloaded      reason = reason(overload.Shed)
+	reasonHopeless        reason = reason(overload.Hopeless)
 )
 
 // refusal ends a request without a complete response of a backend server.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -129,7 +129,7 @@
 // one may take the request.
 func (r *refusal) isOfEntry() bool {
 	switch r.reason {
-	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent:
+	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent, reasonOverloaded, reasonHopeless:
 		return true
 	default:
 		return false
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -16,6 +16,7 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/reach"
@@ -38,7 +39,8 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Peers, Streams, ListAge and ListFollowedFor may be nil.
+// before the first request; only Peers, Streams, Overload, ListAge and
+// ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -51,6 +53,8 @@
 	Peers reach.Peers
 	// Streams knows where streams began; nil knows of none.
 	Streams StreamOrigins
+	// Overload refuses requests while the entry is overloaded; nil refuses none.
+	Overload *overload.Controller
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
@@ -175,7 +179,11 @@
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
 	t.deadline = t.start.Add(t.timeout())
-	refused := t.readBody(r)
+	refused := t.refuseOverloaded(r)
+	if refused != nil {
+		return refused
+	}
+	refused = t.readBody(r)
 	if refused == nil && t.server.drain.Plan().Refuses(time.Now(), t.deadline) {
 		return serviceUnavailable(reasonLeaving, retryAfterOtherEntry)
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -80,6 +80,7 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
+	g.Server.Overload = newOverloadController(s.Seeded.Overload)
 	g.Server.Fleet.Changed = g.logServerChange
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
@@ -200,9 +201,10 @@
 		return nil, errors.Newf("parse caller address: %w", err)
 	}
 	return &gossip.Gossiper{
-		Address: net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
-		Fleet:   g.Server.Fleet,
-		Log:     environment.Telemetry.Log,
+		Address:  net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
+		Fleet:    g.Server.Fleet,
+		Overload: g.Server.Overload,
+		Log:      environment.Telemetry.Log,
 	}, nil
 }
 
