--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,6 +23,8 @@
 	formatLimit              = 9
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
+	formatEchoRequest        = 14
+	formatEchoAnswer         = 15
 	formatCold               = 16
 	formatDoubt              = 17
 	// maxSegments and maxNameLength bound the contents of a message.
