Entry: local failures blame no server, refusal before descriptors run out

Cause: a dial that failed for want of ports or descriptors, or that timed out behind a queue at the entry's own link, ejected the server and closed the idle connections to it, so that an overloaded entry opened even more.

Change: such failures end the placement as unused and close nothing. A time-out counts as local only while overload.Controller measures a delay above its target; a server that hangs meanwhile is then not ejected. Without descriptors no other server is tried; the caller retries at another entry after 0.05 s.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -92,6 +92,8 @@
 	receivedBy []string
 	// listeners holds the listeners of the backend servers by address.
 	listeners map[string]net.Listener
+	// addresses holds the addresses of the backend servers by number.
+	addresses []string
 }
 
 // responder is the scripted reaction of a backend server to one request.
@@ -163,6 +165,7 @@
 	}
 	f.t.Cleanup(func() { _ = listener.Close() })
 	f.listeners[listener.Addr().String()] = listener
+	f.addresses = append(f.addresses, listener.Addr().String())
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/internal/forward/overload.go
+++ b/internal/forward/overload.go
@@ -46,6 +46,17 @@
 	return serviceUnavailable(reason(refused.Reason), retryAfterOtherEntry)
 }
 
+// refuseWithoutDescriptors refuses a request while few file descriptors are free, and closes
+// the caller's connection to free another one. The rest of a response that has begun may use
+// the last ones.
+func (t *task) refuseWithoutDescriptors() *refusal {
+	if t.server.HasDescriptors == nil || t.request.LastEventID != "" || t.server.HasDescriptors() {
+		return nil
+	}
+	t.w.Header().Set("Connection", "close")
+	return serviceUnavailable(reasonNoDescriptors, retryAfterOtherEntry)
+}
+
 // expectedBytes estimates what the request and its response send over the link in one
 // direction, from the headers.
 func (t *task) expectedBytes(r *http.Request) int64 {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -37,6 +37,7 @@
 	reasonInterrupted     reason = "interrupted_by_shutdown"
 	reasonOverloaded      reason = reason(overload.Shed)
 	reasonHopeless        reason = reason(overload.Hopeless)
+	reasonNoDescriptors   reason = "no_descriptors"
 )
 
 // refusal ends a request without a complete response of a backend server.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -129,7 +129,7 @@
 // one may take the request.
 func (r *refusal) isOfEntry() bool {
 	switch r.reason {
-	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent, reasonOverloaded, reasonHopeless:
+	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent, reasonOverloaded, reasonHopeless, reasonNoDescriptors:
 		return true
 	default:
 		return false
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -39,8 +39,8 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Peers, Streams, Overload, ListAge and
-// ListFollowedFor may be nil.
+// before the first request; only Peers, Streams, Overload, HasDescriptors,
+// ListAge and ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -55,6 +55,9 @@
 	Streams StreamOrigins
 	// Overload refuses requests while the entry is overloaded; nil refuses none.
 	Overload *overload.Controller
+	// HasDescriptors reports whether enough file descriptors are free for another request;
+	// nil refuses no request for want of them.
+	HasDescriptors func() bool
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
@@ -179,7 +182,10 @@
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
 	t.deadline = t.start.Add(t.timeout())
-	refused := t.refuseOverloaded(r)
+	refused := t.refuseWithoutDescriptors()
+	if refused == nil {
+		refused = t.refuseOverloaded(r)
+	}
 	if refused != nil {
 		return refused
 	}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -151,7 +151,7 @@
 	case s.ctx.Err() != nil:
 		placement.Done(place.Unused{}, time.Now())
 	default:
-		placement.Done(place.Unreachable{}, time.Now())
+		placement.Done(t.server.outcomeOfUnsent(err), time.Now())
 		s.avoided = append(s.avoided, placement.ID)
 		s.obstacle = deniedByServers
 	}
@@ -218,7 +218,7 @@
 // rejectError ends an attempt that brought no response.
 func (s *successor) rejectError(placement *place.Placement, err error) {
 	if upstream.IsNotSent(err) {
-		placement.Done(place.Unreachable{}, time.Now())
+		placement.Done(s.task.server.outcomeOfUnsent(err), time.Now())
 		s.avoided = append(s.avoided, placement.ID)
 		s.task.reportFailedAttempt(placement, "not_sent", err.Error(), true)
 		return
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -360,8 +360,7 @@
 		return &refusal{reason: reasonCallerLeft}, false
 	}
 	if upstream.IsNotSent(err) {
-		placement.Done(place.Unreachable{}, now)
-		t.server.Upstream.CloseIdle(placement.ID)
+		t.server.endUnsent(placement, err, now)
 		t.unsentAttempts++
 		switch {
 		case drain.IsInterrupted(ctx):
@@ -371,6 +370,8 @@
 			refused = t.fail(reasonNotSent, retryAfterSoon)
 		case t.unsentAttempts > maxUnsentAttempts:
 			return t.passToPeer(ctx, placement, err)
+		case upstream.LacksDescriptors(err):
+			refused = t.fail(reasonNotSent, retryAfterOtherEntry)
 		}
 		t.reportFailedAttempt(placement, "not_sent", err.Error(), refused == nil)
 		return refused, refused == nil
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -49,7 +49,9 @@
 	directory *group.Directory
 	callers   *listener
 	// relays accepts the requests that other entries pass on.
-	relays       *listener
+	relays *listener
+	// connections counts the open connections of both.
+	connections  atomic.Int64
 	closers      closers
 	shuttingDown atomic.Bool
 }
@@ -81,6 +83,9 @@
 		Tracer:        environment.Telemetry.Tracer,
 	}
 	g.Server.Overload = newOverloadController(s.Seeded.Overload)
+	if s.Seeded.Overload != nil {
+		g.limitConnections(descriptorLimit())
+	}
 	g.Server.Fleet.Changed = g.logServerChange
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
@@ -264,13 +269,13 @@
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
 // if set, for metrics.
 func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
-	callers, err := listen(environment.Network, g.settings.CallerAddress, g.Server)
+	callers, err := listenCounted(environment.Network, g.settings.CallerAddress, g.Server, &g.connections)
 	if err != nil {
 		return err
 	}
 	g.callers = callers
 	g.closers.add(callers.close)
-	g.relays, err = listen(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed))
+	g.relays, err = listenCounted(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
 	if err != nil {
 		return err
 	}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -36,12 +36,20 @@
 	// their next connection elsewhere.
 	draining atomic.Bool
 
+	// open counts the connections of this listener and others that share the counter.
+	open *atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*connection]struct{}
 }
 
 // listen starts serving handler on address.
 func listen(network transport.Network, address string, handler http.Handler) (*listener, error) {
+	return listenCounted(network, address, handler, new(atomic.Int64))
+}
+
+// listenCounted starts serving handler on address and counts the open connections in open.
+func listenCounted(network transport.Network, address string, handler http.Handler, open *atomic.Int64) (*listener, error) {
 	socket, err := network.Listen(address)
 	if err != nil {
 		return nil, errors.Newf("start listener: %w", err)
@@ -49,6 +57,7 @@
 	l := &listener{
 		socket: connectionListener{socket},
 		done:   make(chan struct{}),
+		open:   open,
 		conns:  make(map[*connection]struct{}),
 	}
 	l.server = &http.Server{
@@ -90,12 +99,14 @@
 	switch state {
 	case http.StateNew:
 		l.conns[c] = struct{}{}
+		l.open.Add(1)
 	case http.StateActive:
 		c.beginRequest()
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
+		l.open.Add(-1)
 	}
 }
 
