Tests: the connections of a load are older than those that follow

Cause: TestIdleConnectionsAreBounded failed in about a quarter of its runs: the last connection of the load and the first one after it became idle at the same instant of virtual time, and either may be closed. Change: a millisecond between them; the check stays.

--- a/internal/upstream/load_test.go
+++ b/internal/upstream/load_test.go
@@ -203,6 +203,8 @@
 		if idle > limit {
 			t.Errorf("%d connections are idle, want at most %d", idle, limit)
 		}
+		// The last connection of the load became idle at this instant; it must be older.
+		time.Sleep(time.Millisecond)
 		for i := range limit {
 			err := exchange(client, "other-"+strconv.Itoa(i), request("a"))
 			if err != nil {
