Entry: metrics and log lines of admission control

Cause: an entry refused requests while overloaded or short of descriptors without a line that says why, and without a metric of the delay, the level or the refusals by priority.

Change: gauges of the measured delay, its target, the level, the share of peers with room, idle connections and descriptors, which are 0 where overload is off (unless they exist there too); a counter of the requests shed by reason and priority, counted where this entry decides; log lines when shedding begins and ends, with their inputs, at most two a second.

--- a/internal/forward/overload.go
+++ b/internal/forward/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/overload"
@@ -19,6 +20,22 @@
 	maxIgnoredBodyBytes = 4 << 10
 )
 
+// refuseForLoad refuses a request for which the entry has no room, before its body is read,
+// and counts it.
+func (t *task) refuseForLoad(r *http.Request) *refusal {
+	refused := t.refuseWithoutDescriptors()
+	if refused == nil {
+		refused = t.refuseOverloaded(r)
+	}
+	if refused != nil {
+		t.server.Scope.Tagged(map[string]string{
+			"reason":   string(refused.reason),
+			"priority": strconv.Itoa(t.route.priority(t.workspace)),
+		}).Counter("requests_shed").Inc(1)
+	}
+	return refused
+}
+
 // refuseOverloaded refuses a request that the entry would serve late, before its body is
 // read.
 func (t *task) refuseOverloaded(r *http.Request) *refusal {
--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
@@ -71,7 +73,8 @@
 	}
 }
 
-// TestOverloadAdmitsSome guards against an entry that refuses all requests of a kind.
+// TestOverloadAdmitsSome guards against an entry that refuses all requests of a kind, and
+// against refusals that are not counted.
 func TestOverloadAdmitsSome(t *testing.T) {
 	var responders []responder
 	for range 200 {
@@ -79,6 +82,8 @@
 	}
 	f := newFixture(t, onceRoute, responders...)
 	f.server.Overload = overloadedController()
+	scope := tally.NewTestScope("", nil)
+	f.server.Scope = scope
 	served, refused := 0, 0
 	for range 200 {
 		switch status, body, _, _ := f.send("/a/x", "secret"); {
@@ -93,6 +98,10 @@
 	if served == 0 || refused == 0 {
 		t.Errorf("%d served and %d refused, want some of both", served, refused)
 	}
+	counted := scope.Snapshot().Counters()["requests_shed+priority=0,reason=overloaded"]
+	if counted == nil || counted.Value() != int64(refused) {
+		t.Errorf("requests_shed counts %v, want %d", counted, refused)
+	}
 }
 
 // TestOverloadRefusesHopeless guards against holding a request whose caller will have left
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -182,10 +182,7 @@
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
 	t.deadline = t.start.Add(t.timeout())
-	refused := t.refuseWithoutDescriptors()
-	if refused == nil {
-		refused = t.refuseOverloaded(r)
-	}
+	refused := t.refuseForLoad(r)
 	if refused != nil {
 		return refused
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cactusbay/cactusbay/internal/gossip"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/instances"
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
@@ -51,9 +52,11 @@
 	// relays accepts the requests that other entries pass on.
 	relays *listener
 	// connections counts the open connections of both.
-	connections  atomic.Int64
-	closers      closers
-	shuttingDown atomic.Bool
+	connections atomic.Int64
+	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
+	descriptorLimit overload.DescriptorLimit
+	closers         closers
+	shuttingDown    atomic.Bool
 }
 
 // StartGateway starts an entry instance of a seeded site and its listeners. The
@@ -110,6 +113,10 @@
 	g.monitorReach(environment, gossiper)
 	meter := startMeter(environment.Telemetry.Scope, func(m *meter) { g.measure(m, gossiper) })
 	g.closers.add(meter.close)
+	if g.Server.Overload != nil {
+		logger := startShedLogger(g.Server.Overload, environment.Telemetry.Log)
+		g.closers.add(logger.close)
+	}
 	return nil
 }
 
@@ -134,6 +141,11 @@
 	m.setAge("list_age_seconds", g.Server.ListAge())
 	m.countDatagrams(gossiper.Counts())
 	m.countTo("backend_connections", g.Server.Upstream.Dials())
+	m.setOverload(g.Server.Overload)
+	_, idle := g.Server.Upstream.Open()
+	m.set("backend_connections_idle", float64(idle))
+	m.set("descriptors_in_use", float64(g.connectionsInUse()))
+	m.set("descriptor_limit", float64(g.descriptorLimit))
 }
 
 func retryLimits(r settings.Retries) retry.Limits {
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/gossip"
 	"github.com/cactusbay/cactusbay/internal/group"
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quorum"
 )
@@ -120,6 +121,22 @@
 	m.setAge("control_contact_age_seconds", watcher.ContactAge())
 }
 
+// setOverload sets the gauges of admission control; they are 0 if there is none.
+func (m *meter) setOverload(controller *overload.Controller) {
+	var status overload.Status
+	if controller != nil {
+		status = controller.Status(time.Now())
+	}
+	delay := status.Delay
+	if controller != nil && !status.Known {
+		delay = -time.Second
+	}
+	m.setAge("queueing_delay_seconds", delay)
+	m.set("queueing_delay_target_seconds", status.Target.Seconds())
+	m.set("shedding_level", status.Level)
+	m.set("peers_with_room", status.Room)
+}
+
 // countDatagrams sets the counters of the datagrams between entries.
 func (m *meter) countDatagrams(counts gossip.Counts) {
 	m.countTo("datagrams_sent", counts.Sent)
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -49,6 +49,7 @@
 	client := g.Server.Upstream
 	client.IdleTimeout = backendIdleTimeout
 	client.OldestFirst = true
+	g.descriptorLimit = limit
 	if limit == 0 {
 		return
 	}
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -1,17 +1,50 @@
 package process
 
 import (
+	"maps"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/cactusbay/cactusbay/internal/fake"
 	"github.com/cactusbay/cactusbay/internal/forward"
 	"github.com/cactusbay/cactusbay/internal/overload"
+	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
 
+// TestOverloadGauges guards against gauges that are missing where overload is off, and that
+// show an unmeasured delay like none.
+func TestOverloadGauges(t *testing.T) {
+	measured := newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184})
+	for range 4 {
+		measured.RecordEcho(time.Now(), overload.Sample{Delay: 250 * time.Millisecond})
+	}
+	for _, c := range []struct {
+		controller          *overload.Controller
+		delay, target, room float64
+	}{
+		{nil, 0, 0, 0},
+		{newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184}), -1, 0.125, 1},
+		{measured, 0.25, 0.125, 1},
+	} {
+		scope := tally.NewTestScope("", nil)
+		m := &meter{scope: scope}
+		m.setOverload(c.controller)
+		gauges := make(map[string]float64)
+		for _, gauge := range scope.Snapshot().Gauges() {
+			gauges[gauge.Name()] = gauge.Value()
+		}
+		want := map[string]float64{"queueing_delay_seconds": c.delay, "queueing_delay_target_seconds": c.target, "shedding_level": 0, "peers_with_room": c.room}
+		if !maps.Equal(gauges, want) {
+			t.Errorf("got gauges %v, want %v", gauges, want)
+		}
+	}
+}
+
 // TestCallersCountTowardsTheLimit guards against descriptors of callers that are not counted,
 // or counted after they are closed: the entry would run out of them, or refuse for ever.
 func TestCallersCountTowardsTheLimit(t *testing.T) {
