Overload: requests that gain little by a detour are shed last

Requests of a low priority were shed first, although the small ones among them leave hardly any room and are late at another entry. Change: the size and the latency target weigh more than the priority.

--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -25,8 +25,7 @@
 
 	// integralGain and proportionalGain change the level at each step, by the excess of
 	// the delay over the target and by the change of the delay, in targets. The level
-	// falls slower than it rises, because the queue refills faster than it is noticed. The
-	// values served the most requests in time among those tried in the simulation test.
+	// falls slower than it rises, because the queue refills faster than it is noticed.
 	integralGain     = 0.15
 	proportionalGain = 0.3
 	fallingGain      = 0.01
@@ -46,9 +45,15 @@
 	maxLevel    = 1 + maxRefusal*refusalRamp
 
 	// Weights of the parts of a request's resistance; they add up to 1.
-	priorityWeight = 0.5
-	fairnessWeight = 0.3
-	sizeWeight     = 0.2
+	priorityWeight = 0.3
+	fairnessWeight = 0.25
+	detourWeight   = 0.45
+	// detourTime is about what a caller loses that comes back to another entry: the retry
+	// delay, a connection and two round trips.
+	detourTime = 150 * time.Millisecond
+	// smallRequestTime is how long a request occupies the link that occupies the processor
+	// for about as long.
+	smallRequestTime = 3 * time.Millisecond
 )
 
 // Controller decides on requests. It is safe for concurrent use.
@@ -138,14 +143,25 @@
 // conversions keep products from being fused with sums, so that seeded runs are equal on all
 // processors.
 func (c *Controller) resistance(now time.Time, r Request) float64 {
-	smallness := 1.0
+	urgency := 1 / float64(1+max(0, r.Priority))
+	need := max(0, 1-c.usage.share(now, r.Workspace)/2)
+	return float64(priorityWeight*urgency) + float64(fairnessWeight*need) + float64(detourWeight*(1-c.detourGain(r)))
+}
+
+// detourGain returns, from 0 to 1, what it gains to send a request's caller to another entry:
+// the room that it leaves to others, unless the detour takes much of its latency target.
+func (c *Controller) detourGain(r Request) float64 {
+	target := r.LatencyTarget
+	if target == 0 {
+		target = defaultLatencyTarget
+	}
+	affordable := target.Seconds() / (target + detourTime).Seconds()
+	room := 0.5
 	if c.LinkBytesPerSecond > 0 {
 		busy := float64(r.Bytes) / c.LinkBytesPerSecond
-		smallness = max(0, 1-busy/c.targets.target(now).Seconds())
+		room = busy / (busy + smallRequestTime.Seconds())
 	}
-	urgency := 1 / float64(1+max(0, r.Priority))
-	need := max(0, 1-c.usage.share(now, r.Workspace)/2)
-	return float64(priorityWeight*urgency) + float64(fairnessWeight*need) + float64(sizeWeight*smallness)
+	return affordable * room
 }
 
 // delay returns the queueing delay, and false if nothing was measured within the window.
--- a/internal/overload/controller_test.go
+++ b/internal/overload/controller_test.go
@@ -49,6 +49,11 @@
 	if probability(usual) >= probability(large) {
 		t.Errorf("small %.2f, large %.2f: want the large refused first", probability(usual), probability(large))
 	}
+	tight := usual
+	tight.LatencyTarget = 150 * time.Millisecond
+	if probability(tight) >= probability(usual) {
+		t.Errorf("tight target %.2f, usual %.2f: want those refused first that can afford the detour", probability(tight), probability(usual))
+	}
 	c.usage.add(now, "greedy", 1_000_000)
 	greedy := usual
 	greedy.Workspace = "greedy"
