Tests: a caller leaves after its attempts have reached servers

Cause: TestRequestsAreBilledForWhatRan/caller_leaves_the_second_attempt failed once at a load of 28: 0 tokens billed after 0 attempts. Its caller left 100 ms after the request, before the first attempt. Change: the caller waits for the attempts of the case, then 100 ms as before.

--- a/internal/forward/billing_test.go
+++ b/internal/forward/billing_test.go
@@ -80,6 +80,7 @@
 			defer func() { _ = conn.Close() }()
 			_, _ = io.WriteString(conn, "GET /a/x HTTP/1.1\r\nHost: one.example\r\nId: a1\r\nKey: secret\r\nConnection: close\r\n\r\n")
 			if test.leaves > 0 {
+				f.awaitAttempts(len(test.responders))
 				time.Sleep(test.leaves)
 				_ = conn.Close()
 			} else {
@@ -93,6 +94,14 @@
 	}
 }
 
+// awaitAttempts waits until that many attempts have reached servers. On a busy machine, a
+// caller that leaves after a fixed time would leave before the first one.
+func (f *fixture) awaitAttempts(count int) {
+	for deadline := time.Now().Add(10 * time.Second); f.attempts() < count && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // settledBalance returns the balance of the workspace once no request runs.
 func (f *fixture) settledBalance() escrow.Balance {
 	deadline := time.Now().Add(time.Second)
