Overload: a link that drops all echoes is full

Cause: on the deployment with too little room the entry with half of a failure domain's requests ceased to shed when it was needed most. Change: when echoes cease while requests are shed, the delay counts as that of a lost echo for 10 s.

--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -44,6 +44,10 @@
 	refusalRamp = 0.3
 	maxLevel    = 1 + maxRefusal*refusalRamp
 
+	// maxFullLink is how long a link counts as full that was congested when echoes ceased to
+	// arrive: a full link drops datagrams. After that, a partition is more likely.
+	maxFullLink = 10 * time.Second
+
 	// Weights of the parts of a request's resistance; they add up to 1.
 	priorityWeight = 0.3
 	fairnessWeight = 0.25
@@ -168,9 +172,17 @@
 func (c *Controller) delay(now time.Time) (time.Duration, bool) {
 	echo, known := c.echoes.quantile(now, echoQuantile)
 	write, written := c.writes.quantile(now, writeQuantile)
+	if !known && c.isLinkFull(now) {
+		return lossTimeout, true
+	}
 	return max(echo, write), known || written
 }
 
+// isLinkFull reports whether echoes have ceased to arrive while requests were shed.
+func (c *Controller) isLinkFull(now time.Time) bool {
+	return c.level > 0 && now.Sub(c.echoes.arrivedAt) < maxFullLink
+}
+
 // step changes the level if stepInterval has passed. After a longer pause it is changed once,
 // because samples of the time between are no longer known.
 func (c *Controller) step(now time.Time) {
--- a/internal/overload/controller_test.go
+++ b/internal/overload/controller_test.go
@@ -166,3 +166,32 @@
 		}
 	}
 }
+
+// TestFullLinkIsShedFurther guards against an entry that ceases to shed when its link is so
+// full that no echo arrives any more, and against one that sheds in a partition.
+func TestFullLinkIsShedFurther(t *testing.T) {
+	lose := func(c *Controller, now time.Time, during time.Duration) time.Time {
+		for end := now.Add(during); now.Before(end); now = now.Add(ProbeInterval) {
+			c.RecordEcho(now, Sample{Delay: lossTimeout, Lost: true})
+			c.RecordWrite(now, 0)
+			c.Admit(now, Request{Workspace: "usual", LatencyTarget: 500 * time.Millisecond, Remaining: time.Minute, Bytes: 2000})
+		}
+		return now
+	}
+	c, now := congested(100 * time.Millisecond)
+	before := c.Status(now).Level
+	now = lose(c, now, 3*time.Second)
+	if level := c.Status(now).Level; level < before {
+		t.Errorf("the level falls from %.2f to %.2f when the link is full, want no less", before, level)
+	}
+	now = lose(c, now, 20*time.Second)
+	if level := c.Status(now).Level; level != 0 {
+		t.Errorf("the level is %.2f after 23 s without an echo, want 0", level)
+	}
+	c = &Controller{LinkBytesPerSecond: simLink, Random: rand.New(rand.NewPCG(5, 6))}
+	now = hold(c, simStart, 0, time.Second)
+	now = lose(c, now, 3*time.Second)
+	if level := c.Status(now).Level; level != 0 {
+		t.Errorf("the level is %.2f in a partition, want 0", level)
+	}
+}
