Configuration: allowed regions of routes and workspaces

Cause: an operator's document may state allowed-regions for a route or a tenant. The field was dropped without an error.

Change: it becomes allowed_regions of config.HostRoute and config.Workspace. Empty names, duplicates and a workspace that limits the regions of works, whose servers have no region, are faults.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -71,6 +71,9 @@
 	// Budget is the total number of tokens that the workspace may ever spend.
 	// If unset, deposits alone make up the budget.
 	Budget *int64 `json:"budget,omitempty"`
+	// AllowedRegions are the regions of the backend servers that the workspace's requests
+	// may go to; empty means any.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // BackendServer is a model engine or a plain service.
--- a/internal/config/hostroute.go
+++ b/internal/config/hostroute.go
@@ -48,6 +48,9 @@
 	// Resumable means that a broken stream may be resumed on another backend
 	// server.
 	Resumable bool `json:"resumable,omitempty"`
+	// AllowedRegions are the regions of the backend servers that requests may go to; empty
+	// means any. If the workspace names regions as well, both limits apply.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // WeightedUpstream is an upstream with its relative weight among those of a
@@ -128,6 +131,7 @@
 	if route.MaxAttempts < 0 {
 		faults.Add(path+".max_attempts", "must be 1 or more")
 	}
+	validateRegions(path+".allowed_regions", route.AllowedRegions, faults)
 }
 
 func (d *Document) validateWeightedUpstreams(path string, upstreams []WeightedUpstream, faults *check.Faults) {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -129,6 +129,7 @@
 	if workspace.Budget != nil && *workspace.Budget < 0 {
 		faults.Add(path+".budget", "must be 0 or more tokens")
 	}
+	validateWorkspaceRegions(path+".allowed_regions", workspace, faults)
 }
 
 func validateServer(path string, server BackendServer, addresses map[string]string, faults *check.Faults) {
