Regions: requests go only to servers in allowed regions

Cause: nothing used the allowed regions of a route or a workspace.

Change: place.Query.Regions limits the servers of a placement by the region of their failure domain; nil limits nothing. A request without an allowed server is refused as not run (no_server_in_allowed_regions). Entries know no failure domain of their peers, so that a limited request is passed on only if all failure domains of the site are in an allowed region or in that of the entry.

--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -22,5 +22,5 @@
 // domains. It must not be passed to another entry then, which may be cut off from control
 // and not know of the evacuation.
 func (t *task) isEvacuated() bool {
-	return t.server.Fleet.IsEvacuated(t.upstream, t.version)
+	return t.server.Fleet.IsEvacuated(t.upstream, t.version, t.regions)
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -27,6 +27,7 @@
 	reasonUnknownVersion  reason = "stream_version_unknown"
 	reasonNoServer        reason = "no_server"
 	reasonEvacuated       reason = "evacuated"
+	reasonRegion          reason = "no_server_in_allowed_regions"
 	reasonServersFull     reason = "servers_full"
 	reasonDeclined        reason = "declined_by_servers"
 	reasonNotSent         reason = "not_sent"
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -39,7 +39,7 @@
 	if t.relayed || t.mayHaveRun || t.server.Peers == nil || t.peersTried >= maxPeersTried {
 		return nil
 	}
-	if t.isEvacuated() {
+	if t.isEvacuated() || t.isOutsideRegions() || !t.mayRelay() {
 		return nil
 	}
 	now := time.Now()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -64,9 +64,11 @@
 	// Entries returns the number of entries that share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
-	Log           *log.Logger
-	Scope         tally.Scope
-	Tracer        trace.Tracer
+	// Region is the region of this entry; empty if it is unknown.
+	Region string
+	Log    *log.Logger
+	Scope  tally.Scope
+	Tracer trace.Tracer
 
 	table   atomic.Pointer[Table]
 	running atomic.Int64
@@ -180,6 +182,7 @@
 	if t.workspace == nil && t.table.requiresKeys && !t.route.Public {
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
+	t.regions = t.route.regions(t.workspace)
 	t.deadline = t.start.Add(t.timeout())
 	refused := t.refuseOverloaded(r)
 	if refused != nil {
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -44,6 +44,8 @@
 	Priority *int
 	// Budgeted is set if the workspace has a budget.
 	Budgeted bool
+	// AllowedRegions limits the regions of the servers unless it is empty.
+	AllowedRegions []string
 }
 
 // NewTable compiles a configuration that config.Parse has validated.
@@ -74,7 +76,7 @@
 		t.policies[name] = upstreamPolicy(upstream)
 	}
 	for name, workspace := range document.Workspaces {
-		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil}
+		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil, AllowedRegions: workspace.AllowedRegions}
 		for _, hash := range workspace.KeyHashes {
 			t.workspaces[hash] = w
 		}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -95,6 +95,8 @@
 	notRepeated denial
 	// version limits further attempts to the software version that began the stream.
 	version place.VersionLimit
+	// regions limits the regions of the servers; nil allows any.
+	regions *place.RegionLimit
 	// next is the server that takes over from a silent one; nil if none does.
 	next *successor
 
@@ -149,6 +151,9 @@
 	if t.isEvacuated() {
 		return t.fail(reasonEvacuated, retryAfterLater), false
 	}
+	if t.isOutsideRegions() {
+		return t.fail(reasonRegion, retryAfterLater), false
+	}
 	return t.fail(reasonNoServer, retryAfterLater), false
 }
 
@@ -160,6 +165,7 @@
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
 		Version:       t.version,
+		Regions:       t.regions,
 		Tried:         tried,
 	})
 }
--- a/internal/place/evacuation.go
+++ b/internal/place/evacuation.go
@@ -53,9 +53,9 @@
 	return f.evacuations.domains[s.failureDomain]
 }
 
-// IsEvacuated reports whether an upstream has servers of the given version and all of them
-// are in evacuated failure domains.
-func (f *Fleet) IsEvacuated(upstream string, version VersionLimit) bool {
+// IsEvacuated reports whether an upstream has servers of the given version in allowed regions
+// and all of them are in evacuated failure domains.
+func (f *Fleet) IsEvacuated(upstream string, version VersionLimit, regions *RegionLimit) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.evacuations.domains) == 0 {
@@ -63,7 +63,7 @@
 	}
 	evacuated := false
 	for _, s := range f.servers {
-		if s.upstream != upstream || s.leaving || !version.allows(s.version) {
+		if s.upstream != upstream || s.leaving || !version.allows(s.version) || !regions.Allows(s.region) {
 			continue
 		}
 		if !f.isEvacuated(s) {
--- a/internal/place/evacuation_test.go
+++ b/internal/place/evacuation_test.go
@@ -75,7 +75,7 @@
 		if !slices.Equal(got, step.want) {
 			t.Errorf("step %d: servers in use %v, want %v", i, got, step.want)
 		}
-		if all := f.IsEvacuated("pool", place.VersionLimit{}); all != (step.want == nil) {
+		if all := f.IsEvacuated("pool", place.VersionLimit{}, nil); all != (step.want == nil) {
 			t.Errorf("step %d: got all evacuated %v", i, all)
 		}
 		counts := f.Counts(start)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -95,6 +95,10 @@
 	// not call the fleet.
 	Unreached func(server string, maxEntries int)
 
+	// Regions maps the name of each failure domain to its region. Set it before the first
+	// Update.
+	Regions map[string]string
+
 	// policies holds what the configuration states about upstreams.
 	policies map[string]UpstreamPolicy
 	// hasList is set once a list had servers, and firstList while that one is applied.
@@ -202,6 +206,7 @@
 	s.upstream = instance.Upstream
 	s.address = instance.Address
 	s.failureDomain = instance.FailureDomain
+	s.region = f.Regions[s.failureDomain]
 	s.slots = max(1, instance.Slots)
 	s.version = instance.Version
 	f.applyCold(s, instance, known, now)
@@ -306,7 +311,7 @@
 	preferred := f.preferred(q)
 	var lowest time.Duration
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || !q.Version.allows(s.version) || slices.Contains(q.Tried, s.id) {
+		if s.upstream != q.Upstream || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || slices.Contains(q.Tried, s.id) {
 			continue
 		}
 		if !f.isEligible(s, allowed, q.Now) {
@@ -398,7 +403,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || s.isEjected(q.Now) {
+		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
 			continue
 		}
 		weight := rendezvousWeight(segment, s.id)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -33,6 +33,8 @@
 	Prompt *Prompt
 	// Version limits the software version of the server.
 	Version VersionLimit
+	// Regions limits the region of the server; nil allows any.
+	Regions *RegionLimit
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -25,6 +25,8 @@
 	upstream      string
 	address       string
 	failureDomain string
+	// region is that of the failure domain; empty if it is unknown.
+	region string
 	// version is the version of the server's software.
 	version string
 	slots   int
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -73,9 +73,10 @@
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
 		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
-		Fleet:         &place.Fleet{},
+		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
+		Region:        regionOf(s),
 		Log:           environment.Telemetry.Log,
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
@@ -120,6 +121,15 @@
 	return transport.TCP{Source: s.SourceAddress}
 }
 
+// regionOf returns the region of an instance: the one that its settings name, or that of its
+// failure domain.
+func regionOf(s *settings.Settings) string {
+	if s.Region != "" {
+		return s.Region
+	}
+	return s.Seeded.FailureDomains[s.FailureDomain]
+}
+
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
