Loans: borrow no more in advance than what is lacking

With demand that shifts between holders it lent up to 2.5 million and spent 787,491 of 1 million: a borrower asked for a second of its demand in advance, which is all that others have, so that holders took the same tokens from each other, and a twentieth of each loan is lost there. Ruled out: holders with waiting requests that lend nothing (still 79% spent); requests refused for 0.3 or 1 s after one of their size failed (79 and 84%, and more false refusals after the partition). Change: in advance a borrower asks for as much as it lacks at most. The test shifts demand between the holders, with the same limits and one more: no more is lent than the total.

--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -14,7 +14,9 @@
 	// quarter of the delay served no more in the simulation of partitions.
 	borrowRetryDelay = 100 * time.Millisecond
 	// borrowAheadSeconds is how many seconds of its own demand a holder borrows
-	// in addition to the tokens that requests wait for.
+	// in addition to the tokens that requests wait for, at most as many as these. A
+	// second of the demand of a busy holder is all that others have, so that tokens
+	// would pass back and forth.
 	borrowAheadSeconds = 1
 	secondsPerHour     = 3600
 	// firstWaveLenders is how many holders a round asks at first, at the same time.
@@ -108,8 +110,8 @@
 		if len(wave) == 0 {
 			break
 		}
-		ahead := a.demand.PerHour(time.Now()) * borrowAheadSeconds / secondsPerHour
-		wanted := a.waitingTokens - a.escrow.Available() + ahead
+		lacking := a.waitingTokens - a.escrow.Available()
+		wanted := lacking + min(lacking, a.demand.PerHour(time.Now())*borrowAheadSeconds/secondsPerHour)
 		amount := max(wanted/int64(len(wave)), min(wanted, minLoan))
 		clear(round.lent)
 		h.runWave(workspace, a, wave, amount, draw)
--- a/internal/escrow/loan_test.go
+++ b/internal/escrow/loan_test.go
@@ -124,7 +124,8 @@
 }
 
 // TestLoansCreateNoTokens guards against loans that are counted at both holders or
-// at none. Holders spend the whole budget while the control group alternates
+// at none, and against tokens that pass back and forth. Holders of which one after the
+// other has most of the demand spend the whole budget while the control group alternates
 // between reachable and unreachable and some loans are lost.
 func TestLoansCreateNoTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -142,10 +143,14 @@
 		lent := connectHolders(g, holders, func() bool { return chance(0.05) })
 		var spent int64
 		var running sync.WaitGroup
-		for _, h := range holders {
+		for number, name := range []string{"one", "two", "three"} {
+			h := holders[name]
 			running.Go(func() {
 				for i := range 400 {
 					size := int64(500 + 53*(i%70))
+					if i/50%3 == number {
+						size *= 4
+					}
 					reservation, err := h.Reserve(t.Context(), "w", size)
 					if err == nil {
 						used := size / int64(1+i%3)
@@ -176,6 +181,9 @@
 		if spent < total*9/10 {
 			t.Errorf("%d tokens spent of a total of %d, want at least 90%%", spent, total)
 		}
+		if lent.Load() > total {
+			t.Errorf("%d tokens lent of a total of %d: they pass back and forth between holders, and every loan may be lost", lent.Load(), total)
+		}
 		if lent.Load() < total/20 {
 			t.Errorf("%d tokens lent, want at least 5%% of the total: the load does not exercise loans", lent.Load())
 		}
