--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -103,9 +103,9 @@
 func (h *Holder) runBorrowRound(workspace string, a *account, round *borrowRound, draw bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	deadline := time.Now().Add(borrowRoundTimeout)
+	start := time.Now()
 	var generous []string
-	for count := firstWaveLenders; a.lacksTokens() && time.Now().Before(deadline); count *= waveGrowth {
+	for count := firstWaveLenders; a.lacksTokens() && time.Since(start) < borrowRoundTimeout; count *= waveGrowth {
 		wave := append(generous, round.next(count-len(generous))...)
 		if len(wave) == 0 {
 			break
@@ -124,8 +124,11 @@
 			}
 		}
 	}
+	h.loanRounds++
 	if a.lacksTokens() {
 		a.borrowFailedAt = time.Now()
+		h.failedLoanRounds++
+		h.Log.Info("other entries lent too few tokens", "workspace", workspace, "entries_asked", len(round.asked), "waiting", a.waitingTokens, "available", a.escrow.Available(), "took_ms", time.Since(start).Milliseconds())
 	}
 	a.borrowRound = nil
 	close(round.done)
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -74,6 +74,11 @@
 	// by the next successful exchange.
 	exchangeFailed  bool
 	exchangeOverdue bool
+	// borrowed is the number of tokens that other holders have lent, loanRounds how many
+	// borrowing rounds have ended, and failedLoanRounds how many of them brought too few.
+	borrowed         int64
+	loanRounds       int64
+	failedLoanRounds int64
 	// leaving reports whether the holder is shutting down.
 	leaving bool
 	// wake starts an exchange.
@@ -263,6 +268,12 @@
 	Returned int64
 	Spent    int64
 	Lent     int64
+	// Borrowed is the cumulative number of tokens that other holders have lent.
+	// LoanRounds is how many rounds of loan requests have ended, and FailedLoanRounds
+	// how many of them brought too few tokens.
+	Borrowed         int64
+	LoanRounds       int64
+	FailedLoanRounds int64
 	// ExchangeAge is the time since the workspace that was exchanged the longest ago
 	// was exchanged; 0 before the first exchange.
 	ExchangeAge time.Duration
@@ -272,7 +283,7 @@
 func (h *Holder) Totals() Totals {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var totals Totals
+	totals := Totals{Borrowed: h.borrowed, LoanRounds: h.loanRounds, FailedLoanRounds: h.failedLoanRounds}
 	for _, a := range h.accounts {
 		totals.Available += a.escrow.Available()
 		totals.Reserved += a.escrow.Reserved
--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -46,6 +46,7 @@
 	defer h.mu.Unlock()
 	a := h.account(workspace)
 	a.escrow.Borrow(tokens)
+	h.borrowed += tokens
 	if a.borrowRound != nil {
 		a.borrowRound.lent[lender] += tokens
 	}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -111,6 +111,9 @@
 	m.countTo("tokens_returned", totals.Returned)
 	m.countTo("tokens_spent", totals.Spent)
 	m.countTo("tokens_lent", totals.Lent)
+	m.countTo("tokens_borrowed", totals.Borrowed)
+	m.countTo("token_loan_rounds", totals.LoanRounds)
+	m.countTo("token_loan_rounds_failed", totals.FailedLoanRounds)
 }
 
 // setWatcher sets the gauges of the configuration in force at an entry.
