--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -146,6 +146,9 @@
 	if peer := t.placeAtPeer(); peer != nil {
 		return t.sendTo(ctx, peer, nil)
 	}
+	if t.isEvacuated() {
+		return t.fail(reasonEvacuated, retryAfterLater), false
+	}
 	return t.fail(reasonNoServer, retryAfterLater), false
 }
 
@@ -242,6 +245,9 @@
 	if info.Limit.Named || info.Genuine && !info.OtherServer {
 		placement.RecordLimit(info.Limit, now)
 	}
+	if info.ColdStated {
+		placement.RecordCold(info.ColdFor, now)
+	}
 	if info.Leaving {
 		placement.MarkLeaving(now)
 	}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -84,6 +84,22 @@
 	// the given time ago, if other entries may not know it. It must not call the fleet.
 	LimitStated func(server string, limit Limit, age time.Duration)
 
+	// IsLearning reports whether this entry can't know yet how many other entries there are.
+	// If it is nil, it knows. It must not call the fleet.
+	IsLearning func() bool
+	// ColdStated, if not nil, is called when a server has stated that it stays cold for the
+	// given time, if other entries may not know it. It must not call the fleet.
+	ColdStated func(server string, coldFor time.Duration)
+	// Unreached, if not nil, is called when a server could not be reached that may be cold
+	// when it is back, with the number of entries that may send it requests then. It must
+	// not call the fleet.
+	Unreached func(server string, maxEntries int)
+
+	// policies holds what the configuration states about upstreams.
+	policies map[string]UpstreamPolicy
+	// hasList is set once a list had servers, and firstList while that one is applied.
+	hasList, firstList bool
+
 	// departures tracks the leaving servers by departureKey, also after they were
 	// removed, because an outdated list may show them again as available.
 	departures instances.Departures
@@ -95,6 +111,8 @@
 	paths map[string]*reach
 	peers map[string]*server
 
+	evacuations evacuations
+
 	// brittle holds what servers have stated about rejections, by upstream.
 	brittle map[string]brittleness
 }
@@ -124,6 +142,8 @@
 	answered bool
 	// tookToken is set if the placement counts against the server's limit.
 	tookToken bool
+	// tookColdToken is set if it counts against this entry's share of a cold server.
+	tookColdToken bool
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -137,6 +157,8 @@
 	}
 	f.departures.Prune(now)
 	f.versions.update(list, now)
+	f.firstList = !f.hasList
+	f.hasList = f.hasList || len(list) > 0
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
 		listed[instance.ID] = true
@@ -161,7 +183,7 @@
 	if f.Changed == nil {
 		return
 	}
-	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.PerSecond, EjectedFor: ejectedFor})
+	f.Changed(Change{Server: s.id, Upstream: s.upstream, Address: s.address, Version: s.version, Event: event, FailureRate: s.failureRate, Limit: s.limit.PerSecond, Cold: s.cold.reported, EjectedFor: ejectedFor})
 }
 
 // apply adds or updates one listed server; mu is held. A leaving server that is
@@ -182,6 +204,7 @@
 	s.failureDomain = instance.FailureDomain
 	s.slots = max(1, instance.Slots)
 	s.version = instance.Version
+	f.applyCold(s, instance, known, now)
 	if known && leaving == s.leaving {
 		return
 	}
@@ -195,12 +218,17 @@
 
 // Counts sums up the state of a fleet's servers.
 type Counts struct {
-	// Ready, Leaving and Ejected count servers; each is counted once.
-	Ready   int
-	Leaving int
-	Ejected int
+	// Ready, Leaving, Evacuated and Ejected count servers; each is counted once.
+	Ready     int
+	Leaving   int
+	Evacuated int
+	Ejected   int
+	// EvacuatedDomains counts the evacuated failure domains.
+	EvacuatedDomains int
 	// Limited counts servers that name a limit, which are counted above too.
 	Limited int
+	// Cold counts servers that count as cold, which are counted above too.
+	Cold int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
 	CutOff int
 	// InFlight counts this entry's requests at servers.
@@ -218,6 +246,8 @@
 		switch {
 		case s.leaving:
 			counts.Leaving++
+		case f.isEvacuated(s):
+			counts.Evacuated++
 		case s.isEjected(now):
 			counts.Ejected++
 		default:
@@ -226,9 +256,13 @@
 		if s.limit.Named {
 			counts.Limited++
 		}
+		if f.isCold(s, now) {
+			counts.Cold++
+		}
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
+	counts.EvacuatedDomains = len(f.evacuations.domains)
 	for _, r := range f.paths {
 		if !r.cutOffSince.IsZero() {
 			counts.CutOff++
@@ -301,6 +335,9 @@
 
 // isEligible reports whether a server may be chosen; mu is held.
 func (f *Fleet) isEligible(s *server, allowed eligible, now time.Time) bool {
+	if f.isEvacuated(s) {
+		return false
+	}
 	if s.leaving {
 		since, known := f.departures.Since(departureKey(s.id, s.address))
 		return allowed.leaving && !s.replaced && known && now.Sub(since) < leavingGrace
@@ -320,7 +357,10 @@
 	if wait := f.brittleWait(s, now); wait > 0 {
 		return wait
 	}
-	return f.limitWait(s, now)
+	if wait := f.limitWait(s, now); wait > 0 {
+		return wait
+	}
+	return f.coldWait(s, now)
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
@@ -358,7 +398,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || !q.Version.allows(s.version) || s.isEjected(q.Now) {
+		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || s.isEjected(q.Now) {
 			continue
 		}
 		weight := rendezvousWeight(segment, s.id)
@@ -387,6 +427,7 @@
 	s.inFlight++
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
+	p.takeColdToken(q.Now)
 	if q.Prompt != nil {
 		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
 		p.PrefillTime = s.prefillTime(q.Prompt)
@@ -414,6 +455,7 @@
 	defer p.fleet.mu.Unlock()
 	p.answered = true
 	p.server.answered = true
+	p.fleet.recordReachable(p.server, p.StartedAt, now)
 	if !p.Peer {
 		p.fleet.reachOf(p.server.upstream).recordAnswer(now)
 	}
@@ -446,15 +488,18 @@
 	if p.Peer {
 		return
 	}
-	if p.server.ejectedUntil != previouslyEjectedUntil {
+	ejected := p.server.ejectedUntil != previouslyEjectedUntil
+	if ejected {
 		p.fleet.notify(p.server, EventEjected, p.server.ejectedUntil.Sub(now))
 	}
+	p.recordColdOutcome(outcome, ejected, now)
 	if wasHalfOpen && !p.server.halfOpen {
 		p.fleet.notify(p.server, EventReadmitted, 0)
 	}
 	switch outcome.(type) {
 	case Unreachable, Unused:
 		p.returnToken()
+		p.returnColdToken()
 		p.cancelPrefill(now)
 	case Declined:
 		p.cancelPrefill(now)
@@ -463,7 +508,8 @@
 }
 
 // recordPath records what the end of the placement says about the path to the server; mu is
-// held.
+// held. The failure of a server in an evacuated failure domain, which may be shut down, says
+// nothing.
 func (p *Placement) recordPath(outcome Outcome, now time.Time) {
 	if p.Peer {
 		return
@@ -472,7 +518,7 @@
 	r.end()
 	switch outcome.(type) {
 	case Unreachable, Failed:
-		if !p.answered {
+		if !p.answered && !p.fleet.isEvacuated(p.server) {
 			r.recordUnreachable(p.server.id, now)
 		}
 	}
