--- a/internal/budget/total.go
+++ b/internal/budget/total.go
@@ -33,7 +33,7 @@
 	// plannedManyHoldersDivisor replaces manyHoldersDivisor where draws are planned. It
 	// lets holders serve more while they cannot reach the control group, and lose at most
 	// a tenth more when all of them crash.
-	plannedManyHoldersDivisor = 2.8
+	plannedManyHoldersDivisor = 2.75
 	// lossAversion is how many times the tokens lost with ended holders count when a
 	// target is reduced by them.
 	lossAversion = 4
