Operators: an order that the operator gave up on has no effect

Cause: a control instance that was stopped reads the orders that wait at it when it goes on, and proposed them before it noticed that their connections were closed. By then the operator has ordered the same elsewhere and withdrawn it: the zone stayed evacuated after an acknowledged withdrawal. A late withdrawal would end a later evacuation in the same way. Change: Evacuations confirms the leader before it proposes. The round trip to another member gives the server time to notice the close, which ends the context.

--- a/internal/operator/evacuation.go
+++ b/internal/operator/evacuation.go
@@ -60,6 +60,10 @@
 	if !mayAcknowledge(e.Node, e.Voters, e.Started) {
 		return errors.Newf("the control group is still growing: %w", peer.ErrUnavailable)
 	}
+	err := e.confirmWanted(ctx)
+	if err != nil {
+		return err
+	}
 	result, err := group.Propose(ctx, e.Node, group.ChangeEvacuation{
 		ID:            rand.Text(),
 		FailureDomain: failureDomain,
@@ -81,6 +85,21 @@
 	}
 }
 
+// confirmWanted returns an error if the operator has given up on the order, which ends ctx. An
+// instance that was stopped for a while reads the order before it notices that its
+// connection was closed, and the operator may have ordered the opposite elsewhere since.
+// The barrier takes a round trip to another member, and the close is noticed meanwhile.
+func (e *Evacuations) confirmWanted(ctx context.Context) error {
+	err := e.Node.Barrier(ctx)
+	if err != nil {
+		return errors.Newf("confirm the leader: %w", err)
+	}
+	if ctx.Err() != nil {
+		return errors.Newf("the operator has given up on the order: %w", peer.ErrUnavailable)
+	}
+	return nil
+}
+
 // isKnown reports whether the site has a failure domain of that name. Where the names are
 // not known it accepts all that a configuration can hold.
 func (e *Evacuations) isKnown(failureDomain string) bool {
