Listed sites: no request goes to servers of an evacuated failure domain

Cause: entries of listed sites did not obey evacuations, and no metric showed one. The log lines of evacuations named the failure domain in failure_domain, which each line already has for the instance itself, so that a JSON line had the key twice. Change: backend.Pool excludes the servers when it applies a document, also for requests that wait. Where no other server is left, requests are refused at once. Gauges failure_domains_evacuated and backend_servers with the state evacuated, at both kinds of entries. The lines name the failure domain in evacuated_domain.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -36,6 +36,8 @@
 	servers  map[string]*route.Server
 	// failureDomains maps server names to failure domains.
 	failureDomains map[string]string
+	// evacuatedDomains counts the evacuated failure domains.
+	evacuatedDomains int
 	// candidates maps work names to the servers that may run the work.
 	candidates map[string][]*route.Server
 	// controllers maps kinds of work to their admission controllers.
@@ -308,10 +310,13 @@
 
 // Counts sums up the state of a pool.
 type Counts struct {
-	// Ready, Leaving and Ejected count servers; each is counted once.
-	Ready   int
-	Leaving int
-	Ejected int
+	// Ready, Leaving, Evacuated and Ejected count servers; each is counted once.
+	Ready     int
+	Leaving   int
+	Evacuated int
+	Ejected   int
+	// EvacuatedDomains counts the evacuated failure domains.
+	EvacuatedDomains int
 	// InFlight counts this entry's requests at servers, and Waiting those in the
 	// queues.
 	InFlight int
@@ -323,9 +328,11 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var counts Counts
+	counts := Counts{EvacuatedDomains: p.evacuatedDomains}
 	for _, server := range p.servers {
 		switch {
+		case server.Evacuated && !server.Leaving:
+			counts.Evacuated++
 		case server.Usable(now):
 			counts.Ready++
 		case server.IsEjected(now) && !server.Leaving:
--- a/internal/backend/servers.go
+++ b/internal/backend/servers.go
@@ -32,6 +32,7 @@
 	p.reportLeaving()
 	servers := make(map[string]*route.Server, len(document.BackendServers))
 	failureDomains := make(map[string]string, len(document.BackendServers))
+	evacuated := document.EvacuatedDomains()
 	for name, configured := range document.BackendServers {
 		server := p.servers[name]
 		oldDomain := p.failureDomains[name]
@@ -41,11 +42,13 @@
 		}
 		failureDomains[name] = configured.FailureDomain
 		server.Concurrency = configured.Concurrency
+		server.Evacuated = evacuated[configured.FailureDomain]
 		servers[name] = server
 	}
 	p.markRemoved(servers)
 	p.servers = servers
 	p.failureDomains = failureDomains
+	p.evacuatedDomains = len(evacuated)
 	p.markLeaving()
 	p.candidates = make(map[string][]*route.Server, len(document.Works))
 	for name, work := range document.Works {
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -11,10 +11,10 @@
 func (s *Server) obeyEvacuations(version uint64, document *config.Document) {
 	change := s.Fleet.SetEvacuated(document.EvacuatedDomains(), time.Now())
 	for _, name := range change.Begun {
-		s.Log.Info("evacuation begins", "failure_domain", name, "configuration_version", version)
+		s.Log.Info("evacuation begins", "evacuated_domain", name, "configuration_version", version)
 	}
 	for _, name := range change.Ended {
-		s.Log.Info("evacuation ends", "failure_domain", name, "configuration_version", version)
+		s.Log.Info("evacuation ends", "evacuated_domain", name, "configuration_version", version)
 	}
 }
 
--- a/internal/operator/evacuation.go
+++ b/internal/operator/evacuation.go
@@ -71,12 +71,12 @@
 		SubmittedAt:   time.Now().UnixMilli(),
 	})
 	if err != nil {
-		e.Log.Warn("evacuation not confirmed", "failure_domain", failureDomain, "evacuated", evacuated, "err", err.Error())
+		e.Log.Warn("evacuation not confirmed", "evacuated_domain", failureDomain, "evacuated", evacuated, "err", err.Error())
 		return err
 	}
 	switch result.Code {
 	case group.CodeDone:
-		e.Log.Info("evacuation acknowledged", "failure_domain", failureDomain, "evacuated", evacuated, "version", result.Version)
+		e.Log.Info("evacuation acknowledged", "evacuated_domain", failureDomain, "evacuated", evacuated, "version", result.Version)
 		return nil
 	case group.CodeNotFound:
 		return ErrNoConfiguration
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -101,20 +101,20 @@
 
 func (e *Entry) startWatcher(s *settings.Settings, environment Environment, client *peer.Client, backends *backend.Client, pool *backend.Pool) *group.Watcher {
 	watcher := &group.Watcher{
-		Directory: group.NewDirectory(s.NearestControls()...),
-		Client:    client,
-		Log:       environment.Telemetry.Log,
-		Check:     environment.Check,
-		Scope:     environment.Telemetry.Scope,
-		OnInstall: func(_ uint64, document *config.Document) {
-			pool.Update(document)
-			backends.Retain(document)
-		},
-
+		Directory:     group.NewDirectory(s.NearestControls()...),
+		Client:        client,
+		Log:           environment.Telemetry.Log,
+		Check:         environment.Check,
+		Scope:         environment.Telemetry.Scope,
 		Instance:      s.InstanceID,
 		Epoch:         rand.Text(),
 		FailureDomain: s.FailureDomain,
 	}
+	watcher.OnInstall = func(version uint64, document *config.Document) {
+		logEvacuations(environment.Telemetry.Log, watcher.Active().Document, document, version)
+		pool.Update(document)
+		backends.Retain(document)
+	}
 	watcher.Start()
 	e.closers.add(watcher.Close)
 	return watcher
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -79,15 +79,16 @@
 }
 
 // setServers sets the gauges of the backend servers by state.
-func (m *meter) setServers(ready, leaving, ejected int) {
-	for state, count := range map[string]int{"ready": ready, "leaving": leaving, "ejected": ejected} {
+func (m *meter) setServers(ready, leaving, evacuated, ejected int) {
+	for state, count := range map[string]int{"ready": ready, "leaving": leaving, "evacuated": evacuated, "ejected": ejected} {
 		m.scope.Tagged(map[string]string{"state": state}).Gauge("backend_servers").Update(float64(count))
 	}
 }
 
 // setFleet sets the gauges of a seeded site's backend servers.
 func (m *meter) setFleet(counts place.Counts) {
-	m.setServers(counts.Ready, counts.Leaving, counts.Ejected)
+	m.setServers(counts.Ready, counts.Leaving, counts.Evacuated, counts.Ejected)
+	m.set("failure_domains_evacuated", float64(counts.EvacuatedDomains))
 	m.set("attempts_in_progress", float64(counts.InFlight))
 	m.set("backend_servers_limited", float64(counts.Limited))
 	m.set("upstreams_out_of_reach", float64(counts.CutOff))
@@ -96,7 +97,8 @@
 
 // setPool sets the gauges of a listed site's backend servers.
 func (m *meter) setPool(counts backend.Counts) {
-	m.setServers(counts.Ready, counts.Leaving, counts.Ejected)
+	m.setServers(counts.Ready, counts.Leaving, counts.Evacuated, counts.Ejected)
+	m.set("failure_domains_evacuated", float64(counts.EvacuatedDomains))
 	m.set("attempts_in_progress", float64(counts.InFlight))
 	m.set("requests_waiting", float64(counts.Waiting))
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -113,7 +113,7 @@
 // room.
 func HasCandidate(servers []*Server, tried map[string]bool) bool {
 	for _, s := range servers {
-		if !s.isLeaving() && !tried[s.Name] {
+		if !s.isExcluded() && !tried[s.Name] {
 			return true
 		}
 	}
@@ -305,7 +305,7 @@
 		if ownDomainOnly && s.domain != domain {
 			continue
 		}
-		if s.Leaving || s.draining || !includeEjected && now < s.ejectedUntil {
+		if s.isExcluded() || !includeEjected && now < s.ejectedUntil {
 			continue
 		}
 		if len(q.Tried) > 0 && q.Tried[s.Name] {
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -37,9 +37,12 @@
 	// domain is the hash of the failure domain.
 	domain uint64
 	// Leaving excludes the server from new requests.
-	Leaving  bool
-	draining bool
-	running  int
+	Leaving bool
+	// Evacuated excludes the server from new requests, because its failure domain is
+	// evacuated.
+	Evacuated bool
+	draining  bool
+	running   int
 	// otherLoad is the reported load minus the entry's own requests in it.
 	otherLoad int
 	// staleAt, when the report expires, and ejectedUntil are times in Unix
@@ -203,13 +206,13 @@
 
 // Usable reports whether new requests may go to the server.
 func (s *Server) Usable(now time.Time) bool {
-	return !s.isLeaving() && !s.IsEjected(now)
+	return !s.isExcluded() && !s.IsEjected(now)
 }
 
-// isLeaving reports whether the server is leaving, by the configuration or by
-// its own report.
-func (s *Server) isLeaving() bool {
-	return s.Leaving || s.draining
+// isExcluded reports whether the server gets no new requests: it is leaving, by the
+// configuration or by its own report, or evacuated.
+func (s *Server) isExcluded() bool {
+	return s.Leaving || s.draining || s.Evacuated
 }
 
 // IsEjected reports whether the server is ejected because of its failures.
