Operators: cactusbay evacuation start, end and list

Cause: operators of listed sites had to write the patch for an evacuation themselves, and could not see since when a failure domain is evacuated.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -107,6 +107,7 @@
 			cmdBudget,
 			cmdConfig,
 			cmdServer,
+			cmdEvacuation,
 		},
 	}
 }
