--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -135,4 +135,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how much longer than usual work takes on the server's machine now: 1 is
+	// usual, 0 means that the server does not state it.
+	Slowdown float64
 }
