--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -106,6 +106,7 @@
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
 	g.done.Go(func() { g.limitLoop(ctx) })
+	g.done.Go(func() { g.loadLoop(ctx) })
 	return nil
 }
 
@@ -299,6 +300,8 @@
 		return g.handleEvidence(data)
 	case formatLimit:
 		return g.handleLimit(data)
+	case formatLoads:
+		return g.handleLoads(data)
 	case formatReachQuery:
 		return g.handleReachQuery(data, from)
 	case formatReachAnswer:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,6 +23,7 @@
 	formatLimit              = 9
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
+	formatLoads              = 12
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
