Entry: learn from first events, and ask for estimates by setting

Change: a stream's first event tells the fleet how long the prompt took. seeded.placement.adaptive asks for estimates at all upstreams; each entry has its own seed.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -345,6 +345,9 @@
 	if s.events >= eventsOfProgress {
 		s.recordProgress()
 	}
+	if !s.task.responseStarted && s.task.request.LastEventID == "" {
+		s.placement.RecordFirstEvent(time.Now())
+	}
 	s.task.startStream(s.response)
 	s.task.responseBytes += int64(end)
 	_, err := s.task.w.Write(s.pending[:end])
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"strconv"
@@ -73,7 +74,7 @@
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
 		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
-		Fleet:         &place.Fleet{},
+		Fleet:         &place.Fleet{Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
 		Log:           environment.Telemetry.Log,
@@ -107,6 +108,14 @@
 	return nil
 }
 
+// placementSeed returns the seed of the random choices among backend servers, which differ
+// from those of other entries.
+func placementSeed(epochID string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(epochID))
+	return hash.Sum64()
+}
+
 // backendNetwork returns the network for connections to backend servers: the given one,
 // unless the settings name an address to open them from.
 func backendNetwork(s *settings.Seeded, network transport.Network) transport.Network {
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -36,6 +36,8 @@
 	SourceAddress string `json:"source_address,omitempty"`
 	// Retries limits the retries of the whole fleet.
 	Retries Retries `json:"retries,omitzero"`
+	// Placement says how entries choose backend servers.
+	Placement Placement `json:"placement,omitzero"`
 	// MemoryMB is the memory available to the process in MiB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 }
@@ -58,6 +60,13 @@
 	Window *check.Duration `json:"window"`
 }
 
+// Placement says how entries choose backend servers.
+type Placement struct {
+	// Adaptive makes entries estimate the load and the speed of all backend servers.
+	// Without it they do so at upstreams whose servers state a slowdown.
+	Adaptive bool `json:"adaptive,omitempty"`
+}
+
 // Voters returns the number of voters in the control group, chosen so that the
 // voters that survive the loss of t.Instances, or of one if that is 0, are a
 // majority.
