Entry: give the fleet the memory of each upstream's engines

Cause: nothing called Fleet.SetUpstreams, so that the fleet did not know how many tokens an engine keeps.

Change: Install passes engine.cache_tokens of each upstream before the version is in force. Placement makes no use of it yet; the test comes with the first use.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -75,6 +75,7 @@
 // workspaces with budgets. Requests in progress keep the previous one.
 func (s *Server) Install(version uint64, document *config.Document) {
 	table := NewTable(version, document)
+	s.Fleet.SetUpstreams(table.policies)
 	s.table.Store(table)
 	s.Holder.Prepare(table.budgetedWorkspaces())
 }
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/place"
 )
 
 // Table is a configuration compiled for lookups. It is immutable.
@@ -20,7 +21,9 @@
 	workspaces map[string]*Workspace
 	// healthPaths holds the paths of the health checks by upstream.
 	healthPaths map[string]string
-	Limits      config.Limits
+	// policies holds what placement needs to know about the servers of each upstream.
+	policies map[string]place.UpstreamPolicy
+	Limits       config.Limits
 	// requiresKeys is set if callers must present a key on routes that are not
 	// public.
 	requiresKeys bool
@@ -51,6 +54,7 @@
 		hosts:        make(map[string][]*Route),
 		workspaces:   make(map[string]*Workspace),
 		healthPaths:  make(map[string]string),
+		policies:     make(map[string]place.UpstreamPolicy),
 		Limits:       document.Limits,
 		requiresKeys: len(document.Workspaces) > 0,
 	}
@@ -67,6 +71,7 @@
 	}
 	for name, upstream := range document.Upstreams {
 		t.healthPaths[name] = upstream.HealthPath
+		t.policies[name] = placementPolicy(upstream)
 	}
 	for name, workspace := range document.Workspaces {
 		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil}
@@ -77,6 +82,15 @@
 	return t
 }
 
+// placementPolicy returns what placement needs to know about the servers of an upstream.
+func placementPolicy(upstream config.Upstream) place.UpstreamPolicy {
+	var policy place.UpstreamPolicy
+	if upstream.Engine != nil {
+		policy.CacheTokens = upstream.Engine.CacheTokens
+	}
+	return policy
+}
+
 // Route returns the route of host with the longest path prefix that matches
 // path, or nil. A port in host is ignored.
 func (t *Table) Route(host, path string) *Route {
