Place: count cached prefixes only as far as the engine's memory keeps them

Cause: every segment of the last 60 s counted as cached at its server, whatever the memory of the engine and the requests that it runs. Entries also sent a prefix that none had sent before to whichever server had the shortest queue.

Change: where servers are chosen by estimates, the least recently used segments that exceed the memory beside running requests count as evicted. Half of the time to read them again is forgiven at the server that had them, and the preferred server is favoured by half of the time to read the prefix. Elsewhere all is as before, which TestChoiceWithoutSlowdownIsTheFormerOne compares. The model announces segments without lengths, as the datagrams do. A line of table.go is formatted.

Tests of internal/place, forward and gossip and make lint pass.

--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -23,7 +23,7 @@
 	healthPaths map[string]string
 	// policies holds what placement needs to know about the servers of each upstream.
 	policies map[string]place.UpstreamPolicy
-	Limits       config.Limits
+	Limits   config.Limits
 	// requiresKeys is set if callers must present a key on routes that are not
 	// public.
 	requiresKeys bool
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -10,6 +10,13 @@
 	// prefixCandidates that of the servers which hold most of its prompt.
 	randomCandidates = 6
 	prefixCandidates = 4
+	// homeWeight is the part of the time to read the prompt's prefix that counts in favour
+	// of the preferred server: later requests with this prefix find it there.
+	homeWeight = 0.5
+	// evictedWeight is the part of the time to read evicted segments again that does not
+	// count at the server that had them. Read elsewhere, they would take memory at a further
+	// server if the first one has kept them after all.
+	evictedWeight = 0.5
 )
 
 // adaptiveWeights are engineWeights for estimated loads. Occupancy is larger because it is
@@ -89,7 +96,8 @@
 	start := f.random(len(eligibles))
 	for i := range eligibles {
 		s := eligibles[(start+i)%len(eligibles)]
-		tokens := s.prefixes.cachedTokens(q.Prompt)
+		used, kept := s.prefixes.leadingTokens(q.Prompt)
+		tokens := used + kept
 		if tokens == 0 {
 			continue
 		}
@@ -144,14 +152,30 @@
 		weights.Occupancy = load.duration(weights.Occupancy)
 		return weights.Cost(&c)
 	}
-	prefill := u.prefillTime(s, q.Prompt)
+	u.evictPrefixes(s, load)
+	used, kept := s.prefixes.leadingTokens(q.Prompt)
+	prefill := u.prefillTime(s, q.Prompt, kept)
 	backlog := s.backlog(q.Now)
 	wait := load.duration(backlog)
 	c.Backlog += wait
 	c.Prefill = load.duration(backlog+prefill) - wait
 	// The engine reads one prompt after another: what it reads again delays those that come
 	// next by the same time.
-	return adaptiveWeights.Cost(&c) + prefill
+	cost := adaptiveWeights.Cost(&c) + prefill
+	if used > kept {
+		reread := prefill - u.prefillTime(s, q.Prompt, used)
+		cost -= time.Duration(evictedWeight * float64(2*reread))
+	}
+	if preferred {
+		cost -= time.Duration(homeWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
+	}
+	return cost
+}
+
+// prefillTime returns how long the engine needs at usual speed for a prompt of which it has
+// cached some tokens.
+func (u *upstreamState) prefillTime(s *server, prompt *Prompt, cached int64) time.Duration {
+	return time.Duration(u.paceFactor(s) * float64(engineSpeed.Prefill(cached, prompt.Tokens-cached)))
 }
 
 // backlog returns the time that the engine needs at usual speed for the prompts sent to it.
@@ -159,11 +183,6 @@
 	return max(0, s.prefillUntil.Sub(now))
 }
 
-// prefillTime returns how long the engine needs for the prompt at usual speed.
-func (u *upstreamState) prefillTime(s *server, prompt *Prompt) time.Duration {
-	return time.Duration(u.paceFactor(s) * float64(s.prefillTime(prompt)))
-}
-
 // preferred is Fleet.preferred with the known servers of the upstream.
 func (u *upstreamState) preferred(q *Query) *server {
 	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
--- a/internal/place/choice_internal_test.go
+++ b/internal/place/choice_internal_test.go
@@ -24,7 +24,7 @@
 	}
 	var cached int64
 	for _, segment := range q.Prompt.Prefix {
-		if _, found := s.prefixes.lastUse[segment.ID]; !found {
+		if _, found := s.prefixes.segments[segment.ID]; !found {
 			break
 		}
 		cached += segment.Tokens
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"maps"
 	"time"
 )
 
@@ -97,41 +96,3 @@
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
-
-// prefixCache remembers the prefix segments that were sent to an engine. Its zero value
-// is empty.
-type prefixCache struct {
-	// lastUse maps segments to their last use.
-	lastUse map[uint64]time.Time
-	// lastSweep is when expired segments were last removed.
-	lastSweep time.Time
-}
-
-// record records segments as cached at now. Above maxSegments it first removes
-// expired ones, at most once per sweepInterval.
-func (p *prefixCache) record(segments []PrefixSegment, now time.Time) {
-	if p.lastUse == nil {
-		p.lastUse = make(map[uint64]time.Time)
-	}
-	if len(p.lastUse) > maxSegments && now.Sub(p.lastSweep) > sweepInterval {
-		p.lastSweep = now
-		maps.DeleteFunc(p.lastUse, func(_ uint64, used time.Time) bool { return now.Sub(used) > segmentTTL })
-	}
-	for _, segment := range segments {
-		p.lastUse[segment.ID] = now
-	}
-}
-
-// cachedTokens returns how many leading tokens of the prompt the engine is
-// expected to have cached.
-func (p *prefixCache) cachedTokens(prompt *Prompt) int64 {
-	var tokens int64
-	for _, segment := range prompt.Prefix {
-		_, cached := p.lastUse[segment.ID]
-		if !cached {
-			break
-		}
-		tokens += segment.Tokens
-	}
-	return min(tokens, prompt.Tokens)
-}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -422,9 +422,8 @@
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
 	if q.Prompt != nil {
-		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
-		p.PrefillTime = f.expectPrefill(p, q)
-		s.addPrefill(q.Prompt, p.PrefillTime, q.Now)
+		f.expectPrefill(p, q)
+		f.addPrefill(s, q.Prompt, p.PrefillTime, q.Now)
 		if f.PromptSent != nil {
 			f.PromptSent(s.id, p.PrefillTime, q.Prompt.Prefix)
 		}
@@ -433,13 +432,17 @@
 }
 
 // addPrefill extends the engine's prefill backlog by prefillTime and records
-// the prompt's prefix as cached.
-func (s *server) addPrefill(prompt *Prompt, prefillTime time.Duration, now time.Time) {
+// the prompt's prefix as cached; mu is held.
+func (f *Fleet) addPrefill(s *server, prompt *Prompt, prefillTime time.Duration, now time.Time) {
 	if s.prefillUntil.Before(now) {
 		s.prefillUntil = now
 	}
 	s.prefillUntil = s.prefillUntil.Add(prefillTime)
-	s.prefixes.record(prompt.Prefix, now)
+	u := f.upstreamOf(s.upstream)
+	s.prefixes.record(prompt.Prefix, int64(u.segmentTokens), now)
+	if u.policy.CacheTokens > 0 && f.isAdaptive(u, now) {
+		u.evictPrefixes(s, u.estimate(s, now))
+	}
 }
 
 // RecordAnswer records that the server has sent something.
@@ -564,5 +567,5 @@
 		return
 	}
 	s.report.announced++
-	s.addPrefill(&Prompt{Prefix: segments}, prefillTime, now)
+	f.addPrefill(s, &Prompt{Prefix: segments}, prefillTime, now)
 }
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -8,23 +8,29 @@
 	wait time.Duration
 	// usualPrefill is the time for the prompt by engineSpeed; 0 if none is to be learned.
 	usualPrefill time.Duration
+	// heldTokens is what the request holds of the engine's memory beside its prefix.
+	heldTokens int64
 	// eventSeen is set once the first event has arrived.
 	eventSeen bool
 }
 
-// expectPrefill returns the time that the engine is expected to need for the prompt of a new
-// placement, and records what else is expected of it; mu is held.
-func (f *Fleet) expectPrefill(p *Placement, q Query) time.Duration {
+// expectPrefill records what is expected of the engine of a new placement; mu is held.
+func (f *Fleet) expectPrefill(p *Placement, q Query) {
 	s := p.server
 	u := f.upstreamOf(s.upstream)
-	usual := s.prefillTime(q.Prompt)
+	u.recordSegments(q.Prompt)
+	p.expected.heldTokens = q.Prompt.heldTokens()
+	used, kept := s.prefixes.leadingTokens(q.Prompt)
 	if !f.isAdaptive(u, q.Now) {
-		return usual
+		p.CachedTokens = used
+		p.PrefillTime = engineSpeed.Prefill(used, q.Prompt.Tokens-used)
+		return
 	}
 	load := u.estimate(s, q.Now)
+	p.CachedTokens = kept
+	p.expected.usualPrefill = engineSpeed.Prefill(kept, q.Prompt.Tokens-kept)
 	p.expected.wait = load.duration(s.backlog(q.Now)) + u.slotWait(load.requests-1, s.slots)
-	p.expected.usualPrefill = usual
-	return time.Duration(u.paceFactor(s) * float64(usual))
+	p.PrefillTime = u.prefillTime(s, q.Prompt, kept)
 }
 
 // recordReport records the load that the server reported at now; mu is held.
@@ -60,5 +66,7 @@
 	if _, served := outcome.(Served); !served || p.Peer {
 		return
 	}
-	p.fleet.upstreamOf(p.server.upstream).holdTime.record(now.Sub(p.StartedAt))
+	u := p.fleet.upstreamOf(p.server.upstream)
+	u.holdTime.record(now.Sub(p.StartedAt))
+	u.held.record(p.expected.heldTokens, now.Sub(p.StartedAt))
 }
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -71,10 +71,11 @@
 	halfOpen bool
 }
 
-// prefillTime returns how long the engine is expected to process the prompt.
+// prefillTime returns how long the engine is expected to process the prompt if it keeps all
+// prefixes.
 func (s *server) prefillTime(prompt *Prompt) time.Duration {
-	cachedTokens := s.prefixes.cachedTokens(prompt)
-	return engineSpeed.Prefill(cachedTokens, prompt.Tokens-cachedTokens)
+	used := s.prefixes.usedTokens(prompt)
+	return engineSpeed.Prefill(used, prompt.Tokens-used)
 }
 
 // occupancy returns the number of requests running or queued at the server: the
--- a/internal/place/uneven_model_test.go
+++ b/internal/place/uneven_model_test.go
@@ -75,6 +75,11 @@
 	lies func(s *modelServer, load place.Load) *place.Load
 	// rate is the number of requests a second.
 	rate float64
+	// memory is the number of tokens that an engine holds, and stated what the
+	// configuration says of it; 0 if nothing.
+	memory, stated int64
+	// documents multiplies the number of documents of each kind.
+	documents int
 	// alone makes entries exchange no loads.
 	alone bool
 	// measureFrom is when results begin to count.
@@ -176,7 +181,7 @@
 
 // newModel returns a site whose servers are 0.7 to 1.7 times as slow as the mean.
 func newModel(seed uint64, reporting reporting) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), reporting: reporting, now: start, byID: make(map[string]*modelServer), results: make(map[*kind]*result), rate: modelRate, measureFrom: start}
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), reporting: reporting, now: start, byID: make(map[string]*modelServer), results: make(map[*kind]*result), rate: modelRate, memory: modelMemory, documents: 1, measureFrom: start}
 	for _, k := range kinds {
 		m.results[k] = &result{}
 	}
@@ -202,6 +207,7 @@
 func (m *model) startEntry(e *modelEntry) {
 	e.fleet = &place.Fleet{Seed: e.seed}
 	e.fleet.Update(m.list, m.now)
+	e.fleet.SetUpstreams(map[string]place.UpstreamPolicy{"pool": {CacheTokens: m.stated}})
 	e.fleet.PromptSent = func(server string, prefillTime time.Duration, segments []place.PrefixSegment) {
 		m.announce(e, server, prefillTime, segments)
 	}
@@ -240,10 +246,14 @@
 		return
 	}
 	e.allowance--
+	announced := make([]place.PrefixSegment, len(segments))
+	for i, segment := range segments {
+		announced[i] = place.PrefixSegment{ID: segment.ID}
+	}
 	m.after(modelLatency, func() {
 		for _, other := range m.entries {
 			if other != e {
-				other.fleet.RecordRemotePrompt(server, prefillTime, segments, m.now)
+				other.fleet.RecordRemotePrompt(server, prefillTime, announced, m.now)
 			}
 		}
 	})
@@ -285,7 +295,7 @@
 	}
 	entry := m.entries[m.random.IntN(len(m.entries))]
 	u := m.random.Float64()
-	document := uint64(u * u * float64(k.documents))
+	document := uint64(u * u * float64(k.documents*m.documents))
 	prefix := []place.PrefixSegment{{ID: uint64(k.priority + 1), Tokens: k.shared}}
 	if k.own > 0 {
 		prefix = append(prefix, place.PrefixSegment{ID: uint64(k.priority+1)<<32 + document, Tokens: k.own})
@@ -317,7 +327,7 @@
 	}
 	s.running++
 	s.held += r.held()
-	s.evict()
+	s.evict(m.memory)
 	s.queue = append(s.queue, r)
 	m.read(s)
 }
@@ -330,7 +340,7 @@
 	best := mostUrgent(s.queue)
 	r := s.queue[best]
 	s.queue = append(s.queue[:best], s.queue[best+1:]...)
-	tokens := r.prompt.Tokens - s.lookup(r.prompt)
+	tokens := r.prompt.Tokens - s.lookup(r.prompt, m.memory)
 	m.count(r.kind, func(result *result) { result.promptTokens += r.prompt.Tokens; result.readTokens += tokens })
 	s.reading = r
 	s.left = time.Duration(float64(tokens) / modelSpeed * s.factor * float64(time.Millisecond))
@@ -428,7 +438,7 @@
 }
 
 // lookup returns how many leading tokens of a prompt are cached, and caches its prefix.
-func (s *modelServer) lookup(prompt *place.Prompt) int64 {
+func (s *modelServer) lookup(prompt *place.Prompt, memory int64) int64 {
 	var tokens int64
 	hit := true
 	for _, segment := range prompt.Prefix {
@@ -443,13 +453,13 @@
 			tokens += segment.Tokens
 		}
 	}
-	s.evict()
+	s.evict(memory)
 	return tokens
 }
 
 // evict drops the least recently used segments that don't fit beside running requests.
-func (s *modelServer) evict() {
-	for s.cached > max(0, modelMemory-s.held) {
+func (s *modelServer) evict(memory int64) {
+	for s.cached > max(0, memory-s.held) {
 		oldest, found := uint64(0), false
 		for id := range s.segments {
 			if !found || s.lastUse[id] < s.lastUse[oldest] {
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -28,6 +28,10 @@
 	// holdTime and firstEventTime are means over this entry's requests.
 	holdTime       meanTime
 	firstEventTime meanTime
+	// held is what running requests hold of an engine's memory, and segmentTokens the mean
+	// length of a prefix segment.
+	held          meanHeld
+	segmentTokens float64
 	// typical is the mean load of the servers.
 	typical typicalLoad
 	// servers are the listed servers of the upstream, sorted by id.
