Place: keep room for urgent requests, and refuse hopeless ones at once

Cause: all requests were queued alike. Above capacity, those with the least time got their first events late, and servers worked for callers that no longer waited.

Change: where servers are chosen by estimates, a server counts as full sooner for less urgent requests, a request whose first event is expected after its caller's time is refused as not run (expected_too_late), less urgent classes yield while a larger part of more urgent ones is missed, and one in 20 of each class is granted the room and the priority of the most urgent. Retry-After is the time after which the request would have been taken. place.Query has Priority and TimeLeft. Elsewhere nothing changes.

Tests of internal/place and forward and make lint pass.

--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,6 +25,7 @@
 	reasonUnknownVersion  reason = "stream_version_unknown"
 	reasonNoServer        reason = "no_server"
 	reasonServersFull     reason = "servers_full"
+	reasonTooLate         reason = "expected_too_late"
 	reasonDeclined        reason = "declined_by_servers"
 	reasonNotSent         reason = "not_sent"
 	reasonOutcomeUnclear  reason = "outcome_unclear"
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -141,6 +141,9 @@
 	case place.Chosen:
 		return t.sendTo(ctx, d.Placement, nil)
 	case place.Full:
+		if d.Late {
+			return t.fail(reasonTooLate, d.RetryAfter), false
+		}
 		return t.fail(reasonServersFull, d.RetryAfter), false
 	}
 	if peer := t.placeAtPeer(); peer != nil {
@@ -151,13 +154,21 @@
 
 // pick places the request at a server other than those of tried.
 func (t *task) pick(tried []string) place.Decision {
+	now := time.Now()
+	timeLeft := max(0, t.deadline.Sub(now))
+	if t.mayHaveRun {
+		// The server that goes on with a response gets a chance, even if it seems late.
+		timeLeft = 0
+	}
 	return t.server.Fleet.Pick(place.Query{
-		Now:           time.Now(),
+		Now:           now,
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
 		Version:       t.version,
 		Tried:         tried,
+		Priority:      t.route.priority(t.workspace),
+		TimeLeft:      timeLeft,
 	})
 }
 
@@ -330,6 +341,9 @@
 		LastEventID: t.lastEventID,
 		Priority:    t.route.priority(t.workspace),
 	}
+	if placement.Granted {
+		attempt.Priority = 0
+	}
 	if attempt.LastEventID == "" {
 		attempt.LastEventID = t.request.LastEventID
 	}
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -123,11 +123,16 @@
 	var lowest time.Duration
 	for _, s := range servers {
 		load := u.estimate(s, q.Now)
-		if wait := f.timeUntilFreeAt(s, load.requests, q.Now); wait > 0 {
+		if wait := f.timeUntilTaken(s, u.fullFor(s, q, load), q.Now); wait > 0 {
 			full = minPositive(full, wait)
 			continue
 		}
-		cost := u.cost(s, q, load, s == preferred)
+		cost, firstEvent := u.cost(s, q, load, s == preferred)
+		if late := q.lateBy(firstEvent); late > 0 {
+			q.late = true
+			full = minPositive(full, late)
+			continue
+		}
 		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
 			cheapest = s
 			lowest = cost
@@ -136,8 +141,20 @@
 	return cheapest, full
 }
 
-// cost returns the estimated cost of placing the request at s, whose load is given.
-func (u *upstreamState) cost(s *server, q *Query, load estimate, preferred bool) time.Duration {
+// fullFor returns how long a server whose load is given takes no request of the priority; 0
+// if it takes one now.
+func (u *upstreamState) fullFor(s *server, q *Query, load estimate) time.Duration {
+	excess := load.requests - q.urgency.maxOccupancy*float64(s.slots)
+	if excess < 0 {
+		return 0
+	}
+	// Requests end at the rate of the slots divided by the time that each holds one.
+	return roomWait(time.Duration((excess + 1) / float64(s.slots) * float64(u.holdTime.or(defaultHoldTime))))
+}
+
+// cost returns the estimated cost of placing the request at s, whose load is given, and the
+// time to the first event.
+func (u *upstreamState) cost(s *server, q *Query, load estimate, preferred bool) (cost, firstEvent time.Duration) {
 	c := Candidate{
 		OtherDomain: s.failureDomain != q.FailureDomain,
 		FailureRate: s.failureRate,
@@ -150,7 +167,7 @@
 		weights := plainWeights
 		weights.Backlog = 1
 		weights.Occupancy = load.duration(weights.Occupancy)
-		return weights.Cost(&c)
+		return weights.Cost(&c), c.Backlog
 	}
 	u.evictPrefixes(s, load)
 	used, kept := s.prefixes.leadingTokens(q.Prompt)
@@ -161,7 +178,7 @@
 	c.Prefill = load.duration(backlog+prefill) - wait
 	// The engine reads one prompt after another: what it reads again delays those that come
 	// next by the same time.
-	cost := adaptiveWeights.Cost(&c) + prefill
+	cost = adaptiveWeights.Cost(&c) + prefill
 	if used > kept {
 		reread := prefill - u.prefillTime(s, q.Prompt, used)
 		cost -= time.Duration(evictedWeight * float64(2*reread))
@@ -169,7 +186,7 @@
 	if preferred {
 		cost -= time.Duration(homeWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
 	}
-	return cost
+	return cost, c.Backlog + c.Prefill
 }
 
 // prefillTime returns how long the engine needs at usual speed for a prompt of which it has
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -125,6 +125,9 @@
 	// prefix cache.
 	CachedTokens int64
 
+	// Granted is set if the request uses the room of the most urgent ones, so that requests
+	// of its priority are not starved. Its server must serve it as one of them.
+	Granted bool
 	// Peer is set if the request is placed at another entry, which places it at a server.
 	Peer bool
 	// StartedAt is when the request was placed.
@@ -265,30 +268,43 @@
 func (f *Fleet) Pick(q Query) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cheapest, full := f.cheapest(q, eligible{})
-	if cheapest == nil && full == 0 {
-		cheapest, full = f.cheapest(q, eligible{ejected: true})
-	}
-	if cheapest == nil && full == 0 && q.Version.Limited {
-		cheapest, full = f.cheapest(q, eligible{ejected: true, leaving: true})
+	var cheapest *server
+	var full time.Duration
+	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+		cheapest, full = f.pickAdaptive(u, &q)
+	} else {
+		cheapest, full = f.cheapestEligible(&q)
 	}
 	switch {
 	case cheapest != nil:
 		return Chosen{Placement: f.startPlacement(cheapest, q)}
 	case full > 0:
-		return Full{RetryAfter: full}
+		return Full{RetryAfter: full, Late: q.late}
 	default:
 		return NoServer{}
 	}
 }
 
+// cheapestEligible is cheapest among the servers that are neither ejected nor leaving, or
+// among others if there are none.
+func (f *Fleet) cheapestEligible(q *Query) (cheapest *server, full time.Duration) {
+	cheapest, full = f.cheapest(q, eligible{})
+	if cheapest == nil && full == 0 {
+		cheapest, full = f.cheapest(q, eligible{ejected: true})
+	}
+	if cheapest == nil && full == 0 && q.Version.Limited {
+		cheapest, full = f.cheapest(q, eligible{ejected: true, leaving: true})
+	}
+	return cheapest, full
+}
+
 // cheapest returns the server with the lowest cost, or nil. If it skipped full servers or
 // ones that want no requests now, full is the time until the first of them may take one.
-func (f *Fleet) cheapest(q Query, allowed eligible) (cheapest *server, full time.Duration) {
+func (f *Fleet) cheapest(q *Query, allowed eligible) (cheapest *server, full time.Duration) {
 	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
-		return f.cheapestAdaptive(u, &q, allowed)
+		return f.cheapestAdaptive(u, q, allowed)
 	}
-	preferred := f.preferred(q)
+	preferred := f.preferred(*q)
 	var lowest time.Duration
 	for _, s := range f.servers {
 		if s.upstream != q.Upstream || !q.Version.allows(s.version) || slices.Contains(q.Tried, s.id) {
@@ -301,7 +317,7 @@
 			full = minPositive(full, wait)
 			continue
 		}
-		cost := s.cost(q, s == preferred)
+		cost := s.cost(*q, s == preferred)
 		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
 			cheapest = s
 			lowest = cost
@@ -330,16 +346,20 @@
 // timeUntilFree returns how long the server takes no request, because it wants none, its
 // limit is reached or it is full; 0 if it takes one now. mu is held.
 func (f *Fleet) timeUntilFree(s *server, now time.Time) time.Duration {
-	return f.timeUntilFreeAt(s, float64(s.occupancy(now)), now)
+	var full time.Duration
+	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
+		full = fullRetryAfter
+	}
+	return f.timeUntilTaken(s, full, now)
 }
 
-// timeUntilFreeAt is timeUntilFree for a server with the given number of requests.
-func (f *Fleet) timeUntilFreeAt(s *server, requests float64, now time.Time) time.Duration {
+// timeUntilTaken is timeUntilFree for a server that is full for the given time.
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) time.Duration {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
 		return held
 	}
-	if requests >= maxOccupancy*float64(s.slots) {
-		return fullRetryAfter
+	if full > 0 {
+		return full
 	}
 	if wait := f.brittleWait(s, now); wait > 0 {
 		return wait
@@ -417,7 +437,7 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now, Granted: q.granted}
 	s.inFlight++
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -10,6 +10,9 @@
 	usualPrefill time.Duration
 	// heldTokens is what the request holds of the engine's memory beside its prefix.
 	heldTokens int64
+	// class and timeLeft are those of the request; timeLeft is 0 if it is not known.
+	class    class
+	timeLeft time.Duration
 	// eventSeen is set once the first event has arrived.
 	eventSeen bool
 }
@@ -26,6 +29,10 @@
 		p.PrefillTime = engineSpeed.Prefill(used, q.Prompt.Tokens-used)
 		return
 	}
+	if len(q.Tried) == 0 {
+		p.expected.class = u.room.classOf(&q)
+		p.expected.timeLeft = q.TimeLeft
+	}
 	load := u.estimate(s, q.Now)
 	p.CachedTokens = kept
 	p.expected.usualPrefill = engineSpeed.Prefill(kept, q.Prompt.Tokens-kept)
@@ -53,6 +60,7 @@
 	u := f.upstreamOf(p.server.upstream)
 	elapsed := now.Sub(p.StartedAt)
 	u.firstEventTime.record(elapsed)
+	p.recordFirstEventInTime(u, elapsed <= p.expected.timeLeft)
 	if p.expected.usualPrefill == 0 || !f.isAdaptive(u, now) {
 		return
 	}
@@ -61,8 +69,13 @@
 	u.recordPrefill(p.server, time.Duration(float64(elapsed)/slowdown), time.Duration(float64(p.expected.wait)/slowdown), p.expected.usualPrefill)
 }
 
-// recordHold records for how long the server held a request that it served; mu is held.
+// recordHold records for how long the server held a request that it served, or that its
+// caller got no first event; mu is held.
 func (p *Placement) recordHold(outcome Outcome, now time.Time) {
+	if _, abandoned := outcome.(Abandoned); abandoned && !p.Peer && !p.expected.eventSeen {
+		elapsed := now.Sub(p.StartedAt)
+		p.recordFirstEventInTime(p.fleet.upstreamOf(p.server.upstream), elapsed < p.expected.timeLeft)
+	}
 	if _, served := outcome.(Served); !served || p.Peer {
 		return
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -36,6 +36,17 @@
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
+	// Priority orders requests; 0 is the most urgent.
+	Priority int
+	// TimeLeft is how long the caller still waits for the first event; 0 if it is not known.
+	TimeLeft time.Duration
+
+	// urgency says how much room the request may use.
+	urgency urgency
+	// granted is set if it uses that of the most urgent ones.
+	granted bool
+	// late is set if a server takes the request, but too late for the caller.
+	late bool
 }
 
 // Decision is the result of Fleet.Pick: Chosen, Full or NoServer.
@@ -52,6 +63,9 @@
 type Full struct {
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
+	// Late is set if a server takes the request, but is expected to send the first event
+	// later than its caller waits.
+	Late bool
 }
 
 // NoServer means that the fleet knows no server that may take the request.
--- a/internal/place/uneven_model_test.go
+++ b/internal/place/uneven_model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/instances"
@@ -52,6 +53,8 @@
 	documents          int
 	output             int
 	firstEvent         time.Duration
+	// timeLeft is how long callers wait for the first event; 0 if the entry does not know it.
+	timeLeft time.Duration
 }
 
 var kinds = []*kind{
@@ -70,6 +73,7 @@
 	entries   []*modelEntry
 	servers   []*modelServer
 	byID      map[string]*modelServer
+	kinds     []*kind
 	results   map[*kind]*result
 	// lies replaces the load that a server states; nil changes none.
 	lies func(s *modelServer, load place.Load) *place.Load
@@ -181,10 +185,8 @@
 
 // newModel returns a site whose servers are 0.7 to 1.7 times as slow as the mean.
 func newModel(seed uint64, reporting reporting) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), reporting: reporting, now: start, byID: make(map[string]*modelServer), results: make(map[*kind]*result), rate: modelRate, memory: modelMemory, documents: 1, measureFrom: start}
-	for _, k := range kinds {
-		m.results[k] = &result{}
-	}
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), reporting: reporting, now: start, byID: make(map[string]*modelServer), rate: modelRate, memory: modelMemory, documents: 1, measureFrom: start}
+	m.setKinds(kinds)
 	var list []instances.Instance
 	for i := range modelServers {
 		s := &modelServer{id: fmt.Sprintf("e%02d", i), factor: 0.7 + m.random.Float64(), lastUse: make(map[uint64]int), segments: make(map[uint64]int64)}
@@ -203,6 +205,15 @@
 	return m
 }
 
+// setKinds makes all requests be of the given kinds.
+func (m *model) setKinds(kinds []*kind) {
+	m.kinds = kinds
+	m.results = make(map[*kind]*result)
+	for _, k := range kinds {
+		m.results[k] = &result{}
+	}
+}
+
 // startEntry gives an entry an empty memory.
 func (m *model) startEntry(e *modelEntry) {
 	e.fleet = &place.Fleet{Seed: e.seed}
@@ -284,9 +295,9 @@
 // arrive places a request of a random kind at a random entry.
 func (m *model) arrive() {
 	m.after(m.interval(), m.arrive)
-	k := kinds[len(kinds)-1]
+	k := m.kinds[len(m.kinds)-1]
 	x := m.random.Float64()
-	for _, candidate := range kinds {
+	for _, candidate := range m.kinds {
 		if x < candidate.share {
 			k = candidate
 			break
@@ -301,7 +312,7 @@
 		prefix = append(prefix, place.PrefixSegment{ID: uint64(k.priority+1)<<32 + document, Tokens: k.own})
 	}
 	prompt := &place.Prompt{Tokens: k.shared + k.own + k.fresh/2 + int64(m.random.IntN(int(k.fresh))), Output: int64(k.output), Prefix: prefix}
-	query := place.Query{Now: m.now, Upstream: "pool", FailureDomain: "a", Prompt: prompt}
+	query := place.Query{Now: m.now, Upstream: "pool", FailureDomain: "a", Prompt: prompt, Priority: k.priority, TimeLeft: k.timeLeft}
 	m.count(k, func(r *result) { r.requests++ })
 	chosen, ok := entry.fleet.Pick(query).(place.Chosen)
 	if !ok {
@@ -311,6 +322,22 @@
 	s := m.byID[chosen.Placement.ID]
 	r := &modelRequest{kind: k, arrived: m.now, placement: chosen.Placement, prompt: prompt}
 	m.after(modelLatency, func() { m.receive(s, r) })
+	if k.timeLeft > 0 {
+		m.after(k.timeLeft, func() { m.leave(s, r) })
+	}
+}
+
+// leave ends a request whose caller waits no longer, unless the server has begun with it.
+func (m *model) leave(s *modelServer, r *modelRequest) {
+	isRequest := func(other *modelRequest) bool { return other == r }
+	switch {
+	case slices.ContainsFunc(s.waiting, isRequest):
+		s.waiting = slices.DeleteFunc(s.waiting, isRequest)
+		r.placement.Done(place.Abandoned{}, m.now)
+	case slices.ContainsFunc(s.queue, isRequest):
+		s.queue = slices.DeleteFunc(s.queue, isRequest)
+		m.end(s, r, place.Abandoned{})
+	}
 }
 
 func (m *model) count(k *kind, change func(r *result)) {
@@ -348,10 +375,18 @@
 	m.scheduleRead(s)
 }
 
+// priority returns the priority that the entry has stated to the server.
+func (r *modelRequest) priority() int {
+	if r.placement.Granted {
+		return 0
+	}
+	return r.kind.priority
+}
+
 func mostUrgent(requests []*modelRequest) int {
 	best := 0
 	for i, r := range requests {
-		if r.kind.priority < requests[best].kind.priority {
+		if r.priority() < requests[best].priority() {
 			best = i
 		}
 	}
@@ -402,7 +437,7 @@
 	load := place.Load{Running: s.running, Waiting: len(s.waiting), Slots: modelSlots, Slowdown: s.slowness()}
 	m.after(modelLatency, func() { m.firstEvent(s, r, load) })
 	output := time.Duration(float64(modelEventTime) * float64(r.kind.output) * s.factor)
-	m.after(output, func() { m.finish(s, r) })
+	m.after(output, func() { m.end(s, r, place.Served{}) })
 	m.read(s)
 }
 
@@ -424,9 +459,9 @@
 	}
 }
 
-// finish ends a request and gives its slot to the most urgent one that waits.
-func (m *model) finish(s *modelServer, r *modelRequest) {
-	r.placement.Done(place.Served{}, m.now)
+// end ends a request and gives its slot to the most urgent one that waits.
+func (m *model) end(s *modelServer, r *modelRequest, outcome place.Outcome) {
+	r.placement.Done(outcome, m.now)
 	s.running--
 	s.held -= r.held()
 	if len(s.waiting) > 0 {
--- a/internal/place/uneven_test.go
+++ b/internal/place/uneven_test.go
@@ -21,8 +21,8 @@
 	m.run(warmUp + 8*time.Second)
 	total := m.totals()
 	t.Logf("%s: in time %.3f, refused %d, prompt tokens read %.3f", name, total.shareInTime(), total.refused, total.readShare())
-	for _, k := range kinds {
-		t.Logf("    %s: in time %.3f of %d", k.name, m.results[k].shareInTime(), m.results[k].requests)
+	for _, k := range m.kinds {
+		t.Logf("    %s: in time %.3f of %d, refused %d", k.name, m.results[k].shareInTime(), m.results[k].requests, m.results[k].refused)
 	}
 	return m
 }
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -32,6 +32,8 @@
 	// length of a prefix segment.
 	held          meanHeld
 	segmentTokens float64
+	// room is what this entry keeps free for urgent requests.
+	room room
 	// typical is the mean load of the servers.
 	typical typicalLoad
 	// servers are the listed servers of the upstream, sorted by id.
