--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -52,6 +52,9 @@
 	HostRoutes     map[string]HostRoute     `json:"host_routes,omitempty"`
 	Upstreams      map[string]Upstream      `json:"upstreams,omitempty"`
 	Limits         Limits                   `json:"limits,omitzero"`
+	// FailureDomains are those that operators gave an order for. It must stay the last
+	// field: Encoded.WithFailureDomains replaces it at the end of the encoding.
+	FailureDomains map[string]FailureDomain `json:"failure_domains,omitempty"`
 }
 
 // Workspace is a tenant with a prepaid budget and API keys for its callers.
@@ -68,6 +71,9 @@
 	// Budget is the total number of tokens that the workspace may ever spend.
 	// If unset, deposits alone make up the budget.
 	Budget *int64 `json:"budget,omitempty"`
+	// AllowedRegions are the regions of the backend servers that the workspace's requests
+	// may go to; empty means any.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // BackendServer is a model engine or a plain service.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,6 +65,7 @@
 
 func (testTranslator) ResponseInfo(status int, header http.Header) forward.ResponseInfo {
 	retryAfter, _ := time.ParseDuration(header.Get("Hold-Off"))
+	coldFor, err := time.ParseDuration(header.Get("Cold"))
 	return forward.ResponseInfo{
 		Identified:  header.Get("Id") != "",
 		Leaving:     header.Get("Leaving") != "",
@@ -72,6 +73,8 @@
 		NotRun:      header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherServer: status == http.StatusMisdirectedRequest,
 		Genuine:     header.Get("Stamp") != "",
+		ColdFor:     coldFor,
+		ColdStated:  err == nil,
 	}
 }
 
@@ -92,6 +95,8 @@
 	receivedBy []string
 	// listeners holds the listeners of the backend servers by address.
 	listeners map[string]net.Listener
+	// addresses holds the addresses of the backend servers by number.
+	addresses []string
 }
 
 // responder is the scripted reaction of a backend server to one request.
@@ -163,6 +168,7 @@
 	}
 	f.t.Cleanup(func() { _ = listener.Close() })
 	f.listeners[listener.Addr().String()] = listener
+	f.addresses = append(f.addresses, listener.Addr().String())
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
 // reason names why a request ends without a complete response of a backend
@@ -24,6 +26,8 @@
 	reasonQuarantined     reason = "quarantined"
 	reasonUnknownVersion  reason = "stream_version_unknown"
 	reasonNoServer        reason = "no_server"
+	reasonEvacuated       reason = "evacuated"
+	reasonRegion          reason = "no_server_in_allowed_regions"
 	reasonServersFull     reason = "servers_full"
 	reasonTooLate         reason = "expected_too_late"
 	reasonDeclined        reason = "declined_by_servers"
@@ -34,6 +38,9 @@
 	reasonBrokenStream    reason = "stream_broken"
 	reasonCallerLeft      reason = "caller_left"
 	reasonInterrupted     reason = "interrupted_by_shutdown"
+	reasonOverloaded      reason = reason(overload.Shed)
+	reasonHopeless        reason = reason(overload.Hopeless)
+	reasonNoDescriptors   reason = "no_descriptors"
 )
 
 // refusal ends a request without a complete response of a backend server.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -39,6 +39,9 @@
 	if t.relayed || t.mayHaveRun || t.server.Peers == nil || t.peersTried >= maxPeersTried {
 		return nil
 	}
+	if t.isEvacuated() || t.isOutsideRegions() || !t.mayRelay() {
+		return nil
+	}
 	now := time.Now()
 	peers := t.server.Peers.Reaching(t.upstream, t.server.Fleet.ProvenSince(t.upstream, now))
 	placement := t.server.Fleet.PickPeer(peers, t.tried, now)
@@ -129,7 +132,7 @@
 // one may take the request.
 func (r *refusal) isOfEntry() bool {
 	switch r.reason {
-	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent:
+	case reasonNoConfiguration, reasonLeaving, reasonInterrupted, reasonNoTokens, reasonNoServer, reasonNotSent, reasonOverloaded, reasonHopeless, reasonNoDescriptors:
 		return true
 	default:
 		return false
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -16,6 +16,7 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
 	"github.com/cactusbay/cactusbay/internal/reach"
@@ -38,7 +39,8 @@
 
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
-// before the first request; only Peers, Streams, ListAge and ListFollowedFor may be nil.
+// before the first request; only Peers, Streams, Overload, HasDescriptors,
+// ListAge and ListFollowedFor may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -51,6 +53,11 @@
 	Peers reach.Peers
 	// Streams knows where streams began; nil knows of none.
 	Streams StreamOrigins
+	// Overload refuses requests while the entry is overloaded; nil refuses none.
+	Overload *overload.Controller
+	// HasDescriptors reports whether enough file descriptors are free for another request;
+	// nil refuses no request for want of them.
+	HasDescriptors func() bool
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
@@ -60,9 +67,11 @@
 	// Entries returns the number of entries that share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
-	Log           *log.Logger
-	Scope         tally.Scope
-	Tracer        trace.Tracer
+	// Region is the region of this entry; empty if it is unknown.
+	Region string
+	Log    *log.Logger
+	Scope  tally.Scope
+	Tracer trace.Tracer
 
 	table   atomic.Pointer[Table]
 	running atomic.Int64
@@ -74,6 +83,7 @@
 // Install replaces the configuration for new requests and draws tokens for the
 // workspaces with budgets. Requests in progress keep the previous one.
 func (s *Server) Install(version uint64, document *config.Document) {
+	s.obeyEvacuations(version, document)
 	table := NewTable(version, document)
 	s.Fleet.SetUpstreams(table.policies)
 	s.table.Store(table)
@@ -175,8 +185,13 @@
 	if t.workspace == nil && t.table.requiresKeys && !t.route.Public {
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
+	t.regions = t.route.regions(t.workspace)
 	t.deadline = t.start.Add(t.timeout())
-	refused := t.readBody(r)
+	refused := t.refuseForLoad(r)
+	if refused != nil {
+		return refused
+	}
+	refused = t.readBody(r)
 	if refused == nil && t.server.drain.Plan().Refuses(time.Now(), t.deadline) {
 		return serviceUnavailable(reasonLeaving, retryAfterOtherEntry)
 	}
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -21,7 +21,7 @@
 	workspaces map[string]*Workspace
 	// healthPaths holds the paths of the health checks by upstream.
 	healthPaths map[string]string
-	// policies holds what placement needs to know about the servers of each upstream.
+	// policies holds what the configuration states about the servers of each upstream.
 	policies map[string]place.UpstreamPolicy
 	Limits   config.Limits
 	// requiresKeys is set if callers must present a key on routes that are not
@@ -44,6 +44,8 @@
 	Priority *int
 	// Budgeted is set if the workspace has a budget.
 	Budgeted bool
+	// AllowedRegions limits the regions of the servers unless it is empty.
+	AllowedRegions []string
 }
 
 // NewTable compiles a configuration that config.Parse has validated.
@@ -71,10 +73,10 @@
 	}
 	for name, upstream := range document.Upstreams {
 		t.healthPaths[name] = upstream.HealthPath
-		t.policies[name] = placementPolicy(upstream)
+		t.policies[name] = upstreamPolicy(upstream)
 	}
 	for name, workspace := range document.Workspaces {
-		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil}
+		w := &Workspace{Name: name, Priority: workspace.Priority, Budgeted: workspace.Budget != nil, AllowedRegions: workspace.AllowedRegions}
 		for _, hash := range workspace.KeyHashes {
 			t.workspaces[hash] = w
 		}
@@ -82,9 +84,12 @@
 	return t
 }
 
-// placementPolicy returns what placement needs to know about the servers of an upstream.
-func placementPolicy(upstream config.Upstream) place.UpstreamPolicy {
-	var policy place.UpstreamPolicy
+// upstreamPolicy returns what the configuration states about the servers of an upstream.
+func upstreamPolicy(upstream config.Upstream) place.UpstreamPolicy {
+	policy := place.UpstreamPolicy{
+		ColdStart:             upstream.ColdStart.Or(0),
+		ColdRequestsPerSecond: upstream.ColdRequestsPerSecond,
+	}
 	if upstream.Engine != nil {
 		policy.CacheTokens = upstream.Engine.CacheTokens
 	}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -95,6 +95,8 @@
 	notRepeated denial
 	// version limits further attempts to the software version that began the stream.
 	version place.VersionLimit
+	// regions limits the regions of the servers; nil allows any.
+	regions *place.RegionLimit
 	// next is the server that takes over from a silent one; nil if none does.
 	next *successor
 
@@ -149,6 +151,12 @@
 	if peer := t.placeAtPeer(); peer != nil {
 		return t.sendTo(ctx, peer, nil)
 	}
+	if t.isEvacuated() {
+		return t.fail(reasonEvacuated, retryAfterLater), false
+	}
+	if t.isOutsideRegions() {
+		return t.fail(reasonRegion, retryAfterLater), false
+	}
 	return t.fail(reasonNoServer, retryAfterLater), false
 }
 
@@ -166,6 +174,7 @@
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
 		Version:       t.version,
+		Regions:       t.regions,
 		Tried:         tried,
 		Priority:      t.route.priority(t.workspace),
 		TimeLeft:      timeLeft,
@@ -253,6 +262,9 @@
 	if info.Limit.Named || info.Genuine && !info.OtherServer {
 		placement.RecordLimit(info.Limit, now)
 	}
+	if info.ColdStated {
+		placement.RecordCold(info.ColdFor, now)
+	}
 	if info.Leaving {
 		placement.MarkLeaving(now)
 	}
@@ -374,8 +386,7 @@
 		return &refusal{reason: reasonCallerLeft}, false
 	}
 	if upstream.IsNotSent(err) {
-		placement.Done(place.Unreachable{}, now)
-		t.server.Upstream.CloseIdle(placement.ID)
+		t.server.endUnsent(placement, err, now)
 		t.unsentAttempts++
 		switch {
 		case drain.IsInterrupted(ctx):
@@ -385,6 +396,8 @@
 			refused = t.fail(reasonNotSent, retryAfterSoon)
 		case t.unsentAttempts > maxUnsentAttempts:
 			return t.passToPeer(ctx, placement, err)
+		case upstream.LacksDescriptors(err):
+			refused = t.fail(reasonNotSent, retryAfterOtherEntry)
 		}
 		t.reportFailedAttempt(placement, "not_sent", err.Error(), refused == nil)
 		return refused, refused == nil
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -24,6 +24,10 @@
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
 	formatLoads              = 12
+	formatEchoRequest        = 14
+	formatEchoAnswer         = 15
+	formatCold               = 16
+	formatDoubt              = 17
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -50,12 +50,12 @@
 func (f *Fleet) cheapestAdaptive(u *upstreamState, q *Query, allowed eligible) (cheapest *server, full time.Duration) {
 	eligibles := f.eligibles[:0]
 	for _, s := range u.servers {
-		if q.Version.allows(s.version) && !slices.Contains(q.Tried, s.id) && f.isEligible(s, allowed, q.Now) {
+		if q.Version.allows(s.version) && q.Regions.Allows(s.region) && !slices.Contains(q.Tried, s.id) && f.isEligible(s, allowed, q.Now) {
 			eligibles = append(eligibles, s)
 		}
 	}
 	f.eligibles = eligibles
-	preferred := u.preferred(q)
+	preferred := f.preferredOf(u, q)
 	chosen := f.candidates(u, q, eligibles, preferred)
 	cheapest, full = f.cheapestOf(u, q, chosen.list(), preferred)
 	if cheapest == nil && len(eligibles) > chosen.count {
@@ -200,8 +200,8 @@
 	return max(0, s.prefillUntil.Sub(now))
 }
 
-// preferred is Fleet.preferred with the known servers of the upstream.
-func (u *upstreamState) preferred(q *Query) *server {
+// preferredOf is preferred among the known servers of the upstream; mu is held.
+func (f *Fleet) preferredOf(u *upstreamState, q *Query) *server {
 	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
 		return nil
 	}
@@ -209,7 +209,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range u.servers {
-		if s.leaving || !q.Version.allows(s.version) || s.isEjected(q.Now) {
+		if s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
 			continue
 		}
 		weight := mixWeight(segment, s.hash)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -33,6 +33,8 @@
 	Prompt *Prompt
 	// Version limits the software version of the server.
 	Version VersionLimit
+	// Regions limits the region of the server; nil allows any.
+	Regions *RegionLimit
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
@@ -122,6 +124,8 @@
 	EventUnlimited  = "unlimited"
 	EventBrittle    = "brittle"
 	EventNotBrittle = "not brittle any more"
+	EventCold       = "cold"
+	EventWarm       = "not cold any more"
 )
 
 // Change reports a state change of a server.
@@ -138,6 +142,8 @@
 	// Limit is the number of requests a second that the server takes from all entries
 	// together; 0 if it names none.
 	Limit float64
+	// Cold is why the server counts as cold; empty if it does not.
+	Cold string
 	// EjectedFor is how long an ejected server receives no requests; 0 for
 	// other events.
 	EjectedFor time.Duration
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -27,6 +27,8 @@
 	upstream      string
 	address       string
 	failureDomain string
+	// region is that of the failure domain; empty if it is unknown.
+	region string
 	// version is the version of the server's software.
 	version string
 	slots   int
@@ -49,6 +51,7 @@
 	heldOffUntil time.Time
 
 	limit rateLimit
+	cold  coldness
 
 	// ownSlots is how many requests this entry may have at the server while it is brittle,
 	// as of ownSlotsAt.
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -15,6 +15,11 @@
 type UpstreamPolicy struct {
 	// CacheTokens is the number of tokens that the memory of one engine holds.
 	CacheTokens int64
+	// ColdStart is how long a server is cold after its start.
+	ColdStart time.Duration
+	// ColdRequestsPerSecond is how many requests a second a cold server takes from all
+	// entries together; 0 means no bound.
+	ColdRequestsPerSecond float64
 }
 
 // upstreamState is what the fleet knows of the servers of an upstream in common. Its zero
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cactusbay/cactusbay/internal/gossip"
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/instances"
+	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/quarantine"
@@ -50,9 +51,13 @@
 	directory *group.Directory
 	callers   *listener
 	// relays accepts the requests that other entries pass on.
-	relays       *listener
-	closers      closers
-	shuttingDown atomic.Bool
+	relays *listener
+	// connections counts the open connections of both.
+	connections atomic.Int64
+	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
+	descriptorLimit overload.DescriptorLimit
+	closers         closers
+	shuttingDown    atomic.Bool
 }
 
 // StartGateway starts an entry instance of a seeded site and its listeners. The
@@ -74,13 +79,18 @@
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
 		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
-		Fleet:         &place.Fleet{Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
+		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
+		Region:        regionOf(s),
 		Log:           environment.Telemetry.Log,
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
+	g.Server.Overload = newOverloadController(s.Seeded.Overload)
+	if s.Seeded.Overload != nil {
+		g.limitConnections(descriptorLimit())
+	}
 	g.Server.Fleet.Changed = g.logServerChange
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
@@ -90,6 +100,9 @@
 	g.Server.Fleet.PromptSent = gossiper.AnnouncePrompt
 	g.Server.Fleet.LimitStated = gossiper.AnnounceLimit
 	g.Server.Fleet.LimitShare = gossiper.LimitShare
+	g.Server.Fleet.IsLearning = gossiper.IsLearning
+	g.Server.Fleet.ColdStated = gossiper.AnnounceCold
+	g.Server.Fleet.Unreached = gossiper.AskForProbes
 	g.shareEvidence(environment, client, gossiper)
 	g.Server.Streams = gossiper
 	g.Server.Peers = gossiper
@@ -105,6 +118,10 @@
 	g.monitorReach(environment, gossiper)
 	meter := startMeter(environment.Telemetry.Scope, func(m *meter) { g.measure(m, gossiper) })
 	g.closers.add(meter.close)
+	if g.Server.Overload != nil {
+		logger := startShedLogger(g.Server.Overload, environment.Telemetry.Log)
+		g.closers.add(logger.close)
+	}
 	return nil
 }
 
@@ -125,6 +142,15 @@
 	return transport.TCP{Source: s.SourceAddress}
 }
 
+// regionOf returns the region of an instance: the one that its settings name, or that of its
+// failure domain.
+func regionOf(s *settings.Settings) string {
+	if s.Region != "" {
+		return s.Region
+	}
+	return s.Seeded.FailureDomains[s.FailureDomain]
+}
+
 // measure updates the gauges of the instance.
 func (g *Gateway) measure(m *meter, gossiper *gossip.Gossiper) {
 	m.set("requests_in_progress", float64(g.Server.Running()))
@@ -137,6 +163,11 @@
 	m.setAge("list_age_seconds", g.Server.ListAge())
 	m.countDatagrams(gossiper.Counts())
 	m.countTo("backend_connections", g.Server.Upstream.Dials())
+	m.setOverload(g.Server.Overload)
+	_, idle := g.Server.Upstream.Open()
+	m.set("backend_connections_idle", float64(idle))
+	m.set("descriptors_in_use", float64(g.connectionsInUse()))
+	m.set("descriptor_limit", float64(g.descriptorLimit))
 }
 
 func retryLimits(r settings.Retries) retry.Limits {
@@ -185,6 +216,7 @@
 		Client:     g.Server.Upstream,
 		Peers:      gossiper,
 		HealthPath: g.Server.HealthPath,
+		Answered:   g.Server.RecordProbe,
 		Log:        environment.Telemetry.Log,
 	}
 	monitor.Start()
@@ -209,9 +241,10 @@
 		return nil, errors.Newf("parse caller address: %w", err)
 	}
 	return &gossip.Gossiper{
-		Address: net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
-		Fleet:   g.Server.Fleet,
-		Log:     environment.Telemetry.Log,
+		Address:  net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
+		Fleet:    g.Server.Fleet,
+		Overload: g.Server.Overload,
+		Log:      environment.Telemetry.Log,
 	}, nil
 }
 
@@ -265,19 +298,19 @@
 
 // logServerChange logs a change in how the entry sees a backend server.
 func (g *Gateway) logServerChange(change place.Change) {
-	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "for_ms", change.EjectedFor.Milliseconds())
+	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "cold", change.Cold, "for_ms", change.EjectedFor.Milliseconds())
 }
 
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
 // if set, for metrics.
 func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
-	callers, err := listen(environment.Network, g.settings.CallerAddress, g.Server)
+	callers, err := listenCounted(environment.Network, g.settings.CallerAddress, g.Server, &g.connections)
 	if err != nil {
 		return err
 	}
 	g.callers = callers
 	g.closers.add(callers.close)
-	g.relays, err = listen(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed))
+	g.relays, err = listenCounted(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
 	if err != nil {
 		return err
 	}
