--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -29,6 +29,7 @@
 	reasonEvacuated       reason = "evacuated"
 	reasonRegion          reason = "no_server_in_allowed_regions"
 	reasonServersFull     reason = "servers_full"
+	reasonTooLate         reason = "expected_too_late"
 	reasonDeclined        reason = "declined_by_servers"
 	reasonNotSent         reason = "not_sent"
 	reasonOutcomeUnclear  reason = "outcome_unclear"
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -86,10 +86,14 @@
 
 // upstreamPolicy returns what the configuration states about the servers of an upstream.
 func upstreamPolicy(upstream config.Upstream) place.UpstreamPolicy {
-	return place.UpstreamPolicy{
+	policy := place.UpstreamPolicy{
 		ColdStart:             upstream.ColdStart.Or(0),
 		ColdRequestsPerSecond: upstream.ColdRequestsPerSecond,
 	}
+	if upstream.Engine != nil {
+		policy.CacheTokens = upstream.Engine.CacheTokens
+	}
+	return policy
 }
 
 // Route returns the route of host with the longest path prefix that matches
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -116,6 +116,7 @@
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
 	g.done.Go(func() { g.limitLoop(ctx) })
+	g.done.Go(func() { g.loadLoop(ctx) })
 	g.done.Go(func() { g.coldLoop(ctx) })
 	g.startEchoes(ctx)
 	return nil
@@ -311,6 +312,8 @@
 		return g.handleEvidence(data)
 	case formatLimit:
 		return g.handleLimit(data)
+	case formatLoads:
+		return g.handleLoads(data)
 	case formatCold:
 		return g.handleCold(data)
 	case formatDoubt:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,6 +23,7 @@
 	formatLimit              = 9
 	formatReachQuery         = 10
 	formatReachAnswer        = 11
+	formatLoads              = 12
 	formatEchoRequest        = 14
 	formatEchoAnswer         = 15
 	formatCold               = 16
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -77,7 +77,7 @@
 
 // coldReason returns why the server counts as cold, or an empty string; mu is held.
 func (f *Fleet) coldReason(s *server, now time.Time) string {
-	policy := f.policies[s.upstream]
+	policy := f.upstreamOf(s.upstream).policy
 	c := &s.cold
 	switch {
 	case policy.ColdRequestsPerSecond == 0:
@@ -117,7 +117,7 @@
 	if !f.isCold(s, now) {
 		return 0
 	}
-	perSecond := f.policies[s.upstream].ColdRequestsPerSecond
+	perSecond := f.upstreamOf(s.upstream).policy.ColdRequestsPerSecond
 	c := &s.cold
 	if now.Sub(c.sharedAt) >= shareInterval {
 		c.sharedAt = now
--- a/internal/place/cold_probe.go
+++ b/internal/place/cold_probe.go
@@ -38,7 +38,7 @@
 // for which it does is random: otherwise all entries without a share would try it at once. mu
 // is held.
 func (f *Fleet) recordUnreachable(s *server, now time.Time) {
-	coldStart := f.policies[s.upstream].ColdStart
+	coldStart := f.upstreamOf(s.upstream).policy.ColdStart
 	s.cold.unreachableAt = now
 	s.cold.retryAt = now.Add(coldStart + rand.N(coldStart))
 	f.isCold(s, now)
@@ -53,7 +53,7 @@
 		return
 	}
 	p.askedAt = now
-	f.Unreached(s.id, maxColdEntries(f.policies[s.upstream].ColdRequestsPerSecond))
+	f.Unreached(s.id, maxColdEntries(f.upstreamOf(s.upstream).policy.ColdRequestsPerSecond))
 }
 
 // RecordDoubt records that another entry could not reach the server with the given id.
@@ -71,7 +71,7 @@
 // boundsColdStart reports whether the servers of an upstream are cold after their start, and
 // then take only some requests; mu is held.
 func (f *Fleet) boundsColdStart(upstream string) bool {
-	policy := f.policies[upstream]
+	policy := f.upstreamOf(upstream).policy
 	return policy.ColdRequestsPerSecond > 0 && policy.ColdStart > 0
 }
 
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -99,8 +99,6 @@
 	// Update.
 	Regions map[string]string
 
-	// policies holds what the configuration states about upstreams.
-	policies map[string]UpstreamPolicy
 	// hasList is set once a list had servers, and firstList while that one is applied.
 	hasList, firstList bool
 
@@ -119,6 +117,18 @@
 
 	// brittle holds what servers have stated about rejections, by upstream.
 	brittle map[string]brittleness
+
+	// Adaptive asks for estimates of load and speed at all upstreams. Without it, they are
+	// used at those whose servers state a slowdown.
+	Adaptive bool
+	// Seed is the seed of the random choices among the servers of such upstreams.
+	Seed uint64
+	// draws counts the random numbers that were drawn.
+	draws uint64
+	// upstreams holds what the servers of each upstream have in common.
+	upstreams map[string]*upstreamState
+	// eligibles is the buffer for the servers that may take a request.
+	eligibles []*server
 }
 
 // Placement counts a request in flight at a server. Done must be called once.
@@ -135,6 +145,9 @@
 	// prefix cache.
 	CachedTokens int64
 
+	// Granted is set if the request uses the room of the most urgent ones, so that requests
+	// of its priority are not starved. Its server must serve it as one of them.
+	Granted bool
 	// Peer is set if the request is placed at another entry, which places it at a server.
 	Peer bool
 	// StartedAt is when the request was placed.
@@ -148,6 +161,9 @@
 	tookToken bool
 	// tookColdToken is set if it counts against this entry's share of a cold server.
 	tookColdToken bool
+
+	// expected is what the entry expected of the server when it placed the request.
+	expected expectation
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -174,6 +190,7 @@
 			f.notify(s, EventRemoved, 0)
 		}
 	}
+	f.groupServers()
 }
 
 // departureKey names one server at one address: a server that starts again elsewhere
@@ -200,7 +217,7 @@
 	s := f.servers[instance.ID]
 	known := s != nil && s.address == instance.Address && s.upstream == instance.Upstream && s.version == instance.Version && (leaving || !s.leaving)
 	if !known {
-		s = &server{id: instance.ID}
+		s = &server{id: instance.ID, hash: hashID(instance.ID)}
 		f.servers[instance.ID] = s
 	}
 	s.upstream = instance.Upstream
@@ -288,27 +305,43 @@
 func (f *Fleet) Pick(q Query) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cheapest, full := f.cheapest(q, eligible{})
-	if cheapest == nil && full == 0 {
-		cheapest, full = f.cheapest(q, eligible{ejected: true})
-	}
-	if cheapest == nil && full == 0 && q.Version.Limited {
-		cheapest, full = f.cheapest(q, eligible{ejected: true, leaving: true})
+	var cheapest *server
+	var full time.Duration
+	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+		cheapest, full = f.pickAdaptive(u, &q)
+	} else {
+		cheapest, full = f.cheapestEligible(&q)
 	}
 	switch {
 	case cheapest != nil:
 		return Chosen{Placement: f.startPlacement(cheapest, q)}
 	case full > 0:
-		return Full{RetryAfter: full}
+		return Full{RetryAfter: full, Late: q.late}
 	default:
 		return NoServer{}
 	}
 }
 
+// cheapestEligible is cheapest among the servers that are neither ejected nor leaving, or
+// among others if there are none.
+func (f *Fleet) cheapestEligible(q *Query) (cheapest *server, full time.Duration) {
+	cheapest, full = f.cheapest(q, eligible{})
+	if cheapest == nil && full == 0 {
+		cheapest, full = f.cheapest(q, eligible{ejected: true})
+	}
+	if cheapest == nil && full == 0 && q.Version.Limited {
+		cheapest, full = f.cheapest(q, eligible{ejected: true, leaving: true})
+	}
+	return cheapest, full
+}
+
 // cheapest returns the server with the lowest cost, or nil. If it skipped full servers or
 // ones that want no requests now, full is the time until the first of them may take one.
-func (f *Fleet) cheapest(q Query, allowed eligible) (cheapest *server, full time.Duration) {
-	preferred := f.preferred(q)
+func (f *Fleet) cheapest(q *Query, allowed eligible) (cheapest *server, full time.Duration) {
+	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+		return f.cheapestAdaptive(u, q, allowed)
+	}
+	preferred := f.preferred(*q)
 	var lowest time.Duration
 	for _, s := range f.servers {
 		if s.upstream != q.Upstream || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || slices.Contains(q.Tried, s.id) {
@@ -321,7 +354,7 @@
 			full = minPositive(full, wait)
 			continue
 		}
-		cost := s.cost(q, s == preferred)
+		cost := s.cost(*q, s == preferred)
 		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
 			cheapest = s
 			lowest = cost
@@ -353,11 +386,20 @@
 // timeUntilFree returns how long the server takes no request, because it wants none, its
 // limit is reached or it is full; 0 if it takes one now. mu is held.
 func (f *Fleet) timeUntilFree(s *server, now time.Time) time.Duration {
+	var full time.Duration
+	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
+		full = fullRetryAfter
+	}
+	return f.timeUntilTaken(s, full, now)
+}
+
+// timeUntilTaken is timeUntilFree for a server that is full for the given time.
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) time.Duration {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
 		return held
 	}
-	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
-		return fullRetryAfter
+	if full > 0 {
+		return full
 	}
 	if wait := f.brittleWait(s, now); wait > 0 {
 		return wait
@@ -417,9 +459,19 @@
 
 // rendezvousWeight hashes a segment and a server id for rendezvous hashing.
 func rendezvousWeight(segment uint64, id string) uint64 {
+	return mixWeight(segment, hashID(id))
+}
+
+// hashID hashes a server id for rendezvous hashing.
+func hashID(id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	x := h.Sum64() ^ segment*0x9E3779B97F4A7C15
+	return h.Sum64()
+}
+
+// mixWeight returns the rendezvous weight of a segment at the server with a hashed id.
+func mixWeight(segment, hash uint64) uint64 {
+	x := hash ^ segment*0x9E3779B97F4A7C15
 	x ^= x >> 32
 	x *= 0xD6E8FEB86659FD93
 	return x ^ x>>32
@@ -428,15 +480,14 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now, Granted: q.granted}
 	s.inFlight++
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
 	p.takeColdToken(q.Now)
 	if q.Prompt != nil {
-		p.CachedTokens = s.prefixes.cachedTokens(q.Prompt)
-		p.PrefillTime = s.prefillTime(q.Prompt)
-		s.addPrefill(q.Prompt, p.PrefillTime, q.Now)
+		f.expectPrefill(p, q)
+		f.addPrefill(s, q.Prompt, p.PrefillTime, q.Now)
 		if f.PromptSent != nil {
 			f.PromptSent(s.id, p.PrefillTime, q.Prompt.Prefix)
 		}
@@ -445,13 +496,17 @@
 }
 
 // addPrefill extends the engine's prefill backlog by prefillTime and records
-// the prompt's prefix as cached.
-func (s *server) addPrefill(prompt *Prompt, prefillTime time.Duration, now time.Time) {
+// the prompt's prefix as cached; mu is held.
+func (f *Fleet) addPrefill(s *server, prompt *Prompt, prefillTime time.Duration, now time.Time) {
 	if s.prefillUntil.Before(now) {
 		s.prefillUntil = now
 	}
 	s.prefillUntil = s.prefillUntil.Add(prefillTime)
-	s.prefixes.record(prompt.Prefix, now)
+	u := f.upstreamOf(s.upstream)
+	s.prefixes.record(prompt.Prefix, int64(u.segmentTokens), now)
+	if u.policy.CacheTokens > 0 && f.isAdaptive(u, now) {
+		u.evictPrefixes(s, u.estimate(s, now))
+	}
 }
 
 // RecordAnswer records that the server has sent something.
@@ -479,6 +534,7 @@
 	defer p.fleet.mu.Unlock()
 	p.server.load = load
 	p.server.loadReportedAt = now
+	p.recordReport(load, now)
 }
 
 // Done ends the placement and records how the request ended.
@@ -486,6 +542,7 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.inFlight--
+	p.recordHold(outcome, now)
 	p.recordPath(outcome, now)
 	p.fleet.recordBrittleOutcome(p.server, outcome, now)
 	previouslyEjectedUntil, wasHalfOpen := p.server.ejectedUntil, p.server.halfOpen
@@ -578,5 +635,6 @@
 	if s == nil {
 		return
 	}
-	s.addPrefill(&Prompt{Prefix: segments}, prefillTime, now)
+	s.report.announced++
+	f.addPrefill(s, &Prompt{Prefix: segments}, prefillTime, now)
 }
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -21,7 +21,9 @@
 
 // server is the state that the fleet keeps for one backend server.
 type server struct {
-	id            string
+	id string
+	// hash is the hashed id.
+	hash          uint64
 	upstream      string
 	address       string
 	failureDomain string
@@ -58,6 +60,10 @@
 
 	load           Load
 	loadReportedAt time.Time
+	// report is the last load report less this entry's requests, and pace how much slower
+	// the engine is than those of its upstream in the mean.
+	report loadReport
+	pace   pace
 
 	failureRate         float64
 	consecutiveFailures int
@@ -68,10 +74,11 @@
 	halfOpen bool
 }
 
-// prefillTime returns how long the engine is expected to process the prompt.
+// prefillTime returns how long the engine is expected to process the prompt if it keeps all
+// prefixes.
 func (s *server) prefillTime(prompt *Prompt) time.Duration {
-	cachedTokens := s.prefixes.cachedTokens(prompt)
-	return engineSpeed.Prefill(cachedTokens, prompt.Tokens-cachedTokens)
+	used := s.prefixes.usedTokens(prompt)
+	return engineSpeed.Prefill(used, prompt.Tokens-used)
 }
 
 // occupancy returns the number of requests running or queued at the server: the
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -1,13 +1,20 @@
 package place
 
 import (
-	"maps"
+	"slices"
+	"strings"
 	"time"
 )
 
-// UpstreamPolicy is what the configuration states about the servers of an upstream. Its
-// zero value asks for nothing.
+// slowdownTTL is how long an upstream's servers count as stating a slowdown after one of
+// them last did.
+const slowdownTTL = 30 * time.Second
+
+// UpstreamPolicy is what the configuration states about the servers of an upstream. Zero
+// values ask for nothing.
 type UpstreamPolicy struct {
+	// CacheTokens is the number of tokens that the memory of one engine holds.
+	CacheTokens int64
 	// ColdStart is how long a server is cold after its start.
 	ColdStart time.Duration
 	// ColdRequestsPerSecond is how many requests a second a cold server takes from all
@@ -15,9 +22,70 @@
 	ColdRequestsPerSecond float64
 }
 
-// SetUpstreams replaces what the configuration states about the servers of each upstream.
+// upstreamState is what the fleet knows of the servers of an upstream in common. Its zero
+// value knows nothing.
+type upstreamState struct {
+	policy UpstreamPolicy
+	// slowdownStatedAt is when a server last stated a slowdown.
+	slowdownStatedAt time.Time
+	// pace is how much slower than engineSpeed the engines are in the mean.
+	pace pace
+	// holdTime and firstEventTime are means over this entry's requests.
+	holdTime       meanTime
+	firstEventTime meanTime
+	// held is what running requests hold of an engine's memory, and segmentTokens the mean
+	// length of a prefix segment.
+	held          meanHeld
+	segmentTokens float64
+	// room is what this entry keeps free for urgent requests.
+	room room
+	// typical is the mean load of the servers.
+	typical typicalLoad
+	// servers are the listed servers of the upstream, sorted by id.
+	servers []*server
+}
+
+// SetUpstreams replaces what the configuration states about upstreams.
 func (f *Fleet) SetUpstreams(policies map[string]UpstreamPolicy) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.policies = maps.Clone(policies)
+	for name, u := range f.upstreams {
+		u.policy = policies[name]
+	}
+	for name, policy := range policies {
+		f.upstreamOf(name).policy = policy
+	}
+}
+
+// upstreamOf returns the state of an upstream; mu is held.
+func (f *Fleet) upstreamOf(name string) *upstreamState {
+	u := f.upstreams[name]
+	if u == nil {
+		if f.upstreams == nil {
+			f.upstreams = make(map[string]*upstreamState)
+		}
+		u = &upstreamState{}
+		f.upstreams[name] = u
+	}
+	return u
+}
+
+// groupServers sorts the listed servers by upstream; mu is held.
+func (f *Fleet) groupServers() {
+	for _, u := range f.upstreams {
+		u.servers = u.servers[:0]
+	}
+	for _, s := range f.servers {
+		u := f.upstreamOf(s.upstream)
+		u.servers = append(u.servers, s)
+	}
+	for _, u := range f.upstreams {
+		slices.SortFunc(u.servers, func(a, b *server) int { return strings.Compare(a.id, b.id) })
+	}
+}
+
+// isAdaptive reports whether the servers of an upstream are chosen by estimates of their
+// load and speed; mu is held.
+func (f *Fleet) isAdaptive(u *upstreamState, now time.Time) bool {
+	return f.Adaptive || !u.slowdownStatedAt.IsZero() && now.Sub(u.slowdownStatedAt) < slowdownTTL
 }
