Entry: whole responses wait for memory, with the server unread

Cause: whole responses above 64 KB shared a fixed 48 MB, beyond which they failed although the request had run; smaller ones counted nothing, and nothing bounded them together with request bodies.

It waits within its deadline; its server is not read meanwhile and is not blamed if it then cuts the response off. One response at a time may exceed the bound, so that those that hold parts don't wait for each other. The server is read as before once there is memory.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
@@ -101,7 +102,9 @@
 // deliverWhole reads a response to its end before it forwards any of it, so that
 // the request can be retried when the response breaks off.
 func (t *task) deliverWhole(ctx context.Context, placement *place.Placement, response *upstream.Response, failed bool) (refused *refusal, shouldRetry bool) {
-	body, err := response.ReadAll()
+	room := t.server.Memory.Response()
+	defer room.Release()
+	body, err := readWhole(ctx, response, room)
 	defer response.FreeBody()
 	if err != nil {
 		response.Abandon()
@@ -109,8 +112,13 @@
 			placement.Done(place.Abandoned{}, time.Now())
 			return &refusal{reason: reasonCallerLeft}, false
 		}
-		placement.Done(t.outcomeOfError(ctx), time.Now())
-		t.recordCrash(placement, err)
+		if room.HasWaited() {
+			// A server may cut off a response that stays unread, and is not to blame.
+			placement.Done(place.Abandoned{}, time.Now())
+		} else {
+			placement.Done(t.outcomeOfError(ctx), time.Now())
+			t.recordCrash(placement, err)
+		}
 		refused, shouldRetry = t.retryOr(ctx, badGateway(reasonBadResponse))
 		t.reportFailedAttempt(placement, "broken_answer", err.Error(), shouldRetry)
 		return refused, shouldRetry
@@ -140,6 +148,15 @@
 	return nil, false
 }
 
+// readWhole reads the body of a response with memory from room, or without room from the
+// client's own budget.
+func readWhole(ctx context.Context, response *upstream.Response, room *memory.Response) ([]byte, error) {
+	if room == nil {
+		return response.ReadAll()
+	}
+	return response.ReadAllReserved(func(bytes int) error { return room.Grow(ctx, int64(bytes)) })
+}
+
 // startResponse copies the response header to the caller's response writer. The
 // status and the body are still to be written.
 func (t *task) startResponse(response *upstream.Response) {
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,3 +84,50 @@
 	}
 	waitHeld(t, f, 70<<10)
 }
+
+// TestResponsesWaitForMemory guards against whole responses that are read beyond the memory of
+// the entry, against one that is refused although memory becomes free within its deadline, and
+// against blame for servers whose responses waited here.
+func TestResponsesWaitForMemory(t *testing.T) {
+	// Two failures in a row eject one of the 3 servers.
+	const size, requests = 60 << 10, 7
+	long := respond(200, signatureHeader, strings.Repeat("x", size))
+	for _, c := range []struct {
+		name   string
+		freed  time.Duration
+		status int
+	}{
+		{"freed in time", 300 * time.Millisecond, http.StatusOK},
+		{"not freed", 5 * time.Second, http.StatusGatewayTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, idempotentRoute, slices.Repeat([]responder{long}, 8)...)
+			account := &memory.Account{Bounds: memory.Bounds{Total: 100 << 10, Requests: 50 << 10}}
+			f.server.Memory = account
+			held := account.Response()
+			_ = held.Grow(t.Context(), 80<<10)
+			timer := time.AfterFunc(c.freed, held.Release)
+			defer timer.Stop()
+			var running sync.WaitGroup
+			start := time.Now()
+			for range requests {
+				running.Go(func() {
+					status, body, complete, _ := f.send("/a/x", "secret")
+					if status != c.status || !complete || status == http.StatusOK && len(body) != size {
+						t.Errorf("status %d with %d bytes, complete %v; want a complete %d", status, len(body), complete, c.status)
+					}
+					if time.Since(start) < min(c.freed, time.Second) {
+						t.Errorf("the response came after %v, before there was memory", time.Since(start))
+					}
+				})
+			}
+			running.Wait()
+			if counts := f.server.Fleet.Counts(time.Now()); counts.Ejected != 0 || f.attempts() != requests {
+				t.Errorf("%d servers ejected after %d attempts, want none after %d", counts.Ejected, f.attempts(), requests)
+			}
+			held.Release()
+			waitHeld(t, f, 0)
+		})
+	}
+}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -18,7 +18,7 @@
 
 // Bounds are the numbers of bytes that may be held.
 type Bounds struct {
-	// Total bounds all bodies.
+	// Total bounds all bodies. One response at a time may exceed it.
 	Total int64
 	// Requests bounds the request bodies among them.
 	Requests int64
@@ -37,6 +37,10 @@
 
 	mu   sync.Mutex
 	held Held
+	// waiting holds the responses that wait for memory, the first first.
+	waiting []*waiter
+	// overdrawn is the response that may exceed the bound; nil if none does.
+	overdrawn *Response
 }
 
 // Held tells what is held.
@@ -45,6 +49,8 @@
 	Total int64
 	// Requests is the number of bytes of the request bodies among them.
 	Requests int64
+	// Waiting is the number of responses that wait for memory.
+	Waiting int
 }
 
 // Held returns what is held.
@@ -104,4 +110,5 @@
 	a.held.Total -= r.bytes
 	a.held.Requests -= r.bytes
 	r.bytes = 0
+	a.grant()
 }
--- /dev/null
+++ b/internal/memory/response.go
@@ -0,0 +1,134 @@
+package memory
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrNoRoom reports that no memory became free for a response in time.
+var ErrNoRoom = errors.New("no memory for the response")
+
+// Response is the reservation of one response body. It must be released. A nil response
+// reserves nothing, and always can. It is not safe for concurrent use.
+type Response struct {
+	account *Account
+	bytes   int64
+	waited  bool
+}
+
+// waiter is a response that waits until it may hold the given number of bytes.
+type waiter struct {
+	response *Response
+	bytes    int64
+	granted  chan struct{}
+}
+
+// Response returns an empty reservation for a response body.
+func (a *Account) Response() *Response {
+	if a == nil {
+		return nil
+	}
+	return &Response{account: a}
+}
+
+// Grow grows the reservation to the given number of bytes, or leaves it if it has as many.
+// It waits for memory until ctx ends, and then returns an error that wraps ErrNoRoom.
+func (r *Response) Grow(ctx context.Context, bytes int64) error {
+	if r == nil || bytes <= r.bytes {
+		return nil
+	}
+	a := r.account
+	w := &waiter{response: r, bytes: bytes, granted: make(chan struct{})}
+	a.mu.Lock()
+	a.waiting = append(a.waiting, w)
+	a.grant()
+	a.mu.Unlock()
+	select {
+	case <-w.granted:
+		return nil
+	default:
+	}
+	r.waited = true
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	i := slices.Index(a.waiting, w)
+	if i < 0 {
+		return nil
+	}
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	a.grant()
+	return errors.Newf("wait for %d bytes until %s: %w", bytes, context.Cause(ctx), ErrNoRoom)
+}
+
+// HasWaited reports whether the response has waited for memory, with its server unread.
+func (r *Response) HasWaited() bool {
+	return r != nil && r.waited
+}
+
+// Release gives all bytes back. Further calls have no effect.
+func (r *Response) Release() {
+	if r == nil {
+		return
+	}
+	a := r.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held.Total -= r.bytes
+	r.bytes = 0
+	a.grant()
+}
+
+// grant gives memory to waiting responses; mu is held. Those that hold a part come first,
+// because what they hold is free once they are complete. Others follow in the order in which
+// they came, so that small ones don't delay a large one for ever.
+func (a *Account) grant() {
+	if a.held.Total <= a.Bounds.Total {
+		a.overdrawn = nil
+	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+		return w.response.bytes > 0 && a.tryGrow(w)
+	})
+	blocked := false
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
+		if blocked || w.response.bytes > 0 {
+			return false
+		}
+		blocked = !a.tryGrow(w)
+		return !blocked
+	})
+	a.held.Waiting = len(a.waiting)
+}
+
+// tryGrow gives a waiting response its memory if the bounds allow it, and reports whether it
+// did; mu is held.
+func (a *Account) tryGrow(w *waiter) bool {
+	r := w.response
+	more := w.bytes - r.bytes
+	if a.held.Total+more > a.Bounds.Total {
+		if !a.mayOverdraw(w) {
+			return false
+		}
+		a.overdrawn = r
+	}
+	a.held.Total += more
+	r.bytes = w.bytes
+	close(w.granted)
+	return true
+}
+
+// mayOverdraw reports whether a response may exceed the bound: one at a time may that holds a
+// part, because responses that hold parts would otherwise wait for each other, or that is
+// larger than the bound; mu is held.
+func (a *Account) mayOverdraw(w *waiter) bool {
+	if a.overdrawn != nil && a.overdrawn != w.response {
+		return false
+	}
+	return w.response.bytes > 0 || w.bytes > a.Bounds.Total
+}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -148,6 +148,7 @@
 	held := account.Held()
 	m.set("body_bytes_held", float64(held.Total))
 	m.set("request_body_bytes_held", float64(held.Requests))
+	m.set("responses_waiting_for_memory", float64(held.Waiting))
 	m.set("body_bytes_limit", float64(bounds.Total))
 	m.set("request_body_bytes_limit", float64(bounds.Requests))
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -58,6 +58,25 @@
 // 16 MiB, or larger than the memory that the bodies of other responses leave. The caller
 // must call FreeBody once it no longer needs the body.
 func (r *Response) ReadAll() ([]byte, error) {
+	return r.readAll(r.reserve)
+}
+
+// ReadAllReserved is ReadAll with memory from reserve, which is called with the size of the
+// body, or else of each larger buffer, before the memory is taken. While reserve waits,
+// nothing is read from the server.
+func (r *Response) ReadAllReserved(reserve func(bytes int) error) ([]byte, error) {
+	size := int(r.parsed.ContentLength)
+	if r.parsed.Body != http.NoBody && size <= maxBodyBytes {
+		err := reserve(max(size, firstBufferBytes(size)))
+		if err != nil {
+			return nil, errors.Newf("reserve body: %w", err)
+		}
+	}
+	return r.readAll(reserve)
+}
+
+// readAll reads the rest of the body. It calls reserve before it takes a larger buffer.
+func (r *Response) readAll(reserve func(bytes int) error) ([]byte, error) {
 	if r.parsed.Body == http.NoBody {
 		r.bodyComplete = true
 		return nil, nil
@@ -68,7 +87,7 @@
 	}
 	r.conn.limitReads(maxBodyBytes + maxFramingBytes)
 	defer func() { r.conn.limited = false }()
-	data, err := r.readBody(int(size))
+	data, err := r.readBody(int(size), reserve)
 	if err != nil {
 		return nil, errors.Newf("read whole body: %w", err)
 	}
@@ -78,7 +97,7 @@
 
 // readBody reads the body into a buffer that grows with it. The size is negative if it is
 // not known.
-func (r *Response) readBody(size int) ([]byte, error) {
+func (r *Response) readBody(size int, reserve func(bytes int) error) ([]byte, error) {
 	data := make([]byte, 0, firstBufferBytes(size))
 	for {
 		n, err := r.Read(data[len(data):cap(data)])
@@ -91,7 +110,7 @@
 		case len(data) == size:
 			return data, nil
 		case len(data) == cap(data):
-			data, err = r.growBody(data, size)
+			data, err = growBody(data, size, reserve)
 		}
 		if err != nil {
 			return nil, err
@@ -109,8 +128,8 @@
 }
 
 // growBody returns a copy of data in a buffer of twice the size, but of no more than a
-// body of the given size needs.
-func (r *Response) growBody(data []byte, size int) ([]byte, error) {
+// body of the given size needs, once reserve has returned.
+func growBody(data []byte, size int, reserve func(bytes int) error) ([]byte, error) {
 	if len(data) >= maxBodyBytes {
 		return nil, ErrTooLarge
 	}
@@ -118,15 +137,25 @@
 	if size >= 0 {
 		larger = min(larger, size)
 	}
-	if larger > maxFreeBodyBytes && !r.client.pool.bodies.reserve(larger-r.reserved) {
-		return nil, errors.Newf("no memory for a body of %d bytes: %w", larger, ErrTooLarge)
-	}
-	if larger > maxFreeBodyBytes {
-		r.reserved = larger
+	err := reserve(larger)
+	if err != nil {
+		return nil, err
 	}
 	return append(make([]byte, 0, larger), data...), nil
 }
 
+// reserve takes memory for a body of the given size from the client's budget.
+func (r *Response) reserve(bytes int) error {
+	if bytes <= maxFreeBodyBytes {
+		return nil
+	}
+	if !r.client.pool.bodies.reserve(bytes - r.reserved) {
+		return errors.Newf("no memory for a body of %d bytes: %w", bytes, ErrTooLarge)
+	}
+	r.reserved = bytes
+	return nil
+}
+
 // FreeBody returns the memory of a body that ReadAll has read to the client's budget.
 func (r *Response) FreeBody() {
 	r.client.pool.bodies.free(r.reserved)
