Entry: bound the bytes of request bodies outstanding at one server

Cause: an entry sent a server any number of bytes of request bodies, so that a few slow servers could hold all of its memory for bodies.

Change: place.Fleet counts the bytes of a placement until it ends. Where seeded.overload is set, a server above an eighth of the bound of request bodies counts as full for this entry. If all are, the request is refused with servers_full and Retry-After 0.05 s. Gauges tell the most bytes at a server.

--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -131,3 +131,35 @@
 		})
 	}
 }
+
+// TestServersFullOfBytes guards against request bodies that are sent without counting them
+// against the bound of their server.
+func TestServersFullOfBytes(t *testing.T) {
+	done := make(chan struct{})
+	held := func(conn net.Conn, request *http.Request) {
+		<-done
+		respond(200, signatureHeader, "done")(conn, request)
+	}
+	f := newFixture(t, onceRoute, slices.Repeat([]responder{held}, 4)...)
+	f.server.Fleet.MaxServerBytes = 5
+	var running sync.WaitGroup
+	for range 3 {
+		running.Go(func() {
+			if status, body, _, _ := f.send("/a/x", "secret"); status != http.StatusOK {
+				t.Errorf("status %d, body %q; want 200", status, body)
+			}
+		})
+	}
+	for range 100 {
+		if f.attempts() == 3 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	status, body, _, header := f.send("/a/x", "secret")
+	if status != http.StatusServiceUnavailable || body != "servers_full\n" || header.Get("Retry-After") != "0.05" {
+		t.Errorf("with 4 of 5 bytes at each server: status %d, body %q, Retry-After %q; want 503, servers_full and 0.05", status, body, header.Get("Retry-After"))
+	}
+	close(done)
+	running.Wait()
+}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -159,6 +159,7 @@
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
+		Bytes:         int64(len(t.request.Body)),
 		Version:       t.version,
 		Tried:         tried,
 	})
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -12,6 +12,9 @@
 	// requestShare divides that again to give the bytes of request bodies. The rest is left
 	// for the responses to them, which can't be refused.
 	requestShare = 2
+	// serverShare divides the bytes of request bodies to give those that may be outstanding
+	// at one server, so that a few slow servers leave room for requests to the others.
+	serverShare = 8
 
 	megabyte = 1 << 20
 )
@@ -22,12 +25,16 @@
 	Total int64
 	// Requests bounds the request bodies among them.
 	Requests int64
+	// Server bounds the bytes of the request bodies that are outstanding at one server. The
+	// account does not know servers; place.Fleet obeys it.
+	Server int64
 }
 
 // BoundsOf returns the bounds of an entry with the given memory in MiB.
 func BoundsOf(memoryMB int) Bounds {
 	total := int64(memoryMB) * megabyte / bodyShare
-	return Bounds{Total: total, Requests: total / requestShare}
+	requests := total / requestShare
+	return Bounds{Total: total, Requests: requests, Server: requests / serverShare}
 }
 
 // Account counts the bytes that are held. It is safe for concurrent use. A nil account
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -76,6 +76,10 @@
 	// must not call the fleet.
 	Changed func(Change)
 
+	// MaxServerBytes bounds the bytes of request bodies that this entry has outstanding at
+	// one server; 0 bounds none. It must be set before the first Pick.
+	MaxServerBytes int64
+
 	// LimitShare returns the part, from 0 to 1, of the limit of a server that this entry
 	// may use, of which at most the given number of entries may use any. If it is nil,
 	// the entry uses all of it. It must not call the fleet.
@@ -124,6 +128,8 @@
 	answered bool
 	// tookToken is set if the placement counts against the server's limit.
 	tookToken bool
+	// bytes is the size of the request body.
+	bytes int64
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -205,6 +211,9 @@
 	CutOff int
 	// InFlight counts this entry's requests at servers.
 	InFlight int
+	// ServerBytes is the most bytes of request bodies that this entry has outstanding at a
+	// server.
+	ServerBytes int64
 	// Backlog is the longest prefill backlog of an engine.
 	Backlog time.Duration
 }
@@ -227,6 +236,7 @@
 			counts.Limited++
 		}
 		counts.InFlight += s.inFlight
+		counts.ServerBytes = max(counts.ServerBytes, s.outstandingBytes)
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
 	for _, r := range f.paths {
@@ -278,7 +288,7 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if wait := f.timeUntilFree(s, q.Now); wait > 0 {
+		if wait := max(f.timeUntilFree(s, q.Now), f.outstandingWait(s, q.Bytes)); wait > 0 {
 			full = minPositive(full, wait)
 			continue
 		}
@@ -383,8 +393,9 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now, bytes: q.Bytes}
 	s.inFlight++
+	s.outstandingBytes += q.Bytes
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
 	if q.Prompt != nil {
@@ -439,6 +450,7 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	p.server.inFlight--
+	p.server.outstandingBytes -= p.bytes
 	p.recordPath(outcome, now)
 	p.fleet.recordBrittleOutcome(p.server, outcome, now)
 	previouslyEjectedUntil, wasHalfOpen := p.server.ejectedUntil, p.server.halfOpen
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -31,6 +31,8 @@
 	FailureDomain string
 	// Prompt is nil for requests that run no model.
 	Prompt *Prompt
+	// Bytes is the size of the request body.
+	Bytes int64
 	// Version limits the software version of the server.
 	Version VersionLimit
 	// Tried lists the ids of the servers of earlier attempts, which are not
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -34,6 +34,8 @@
 
 	// inFlight counts this entry's requests at the server.
 	inFlight int
+	// outstandingBytes is the size of their bodies.
+	outstandingBytes int64
 	// prefillUntil is when the engine is expected to have processed all prompts
 	// sent to it.
 	prefillUntil time.Time
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -89,7 +89,9 @@
 	g.Server.Overload = newOverloadController(s.Seeded.Overload)
 	if s.Seeded.Overload != nil {
 		g.limitConnections(descriptorLimit())
-		g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(s.Seeded.Overload.MemoryMB)}
+		bounds := memory.BoundsOf(s.Seeded.Overload.MemoryMB)
+		g.Server.Memory = &memory.Account{Bounds: bounds}
+		g.Server.Fleet.MaxServerBytes = bounds.Server
 	}
 	g.Server.Fleet.Changed = g.logServerChange
 	gossiper, err := g.newGossiper(environment)
@@ -137,14 +139,15 @@
 	requests := g.Server.Quarantine.CountRequests()
 	m.set("segments_quarantined", float64(g.Server.Quarantine.Count()-requests))
 	m.set("requests_quarantined", float64(requests))
-	m.setFleet(g.Server.Fleet.Counts(time.Now()))
+	counts := g.Server.Fleet.Counts(time.Now())
+	m.setFleet(counts)
 	m.setHolder(g.Server.Holder.Totals())
 	m.setWatcher(g.Watcher)
 	m.setAge("list_age_seconds", g.Server.ListAge())
 	m.countDatagrams(gossiper.Counts())
 	m.countTo("backend_connections", g.Server.Upstream.Dials())
 	m.setOverload(g.Server.Overload)
-	m.setMemory(g.Server.Memory)
+	m.setMemory(g.Server.Memory, counts.ServerBytes)
 	_, idle := g.Server.Upstream.Open()
 	m.set("backend_connections_idle", float64(idle))
 	m.set("descriptors_in_use", float64(g.connectionsInUse()))
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -138,17 +138,21 @@
 	m.set("peers_with_room", status.Room)
 }
 
-// setMemory sets the gauges of the bodies that the entry holds; they are 0 if they have no
-// bounds.
-func (m *meter) setMemory(account *memory.Account) {
+// setMemory sets the gauges of the bodies that the entry holds, and of the most bytes at one
+// server; they are 0 if they have no bounds.
+func (m *meter) setMemory(account *memory.Account, serverBytes int64) {
 	var bounds memory.Bounds
 	if account != nil {
 		bounds = account.Bounds
+	} else {
+		serverBytes = 0
 	}
 	held := account.Held()
 	m.set("body_bytes_held", float64(held.Total))
 	m.set("request_body_bytes_held", float64(held.Requests))
 	m.set("responses_waiting_for_memory", float64(held.Waiting))
+	m.set("server_body_bytes_highest", float64(serverBytes))
+	m.set("server_body_bytes_limit", float64(bounds.Server))
 	m.set("body_bytes_limit", float64(bounds.Total))
 	m.set("request_body_bytes_limit", float64(bounds.Requests))
 }
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/fake"
 	"github.com/cactusbay/cactusbay/internal/forward"
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/upstream"
@@ -79,3 +80,30 @@
 		}
 	})
 }
+
+// TestMemoryGauges guards against bounds that are not those of the settings, and against gauges
+// that show bounds where there are none.
+func TestMemoryGauges(t *testing.T) {
+	account := &memory.Account{Bounds: memory.BoundsOf(96)}
+	if !account.Request().TryGrow(100) || account.Response().Grow(t.Context(), 20) != nil {
+		t.Fatal("no memory")
+	}
+	for _, c := range []struct {
+		account *memory.Account
+		want    map[string]float64
+	}{
+		{nil, map[string]float64{"body_bytes_held": 0, "request_body_bytes_held": 0, "responses_waiting_for_memory": 0, "server_body_bytes_highest": 0, "server_body_bytes_limit": 0, "body_bytes_limit": 0, "request_body_bytes_limit": 0}},
+		{account, map[string]float64{"body_bytes_held": 120, "request_body_bytes_held": 100, "responses_waiting_for_memory": 0, "server_body_bytes_highest": 7, "server_body_bytes_limit": 2 << 20, "body_bytes_limit": 32 << 20, "request_body_bytes_limit": 16 << 20}},
+	} {
+		scope := tally.NewTestScope("", nil)
+		m := &meter{scope: scope}
+		m.setMemory(c.account, 7)
+		gauges := make(map[string]float64)
+		for _, gauge := range scope.Snapshot().Gauges() {
+			gauges[gauge.Name()] = gauge.Value()
+		}
+		if !maps.Equal(gauges, c.want) {
+			t.Errorf("got gauges %v, want %v", gauges, c.want)
+		}
+	}
+}
