Entry: bound the bodies held for each caller

Cause: one workspace whose callers send or read slowly could hold all memory for bodies, and the requests of others were refused or their responses waited.

Change: what an entry holds for one workspace, or for one address where there is no workspace, is bounded by half of the bounds of the entry. Beyond it its requests are refused with no_memory, and its responses wait without delaying those of others. The only response held may exceed the bound, because its own request may hold the rest.

--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/memory"
 )
 
@@ -36,7 +38,7 @@
 	f.server.Memory = &memory.Account{Bounds: memory.Bounds{Total: 200 << 10, Requests: 100 << 10}}
 	scope := tally.NewTestScope("", nil)
 	f.server.Scope = scope
-	held := f.server.Memory.Request()
+	held := f.server.Memory.Request("other")
 	if !held.TryGrow(50 << 10) {
 		t.Fatal("no memory")
 	}
@@ -63,7 +65,7 @@
 func TestMemoryOfChunkedBodies(t *testing.T) {
 	f := newFixture(t, onceRoute)
 	f.server.Memory = &memory.Account{Bounds: memory.Bounds{Total: 200 << 10, Requests: 100 << 10}}
-	held := f.server.Memory.Request()
+	held := f.server.Memory.Request("other")
 	if !held.TryGrow(70 << 10) {
 		t.Fatal("no memory")
 	}
@@ -105,7 +107,7 @@
 			f := newFixture(t, idempotentRoute, slices.Repeat([]responder{long}, 8)...)
 			account := &memory.Account{Bounds: memory.Bounds{Total: 100 << 10, Requests: 50 << 10}}
 			f.server.Memory = account
-			held := account.Response()
+			held := account.Response("other")
 			_ = held.Grow(t.Context(), 80<<10)
 			timer := time.AfterFunc(c.freed, held.Release)
 			defer timer.Stop()
@@ -163,3 +165,93 @@
 	close(done)
 	running.Wait()
 }
+
+// slowWriter is the response writer of a caller that reads nothing until release is closed.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+// Write implements http.ResponseWriter.
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return w.ResponseRecorder.Write(p)
+}
+
+// requestOf returns a request with a key, as the entry gets it from its HTTP server.
+func requestOf(key string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "http://one.example/a/x", strings.NewReader("work"))
+	r.Header.Set("Id", "a1")
+	r.Header.Set("Key", key)
+	return r
+}
+
+// TestSlowReadersBesideFast guards against callers who read slowly and take the memory of
+// others, against more memory than the bound, and against responses that are cut because their
+// readers are slow.
+func TestSlowReadersBesideFast(t *testing.T) {
+	const size, slow, fast, total = 30 << 10, 8, 20, 200 << 10
+	body := strings.Repeat("x", size)
+	f := newFixture(t, onceRoute, slices.Repeat([]responder{respond(200, signatureHeader, body)}, slow+fast)...)
+	parsed, err := config.Parse([]byte(fmt.Sprintf(`{"host_routes":{%q:{"host":"one.example","path_prefix":"/a/","repetition":"once","timeout":"20s","max_attempts":1,
+		"upstreams":[{"upstream":"pool","weight":1}]}},"upstreams":{"pool":{}},"workspaces":{"north":{"key_hashes":[%q]},"south":{"key_hashes":[%q]}}}`,
+		config.HostRouteKey("one.example", "/a/"), config.HashKey("secret"), config.HashKey("south"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server.Install(2, parsed)
+	account := &memory.Account{Bounds: memory.Bounds{Total: total, Requests: total / 2}}
+	f.server.Memory = account
+	release := make(chan struct{})
+	var running sync.WaitGroup
+	for range slow {
+		running.Go(func() {
+			w := &slowWriter{ResponseRecorder: httptest.NewRecorder(), release: release}
+			f.server.ServeHTTP(w, requestOf("south"))
+			if w.Code != http.StatusOK || w.Body.String() != body {
+				t.Errorf("a slow reader got status %d and %d bytes, want 200 and %d", w.Code, w.Body.Len(), size)
+			}
+		})
+	}
+	for range 500 {
+		if account.Held().Waiting == slow-3 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if held := account.Held(); held.Caller > held.CallerLimit || held.Waiting != slow-3 {
+		t.Errorf("held %+v, want 3 responses to slow readers and the others waiting", held)
+	}
+	start := time.Now()
+	for range fast {
+		w := httptest.NewRecorder()
+		f.server.ServeHTTP(w, requestOf("secret"))
+		if w.Code != http.StatusOK || w.Body.Len() != size {
+			t.Errorf("a fast reader got status %d and %d bytes, want 200 and %d", w.Code, w.Body.Len(), size)
+			break
+		}
+		if held := account.Held(); held.Total > total {
+			t.Errorf("held %+v, want at most %d bytes", held, total)
+		}
+	}
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("%d fast readers were served in %v, want no wait", fast, took)
+	}
+	close(release)
+	running.Wait()
+	waitHeld(t, f, 0)
+}
+
+// TestWorkspaceBound guards against a workspace whose request bodies take the memory of all
+// others.
+func TestWorkspaceBound(t *testing.T) {
+	f := newFixture(t, onceRoute)
+	f.server.Memory = &memory.Account{Bounds: memory.Bounds{Total: 200 << 10, Requests: 100 << 10}}
+	if !f.server.Memory.Request("workspace north").TryGrow(50 << 10) {
+		t.Fatal("no memory")
+	}
+	status, body, _, _ := f.send("/a/x", "secret")
+	if status != http.StatusServiceUnavailable || body != "no_memory\n" {
+		t.Errorf("a request of a workspace at its bound got status %d and %q, want 503 and no_memory", status, body)
+	}
+}
--- a/internal/forward/overload.go
+++ b/internal/forward/overload.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,6 +51,20 @@
 	return refused
 }
 
+// callerOf names the caller whose bodies count together: the workspace, whose callers share
+// its limits and may come from many addresses or through one proxy, or else the host at the
+// other end of the connection.
+func (t *task) callerOf(r *http.Request) string {
+	if t.workspace != nil {
+		return "workspace " + t.workspace.Name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return "address " + r.RemoteAddr
+	}
+	return "address " + host
+}
+
 // closeBeforeBody makes a refusal close the connection if more than maxIgnoredBodyBytes of the
 // body would follow. Otherwise the HTTP server reads up to 256 KB of the body before it sends
 // the refusal.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -187,6 +187,7 @@
 	if t.workspace == nil && t.table.requiresKeys && !t.route.Public {
 		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
 	}
+	t.caller = t.callerOf(r)
 	t.deadline = t.start.Add(t.timeout())
 	refused := t.refuseForLoad(r)
 	if refused != nil {
@@ -221,7 +222,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	t.bodyMemory = t.server.Memory.Request()
+	t.bodyMemory = t.server.Memory.Request(t.caller)
 	if r.ContentLength < 0 {
 		return t.readBodyInSteps(r, limit)
 	}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -57,8 +57,10 @@
 	request   *Request
 	route     *Route
 	workspace *Workspace
-	upstream  string
-	deadline  time.Time
+	// caller names whose bodies count together; see callerOf.
+	caller   string
+	upstream string
+	deadline time.Time
 	// callerCtx ends when the caller disconnects. Unlike the context of the
 	// attempts, it has no deadline.
 	callerCtx   context.Context
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -15,6 +15,9 @@
 	// serverShare divides the bytes of request bodies to give those that may be outstanding
 	// at one server, so that a few slow servers leave room for requests to the others.
 	serverShare = 8
+	// callerShare divides the bounds of the entry to give those of each caller, so that one
+	// whose requests or reading are slow leaves as much to the others.
+	callerShare = 2
 
 	megabyte = 1 << 20
 )
@@ -37,13 +40,41 @@
 	return Bounds{Total: total, Requests: requests, Server: requests / serverShare}
 }
 
+// caller returns the bounds of each caller.
+func (b Bounds) caller() usage {
+	return usage{total: b.Total / callerShare, requests: b.Requests / callerShare}
+}
+
+// usage is a number of bytes of all bodies, and of the request bodies among them.
+type usage struct {
+	total    int64
+	requests int64
+}
+
+// responses returns the number of bytes of responses.
+func (u usage) responses() int64 {
+	return u.total - u.requests
+}
+
+// allows reports whether u as a bound allows other.
+func (u usage) allows(other usage) bool {
+	return other.total <= u.total && other.requests <= u.requests
+}
+
+// plus returns the sum.
+func (u usage) plus(other usage) usage {
+	return usage{total: u.total + other.total, requests: u.requests + other.requests}
+}
+
 // Account counts the bytes that are held. It is safe for concurrent use. A nil account
 // counts and bounds nothing.
 type Account struct {
 	Bounds Bounds
 
 	mu   sync.Mutex
-	held Held
+	held usage
+	// callers holds what is held for each caller for which anything is.
+	callers map[string]usage
 	// waiting holds the responses that wait for memory, the first first.
 	waiting []*waiter
 	// overdrawn is the response that may exceed the bound; nil if none does.
@@ -56,6 +87,10 @@
 	Total int64
 	// Requests is the number of bytes of the request bodies among them.
 	Requests int64
+	// Caller is the highest number of bytes of all bodies of one caller.
+	Caller int64
+	// CallerLimit is its bound.
+	CallerLimit int64
 	// Waiting is the number of responses that wait for memory.
 	Waiting int
 }
@@ -67,27 +102,47 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.held
+	held := Held{Total: a.held.total, Requests: a.held.requests, CallerLimit: a.Bounds.caller().total, Waiting: len(a.waiting)}
+	for _, u := range a.callers {
+		held.Caller = max(held.Caller, u.total)
+	}
+	return held
+}
+
+// add adds to what is held for a caller; mu is held.
+func (a *Account) add(caller string, change usage) {
+	a.held = a.held.plus(change)
+	u := a.callers[caller].plus(change)
+	if u == (usage{}) {
+		delete(a.callers, caller)
+		return
+	}
+	if a.callers == nil {
+		a.callers = make(map[string]usage)
+	}
+	a.callers[caller] = u
 }
 
 // Request is the reservation of one request body. It must be released. A nil request
 // reserves nothing, and always can.
 type Request struct {
 	account *Account
+	caller  string
 	bytes   int64
 }
 
-// Request returns an empty reservation for a request body.
-func (a *Account) Request() *Request {
+// Request returns an empty reservation for a request body of the named caller.
+func (a *Account) Request(caller string) *Request {
 	if a == nil {
 		return nil
 	}
-	return &Request{account: a}
+	return &Request{account: a, caller: caller}
 }
 
 // TryGrow grows the reservation to the given number of bytes, unless that exceeds a bound,
 // and reports whether it did. The only request body of the entry may take more than the
-// bound of request bodies, because it would otherwise be refused for ever.
+// bound of request bodies, and a caller for whom nothing else is held more than the bounds of
+// a caller, because large bodies would otherwise be refused for ever.
 func (r *Request) TryGrow(bytes int64) bool {
 	if r == nil {
 		return true
@@ -95,13 +150,15 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	more := bytes - r.bytes
-	isOnly := a.held.Requests == r.bytes
-	if a.held.Total+more > a.Bounds.Total || a.held.Requests+more > a.Bounds.Requests && !isOnly {
+	more := usage{total: bytes - r.bytes, requests: bytes - r.bytes}
+	held, caller := a.held.plus(more), a.callers[r.caller].plus(more)
+	if held.total > a.Bounds.Total || held.requests > a.Bounds.Requests && held.requests > bytes {
+		return false
+	}
+	if !a.Bounds.caller().allows(caller) && caller.total > bytes {
 		return false
 	}
-	a.held.Total += more
-	a.held.Requests += more
+	a.add(r.caller, more)
 	r.bytes = bytes
 	return true
 }
@@ -114,8 +171,7 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.held.Total -= r.bytes
-	a.held.Requests -= r.bytes
+	a.add(r.caller, usage{total: -r.bytes, requests: -r.bytes})
 	r.bytes = 0
 	a.grant()
 }
--- a/internal/memory/response.go
+++ b/internal/memory/response.go
@@ -14,6 +14,7 @@
 // reserves nothing, and always can. It is not safe for concurrent use.
 type Response struct {
 	account *Account
+	caller  string
 	bytes   int64
 	waited  bool
 }
@@ -25,12 +26,12 @@
 	granted  chan struct{}
 }
 
-// Response returns an empty reservation for a response body.
-func (a *Account) Response() *Response {
+// Response returns an empty reservation for a response body to the named caller.
+func (a *Account) Response(caller string) *Response {
 	if a == nil {
 		return nil
 	}
-	return &Response{account: a}
+	return &Response{account: a, caller: caller}
 }
 
 // Grow grows the reservation to the given number of bytes, or leaves it if it has as many.
@@ -80,55 +81,73 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.held.Total -= r.bytes
+	a.add(r.caller, usage{total: -r.bytes})
 	r.bytes = 0
+	if a.overdrawn == r {
+		a.overdrawn = nil
+	}
 	a.grant()
 }
 
 // grant gives memory to waiting responses; mu is held. Those that hold a part come first,
 // because what they hold is free once they are complete. Others follow in the order in which
-// they came, so that small ones don't delay a large one for ever.
+// they came, so that small ones don't delay a large one for ever; those of a caller at its
+// bound delay only that caller's.
 func (a *Account) grant() {
-	if a.held.Total <= a.Bounds.Total {
+	if a.overdrawn != nil && a.held.total <= a.Bounds.Total && a.callers[a.overdrawn.caller].total <= a.Bounds.caller().total {
 		a.overdrawn = nil
 	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
 		return w.response.bytes > 0 && a.tryGrow(w)
 	})
 	blocked := false
+	var blockedCallers []string
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
-		if blocked || w.response.bytes > 0 {
+		if blocked || w.response.bytes > 0 || slices.Contains(blockedCallers, w.response.caller) {
 			return false
 		}
-		blocked = !a.tryGrow(w)
-		return !blocked
+		if a.tryGrow(w) {
+			return true
+		}
+		if a.held.total+w.bytes > a.Bounds.Total {
+			blocked = true
+		} else {
+			blockedCallers = append(blockedCallers, w.response.caller)
+		}
+		return false
 	})
-	a.held.Waiting = len(a.waiting)
 }
 
 // tryGrow gives a waiting response its memory if the bounds allow it, and reports whether it
-// did; mu is held.
+// did; mu is held. The only response of a caller may exceed the bound of callers, because its
+// request may take all of that.
 func (a *Account) tryGrow(w *waiter) bool {
 	r := w.response
-	more := w.bytes - r.bytes
-	if a.held.Total+more > a.Bounds.Total {
-		if !a.mayOverdraw(w) {
-			return false
-		}
+	more := usage{total: w.bytes - r.bytes}
+	caller := a.callers[r.caller].plus(more)
+	exceeds := a.held.total+more.total > a.Bounds.Total
+	if caller.total > a.Bounds.caller().total && caller.responses() > w.bytes {
+		exceeds = true
+	}
+	if exceeds && !a.mayOverdraw(r) {
+		return false
+	}
+	if exceeds {
 		a.overdrawn = r
 	}
-	a.held.Total += more
+	a.add(r.caller, more)
 	r.bytes = w.bytes
 	close(w.granted)
 	return true
 }
 
-// mayOverdraw reports whether a response may exceed the bound: one at a time may that holds a
-// part, because responses that hold parts would otherwise wait for each other, or that is
-// larger than the bound; mu is held.
-func (a *Account) mayOverdraw(w *waiter) bool {
-	if a.overdrawn != nil && a.overdrawn != w.response {
+// mayOverdraw reports whether a response may exceed the bounds. One at a time may: one that
+// holds a part, because responses that hold parts would otherwise wait for each other, or the
+// only one, because it may be larger than the bound, or its request take the rest of it; mu is
+// held.
+func (a *Account) mayOverdraw(r *Response) bool {
+	if a.overdrawn != nil && a.overdrawn != r {
 		return false
 	}
-	return w.response.bytes > 0 || w.bytes > a.Bounds.Total
+	return r.bytes > 0 || a.held.responses() == 0
 }
--- a/internal/memory/response_test.go
+++ b/internal/memory/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,7 +18,7 @@
 func TestResponsesWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &Account{Bounds: Bounds{Total: 100}}
-		first, second, third := a.Response(), a.Response(), a.Response()
+		first, second, third := a.Response("a"), a.Response("b"), a.Response("c")
 		err := first.Grow(t.Context(), 80)
 		if err != nil || first.HasWaited() {
 			t.Errorf("a response of 80 of 100 bytes waited or failed: %v", err)
@@ -34,7 +35,7 @@
 		if err != nil || time.Since(start) != time.Second {
 			t.Errorf("got %v after %v, want memory after 1 s", err, time.Since(start))
 		}
-		if held := a.Held(); held != (Held{Total: 60}) {
+		if held := a.Held(); held != (Held{Total: 60, Caller: 60, CallerLimit: 50}) {
 			t.Errorf("held %+v, want 60 bytes", held)
 		}
 	})
@@ -48,7 +49,7 @@
 		for i := range 200 {
 			time.AfterFunc(time.Duration(i)*100*time.Millisecond, func() {
 				go func() {
-					small := a.Response()
+					small := a.Response(strconv.Itoa(i))
 					_ = small.Grow(t.Context(), 20)
 					time.Sleep(time.Second)
 					small.Release()
@@ -57,7 +58,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		start := time.Now()
-		large := a.Response()
+		large := a.Response("large")
 		err := large.Grow(t.Context(), 90)
 		if err != nil || time.Since(start) > 10*time.Second {
 			t.Errorf("got %v after %v, want memory within 10 s", err, time.Since(start))
@@ -67,37 +68,97 @@
 	})
 }
 
-// TestGrowingResponsesEnd guards against responses without a length that hold parts and wait
-// for each other until their deadlines, and against more than one that exceeds the bound.
+// TestGrowingResponsesEnd guards against responses without a length, to one caller or to many,
+// that hold parts and wait for each other until their deadlines, and against more than one that
+// exceeds a bound.
 func TestGrowingResponsesEnd(t *testing.T) {
+	for _, callers := range []int{1, 3, 20} {
+		t.Run(strconv.Itoa(callers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { growResponses(t, callers) })
+		})
+	}
+}
+
+// growResponses lets 20 responses to the given number of callers grow at once.
+func growResponses(t *testing.T, callers int) {
+	const total, largest = 100, 64
+	a := &Account{Bounds: Bounds{Total: total}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var highest, highestCaller atomic.Int64
+	var running sync.WaitGroup
+	for i := range 20 {
+		running.Go(func() {
+			r := a.Response(strconv.Itoa(i % callers))
+			defer r.Release()
+			for bytes := int64(4); bytes <= largest; bytes *= 2 {
+				err := r.Grow(ctx, bytes)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				held := a.Held()
+				highest.Store(max(highest.Load(), held.Total))
+				highestCaller.Store(max(highestCaller.Load(), held.Caller))
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	if highest.Load() > total+largest || highestCaller.Load() > total/callerShare+largest {
+		t.Errorf("%d bytes were held, and %d for a caller; want at most %d and %d", highest.Load(), highestCaller.Load(), total+largest, total/callerShare+largest)
+	}
+	if held := a.Held(); held != (Held{CallerLimit: total / callerShare}) {
+		t.Errorf("held %+v at the end, want nothing", held)
+	}
+}
+
+// TestSlowReaderLeavesRoom guards against a caller who does not read its responses, and so
+// keeps those to others waiting: for memory, or behind its own in the queue.
+func TestSlowReaderLeavesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const total, largest = 100, 64
-		a := &Account{Bounds: Bounds{Total: total}}
+		a := &Account{Bounds: Bounds{Total: 100}}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		var highest atomic.Int64
 		var running sync.WaitGroup
-		for range 20 {
+		for range 10 {
 			running.Go(func() {
-				r := a.Response()
+				r := a.Response("slow")
 				defer r.Release()
-				for bytes := int64(4); bytes <= largest; bytes *= 2 {
-					err := r.Grow(ctx, bytes)
-					if err != nil {
-						t.Error(err)
-						return
-					}
-					highest.Store(max(highest.Load(), a.Held().Total))
-					time.Sleep(100 * time.Millisecond)
+				if r.Grow(ctx, 20) == nil {
+					<-ctx.Done()
 				}
 			})
 		}
-		running.Wait()
-		if highest.Load() > total+largest {
-			t.Errorf("%d bytes were held, want at most %d", highest.Load(), total+largest)
+		synctest.Wait()
+		if held := a.Held(); held.Total != 40 || held.Waiting != 8 {
+			t.Errorf("held %+v, want 2 responses of 20 bytes to the slow reader and 8 that wait", held)
 		}
-		if held := a.Held(); held != (Held{}) {
-			t.Errorf("held %+v at the end, want nothing", held)
+		for range 100 {
+			r := a.Response("fast")
+			err := r.Grow(ctx, 40)
+			if err != nil || r.HasWaited() {
+				t.Fatalf("a response to the fast reader waited or failed: %v", err)
+			}
+			time.Sleep(10 * time.Millisecond)
+			r.Release()
 		}
+		running.Wait()
 	})
 }
+
+// TestResponseToALargeRequest guards against a response that waits for ever because its own
+// request holds all memory.
+func TestResponseToALargeRequest(t *testing.T) {
+	a := &Account{Bounds: Bounds{Total: 100, Requests: 50}}
+	request, response := a.Request("a"), a.Response("a")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if !request.TryGrow(100) {
+		t.Fatal("the only request was refused")
+	}
+	err := response.Grow(ctx, 10)
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -151,6 +151,8 @@
 	m.set("body_bytes_held", float64(held.Total))
 	m.set("request_body_bytes_held", float64(held.Requests))
 	m.set("responses_waiting_for_memory", float64(held.Waiting))
+	m.set("caller_body_bytes_highest", float64(held.Caller))
+	m.set("caller_body_bytes_limit", float64(held.CallerLimit))
 	m.set("server_body_bytes_highest", float64(serverBytes))
 	m.set("server_body_bytes_limit", float64(bounds.Server))
 	m.set("body_bytes_limit", float64(bounds.Total))
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -85,15 +85,15 @@
 // that show bounds where there are none.
 func TestMemoryGauges(t *testing.T) {
 	account := &memory.Account{Bounds: memory.BoundsOf(96)}
-	if !account.Request().TryGrow(100) || account.Response().Grow(t.Context(), 20) != nil {
+	if !account.Request("c").TryGrow(100) || account.Response("c").Grow(t.Context(), 20) != nil {
 		t.Fatal("no memory")
 	}
 	for _, c := range []struct {
 		account *memory.Account
 		want    map[string]float64
 	}{
-		{nil, map[string]float64{"body_bytes_held": 0, "request_body_bytes_held": 0, "responses_waiting_for_memory": 0, "server_body_bytes_highest": 0, "server_body_bytes_limit": 0, "body_bytes_limit": 0, "request_body_bytes_limit": 0}},
-		{account, map[string]float64{"body_bytes_held": 120, "request_body_bytes_held": 100, "responses_waiting_for_memory": 0, "server_body_bytes_highest": 7, "server_body_bytes_limit": 2 << 20, "body_bytes_limit": 32 << 20, "request_body_bytes_limit": 16 << 20}},
+		{nil, map[string]float64{"body_bytes_held": 0, "request_body_bytes_held": 0, "responses_waiting_for_memory": 0, "caller_body_bytes_highest": 0, "caller_body_bytes_limit": 0, "server_body_bytes_highest": 0, "server_body_bytes_limit": 0, "body_bytes_limit": 0, "request_body_bytes_limit": 0}},
+		{account, map[string]float64{"body_bytes_held": 120, "request_body_bytes_held": 100, "responses_waiting_for_memory": 0, "caller_body_bytes_highest": 120, "caller_body_bytes_limit": 16 << 20, "server_body_bytes_highest": 7, "server_body_bytes_limit": 2 << 20, "body_bytes_limit": 32 << 20, "request_body_bytes_limit": 16 << 20}},
 	} {
 		scope := tally.NewTestScope("", nil)
 		m := &meter{scope: scope}
