--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -10,8 +10,7 @@
 	// borrowRoundTimeout bounds one borrowing round.
 	borrowRoundTimeout = 200 * time.Millisecond
 	// borrowRetryDelay is the pause after a borrowing round that brought too few
-	// tokens. Requests that need more than there is are refused at once meanwhile. A
-	// quarter of the delay served no more in the simulation of partitions.
+	// tokens. Requests that need more than there is are refused at once meanwhile.
 	borrowRetryDelay = 100 * time.Millisecond
 	// borrowAheadSeconds is how many seconds of its own demand a holder borrows
 	// in addition to the tokens that requests wait for, at most as many as these. A
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -10,6 +10,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/drain"
 	"github.com/cactusbay/cactusbay/internal/escrow"
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
@@ -56,12 +57,16 @@
 	request   *Request
 	route     *Route
 	workspace *Workspace
-	upstream  string
-	deadline  time.Time
+	// caller names whose bodies count together; see callerOf.
+	caller   string
+	upstream string
+	deadline time.Time
 	// callerCtx ends when the caller disconnects. Unlike the context of the
 	// attempts, it has no deadline.
 	callerCtx   context.Context
 	reservation *escrow.Reservation
+	// bodyMemory is the memory of the request body.
+	bodyMemory *memory.Request
 	// prepared is set once the request may be sent to servers.
 	prepared bool
 	// relayed is set if another entry has passed the request on, and peersTried counts the
@@ -173,6 +178,7 @@
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
+		Bytes:         int64(len(t.request.Body)),
 		Version:       t.version,
 		Regions:       t.regions,
 		Tried:         tried,
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -76,6 +76,10 @@
 	// must not call the fleet.
 	Changed func(Change)
 
+	// MaxServerBytes bounds the bytes of request bodies that this entry has outstanding at
+	// one server; 0 bounds none. It must be set before the first Pick.
+	MaxServerBytes int64
+
 	// LimitShare returns the part, from 0 to 1, of the limit of a server that this entry
 	// may use, of which at most the given number of entries may use any. If it is nil,
 	// the entry uses all of it. It must not call the fleet.
@@ -164,6 +168,8 @@
 
 	// expected is what the entry expected of the server when it placed the request.
 	expected expectation
+	// bytes is the size of the request body.
+	bytes int64
 }
 
 // Update replaces the list of servers. Servers that are missing from list are
@@ -255,6 +261,9 @@
 	CutOff int
 	// InFlight counts this entry's requests at servers.
 	InFlight int
+	// ServerBytes is the most bytes of request bodies that this entry has outstanding at a
+	// server.
+	ServerBytes int64
 	// Backlog is the longest prefill backlog of an engine.
 	Backlog time.Duration
 }
@@ -282,6 +291,7 @@
 			counts.Cold++
 		}
 		counts.InFlight += s.inFlight
+		counts.ServerBytes = max(counts.ServerBytes, s.outstandingBytes)
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
 	counts.EvacuatedDomains = len(f.evacuations.domains)
@@ -350,7 +360,7 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if wait := f.timeUntilFree(s, q.Now); wait > 0 {
+		if wait := max(f.timeUntilFree(s, q.Now), f.outstandingWait(s, q.Bytes)); wait > 0 {
 			full = minPositive(full, wait)
 			continue
 		}
@@ -480,8 +490,9 @@
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
-	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now, Granted: q.granted}
+	p := &Placement{ID: s.id, Address: s.address, Version: s.version, fleet: f, server: s, StartedAt: q.Now, Granted: q.granted, bytes: q.Bytes}
 	s.inFlight++
+	s.outstandingBytes += q.Bytes
 	f.reachOf(s.upstream).begin(q.Now)
 	p.takeToken()
 	p.takeColdToken(q.Now)
@@ -543,6 +554,7 @@
 	defer p.fleet.mu.Unlock()
 	p.server.inFlight--
 	p.recordHold(outcome, now)
+	p.server.outstandingBytes -= p.bytes
 	p.recordPath(outcome, now)
 	p.fleet.recordBrittleOutcome(p.server, outcome, now)
 	previouslyEjectedUntil, wasHalfOpen := p.server.ejectedUntil, p.server.halfOpen
--- a/internal/process/dialect.go
+++ b/internal/process/dialect.go
@@ -17,6 +17,9 @@
 	Operators(releases *operator.Releases, evacuations *operator.Evacuations) http.Handler
 	// Lister returns a reader of the list of backend servers at address.
 	Lister(client *http.Client, address string) instances.Lister
+	// ShedsLoad reports whether the platform's contracts ask an overloaded entry to refuse
+	// requests that another one would serve sooner.
+	ShedsLoad(contracts []string) bool
 	// ReadyPath returns the URL path that the platform polls for the
 	// readiness of an entry.
 	ReadyPath() string
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -15,8 +15,8 @@
 	// bytesPerMegabit converts the bandwidth of the settings.
 	bytesPerMegabit = 1e6 / 8
 	// backendIdleTimeout is how long a connection to a backend server that states no
-	// Keep-Alive may be idle. The requests of one entry to one server are about 6 s apart
-	// in a deployment of 75 entries and 60 servers.
+	// Keep-Alive may be idle. Where many entries share many servers, the requests of one
+	// entry to one server are seconds apart.
 	backendIdleTimeout = 12 * time.Second
 )
 
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -43,6 +43,8 @@
 	FailureDomains map[string]string `json:"failure_domains,omitempty"`
 	// MemoryMB is the memory available to the process in MiB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
+	// Contracts names what the platform asks of this site; the dialect knows the names.
+	Contracts []string `json:"contracts,omitempty"`
 	// Overload makes an entry measure its own delay and refuse requests while it is
 	// overloaded; nil means that it does neither.
 	Overload *Overload `json:"overload,omitempty"`
