Cold servers: one that nobody has heard of is supposed cold once more

Ruled out: requests that a link had held back, and entries that did not know of its first start; both are in the logs.

Change: if the list said that a server is cold while the entry was learning who its peers are, and nobody has heard of the server when the list says otherwise, it counts as cold for cold_start or until a probe is answered. Entries with a share probe it at once.

Result: TestServerUnheardOfCountsAsColdOnceMore fails before and passes after.

--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -30,6 +30,7 @@
 	coldReadmitted  = "its failure domain is in use again"
 	coldReachable   = "reachable again"
 	coldUnreachable = "unreachable"
+	coldUnheard     = "not heard of since this entry started"
 )
 
 // coldness is what is known of a cold server, and this entry's share of the requests that it
@@ -37,6 +38,9 @@
 type coldness struct {
 	// listed is set while the list says that the server is cold.
 	listed bool
+	// unheard is set if the list has said that the server is cold while this entry was
+	// learning who its peers are, and sent it nothing.
+	unheard bool
 	// statedUntil is the time until which the server has stated to be cold, as of statedAt.
 	statedUntil time.Time
 	statedAt    time.Time
@@ -170,13 +174,31 @@
 // ago one has started that is listed for the first time. That of the first list has not
 // started just now if that list says so; it may, if the list says nothing. mu is held.
 func (f *Fleet) applyCold(s *server, instance instances.Instance, known bool, now time.Time) {
-	s.cold.listed = instance.Cold
+	s.cold.applyListed(instance.Cold, f.IsLearning != nil && f.IsLearning(), s.answered, now)
 	if !known && !(f.firstList && instance.ColdStated) {
 		s.cold.suppose(coldNew, now, now)
 	}
 	f.isCold(s, now)
 }
 
+// applyListed records whether the list says that the server is cold. While all entries were
+// learning who their peers are, none has sent it anything, and it may have started again
+// under its id. If nobody has heard of it when the list says that it is no longer cold, it is
+// supposed cold until an entry with a share has probed it.
+func (c *coldness) applyListed(cold, learning, answered bool, now time.Time) {
+	wasListed := c.listed
+	c.listed = cold
+	switch {
+	case cold:
+		c.unheard = c.unheard || learning
+	case wasListed && c.unheard:
+		c.unheard = false
+		if !answered && c.statedAt.IsZero() && c.announcedAt.IsZero() {
+			c.suppose(coldUnheard, now, now)
+		}
+	}
+}
+
 // markDomainCold makes the servers of a failure domain count as cold, because they got no
 // requests for a time and may have started again in it; mu is held.
 func (f *Fleet) markDomainCold(domain string, now time.Time) {
--- a/internal/place/coldness_test.go
+++ b/internal/place/coldness_test.go
@@ -259,3 +259,33 @@
 	f.CutOff("pool", start)
 	placeOne(t, f, start).Done(Unreachable{}, start)
 }
+
+// TestServerUnheardOfCountsAsColdOnceMore guards against a server that starts again under its
+// id while all entries are learning who their peers are, and gets the usual requests as soon as
+// the list says that its first start is over.
+func TestServerUnheardOfCountsAsColdOnceMore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	over := start.Add(2 * time.Second)
+	for name, c := range map[string]struct {
+		learning bool
+		heard    func(*Fleet)
+		cold     bool
+	}{
+		"nobody has heard of it":         {learning: true, heard: func(*Fleet) {}, cold: true},
+		"it has answered a probe":        {learning: true, heard: func(f *Fleet) { f.RecordProbedCold("s", 0, start, start) }},
+		"another entry has told of it":   {learning: true, heard: func(f *Fleet) { f.RecordRemoteCold("s", time.Second, start) }},
+		"the entry was not learning":     {learning: false, heard: func(*Fleet) {}},
+		"it is not cold when it answers": {learning: true, heard: func(f *Fleet) { f.servers["s"].answered = true }},
+	} {
+		learning := c.learning
+		f := &Fleet{IsLearning: func() bool { return learning }}
+		f.SetUpstreams(map[string]UpstreamPolicy{"pool": {ColdStart: 3 * time.Second, ColdRequestsPerSecond: 14}})
+		f.Update(oneServer(true), start)
+		c.heard(f)
+		learning = false
+		f.Update(oneServer(false), over)
+		expectCold(t, f, over, c.cold, name)
+		f.RecordProbedCold("s", 0, over, over)
+		expectCold(t, f, over, false, name+", and it has answered")
+	}
+}
