Place: compute the same decisions on x86-64 and arm64

Cause: on arm64 the compiler fuses a product and a sum, which rounds once instead of twice. Estimates then differ in the last bit between architectures, and with them choices that are nearly equal.

Change: products that are added to something are converted explicitly, which the language defines to round. On x86-64 nothing changes.

--- a/internal/place/bucket.go
+++ b/internal/place/bucket.go
@@ -12,7 +12,7 @@
 // fill adds the tokens since the last call.
 func (b *bucket) fill(rate, capacity float64, now time.Time) {
 	elapsed := max(0, now.Sub(b.filledAt).Seconds())
-	b.tokens = min(capacity, b.tokens+rate*elapsed)
+	b.tokens = min(capacity, b.tokens+float64(rate*elapsed))
 	b.filledAt = now
 }
 
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -138,8 +138,8 @@
 
 // record adds a request that ran for the given time.
 func (m *meanHeld) record(tokens int64, d time.Duration) {
-	m.tokenSeconds += meanTimeWeight * (float64(tokens)*d.Seconds() - m.tokenSeconds)
-	m.seconds += meanTimeWeight * (d.Seconds() - m.seconds)
+	m.tokenSeconds += float64(meanTimeWeight * (float64(float64(tokens)*d.Seconds()) - m.tokenSeconds))
+	m.seconds += float64(meanTimeWeight * (d.Seconds() - m.seconds))
 }
 
 // tokens returns the mean, or 0 before the first request.
@@ -181,6 +181,6 @@
 		if u.segmentTokens == 0 {
 			u.segmentTokens = float64(segment.Tokens)
 		}
-		u.segmentTokens += segmentTokensWeight * (float64(segment.Tokens) - u.segmentTokens)
+		u.segmentTokens += float64(segmentTokensWeight * (float64(segment.Tokens) - u.segmentTokens))
 	}
 }
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -144,7 +144,7 @@
 // fullFor returns how long a server whose load is given takes no request of the priority; 0
 // if it takes one now.
 func (u *upstreamState) fullFor(s *server, q *Query, load estimate) time.Duration {
-	excess := load.requests - q.urgency.maxOccupancy*float64(s.slots)
+	excess := load.requests - float64(q.urgency.maxOccupancy*float64(s.slots))
 	if excess < 0 {
 		return 0
 	}
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -71,7 +71,7 @@
 // cold server. As each may send one at once, all entries with a share send at most
 // perSecond in any second.
 func coldRate(perSecond, share float64) float64 {
-	own := perSecond * share
+	own := float64(perSecond * share)
 	return max(own-1, own*slowColdUse)
 }
 
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -92,7 +92,7 @@
 func (s Speed) Prefill(cached, tokens int64) time.Duration {
 	ms := float64(tokens) / s.TokensPerMs
 	if s.PairsPerMs > 0 {
-		ms += float64(tokens) * (float64(cached) + float64(tokens)/2) / s.PairsPerMs
+		ms += float64(float64(tokens)*(float64(cached)+float64(float64(tokens)/2))) / s.PairsPerMs
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -61,7 +61,7 @@
 
 // capacity returns how many requests this entry may send at once.
 func (l *rateLimit) capacity() float64 {
-	return 1 + l.rate()*limitBurstTime.Seconds()
+	return 1 + float64(l.rate()*limitBurstTime.Seconds())
 }
 
 // fill adds the tokens since the last call.
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -123,9 +123,9 @@
 			continue
 		}
 		w := u.weights(&s.report, now)
-		sum.running += w.running * s.report.running
-		sum.waiting += w.waiting * s.report.waiting
-		sum.slowdown += w.slowdown * s.report.slowdown
+		sum.running += float64(w.running * s.report.running)
+		sum.waiting += float64(w.waiting * s.report.waiting)
+		sum.slowdown += float64(w.slowdown * s.report.slowdown)
 		weight.running += w.running
 		weight.waiting += w.waiting
 		weight.slowdown += w.slowdown
@@ -162,8 +162,8 @@
 func (u *upstreamState) estimate(s *server, now time.Time) estimate {
 	u.updateTypical(now)
 	w := u.weights(&s.report, now)
-	others := w.running*(s.report.running+float64(s.report.announced)) + (1-w.running)*u.typical.running +
-		w.waiting*s.report.waiting + (1-w.waiting)*u.typical.waiting
+	others := float64(w.running*(s.report.running+float64(s.report.announced))) + float64((1-w.running)*u.typical.running) +
+		float64(w.waiting*s.report.waiting) + float64((1-w.waiting)*u.typical.waiting)
 	return estimate{
 		requests: others + float64(s.inFlight),
 		slowdown: u.typical.slowdown,
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -134,7 +134,7 @@
 	c.requests++
 	c.grants = min(1, c.grants+grantedShare)
 	if q.Prompt != nil {
-		r.promptTokens += meanTimeWeight * (float64(q.Prompt.Tokens) - r.promptTokens)
+		r.promptTokens += float64(meanTimeWeight * (float64(q.Prompt.Tokens) - r.promptTokens))
 	}
 	return own
 }
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -100,18 +100,18 @@
 func (s *server) recordOutcome(outcome Outcome, now time.Time) {
 	switch outcome.(type) {
 	case Served, Declined:
-		s.failureRate -= failureRateWeight * s.failureRate
+		s.failureRate -= float64(failureRateWeight * s.failureRate)
 		s.consecutiveFailures = 0
 		s.ejections = 0
 		s.halfOpen = false
 	case Failed:
-		s.failureRate += failureRateWeight * (1 - s.failureRate)
+		s.failureRate += float64(failureRateWeight * (1 - s.failureRate))
 		s.consecutiveFailures++
 		if s.consecutiveFailures >= ejectAfter || s.halfOpen {
 			s.eject(now)
 		}
 	case Unreachable:
-		s.failureRate += failureRateWeight * (1 - s.failureRate)
+		s.failureRate += float64(failureRateWeight * (1 - s.failureRate))
 		s.eject(now)
 	case Abandoned, Unused:
 	}
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -55,6 +55,6 @@
 
 // add moves the pace by a part of a deviation.
 func (p *pace) add(deviation, gain float64) {
-	p.log = min(maxPace, max(minPace, p.log+gain*deviation))
+	p.log = min(maxPace, max(minPace, p.log+float64(gain*deviation)))
 	p.samples++
 }
