Entry: metrics and log lines of adaptive placement

Change: gauges of the upstreams that are placed adaptively, the mean age of their load reports and the spread of the learned speeds; counters of the datagrams with loads; a log line when an upstream begins and ceases to be placed so, found once a second.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -74,16 +74,20 @@
 	sent     atomic.Int64
 	received atomic.Int64
 	dropped  atomic.Int64
-	loans    loans
-	origins  originTable
-	queries  streamQueries
-	evidence evidenceQueue
-	limits   chan limitMessage
-	colds    chan coldMessage
-	doubts   chan doubt
-	reach    reachAnswers
-	members  memberHistory
-	prober   overload.Prober
+	// loadsSent and loadsReceived count the datagrams with loads, which are counted above
+	// too.
+	loadsSent     atomic.Int64
+	loadsReceived atomic.Int64
+	loans         loans
+	origins       originTable
+	queries       streamQueries
+	evidence      evidenceQueue
+	limits        chan limitMessage
+	colds         chan coldMessage
+	doubts        chan doubt
+	reach         reachAnswers
+	members       memberHistory
+	prober        overload.Prober
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -136,11 +140,15 @@
 	// Dropped counts datagrams that were not sent, because too many waited, the rate
 	// limit was reached or the socket's buffer was full.
 	Dropped int64
+	// LoadsSent and LoadsReceived count datagrams with the loads of servers, which are
+	// counted above too. Invalid ones are not among those received.
+	LoadsSent     int64
+	LoadsReceived int64
 }
 
 // Counts returns the datagrams since the start.
 func (g *Gossiper) Counts() Counts {
-	return Counts{Sent: g.sent.Load(), Received: g.received.Load(), Dropped: g.dropped.Load()}
+	return Counts{Sent: g.sent.Load(), Received: g.received.Load(), Dropped: g.dropped.Load(), LoadsSent: g.loadsSent.Load(), LoadsReceived: g.loadsReceived.Load()}
 }
 
 // SetPeers replaces the addresses of the peer entries. It skips the gossiper's
@@ -241,13 +249,13 @@
 	}
 }
 
-// trySend sends one datagram, or drops it if the socket's buffer is full. Unlike
-// send, it never waits for room or for another send.
-func (g *Gossiper) trySend(data []byte, to netip.AddrPort) {
+// trySend sends one datagram, or drops it if the socket's buffer is full, and reports whether
+// it was sent. Unlike send, it never waits for room or for another send.
+func (g *Gossiper) trySend(data []byte, to netip.AddrPort) bool {
 	address := to.Addr().Unmap()
 	if !address.Is4() {
 		g.dropped.Add(1)
-		return
+		return false
 	}
 	destination := syscall.SockaddrInet4{Port: int(to.Port()), Addr: address.As4()}
 	var sendErr error
@@ -256,12 +264,13 @@
 	})
 	if err == nil && sendErr == nil {
 		g.sent.Add(1)
-		return
+		return true
 	}
 	g.dropped.Add(1)
 	if sendErr != nil {
 		g.Log.Debug("the datagram could not be sent", "to", to.String(), "err", sendErr.Error())
 	}
+	return false
 }
 
 // receiveLoop handles incoming datagrams until the socket is closed.
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -88,7 +88,9 @@
 		}
 		buffer = loadMessage(loads).append(buffer[:0])
 		for _, peer := range g.randomPeers(loadPeers) {
-			g.trySend(buffer, peer)
+			if g.trySend(buffer, peer) {
+				g.loadsSent.Add(1)
+			}
 		}
 	}
 }
@@ -99,6 +101,7 @@
 	if err != nil {
 		return err
 	}
+	g.loadsReceived.Add(1)
 	now := time.Now()
 	for _, r := range m {
 		g.Fleet.RecordRemoteLoad(r, now)
--- a/internal/gossip/load_test.go
+++ b/internal/gossip/load_test.go
@@ -78,6 +78,9 @@
 		if err != nil || len(got) != 1 || got[0].Load != stated.Load || got[0].Age != 100*time.Millisecond {
 			t.Errorf("got %+v with error %v, want the load that was stated 100 ms ago", got, err)
 		}
+		if counted := receiver.Counts().LoadsReceived; counted != 1 {
+			t.Errorf("%d datagrams with loads counted, want the one that was accepted", counted)
+		}
 		time.Sleep(time.Second)
 		if got := receiver.Fleet.FreshLoads(maxLoads, time.Now()); len(got) != 0 {
 			t.Errorf("%+v is told again after a second, want nothing", got)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -121,6 +121,10 @@
 	// Adaptive asks for estimates of load and speed at all upstreams. Without it, they are
 	// used at those whose servers state a slowdown.
 	Adaptive bool
+	// AdaptiveChanged, if not nil, is called when an upstream begins or ceases to use
+	// estimates, with the number of its servers. Counts finds it out. It must not call the
+	// fleet.
+	AdaptiveChanged func(upstream string, adaptive bool, servers int)
 	// Seed is the seed of the random choices among the servers of such upstreams.
 	Seed uint64
 	// draws counts the random numbers that were drawn.
@@ -253,6 +257,8 @@
 	Cold int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
 	CutOff int
+	// Adaptive sums up the upstreams whose servers are chosen by estimates.
+	Adaptive AdaptiveCounts
 	// InFlight counts this entry's requests at servers.
 	InFlight int
 	// Backlog is the longest prefill backlog of an engine.
@@ -284,6 +290,7 @@
 		counts.InFlight += s.inFlight
 		counts.Backlog = max(counts.Backlog, s.prefillUntil.Sub(now))
 	}
+	counts.Adaptive = f.adaptiveCounts(now)
 	counts.EvacuatedDomains = len(f.evacuations.domains)
 	for _, r := range f.paths {
 		if !r.cutOffSince.IsZero() {
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -28,6 +28,8 @@
 	policy UpstreamPolicy
 	// slowdownStatedAt is when a server last stated a slowdown.
 	slowdownStatedAt time.Time
+	// adaptive is set if it was last reported that the servers are chosen by estimates.
+	adaptive bool
 	// pace is how much slower than engineSpeed the engines are in the mean.
 	pace pace
 	// holdTime and firstEventTime are means over this entry's requests.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -92,6 +92,7 @@
 		g.limitConnections(descriptorLimit())
 	}
 	g.Server.Fleet.Changed = g.logServerChange
+	g.Server.Fleet.AdaptiveChanged = g.logAdaptiveChange
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
 		return err
@@ -301,6 +302,15 @@
 	g.Server.Log.Info("backend server "+change.Event, "server", change.Server, "upstream", change.Upstream, "address", change.Address, "version", change.Version, "failure_rate", change.FailureRate, "limit", change.Limit, "cold", change.Cold, "for_ms", change.EjectedFor.Milliseconds())
 }
 
+// logAdaptiveChange logs that an upstream begins or ceases to be placed by estimates.
+func (g *Gateway) logAdaptiveChange(upstream string, adaptive bool, servers int) {
+	message := "adaptive placement ended"
+	if adaptive {
+		message = "adaptive placement begun"
+	}
+	g.Server.Log.Info(message, "upstream", upstream, "servers", servers, "by_setting", g.Server.Fleet.Adaptive)
+}
+
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
 // if set, for metrics.
 func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -94,6 +94,9 @@
 	m.set("backend_servers_cold", float64(counts.Cold))
 	m.set("upstreams_out_of_reach", float64(counts.CutOff))
 	m.set("prefill_backlog_seconds", max(0, counts.Backlog.Seconds()))
+	m.set("upstreams_placed_adaptively", float64(counts.Adaptive.Upstreams))
+	m.setAge("load_report_age_seconds", counts.Adaptive.ReportAge)
+	m.set("engine_speed_spread", counts.Adaptive.SpeedSpread)
 }
 
 // setPool sets the gauges of a listed site's backend servers.
@@ -143,6 +146,8 @@
 	m.countTo("datagrams_sent", counts.Sent)
 	m.countTo("datagrams_received", counts.Received)
 	m.countTo("datagrams_dropped", counts.Dropped)
+	m.countTo("load_datagrams_sent", counts.LoadsSent)
+	m.countTo("load_datagrams_received", counts.LoadsReceived)
 }
 
 // setQuorum sets the gauges of a member of the control group.
