Place: end the search for holders of a prefix early

Cause: of the time of a placement by estimates, 32% was the search for servers that hold the prompt, which looked at all of them.

Change: the search ends when four servers hold the whole prefix, because no other one counts for more. The slowdown of no work, and an excess of 0, need no exponential. All choices stay the same.

Ruled out: computing the mean load every 25 ms in place of 10.

Tests of internal/place and make lint pass.

--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -93,9 +93,16 @@
 	}
 	var best [prefixCandidates]holder
 	count := 0
-	start := f.random(len(eligibles))
-	for i := range eligibles {
-		s := eligibles[(start+i)%len(eligibles)]
+	// The search ends when prefixCandidates servers hold the whole prefix and keep all of it:
+	// no other one counts for more.
+	whole := 2 * min(q.Prompt.prefixTokens(), q.Prompt.Tokens)
+	next := f.random(len(eligibles))
+	for range eligibles {
+		s := eligibles[next]
+		next++
+		if next == len(eligibles) {
+			next = 0
+		}
 		used, kept := s.prefixes.leadingTokens(q.Prompt)
 		tokens := used + kept
 		if tokens == 0 {
@@ -111,6 +118,9 @@
 		count = min(count+1, len(best))
 		copy(best[at+1:count], best[at:])
 		best[at] = holder{server: s, tokens: tokens}
+		if count == len(best) && best[count-1].tokens >= whole {
+			break
+		}
 	}
 	for _, h := range best[:count] {
 		c.add(h.server)
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -152,6 +152,9 @@
 // and begins now. Its excess falls with slowdownLifetime.
 func (e estimate) duration(work time.Duration) time.Duration {
 	work = time.Duration(e.slowdown * float64(work))
+	if work == 0 || e.excess == 0 {
+		return work
+	}
 	passed := 1 - math.Exp(-work.Seconds()/slowdownLifetime.Seconds())
 	return work + time.Duration(e.excess*passed*float64(slowdownLifetime))
 }
