Place: plainer comments on estimates, room and cached prompts

Cause: some comments of the new files could be understood only by who knew them, and some constants had none.

Change: comments, and homeWeight is named preferredWeight.

Measured: tests of internal/place pass; make lint passes.

--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -26,7 +26,7 @@
 // loadMessage tells of the latest loads that backend servers stated. It is encoded as the
 // format and, for each load, the length and the bytes of the server id, the running and the
 // waiting requests, the slots, the slowdown in percent (0 if none is stated) and the age in
-// milliseconds. Numbers are big-endian and have two bytes; larger ones are cut.
+// milliseconds. Numbers are big-endian and have two bytes; larger ones are sent as the largest.
 type loadMessage []place.LoadReport
 
 // append appends the encoded message to buffer. It leaves out loads that don't fit into a
@@ -70,8 +70,8 @@
 	return m, nil
 }
 
-// loadLoop tells a few random peers of the latest loads until ctx ends. Where no server is
-// chosen by its load, there are none to tell.
+// loadLoop sends the latest loads to a few random peers until ctx ends. Where no upstream is
+// placed adaptively, there are none to send.
 func (g *Gossiper) loadLoop(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -29,8 +29,8 @@
 	lastSweep time.Time
 }
 
-// record records segments as cached at now. A segment without a length that is not known
-// counts with unknownTokens. Above maxSegments it first removes expired ones, at most once
+// record records segments as cached at now. A new segment without a length counts as
+// unknownTokens. Above maxSegments it first removes expired ones, at most once
 // per sweepInterval.
 func (p *prefixCache) record(segments []PrefixSegment, unknownTokens int64, now time.Time) {
 	if p.segments == nil {
@@ -42,8 +42,8 @@
 			p.remove(p.oldest)
 		}
 	}
-	// A segment is of use only with those before it, so that these are the later ones to
-	// be evicted.
+	// A segment is usable only together with those before it, so that these are evicted
+	// later.
 	for i := len(segments) - 1; i >= 0; i-- {
 		p.use(segments[i], unknownTokens, now)
 	}
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -10,17 +10,17 @@
 	// prefixCandidates that of the servers which hold most of its prompt.
 	randomCandidates = 6
 	prefixCandidates = 4
-	// homeWeight is the part of the time to read the prompt's prefix that counts in favour
+	// preferredWeight is the part of the time to read the prompt's prefix that counts in favour
 	// of the preferred server: later requests with this prefix find it there.
-	homeWeight = 0.5
+	preferredWeight = 0.5
 	// evictedWeight is the part of the time to read evicted segments again that does not
-	// count at the server that had them. Read elsewhere, they would take memory at a further
-	// server if the first one has kept them after all.
+	// count at the server that had them: it may have kept them, and then reading them
+	// elsewhere would occupy the memory of a second engine.
 	evictedWeight = 0.5
 )
 
-// adaptiveWeights are engineWeights for estimated loads. Occupancy is larger because it is
-// also a slot that others may have to wait for.
+// adaptiveWeights are engineWeights for estimated loads. Occupancy is larger because a slot
+// in use may also make other requests wait.
 var adaptiveWeights = func() Weights {
 	w := engineWeights
 	w.Occupancy = 200 * time.Millisecond
@@ -45,8 +45,8 @@
 }
 
 // cheapestAdaptive is cheapest for upstreams whose servers' loads are estimated. It compares
-// only some servers, so that entries that know the same do not all choose the same one; if
-// none of them takes the request, it compares all.
+// only some servers, so that entries with the same knowledge do not all choose the same one.
+// If none of them takes the request, it compares all.
 func (f *Fleet) cheapestAdaptive(u *upstreamState, q *Query, allowed eligible) (cheapest *server, full time.Duration) {
 	eligibles := f.eligibles[:0]
 	for _, s := range u.servers {
@@ -81,8 +81,8 @@
 	return c
 }
 
-// addHolders adds the servers that hold most of the prompt. Those that hold as much as the
-// last of them are chosen at random by where the search begins.
+// addHolders adds the servers that hold most of the prompt. The search begins at a random
+// one, because many may hold equally much.
 func (f *Fleet) addHolders(c *candidates, q *Query, eligibles []*server) {
 	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
 		return
@@ -186,15 +186,15 @@
 	wait := load.duration(backlog)
 	c.Backlog += wait
 	c.Prefill = load.duration(backlog+prefill) - wait
-	// The engine reads one prompt after another: what it reads again delays those that come
-	// next by the same time.
+	// The engine reads one prompt after another: what it reads again delays the following
+	// prompts by the same time.
 	cost = adaptiveWeights.Cost(&c) + prefill
 	if used > kept {
 		reread := prefill - u.prefillTime(s, q.Prompt, used)
 		cost -= time.Duration(evictedWeight * float64(2*reread))
 	}
 	if preferred {
-		cost -= time.Duration(homeWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
+		cost -= time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
 	}
 	return cost, c.Backlog + c.Prefill
 }
@@ -231,8 +231,8 @@
 	return preferred
 }
 
-// random returns a number from 0 to n-1. It depends on the fleet's seed and on how many
-// were drawn before only.
+// random returns a number from 0 to n-1. It depends only on the fleet's seed and on how many
+// numbers were drawn before.
 func (f *Fleet) random(n int) int {
 	f.draws++
 	x := f.Seed + f.draws*0x9E3779B97F4A7C15
--- a/internal/place/choice_internal_test.go
+++ b/internal/place/choice_internal_test.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// changeState lets a random thing happen to a random placement.
+// changeState applies a random event to a random placement.
 func changeState(f *Fleet, random *rand.Rand, placements []*Placement, now time.Time) {
 	p := placements[random.IntN(len(placements))]
 	switch random.IntN(6) {
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -69,8 +69,8 @@
 	u.recordPrefill(p.server, time.Duration(float64(elapsed)/slowdown), time.Duration(float64(p.expected.wait)/slowdown), p.expected.usualPrefill)
 }
 
-// recordHold records for how long the server held a request that it served, or that its
-// caller got no first event; mu is held.
+// recordHold records for how long the server held a request that it served, or that the
+// caller left before the first event; mu is held.
 func (p *Placement) recordHold(outcome Outcome, now time.Time) {
 	if _, abandoned := outcome.(Abandoned); abandoned && !p.Peer && !p.expected.eventSeen {
 		elapsed := now.Sub(p.StartedAt)
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -6,18 +6,22 @@
 )
 
 const (
-	// slowdownLifetime is how fast a stated slowdown loses its weight. Slowdowns change
-	// several times a second.
+	// slowdownLifetime is the time constant with which a stated slowdown loses its weight.
+	// Slowdowns change several times a second.
 	slowdownLifetime = 150 * time.Millisecond
-	// The lifetimes of the other figures of a report are learned within these bounds, and
-	// start at the defaults.
-	minReportLifetime   = 20 * time.Millisecond
-	maxReportLifetime   = 10 * time.Second
-	defaultHoldTime     = 2 * time.Second
-	defaultFirstEvent   = 200 * time.Millisecond
-	meanTimeWeight      = 0.05
-	maxSlowdown         = 16
-	minSlowdown         = 1.0 / maxSlowdown
+	// The time constants of the other figures of a report are learned within these bounds,
+	// and start at the defaults.
+	minReportLifetime = 20 * time.Millisecond
+	maxReportLifetime = 10 * time.Second
+	defaultHoldTime   = 2 * time.Second
+	defaultFirstEvent = 200 * time.Millisecond
+	// meanTimeWeight is the weight of a new value in a moving average.
+	meanTimeWeight = 0.05
+	// maxSlowdown and minSlowdown bound what a server may state.
+	maxSlowdown = 16
+	minSlowdown = 1.0 / maxSlowdown
+	// typicalLoadInterval is the age at which the mean load of an upstream is computed
+	// again.
 	typicalLoadInterval = 10 * time.Millisecond
 	// priorWeight is the weight, in fresh reports, of a server without load and slowdown
 	// in the mean load of an upstream. It counts where there is hardly any fresh report.
@@ -61,8 +65,8 @@
 
 // newLoadReport returns the report of a server that has own requests of this entry.
 func newLoadReport(load Load, own int, now time.Time) loadReport {
-	// This entry's requests are taken from those that run: requests wait for a short part
-	// of their time only.
+	// This entry's requests are subtracted from the running ones first: a request waits only
+	// for a short part of its time.
 	running := max(0, load.Running-own)
 	waiting := max(0, load.Waiting-max(0, own-load.Running))
 	slowdown := 1.0
@@ -80,7 +84,7 @@
 	}
 }
 
-// reportWeights says how much of a report still holds.
+// reportWeights are the weights of the figures of a report, from 0 to 1.
 type reportWeights struct {
 	running  float64
 	waiting  float64
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -17,11 +17,13 @@
 	// priorityClasses is the number of priorities that are told apart; the last one
 	// includes all that are less urgent.
 	priorityClasses = 8
-	// missMemory is how fast requests of a class are forgotten, and missPrior the number of
-	// requests in time that each class has beside them: a few misses show little.
+	// missMemory is the time constant with which the counts of requests decay. missPrior is
+	// the number of requests in time that is added to each class, so that a few misses
+	// weigh little.
 	missMemory = 4 * time.Second
 	missPrior  = 10
-	// missMargin is how much larger the missed part of a more urgent class must be.
+	// missMargin is how much larger the missed part of a more urgent class must be for a
+	// less urgent class to yield.
 	missMargin = 0.05
 	// grantedShare is the part of the requests of each class that may use the room of the
 	// most urgent ones, so that no class is starved by more urgent ones.
@@ -37,7 +39,7 @@
 	// maxOccupancy is the number of requests, running and queued, per slot at which a
 	// server counts as full.
 	maxOccupancy float64
-	// delay is the factor on the time to the first event by more urgent requests.
+	// delay is the factor by which more urgent requests lengthen the time to the first event.
 	delay float64
 }
 
@@ -53,8 +55,9 @@
 	}
 }
 
-// lateBy returns how long a server is not soon enough for the caller that would send the
-// first event after the given time if it served in order of arrival; 0 if it is.
+// lateBy returns by how much the first event is expected after the caller's time, at a server
+// that would send it after the given time if it served in order of arrival; 0 if it is
+// expected in time.
 func (q *Query) lateBy(firstEvent time.Duration) time.Duration {
 	if q.TimeLeft <= 0 {
 		return 0
@@ -66,13 +69,12 @@
 	return roomWait(expected - q.TimeLeft)
 }
 
-// roomWait bounds the time after which a refused request may come again.
+// roomWait returns the time after which a refused request may come again, within its bounds.
 func roomWait(d time.Duration) time.Duration {
 	return min(maxRoomWait, max(minRoomWait, d))
 }
 
-// class tells apart requests that are served alike: by priority, and by whether the prompt is
-// longer than the mean.
+// class groups requests by priority, and by whether the prompt is longer than the mean.
 type class struct {
 	priority int
 	large    bool
--- a/internal/place/speed.go
+++ b/internal/place/speed.go
@@ -20,7 +20,8 @@
 	minMeasuredPrefill = 5 * time.Millisecond
 )
 
-// An engine is between a quarter and eight times as slow as engineSpeed.
+// minPace and maxPace bound the learned time for a prompt to between a quarter and eight
+// times that of engineSpeed.
 var (
 	minPace = math.Log(0.25)
 	maxPace = math.Log(8)
@@ -47,7 +48,7 @@
 	own := max(measured-wait, usual/64)
 	deviation := math.Log(float64(own)/float64(usual)) - u.pace.log - s.pace.log
 	deviation = min(maxPaceStep, max(-maxPaceStep, deviation))
-	// A long wait hides the time for the prompt: its error would count as the engine's.
+	// After a long wait most of the deviation is an error in the expected wait.
 	deviation *= float64(usual) / float64(usual+wait)
 	u.pace.add(deviation, max(upstreamPaceGain, firstPaceGain/float64(u.pace.samples+1)))
 	s.pace.add(deviation, serverPaceGain)
--- a/internal/place/uneven_model_test.go
+++ b/internal/place/uneven_model_test.go
@@ -214,7 +214,7 @@
 	}
 }
 
-// startEntry gives an entry an empty memory.
+// startEntry replaces an entry by one that has learned nothing.
 func (m *model) startEntry(e *modelEntry) {
 	e.fleet = &place.Fleet{Seed: e.seed}
 	e.fleet.Update(m.list, m.now)
@@ -327,7 +327,7 @@
 	}
 }
 
-// leave ends a request whose caller waits no longer, unless the server has begun with it.
+// leave ends a request whose caller has left, unless the server has begun with it.
 func (m *model) leave(s *modelServer, r *modelRequest) {
 	isRequest := func(other *modelRequest) bool { return other == r }
 	switch {
