--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -6,18 +6,22 @@
 )
 
 const (
-	// slowdownLifetime is how fast a stated slowdown loses its weight. Slowdowns change
-	// several times a second.
+	// slowdownLifetime is the time constant with which a stated slowdown loses its weight.
+	// Slowdowns change several times a second.
 	slowdownLifetime = 150 * time.Millisecond
-	// The lifetimes of the other figures of a report are learned within these bounds, and
-	// start at the defaults.
-	minReportLifetime   = 20 * time.Millisecond
-	maxReportLifetime   = 10 * time.Second
-	defaultHoldTime     = 2 * time.Second
-	defaultFirstEvent   = 200 * time.Millisecond
-	meanTimeWeight      = 0.05
-	maxSlowdown         = 16
-	minSlowdown         = 1.0 / maxSlowdown
+	// The time constants of the other figures of a report are learned within these bounds,
+	// and start at the defaults.
+	minReportLifetime = 20 * time.Millisecond
+	maxReportLifetime = 10 * time.Second
+	defaultHoldTime   = 2 * time.Second
+	defaultFirstEvent = 200 * time.Millisecond
+	// meanTimeWeight is the weight of a new value in a moving average.
+	meanTimeWeight = 0.05
+	// maxSlowdown and minSlowdown bound what a server may state.
+	maxSlowdown = 16
+	minSlowdown = 1.0 / maxSlowdown
+	// typicalLoadInterval is the age at which the mean load of an upstream is computed
+	// again.
 	typicalLoadInterval = 10 * time.Millisecond
 	// priorWeight is the weight, in fresh reports, of a server without load and slowdown
 	// in the mean load of an upstream. It counts where there is hardly any fresh report.
@@ -61,8 +65,8 @@
 
 // newLoadReport returns the report of a server that has own requests of this entry.
 func newLoadReport(load Load, own int, now time.Time) loadReport {
-	// This entry's requests are taken from those that run: requests wait for a short part
-	// of their time only.
+	// This entry's requests are subtracted from the running ones first: a request waits only
+	// for a short part of its time.
 	running := max(0, load.Running-own)
 	waiting := max(0, load.Waiting-max(0, own-load.Running))
 	slowdown := 1.0
@@ -80,7 +84,7 @@
 	}
 }
 
-// reportWeights says how much of a report still holds.
+// reportWeights are the weights of the figures of a report, from 0 to 1.
 type reportWeights struct {
 	running  float64
 	waiting  float64
@@ -123,9 +127,9 @@
 			continue
 		}
 		w := u.weights(&s.report, now)
-		sum.running += w.running * s.report.running
-		sum.waiting += w.waiting * s.report.waiting
-		sum.slowdown += w.slowdown * s.report.slowdown
+		sum.running += float64(w.running * s.report.running)
+		sum.waiting += float64(w.waiting * s.report.waiting)
+		sum.slowdown += float64(w.slowdown * s.report.slowdown)
 		weight.running += w.running
 		weight.waiting += w.waiting
 		weight.slowdown += w.slowdown
@@ -152,6 +156,9 @@
 // and begins now. Its excess falls with slowdownLifetime.
 func (e estimate) duration(work time.Duration) time.Duration {
 	work = time.Duration(e.slowdown * float64(work))
+	if work == 0 || e.excess == 0 {
+		return work
+	}
 	passed := 1 - math.Exp(-work.Seconds()/slowdownLifetime.Seconds())
 	return work + time.Duration(e.excess*passed*float64(slowdownLifetime))
 }
@@ -162,8 +169,8 @@
 func (u *upstreamState) estimate(s *server, now time.Time) estimate {
 	u.updateTypical(now)
 	w := u.weights(&s.report, now)
-	others := w.running*(s.report.running+float64(s.report.announced)) + (1-w.running)*u.typical.running +
-		w.waiting*s.report.waiting + (1-w.waiting)*u.typical.waiting
+	others := float64(w.running*(s.report.running+float64(s.report.announced))) + float64((1-w.running)*u.typical.running) +
+		float64(w.waiting*s.report.waiting) + float64((1-w.waiting)*u.typical.waiting)
 	return estimate{
 		requests: others + float64(s.inFlight),
 		slowdown: u.typical.slowdown,
