--- a/internal/gossip/cold.go
+++ b/internal/gossip/cold.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// maxQueuedColds bounds the announcements of cold servers that wait to be sent.
+	// maxQueuedColds bounds the announcements of cold servers that wait to be sent, and the
+	// requests for probes.
 	maxQueuedColds = 64
 	// maxRemoteCold bounds how long a server counts as cold because a peer says so.
 	maxRemoteCold = time.Minute
@@ -52,16 +53,16 @@
 	}
 }
 
-// coldLoop sends the queued announcements of cold servers to all peers, and the queued doubts
-// to some, until ctx ends.
+// coldLoop sends the queued announcements of cold servers to all peers, and the queued requests
+// for probes to some, until ctx ends.
 func (g *Gossiper) coldLoop(ctx context.Context) {
 	for {
 		select {
 		case m := <-g.colds:
 			g.trySendAll(m.append(nil))
-		case d := <-g.doubts:
-			for _, peer := range g.firstEntries(d.server, d.entries) {
-				g.trySend(d.append(nil), peer)
+		case r := <-g.probeRequests:
+			for _, peer := range g.firstEntries(r.server, r.entries) {
+				g.trySend(r.append(nil), peer)
 			}
 		case <-ctx.Done():
 			return
@@ -79,18 +80,18 @@
 	return nil
 }
 
-// doubt tells some peers that a server could not be reached, so that they probe it. It is
-// encoded as the format and the server id.
-type doubt struct {
+// probeRequest asks some peers to probe a server that could not be reached. It is encoded
+// as the format and the server id.
+type probeRequest struct {
 	server string
-	// entries is how many entries are told; it is not encoded.
+	// entries is how many entries are asked; it is not encoded.
 	entries int
 }
 
 // append appends the encoded message to buffer.
-func (d doubt) append(buffer []byte) []byte {
-	buffer = append(buffer, formatDoubt)
-	return append(buffer, d.server[:min(len(d.server), maxNameLength)]...)
+func (r probeRequest) append(buffer []byte) []byte {
+	buffer = append(buffer, formatProbeRequest)
+	return append(buffer, r.server[:min(len(r.server), maxNameLength)]...)
 }
 
 // AskForProbes queues the request that the given number of entries, which may send the server
@@ -98,18 +99,18 @@
 // full.
 func (g *Gossiper) AskForProbes(server string, entries int) {
 	select {
-	case g.doubts <- doubt{server: server, entries: entries}:
+	case g.probeRequests <- probeRequest{server: server, entries: entries}:
 	default:
 		g.dropped.Add(1)
 	}
 }
 
-// handleDoubt records that a peer could not reach a server.
-func (g *Gossiper) handleDoubt(data []byte) error {
+// handleProbeRequest records that a peer, which could not reach a server, asks for a probe.
+func (g *Gossiper) handleProbeRequest(data []byte) error {
 	if len(data) < 2 {
 		return errInvalidDatagram
 	}
-	g.Fleet.RecordDoubt(string(data[1:]), time.Now())
+	g.Fleet.RecordProbeRequest(string(data[1:]), time.Now())
 	return nil
 }
 
--- a/internal/gossip/cold_test.go
+++ b/internal/gossip/cold_test.go
@@ -82,16 +82,16 @@
 	})
 }
 
-// TestDoubtMakesAnEntryProbe checks the datagram that asks for a probe, and that a malformed
+// TestProbeRequestMakesAnEntryProbe checks the datagram that asks for a probe, and that a malformed
 // one is dropped.
-func TestDoubtMakesAnEntryProbe(t *testing.T) {
+func TestProbeRequestMakesAnEntryProbe(t *testing.T) {
 	g := &Gossiper{Fleet: &place.Fleet{}}
 	g.Fleet.SetUpstreams(map[string]place.UpstreamPolicy{"pool": {ColdStart: time.Second, ColdRequestsPerSecond: 14}})
 	g.Fleet.Update([]instances.Instance{{ID: "s", Upstream: "pool", Address: "a", Slots: 1, ColdStated: true}}, time.Now())
-	if g.handleDoubt([]byte{formatDoubt}) == nil {
+	if g.handleProbeRequest([]byte{formatProbeRequest}) == nil {
 		t.Error("a datagram without a server was accepted")
 	}
-	err := g.handleDoubt(doubt{server: "s"}.append(nil))
+	err := g.handleProbeRequest(probeRequest{server: "s"}.append(nil))
 	if err != nil || len(g.Fleet.StartColdProbes(time.Now())) != 1 {
 		t.Errorf("error %v, want one probe", err)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -84,7 +84,7 @@
 	evidence      evidenceQueue
 	limits        chan limitMessage
 	colds         chan coldMessage
-	doubts        chan doubt
+	probeRequests chan probeRequest
 	reach         reachAnswers
 	members       memberHistory
 	prober        overload.Prober
@@ -115,7 +115,7 @@
 	g.evidence.start()
 	g.limits = make(chan limitMessage, maxQueuedLimits)
 	g.colds = make(chan coldMessage, maxQueuedColds)
-	g.doubts = make(chan doubt, maxQueuedColds)
+	g.probeRequests = make(chan probeRequest, maxQueuedColds)
 	g.done.Go(g.receiveLoop)
 	g.done.Go(func() { g.sendLoop(ctx) })
 	g.done.Go(func() { g.evidenceLoop(ctx) })
@@ -325,8 +325,8 @@
 		return g.handleLoads(data)
 	case formatCold:
 		return g.handleCold(data)
-	case formatDoubt:
-		return g.handleDoubt(data)
+	case formatProbeRequest:
+		return g.handleProbeRequest(data)
 	case formatReachQuery:
 		return g.handleReachQuery(data, from)
 	case formatReachAnswer:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -27,7 +27,7 @@
 	formatEchoRequest        = 14
 	formatEchoAnswer         = 15
 	formatCold               = 16
-	formatDoubt              = 17
+	formatProbeRequest       = 17
 	// maxSegments and maxNameLength bound the contents of a message.
 	maxSegments   = 16
 	maxNameLength = 255
--- a/internal/place/cold_probe.go
+++ b/internal/place/cold_probe.go
@@ -10,11 +10,12 @@
 	// how many probes are started at once.
 	coldProbeInterval = 250 * time.Millisecond
 	maxColdProbes     = 8
-	// doubtTime is how long a server is probed that another entry could not reach, until it
-	// answers.
-	doubtTime = 1500 * time.Millisecond
-	// doubtInterval is the least time between two questions about the same server.
-	doubtInterval = time.Second
+	// probeRequestTTL is how long a server is probed at the request of another entry, unless it
+	// answers before.
+	probeRequestTTL = 1500 * time.Millisecond
+	// probeRequestInterval is the least time between two requests to other entries to probe
+	// the same server.
+	probeRequestInterval = time.Second
 )
 
 // coldProbe is the state of the probes that find out whether a server has started again. Its
@@ -25,18 +26,18 @@
 	startedAt time.Time
 	// tookToken is set if it counts against this entry's share.
 	tookToken bool
-	// doubtedUntil is the time until which the server is probed because another entry could
-	// not reach it.
-	doubtedUntil time.Time
+	// requestedUntil is the time until which the server is probed because another entry, which
+	// could not reach it, has asked for it.
+	requestedUntil time.Time
 	// unstated is set once the server has answered a probe and not stated whether it is cold.
 	unstated bool
 	// askedAt is when this entry last asked others to probe the server.
 	askedAt time.Time
 }
 
-// recordUnreachable makes the server count as cold until it answers. If it does not, the time
-// for which it does is random: otherwise all entries without a share would try it at once. mu
-// is held.
+// recordUnreachable makes the server count as cold until it answers, or for a random time of
+// one to two times ColdStart: after a fixed time all entries without a share would send it
+// requests at once. mu is held.
 func (f *Fleet) recordUnreachable(s *server, now time.Time) {
 	coldStart := f.upstreamOf(s.upstream).policy.ColdStart
 	s.cold.unreachableAt = now
@@ -44,28 +45,28 @@
 	f.isCold(s, now)
 }
 
-// askForProbes asks the entries with a share of the server, if it has started again and is
-// cold, to probe it. They learn how long it stays cold, and tell all others. Nothing is asked
-// if this entry has lost its path to the servers; mu is held.
+// askForProbes asks the entries that may send the server requests while it is cold to probe
+// it. They learn how long it stays cold, and tell all others. Nothing is asked if this entry
+// has lost its path to the servers; mu is held.
 func (f *Fleet) askForProbes(s *server, now time.Time) {
 	p := &s.cold.probe
-	if f.Unreached == nil || now.Sub(p.askedAt) < doubtInterval || !f.reachOf(s.upstream).cutOffSince.IsZero() {
+	if f.Unreached == nil || now.Sub(p.askedAt) < probeRequestInterval || !f.reachOf(s.upstream).cutOffSince.IsZero() {
 		return
 	}
 	p.askedAt = now
 	f.Unreached(s.id, maxColdEntries(f.upstreamOf(s.upstream).policy.ColdRequestsPerSecond))
 }
 
-// RecordDoubt records that another entry could not reach the server with the given id.
-// Unknown ids are ignored.
-func (f *Fleet) RecordDoubt(id string, now time.Time) {
+// RecordProbeRequest records that another entry, which could not reach the server with the
+// given id, has asked this one to probe it. Unknown ids are ignored.
+func (f *Fleet) RecordProbeRequest(id string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
 	if s == nil || !f.boundsColdStart(s.upstream) {
 		return
 	}
-	s.cold.probe.doubtedUntil = now.Add(doubtTime)
+	s.cold.probe.requestedUntil = now.Add(probeRequestTTL)
 }
 
 // boundsColdStart reports whether the servers of an upstream are cold after their start, and
@@ -118,7 +119,7 @@
 func (f *Fleet) needsColdProbe(s *server, now time.Time) bool {
 	c := &s.cold
 	switch {
-	case !c.unreachableAt.IsZero() || now.Before(c.probe.doubtedUntil):
+	case !c.unreachableAt.IsZero() || now.Before(c.probe.requestedUntil):
 		return now.Sub(c.probe.startedAt) >= coldProbeInterval
 	case c.probe.unstated || !f.isCold(s, now):
 		return false
@@ -158,7 +159,7 @@
 		f.recordUnreachable(s, now)
 		return
 	}
-	p.doubtedUntil = time.Time{}
+	p.requestedUntil = time.Time{}
 	p.unstated = s.cold.statedAt.Before(p.startedAt)
 	f.recordReachable(s, p.startedAt, now)
 }
--- a/internal/place/cold_test.go
+++ b/internal/place/cold_test.go
@@ -158,7 +158,7 @@
 	e.fleet.Unreached = func(server string, maxEntries int) {
 		for _, other := range s.entries {
 			if other != e && !e.cutOff && !other.cutOff && other.hasShare(server, maxEntries) {
-				other.fleet.RecordDoubt(server, time.Now())
+				other.fleet.RecordProbeRequest(server, time.Now())
 			}
 		}
 	}
