--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -19,8 +19,9 @@
 	maxLoads = 8
 	// minLoadLength is the length of an encoded load without the server id.
 	minLoadLength = 1 + 5*2
-	// percent is the unit of a slowdown.
-	percent = 100
+	// slowdownScale is the encoded value of a slowdown of 1.
+	slowdownScale = 100
+	maxUint16     = math.MaxUint16
 )
 
 // loadMessage tells of the latest loads that backend servers stated. It is encoded as the
@@ -39,15 +40,13 @@
 		}
 		buffer = append(buffer, byte(len(r.Server)))
 		buffer = append(buffer, r.Server...)
-		for _, number := range []int64{int64(r.Load.Running), int64(r.Load.Waiting), int64(r.Load.Slots), int64(math.Round(min(r.Load.Slowdown, maxUint16) * percent)), r.Age.Milliseconds()} {
+		for _, number := range []int64{int64(r.Load.Running), int64(r.Load.Waiting), int64(r.Load.Slots), int64(math.Round(min(r.Load.Slowdown, maxUint16) * slowdownScale)), r.Age.Milliseconds()} {
 			buffer = binary.BigEndian.AppendUint16(buffer, uint16(min(maxUint16, max(0, number))))
 		}
 	}
 	return buffer
 }
 
-const maxUint16 = math.MaxUint16
-
 // decodeLoads decodes a loadMessage or returns errInvalidDatagram.
 func decodeLoads(data []byte) (loadMessage, error) {
 	if len(data) == 0 || data[0] != formatLoads {
@@ -62,7 +61,7 @@
 		r := place.LoadReport{Server: string(data[1 : 1+length])}
 		numbers := data[1+length:]
 		number := func(i int) int { return int(binary.BigEndian.Uint16(numbers[2*i:])) }
-		r.Load = place.Load{Running: number(0), Waiting: number(1), Slots: number(2), Slowdown: float64(number(3)) / percent}
+		r.Load = place.Load{Running: number(0), Waiting: number(1), Slots: number(2), Slowdown: float64(number(3)) / slowdownScale}
 		r.Age = time.Duration(number(4)) * time.Millisecond
 		m = append(m, r)
 		data = data[minLoadLength+length:]
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -1,5 +1,5 @@
 // Package memory accounts for the bytes of the bodies that an entry holds, and bounds them.
-// It allocates nothing and does no I/O.
+// It holds no bodies itself and does no I/O.
 package memory
 
 import "sync"
@@ -19,7 +19,7 @@
 	// whose requests or reading are slow leaves as much to the others.
 	callerShare = 2
 
-	megabyte = 1 << 20
+	bytesPerMiB = 1 << 20
 )
 
 // Bounds are the numbers of bytes that may be held.
@@ -35,7 +35,7 @@
 
 // BoundsOf returns the bounds of an entry with the given memory in MiB.
 func BoundsOf(memoryMB int) Bounds {
-	total := int64(memoryMB) * megabyte / bodyShare
+	total := int64(memoryMB) * bytesPerMiB / bodyShare
 	requests := total / requestShare
 	return Bounds{Total: total, Requests: requests, Server: requests / serverShare}
 }
@@ -131,7 +131,8 @@
 	bytes   int64
 }
 
-// Request returns an empty reservation for a request body of the named caller.
+// Request returns an empty reservation for a request body of the named caller; nil if the
+// account is nil.
 func (a *Account) Request(caller string) *Request {
 	if a == nil {
 		return nil
--- a/internal/memory/response.go
+++ b/internal/memory/response.go
@@ -26,7 +26,8 @@
 	granted  chan struct{}
 }
 
-// Response returns an empty reservation for a response body to the named caller.
+// Response returns an empty reservation for a response body to the named caller; nil if the
+// account is nil.
 func (a *Account) Response(caller string) *Response {
 	if a == nil {
 		return nil
--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -13,7 +13,7 @@
 	// so that a burst that drains by itself sheds nothing.
 	onsetDelay = 200 * time.Millisecond
 	// targetDivisor divides the shortest latency target to give the target of the delay: a
-	// refusal costs a caller little within an eighth.
+	// refusal within an eighth of its latency target costs a caller little.
 	targetDivisor = 8
 	// minTarget exceeds the delays by which the scheduler of a busy machine wakes a
 	// process late.
@@ -86,7 +86,7 @@
 	aboveSince, belowSince time.Time
 }
 
-// RecordEcho records what a probe has shown.
+// RecordEcho records the queueing delay that a probe has shown.
 func (c *Controller) RecordEcho(now time.Time, s Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,7 +113,7 @@
 	c.peers.record(now, peer, delay)
 }
 
-// Status returns the state.
+// Status returns the state at the given time.
 func (c *Controller) Status(now time.Time) Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,7 +122,8 @@
 	return Status{Delay: c.measured, Known: c.known, Target: target, Level: c.level, Room: c.peers.room(now, target)}
 }
 
-// Admit decides on a request.
+// Admit decides on a request from what is known before its body is read. It counts the bytes
+// of an admitted one to its workspace.
 func (c *Controller) Admit(now time.Time, r Request) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/overload/prober.go
+++ b/internal/overload/prober.go
@@ -66,8 +66,8 @@
 	answered bool
 	losses   int
 	minimum  recentMinimum
-	// told is the minimum that the peer has stated; 0 if it has stated none.
-	told time.Duration
+	// statedMinimum is the minimum that the peer has stated; 0 if it has stated none.
+	statedMinimum time.Duration
 }
 
 type outstandingProbe struct {
@@ -112,9 +112,10 @@
 	}
 }
 
-// Echo evaluates an echo. The told minimum is 0 if the peer states none. It returns false if
-// the echo states nothing about this entry.
-func (p *Prober) Echo(now time.Time, id uint64, from netip.AddrPort, told time.Duration) (Sample, bool) {
+// Echo evaluates an echo of the probe with the given id. statedMinimum is the median of the
+// peer's own minimum round-trip times, or 0 if it states none. Echo returns false if the echo
+// says nothing about this entry.
+func (p *Prober) Echo(now time.Time, id uint64, from netip.AddrPort, statedMinimum time.Duration) (Sample, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.IndexFunc(p.outstanding, func(o outstandingProbe) bool { return o.id == id && o.peer.address == from })
@@ -126,7 +127,7 @@
 	roundTrip := now.Sub(o.sent)
 	o.peer.answered = true
 	o.peer.losses = 0
-	o.peer.told = told
+	o.peer.statedMinimum = statedMinimum
 	o.peer.minimum.add(now, roundTrip)
 	return Sample{Delay: max(0, roundTrip-p.base(now, o.peer)), Overdue: o.reported}, p.hasAnswers()
 }
@@ -179,9 +180,9 @@
 	if now.Sub(peer.since) >= learningTime {
 		return base
 	}
-	told := p.medianMinimum(func(peer *probedPeer) time.Duration { return peer.told })
-	if told > 0 {
-		base = min(base, told)
+	stated := p.medianMinimum(func(peer *probedPeer) time.Duration { return peer.statedMinimum })
+	if stated > 0 {
+		base = min(base, stated)
 	}
 	return base
 }
--- a/internal/overload/window.go
+++ b/internal/overload/window.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// windowDuration is how long a sample counts: 8 echoes at probesPerSecond.
+	// windowDuration is how long a sample counts: 8 echoes at one each ProbeInterval.
 	windowDuration = 400 * time.Millisecond
 	// echoQuantile is the median, so that a few slow peers do not look like a queue.
 	echoQuantile = 0.5
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// requestsPerColdEntry is the number of requests a second, of those that a cold server
-	// takes, for each entry that may send any. Each entry may send one at once, which
-	// counts as well: with fewer requests for each, little would be left for the rate.
+	// requestsPerColdEntry divides the requests a second that a cold server takes to give the
+	// number of entries that may send it any. The burst of one request takes one third of an
+	// entry's part; with smaller parts, little would be left for the rate.
 	requestsPerColdEntry = 3
-	// slowColdUse is the part of the requests a second that is used if they are too few to
-	// count the request at once separately.
+	// slowColdUse is the least part of an entry's requests a second that becomes its rate,
+	// where less would be left beside the burst.
 	slowColdUse = 0.5
-	// noColdShareWait is the retry delay returned by an entry that may send a cold server
-	// nothing. Another entry may, so that the caller need not wait longer.
+	// noColdShareWait is the retry delay where this entry may send a cold server nothing. It
+	// is short because another entry may.
 	noColdShareWait = 100 * time.Millisecond
 	// coldAnnounceInterval is the time between two announcements that the same server is
 	// cold.
@@ -30,7 +30,7 @@
 	coldReadmitted  = "its failure domain is in use again"
 	coldReachable   = "reachable again"
 	coldUnreachable = "unreachable"
-	coldUnheard     = "not heard of since this entry started"
+	coldNotHeardOf  = "not heard of since this entry started"
 )
 
 // coldness is what is known of a cold server, and this entry's share of the requests that it
@@ -38,17 +38,17 @@
 type coldness struct {
 	// listed is set while the list says that the server is cold.
 	listed bool
-	// unheard is set if the list has said that the server is cold while this entry was
-	// learning who its peers are, and sent it nothing.
-	unheard bool
+	// coldWhileLearning is set if the list has said that the server is cold while this entry
+	// was learning who its peers are, and sent it nothing.
+	coldWhileLearning bool
 	// statedUntil is the time until which the server has stated to be cold, as of statedAt.
 	statedUntil time.Time
 	statedAt    time.Time
-	// supposedAt is when the server had last to be supposed cold for the upstream's
-	// ColdStart, and supposedFor why. Requests sent after knownAfter bring newer knowledge.
-	supposedAt  time.Time
-	supposedFor string
-	knownAfter  time.Time
+	// assumedAt is when the server was last assumed to be cold for the upstream's ColdStart,
+	// and assumedReason why. The response to a request sent after knownAfter replaces this.
+	assumedAt     time.Time
+	assumedReason string
+	knownAfter    time.Time
 	// unreachableAt is when the server was ejected because connections to it failed, if it
 	// has not answered since. It counts as cold until retryAt.
 	unreachableAt time.Time
@@ -72,7 +72,7 @@
 }
 
 // coldRate returns how many requests a second an entry with the given share may send to a
-// cold server. As each may send one at once, all entries with a share send at most
+// cold server beside a burst of one, so that all entries with a share together send at most
 // perSecond in any second.
 func coldRate(perSecond, share float64) float64 {
 	own := float64(perSecond * share)
@@ -92,8 +92,8 @@
 		return coldStated
 	case now.Before(c.retryAt):
 		return coldUnreachable
-	case !c.supposedAt.IsZero() && now.Before(c.supposedAt.Add(policy.ColdStart)):
-		return c.supposedFor
+	case !c.assumedAt.IsZero() && now.Before(c.assumedAt.Add(policy.ColdStart)):
+		return c.assumedReason
 	default:
 		return ""
 	}
@@ -162,21 +162,21 @@
 	}
 }
 
-// suppose makes the server count as cold for the upstream's ColdStart, because it may be.
-// Requests sent after knownAfter bring newer knowledge.
-func (c *coldness) suppose(reason string, knownAfter, now time.Time) {
-	c.supposedAt = now
-	c.supposedFor = reason
+// assume makes the server count as cold for the upstream's ColdStart, because it may be. The
+// response to a request sent after knownAfter replaces this.
+func (c *coldness) assume(reason string, knownAfter, now time.Time) {
+	c.assumedAt = now
+	c.assumedReason = reason
 	c.knownAfter = knownAfter
 }
 
-// applyCold records what the list says about the coldness of a server. Nobody knows how long
-// ago one has started that is listed for the first time. That of the first list has not
-// started just now if that list says so; it may, if the list says nothing. mu is held.
+// applyCold records what the list says about the coldness of a server. One that is listed for
+// the first time may have just started and is assumed to be cold, unless it is in the first
+// list with servers and that list says whether it is cold. mu is held.
 func (f *Fleet) applyCold(s *server, instance instances.Instance, known bool, now time.Time) {
 	s.cold.applyListed(instance.Cold, f.IsLearning != nil && f.IsLearning(), s.answered, now)
 	if !known && !(f.firstList && instance.ColdStated) {
-		s.cold.suppose(coldNew, now, now)
+		s.cold.assume(coldNew, now, now)
 	}
 	f.isCold(s, now)
 }
@@ -184,17 +184,17 @@
 // applyListed records whether the list says that the server is cold. While all entries were
 // learning who their peers are, none has sent it anything, and it may have started again
 // under its id. If nobody has heard of it when the list says that it is no longer cold, it is
-// supposed cold until an entry with a share has probed it.
+// assumed to be cold until an entry with a share has probed it.
 func (c *coldness) applyListed(cold, learning, answered bool, now time.Time) {
 	wasListed := c.listed
 	c.listed = cold
 	switch {
 	case cold:
-		c.unheard = c.unheard || learning
-	case wasListed && c.unheard:
-		c.unheard = false
+		c.coldWhileLearning = c.coldWhileLearning || learning
+	case wasListed && c.coldWhileLearning:
+		c.coldWhileLearning = false
 		if !answered && c.statedAt.IsZero() && c.announcedAt.IsZero() {
-			c.suppose(coldUnheard, now, now)
+			c.assume(coldNotHeardOf, now, now)
 		}
 	}
 }
@@ -204,7 +204,7 @@
 func (f *Fleet) markDomainCold(domain string, now time.Time) {
 	for _, s := range f.servers {
 		if s.failureDomain == domain {
-			s.cold.suppose(coldReadmitted, now, now)
+			s.cold.assume(coldReadmitted, now, now)
 			f.isCold(s, now)
 		}
 	}
@@ -260,7 +260,7 @@
 	c.statedUntil = until
 	c.statedAt = now
 	if !sentAt.Before(c.knownAfter) {
-		c.supposedAt = time.Time{}
+		c.assumedAt = time.Time{}
 	}
 	if !c.unreachableAt.IsZero() && sentAt.After(c.unreachableAt) {
 		c.forgetUnreachable()
--- a/internal/place/cold_probe.go
+++ b/internal/place/cold_probe.go
@@ -172,7 +172,7 @@
 		return
 	}
 	if !sentAt.Before(c.unreachableAt) {
-		c.suppose(coldReachable, c.unreachableAt, now)
+		c.assume(coldReachable, c.unreachableAt, now)
 	}
 	c.forgetUnreachable()
 	f.isCold(s, now)
