--- a/internal/budget/loan.go
+++ b/internal/budget/loan.go
@@ -11,9 +11,8 @@
 // lent. Borrowed tokens that no reservation needs are passed on first. Those of the own
 // grant count as billed, so that no later report of the lender frees them.
 //
-// The lender keeps nothing for itself: while the control group is unreachable, what it
-// keeps is refused to a request that is there, for the sake of one that may come. It can
-// borrow in its turn.
+// The lender keeps nothing for its own later requests: the borrower has requests that
+// wait, and the lender can borrow in its turn.
 func (e *Escrow) Lend(requested int64) int64 {
 	amount := max(0, min(requested, e.Available()))
 	passedOn := max(0, min(amount, e.Borrowed-e.Reserved))
--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -13,9 +13,9 @@
 	// tokens. Requests that need more than there is are refused at once meanwhile.
 	borrowRetryDelay = 100 * time.Millisecond
 	// borrowAheadSeconds is how many seconds of its own demand a holder borrows
-	// in addition to the tokens that requests wait for, at most as many as these. A
-	// second of the demand of a busy holder is all that others have, so that tokens
-	// would pass back and forth.
+	// in addition to the tokens that requests wait for, but at most as many as those.
+	// Without that bound, busy holders would borrow all tokens from each other again
+	// and again.
 	borrowAheadSeconds = 1
 	secondsPerHour     = 3600
 	// firstWaveLenders is how many holders a round asks at first, at the same time.
@@ -25,7 +25,7 @@
 	waveGrowth       = 2
 	maxLenders       = 45
 	// minLoan is the fewest tokens that a round asks each lender for, if it needs as many.
-	// Smaller parts of a small request bring too few when most lenders have none.
+	// With smaller amounts, too few tokens would be lent where most lenders have none.
 	minLoan = 2000
 	// maxKnownLenders is how many lenders that may hold more tokens a holder remembers
 	// for each workspace and asks first.
@@ -103,9 +103,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	start := time.Now()
-	var generous []string
+	var lentInFull []string
 	for count := firstWaveLenders; a.lacksTokens() && time.Since(start) < borrowRoundTimeout; count *= waveGrowth {
-		wave := append(generous, round.next(count-len(generous))...)
+		wave := append(lentInFull, round.next(count-len(lentInFull))...)
 		if len(wave) == 0 {
 			break
 		}
@@ -114,12 +114,12 @@
 		amount := max(wanted/int64(len(wave)), min(wanted, minLoan))
 		clear(round.lent)
 		h.runWave(workspace, a, wave, amount, draw)
-		generous = nil
+		lentInFull = nil
 		for _, lender := range wave {
 			inFull := round.lent[lender] >= amount
 			a.recordLoan(lender, inFull)
 			if inFull {
-				generous = append(generous, lender)
+				lentInFull = append(lentInFull, lender)
 			}
 		}
 	}
