--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -3,18 +3,26 @@
 import (
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/cactusbay/cactusbay/internal/config"
+	"github.com/cactusbay/cactusbay/internal/place"
 )
 
-// obeyEvacuations takes the servers of evacuated failure domains out of the choice, before
-// the version is in force.
-func (s *Server) obeyEvacuations(version uint64, document *config.Document) {
+// applyEvacuations excludes the servers of the failure domains that a version evacuates from
+// new requests, before the version is in force.
+func (s *Server) applyEvacuations(version uint64, document *config.Document) {
 	change := s.Fleet.SetEvacuated(document.EvacuatedDomains(), time.Now())
+	LogEvacuations(s.Log, change, version)
+}
+
+// LogEvacuations logs the evacuations that begin and end with a version of the configuration.
+func LogEvacuations(logger *log.Logger, change place.EvacuationChange, version uint64) {
 	for _, name := range change.Begun {
-		s.Log.Info("evacuation begins", "evacuated_domain", name, "configuration_version", version)
+		logger.Info("evacuation begins", "evacuated_domain", name, "configuration_version", version)
 	}
 	for _, name := range change.Ended {
-		s.Log.Info("evacuation ends", "evacuated_domain", name, "configuration_version", version)
+		logger.Info("evacuation ends", "evacuated_domain", name, "configuration_version", version)
 	}
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -88,7 +88,7 @@
 // Install replaces the configuration for new requests and draws tokens for the
 // workspaces with budgets. Requests in progress keep the previous one.
 func (s *Server) Install(version uint64, document *config.Document) {
-	s.obeyEvacuations(version, document)
+	s.applyEvacuations(version, document)
 	table := NewTable(version, document)
 	s.Fleet.SetUpstreams(table.policies)
 	s.table.Store(table)
--- a/internal/forward/unsent.go
+++ b/internal/forward/unsent.go
@@ -28,8 +28,8 @@
 }
 
 // isDelayed reports whether a queue at this entry may be why a connection could not be
-// opened in time. It must be at its target: dials take a round trip, and a lost packet makes
-// them a second longer than their timeout allows.
+// opened in time. A delay above the target suffices, although a dial takes one round trip
+// only: a full queue drops packets, and a lost one is sent again after the dial's timeout.
 func (s *Server) isDelayed() bool {
 	if s.Overload == nil {
 		return false
--- a/internal/place/evacuation.go
+++ b/internal/place/evacuation.go
@@ -13,6 +13,11 @@
 	Ended []string
 }
 
+// CompareEvacuations returns the change between two sets of evacuated failure domains.
+func CompareEvacuations(before, after map[string]bool) EvacuationChange {
+	return EvacuationChange{Begun: namesMissing(after, before), Ended: namesMissing(before, after)}
+}
+
 // evacuations holds which failure domains are evacuated. Its zero value has none.
 type evacuations struct {
 	domains map[string]bool
@@ -20,7 +25,7 @@
 
 // SetEvacuated replaces the failure domains that are evacuated: their servers get no
 // requests and no probes. Requests that run there are not affected. Servers of a failure
-// domain that is in use again count as cold.
+// domain that is no longer evacuated count as cold. It returns what has changed.
 func (f *Fleet) SetEvacuated(domains map[string]bool, now time.Time) EvacuationChange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -32,7 +37,7 @@
 }
 
 func (e *evacuations) set(domains map[string]bool) EvacuationChange {
-	change := EvacuationChange{Begun: namesMissing(domains, e.domains), Ended: namesMissing(e.domains, domains)}
+	change := CompareEvacuations(e.domains, domains)
 	e.domains = maps.Clone(domains)
 	return change
 }
--- a/internal/process/shedlog.go
+++ b/internal/process/shedlog.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// shedLogInterval is the time between two looks at the shedding level, which changes
+	// shedLogInterval is the time between two checks of the shedding level, which changes
 	// as often.
 	shedLogInterval = 100 * time.Millisecond
 	// shedLogPause is how long the level must be 0 before shedding counts as ended, so that
