--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// randomCandidates is the number of random servers that a request is compared at, and
-	// prefixCandidates that of the servers which hold most of its prompt.
+	// randomCandidates is how many random servers are compared for a request, and
+	// prefixCandidates how many of those that hold most of its prompt.
 	randomCandidates = 6
 	prefixCandidates = 4
 	// preferredWeight is the part of the time to read the prompt's prefix that counts in favour
--- a/internal/place/cold_test.go
+++ b/internal/place/cold_test.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// chill makes the servers of coldDomain cold for coldStart.
-func (s *coldSite) chill() {
+// makeCold makes the servers of coldDomain cold for coldStart.
+func (s *coldSite) makeCold() {
 	for _, instance := range s.list {
 		if instance.FailureDomain == coldDomain {
 			s.servers[instance.ID].coldUntil = time.Now().Add(coldStart)
@@ -197,7 +197,7 @@
 // withdraw ends the evacuation of coldDomain, whose servers have just started: every entry
 // learns of it after a delay of at most a second, and sends them nothing before.
 func (s *coldSite) withdraw() {
-	s.chill()
+	s.makeCold()
 	for _, e := range s.entries {
 		e.fleet.Update(s.warm(), time.Now())
 		time.AfterFunc(time.Duration(s.random.Int64N(int64(time.Second))), func() {
@@ -411,7 +411,7 @@
 		s.join(3, 10)
 		s.run(3 * time.Second)
 		s.listCold(false)
-		s.chill()
+		s.makeCold()
 		for _, e := range s.entries {
 			e.fleet.SetEvacuated(map[string]bool{coldDomain: true}, time.Now())
 			e.fleet.SetEvacuated(nil, time.Now())
@@ -426,7 +426,7 @@
 func TestOneEntryRestartsAmongServersThatAreCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newColdSite(t, 3)
-		s.chill()
+		s.makeCold()
 		s.listCold(true)
 		e := s.newEntry("10.0.0.99:7")
 		e.setPeers([]string{s.entries[0].gossiper.Address})
@@ -510,7 +510,7 @@
 		for _, instance := range s.list[:coldServers] {
 			s.servers[instance.ID].down = false
 		}
-		s.chill()
+		s.makeCold()
 		s.run(listLag)
 		s.listCold(true)
 		s.run(4 * time.Second)
--- a/internal/place/exchange.go
+++ b/internal/place/exchange.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// exchangedLoadAge is the age up to which entries tell each other of a load.
+// exchangedLoadAge is the age up to which a load report is sent to other entries.
 const exchangedLoadAge = 500 * time.Millisecond
 
-// LoadReport is the load that a server stated to some entry.
+// LoadReport is the load that the server with the id Server stated to some entry, Age ago.
 type LoadReport struct {
 	Server string
 	Load   Load
@@ -17,7 +17,7 @@
 }
 
 // FreshLoads returns at most limit of the latest loads of servers that are chosen by
-// estimates, so that other entries can be told of them.
+// estimates, the newest first, to be sent to other entries.
 func (f *Fleet) FreshLoads(limit int, now time.Time) []LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -88,15 +88,15 @@
 	// the given time ago, if other entries may not know it. It must not call the fleet.
 	LimitStated func(server string, limit Limit, age time.Duration)
 
-	// IsLearning reports whether this entry can't know yet how many other entries there are.
-	// If it is nil, it knows. It must not call the fleet.
+	// IsLearning reports whether this entry can't know yet how many other entries there are;
+	// nil means that it does. It must not call the fleet.
 	IsLearning func() bool
 	// ColdStated, if not nil, is called when a server has stated that it stays cold for the
 	// given time, if other entries may not know it. It must not call the fleet.
 	ColdStated func(server string, coldFor time.Duration)
-	// Unreached, if not nil, is called when a server could not be reached that may be cold
-	// when it is back, with the number of entries that may send it requests then. It must
-	// not call the fleet.
+	// Unreached, if not nil, is called when a server could not be reached and may be cold
+	// when it is reachable again, with the number of entries that may then send it requests.
+	// These should probe it. It must not call the fleet.
 	Unreached func(server string, maxEntries int)
 
 	// Regions maps the name of each failure domain to its region. Set it before the first
@@ -126,8 +126,7 @@
 	// used at those whose servers state a slowdown.
 	Adaptive bool
 	// AdaptiveChanged, if not nil, is called when an upstream begins or ceases to use
-	// estimates, with the number of its servers. Counts finds it out. It must not call the
-	// fleet.
+	// estimates, with the number of its servers. Counts calls it. It must not call the fleet.
 	AdaptiveChanged func(upstream string, adaptive bool, servers int)
 	// Seed is the seed of the random choices among the servers of such upstreams.
 	Seed uint64
--- a/internal/place/status.go
+++ b/internal/place/status.go
@@ -15,7 +15,7 @@
 	ReportAge time.Duration
 	// SpeedSpread is how many times as fast as the slowest engine the fastest one of the
 	// same upstream is, by what was learned: the largest of the upstreams. It is 0 before
-	// two engines of an upstream have taught their speed.
+	// the speed of two engines of an upstream is known.
 	SpeedSpread float64
 }
 
