--- a/internal/config/failuredomain.go
+++ b/internal/config/failuredomain.go
@@ -20,7 +20,7 @@
 	Evacuated bool `json:"evacuated,omitempty"`
 }
 
-// EvacuatedDomains returns the names of the evacuated failure domains.
+// EvacuatedDomains returns the names of the evacuated failure domains, each mapped to true.
 func (d *Document) EvacuatedDomains() map[string]bool {
 	evacuated := make(map[string]bool)
 	for name, domain := range d.FailureDomains {
@@ -116,7 +116,7 @@
 	}
 	rest, found := bytes.CutSuffix(document, append(oldSection, '}'))
 	if !found {
-		return nil, errors.New("the configuration is not encoded as expected")
+		return nil, errors.New("the failure domains are not the last field of the encoded configuration")
 	}
 	rest = bytes.TrimSuffix(rest, []byte(","))
 	result := make([]byte, 0, len(rest)+len(newSection)+2)
--- a/internal/escrow/borrow.go
+++ b/internal/escrow/borrow.go
@@ -24,9 +24,9 @@
 	firstWaveLenders = 3
 	waveGrowth       = 2
 	maxLenders       = 45
-	// minLoan is the fewest tokens that a round asks each lender for, if it needs as many.
+	// minLoanTokens is the fewest tokens that a round asks each lender for, if it needs as many.
 	// With smaller amounts, too few tokens would be lent where most lenders have none.
-	minLoan = 2000
+	minLoanTokens = 2000
 	// maxKnownLenders is how many lenders that may hold more tokens a holder remembers
 	// for each workspace and asks first.
 	maxKnownLenders = 4
@@ -111,7 +111,7 @@
 		}
 		lacking := a.waitingTokens - a.escrow.Available()
 		wanted := lacking + min(lacking, a.demand.PerHour(time.Now())*borrowAheadSeconds/secondsPerHour)
-		amount := max(wanted/int64(len(wave)), min(wanted, minLoan))
+		amount := max(wanted/int64(len(wave)), min(wanted, minLoanTokens))
 		clear(round.lent)
 		h.runWave(workspace, a, wave, amount, draw)
 		lentInFull = nil
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -5,19 +5,19 @@
 import "sync"
 
 const (
-	// bodyShare divides the memory of an entry to give the bytes of bodies that it may
+	// bodyDivisor divides the memory of an entry to give the bytes of bodies that it may
 	// hold. Connections, streams, state and garbage that is not collected yet take the
 	// rest.
-	bodyShare = 3
-	// requestShare divides that again to give the bytes of request bodies. The rest is left
+	bodyDivisor = 3
+	// requestDivisor divides that again to give the bytes of request bodies. The rest is left
 	// for the responses to them, which can't be refused.
-	requestShare = 2
-	// serverShare divides the bytes of request bodies to give those that may be outstanding
+	requestDivisor = 2
+	// serverDivisor divides the bytes of request bodies to give those that may be outstanding
 	// at one server, so that a few slow servers leave room for requests to the others.
-	serverShare = 8
-	// callerShare divides the bounds of the entry to give those of each caller, so that one
+	serverDivisor = 8
+	// callerDivisor divides the bounds of the entry to give those of each caller, so that one
 	// whose requests or reading are slow leaves as much to the others.
-	callerShare = 2
+	callerDivisor = 2
 
 	bytesPerMiB = 1 << 20
 )
@@ -35,14 +35,14 @@
 
 // BoundsOf returns the bounds of an entry with the given memory in MiB.
 func BoundsOf(memoryMB int) Bounds {
-	total := int64(memoryMB) * bytesPerMiB / bodyShare
-	requests := total / requestShare
-	return Bounds{Total: total, Requests: requests, Server: requests / serverShare}
+	total := int64(memoryMB) * bytesPerMiB / bodyDivisor
+	requests := total / requestDivisor
+	return Bounds{Total: total, Requests: requests, Server: requests / serverDivisor}
 }
 
 // caller returns the bounds of each caller.
 func (b Bounds) caller() usage {
-	return usage{total: b.Total / callerShare, requests: b.Requests / callerShare}
+	return usage{total: b.Total / callerDivisor, requests: b.Requests / callerDivisor}
 }
 
 // usage is a number of bytes of all bodies, and of the request bodies among them.
--- a/internal/memory/response.go
+++ b/internal/memory/response.go
@@ -66,7 +66,7 @@
 	}
 	a.waiting = slices.Delete(a.waiting, i, i+1)
 	a.grant()
-	return errors.Newf("wait for %d bytes until %s: %w", bytes, context.Cause(ctx), ErrNoRoom)
+	return errors.Newf("wait for %d bytes: %s: %w", bytes, context.Cause(ctx), ErrNoRoom)
 }
 
 // HasWaited reports whether the response has waited for memory, with its server unread.
--- a/internal/memory/response_test.go
+++ b/internal/memory/response_test.go
@@ -105,10 +105,10 @@
 		})
 	}
 	running.Wait()
-	if highest.Load() > total+largest || highestCaller.Load() > total/callerShare+largest {
-		t.Errorf("%d bytes were held, and %d for a caller; want at most %d and %d", highest.Load(), highestCaller.Load(), total+largest, total/callerShare+largest)
+	if highest.Load() > total+largest || highestCaller.Load() > total/callerDivisor+largest {
+		t.Errorf("%d bytes were held, and %d for a caller; want at most %d and %d", highest.Load(), highestCaller.Load(), total+largest, total/callerDivisor+largest)
 	}
-	if held := a.Held(); held != (Held{CallerLimit: total / callerShare}) {
+	if held := a.Held(); held != (Held{CallerLimit: total / callerDivisor}) {
 		t.Errorf("held %+v at the end, want nothing", held)
 	}
 }
--- a/internal/overload/descriptors.go
+++ b/internal/overload/descriptors.go
@@ -1,13 +1,14 @@
 package overload
 
 const (
-	// callerShare divides the limit to give the descriptors that idle connections to
-	// servers leave free for callers.
-	callerShare = 4
-	// requestShare divides the limit to give the descriptors that are kept free of further
-	// requests: those admitted may need one for each server that they try, and files,
-	// datagrams and calls to control need some. minRequestReserve is the least number.
-	requestShare      = 16
+	// callerDivisor divides the limit to give the number of descriptors that idle
+	// connections to servers leave free for callers.
+	callerDivisor = 4
+	// requestDivisor divides the limit to give the number of descriptors that must be free
+	// beside those in use for another request to be admitted: admitted requests may need one
+	// for each server that they try, and files, datagrams and calls to control need some.
+	// minRequestReserve is the least number.
+	requestDivisor    = 16
 	minRequestReserve = 64
 )
 
@@ -18,11 +19,11 @@
 // MaxIdle returns how many idle connections to servers may be kept beside inUse other
 // connections.
 func (l DescriptorLimit) MaxIdle(inUse int) int {
-	return max(0, int(l)-int(l)/callerShare-inUse)
+	return max(0, int(l)-int(l)/callerDivisor-inUse)
 }
 
 // HasRoom reports whether another request may be admitted beside inUse connections. Idle ones
 // to servers don't count, because they are closed when others need their descriptors.
 func (l DescriptorLimit) HasRoom(inUse int) bool {
-	return l == 0 || inUse < int(l)-max(minRequestReserve, int(l)/requestShare)
+	return l == 0 || inUse < int(l)-max(minRequestReserve, int(l)/requestDivisor)
 }
