Ask a server before sending it more than one request after a start

Cause: an entry that has just started takes its first list for the truth. A server that has restarted under its id since that list was read is not cold by it, and gets the usual load until the next list.

Change: where the configuration bounds cold servers, a server of the first list that is not cold by that list is unconfirmed for cold_start, or until a probe answers, another entry announces it, or a list says that it is cold. It gets one request, and with it one probe, which the monitor starts at once. Among servers of equal cost confirmed ones come first, and the order of unconfirmed ones depends on the entry, because entries that start together all began with the lowest id.

The monitor starts before the listeners, since it sets the function that asks for probes. The fixture of the older tests is now an entry that has run for a minute; what they check is unchanged.

--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -143,7 +143,7 @@
 			full = minPositive(full, late)
 			continue
 		}
-		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
+		if cheapest == nil || cost < lowest || cost == lowest && f.precedesAtEqualCost(s, cheapest, q.Now) {
 			cheapest = s
 			lowest = cost
 		}
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -53,6 +53,8 @@
 	// has not answered since. It counts as cold until retryAt.
 	unreachableAt time.Time
 	retryAt       time.Time
+	// unconfirmed is set while the server may have started again since the first list.
+	unconfirmed unconfirmed
 	// probe is the state of the probes that find out whether the server has started again.
 	probe coldProbe
 	// announcedAt is when an entry last told the others that the server is cold.
@@ -115,11 +117,11 @@
 	return reason != ""
 }
 
-// coldWait returns how long this entry must send the server nothing because it is cold; mu
-// is held.
+// coldWait returns how long this entry must send the server nothing because it is cold or may
+// be; mu is held.
 func (f *Fleet) coldWait(s *server, now time.Time) time.Duration {
 	if !f.isCold(s, now) {
-		return 0
+		return f.unconfirmedWait(s, now)
 	}
 	perSecond := f.upstreamOf(s.upstream).policy.ColdRequestsPerSecond
 	c := &s.cold
@@ -145,13 +147,15 @@
 	return f.limitShare(s, maxColdEntries(perSecond))
 }
 
-// takeColdToken counts the placement against this entry's share of a cold server; mu is
-// held.
+// takeColdToken counts the placement against this entry's share of a cold server, or as the
+// only request to an unconfirmed one; mu is held.
 func (p *Placement) takeColdToken(now time.Time) {
 	if p.fleet.isCold(p.server, now) {
 		p.server.cold.tokens--
 		p.tookColdToken = true
+		return
 	}
+	p.fleet.recordUnconfirmedSent(p.server, now)
 }
 
 // returnColdToken takes back what takeColdToken counted; mu is held.
@@ -178,6 +182,7 @@
 	if !known && !(f.firstList && instance.ColdStated) {
 		s.cold.assume(coldNew, now, now)
 	}
+	f.listUnconfirmed(s, instance, known, now)
 	f.isCold(s, now)
 }
 
@@ -259,6 +264,7 @@
 	}
 	c.statedUntil = until
 	c.statedAt = now
+	c.confirmBy(sentAt)
 	if !sentAt.Before(c.knownAfter) {
 		c.assumedAt = time.Time{}
 	}
@@ -283,5 +289,6 @@
 	}
 	s.cold.statedUntil = later(s.cold.statedUntil, now.Add(coldFor))
 	s.cold.announcedAt = now
+	s.cold.confirm()
 	f.isCold(s, now)
 }
--- a/internal/place/cold_probe.go
+++ b/internal/place/cold_probe.go
@@ -69,6 +69,19 @@
 	s.cold.probe.requestedUntil = now.Add(probeRequestTTL)
 }
 
+// takePathProbe counts a probe of the path that sends a request: against this entry's share of
+// a cold server, or as the only request to an unconfirmed one, whose own probe then follows
+// only if this one states nothing. mu is held.
+func (f *Fleet) takePathProbe(s *server, now time.Time) {
+	switch {
+	case f.isCold(s, now):
+		s.cold.tokens--
+	case f.isUnconfirmed(s, now):
+		s.cold.unconfirmed.sent = true
+		s.cold.probe.startedAt = now
+	}
+}
+
 // boundsColdStart reports whether the servers of an upstream are cold after their start, and
 // then take only some requests; mu is held.
 func (f *Fleet) boundsColdStart(upstream string) bool {
@@ -86,23 +99,34 @@
 		if len(endpoints) == maxColdProbes {
 			break
 		}
-		if s.leaving || f.isEvacuated(s) || !f.boundsColdStart(s.upstream) || !f.startColdProbe(s, now) {
-			continue
+		if f.mayProbeCold(s) && f.startColdProbe(s, now) {
+			endpoints = append(endpoints, s.endpoint())
 		}
-		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, Upstream: s.upstream})
 	}
 	return endpoints
 }
 
+// mayProbeCold reports whether the server may be probed, and its upstream states a cold
+// start; mu is held.
+func (f *Fleet) mayProbeCold(s *server) bool {
+	return !s.leaving && !f.isEvacuated(s) && f.boundsColdStart(s.upstream)
+}
+
+// endpoint returns the server as the target of a probe.
+func (s *server) endpoint() Endpoint {
+	return Endpoint{ID: s.id, Address: s.address, Upstream: s.upstream}
+}
+
 // startColdProbe reports whether the server must be probed now, and counts a probe of a cold
 // one against this entry's share. It waits for no token, because requests would leave it none
-// and entries that join would not learn that the server is cold; mu is held.
+// and entries that join would not learn that the server is cold; mu is held. A probe of an
+// unconfirmed one needs no share.
 func (f *Fleet) startColdProbe(s *server, now time.Time) bool {
 	p := &s.cold.probe
 	if p.running || !f.needsColdProbe(s, now) {
 		return false
 	}
-	if f.coldWait(s, now) > 0 && s.cold.share == 0 {
+	if f.isCold(s, now) && f.coldWait(s, now) > 0 && s.cold.share == 0 {
 		return false
 	}
 	p.running = true
@@ -119,7 +143,7 @@
 func (f *Fleet) needsColdProbe(s *server, now time.Time) bool {
 	c := &s.cold
 	switch {
-	case !c.unreachableAt.IsZero() || now.Before(c.probe.requestedUntil):
+	case !c.unreachableAt.IsZero() || now.Before(c.probe.requestedUntil) || f.needsUnconfirmedProbe(s, now):
 		return now.Sub(c.probe.startedAt) >= coldProbeInterval
 	case c.probe.unstated || !f.isCold(s, now):
 		return false
@@ -157,8 +181,12 @@
 	p.tookToken = false
 	if result != Answered {
 		f.recordUnreachable(s, now)
+		if f.isUnconfirmed(s, now) {
+			f.askForProbes(s, now)
+		}
 		return
 	}
+	s.cold.confirmBy(p.startedAt)
 	p.requestedUntil = time.Time{}
 	p.unstated = s.cold.statedAt.Before(p.startedAt)
 	f.recordReachable(s, p.startedAt, now)
--- a/internal/place/coldness_test.go
+++ b/internal/place/coldness_test.go
@@ -7,8 +7,14 @@
 	"github.com/cactusbay/cactusbay/internal/instances"
 )
 
-// coldFleet returns a fleet of one server that is not cold, in an upstream with a bound.
+// coldFleet returns the fleet of an entry that has run for a minute, of one server that is not
+// cold, in an upstream with a bound.
 func coldFleet(start time.Time) *Fleet {
+	return newColdFleet(start.Add(-time.Minute))
+}
+
+// newColdFleet returns the fleet of such an entry that has just started.
+func newColdFleet(start time.Time) *Fleet {
 	f := &Fleet{}
 	f.SetUpstreams(map[string]UpstreamPolicy{"pool": {ColdStart: 3 * time.Second, ColdRequestsPerSecond: 14}})
 	f.Update(oneServer(false), start)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -99,6 +99,12 @@
 	// These should probe it. It must not call the fleet.
 	Unreached func(server string, maxEntries int)
 
+	// ProbeNeeded, if not nil, is called when StartUnconfirmedProbes must be called at once. It
+	// must not call the fleet and must not block.
+	ProbeNeeded func()
+	// unprobed holds the servers that StartUnconfirmedProbes has to look at.
+	unprobed []*server
+
 	// Regions maps the name of each failure domain to its region. Set it before the first
 	// Update.
 	Regions map[string]string
@@ -260,6 +266,9 @@
 	Limited int
 	// Cold counts servers that count as cold, which are counted above too.
 	Cold int
+	// Unconfirmed counts servers that get no further request until their probe is answered,
+	// which are counted above too.
+	Unconfirmed int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
 	CutOff int
 	// Adaptive sums up the upstreams whose servers are chosen by estimates.
@@ -294,6 +303,8 @@
 		}
 		if f.isCold(s, now) {
 			counts.Cold++
+		} else if f.unconfirmedWait(s, now) > 0 {
+			counts.Unconfirmed++
 		}
 		counts.InFlight += s.inFlight
 		counts.ServerBytes = max(counts.ServerBytes, s.outstandingBytes)
@@ -371,7 +382,7 @@
 			continue
 		}
 		cost := s.cost(*q, s == preferred)
-		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
+		if cheapest == nil || cost < lowest || cost == lowest && f.precedesAtEqualCost(s, cheapest, q.Now) {
 			cheapest = s
 			lowest = cost
 		}
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -277,8 +277,8 @@
 	var endpoints []Endpoint
 	for _, s := range servers[:min(count, len(servers))] {
 		wait := f.coldWait(s, now)
-		if wait == 0 && f.isCold(s, now) {
-			s.cold.tokens--
+		if wait == 0 {
+			f.takePathProbe(s, now)
 		}
 		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, Upstream: upstream, ConnectOnly: wait > 0})
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -111,11 +111,11 @@
 		return err
 	}
 	g.Server.Entries = g.Watcher.Entries
+	g.monitorReach(environment, gossiper)
 	err = g.serve(environment, dialect, gossiper.Address)
 	if err != nil {
 		return err
 	}
-	g.monitorReach(environment, gossiper)
 	meter := startMeter(environment.Telemetry.Scope, func(m *meter) { g.measure(m, gossiper) })
 	g.closers.add(meter.close)
 	if g.Server.Overload != nil {
@@ -211,7 +211,7 @@
 	g.closers.add(keeper.Close)
 }
 
-// monitorReach starts to watch the paths to backend servers.
+// monitorReach starts to watch the paths to backend servers. It must be called before serve.
 func (g *Gateway) monitorReach(environment Environment, gossiper *gossip.Gossiper) {
 	monitor := &reach.Monitor{
 		Fleet:      g.Server.Fleet,
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -94,6 +94,7 @@
 	m.set("attempts_in_progress", float64(counts.InFlight))
 	m.set("backend_servers_limited", float64(counts.Limited))
 	m.set("backend_servers_cold", float64(counts.Cold))
+	m.set("backend_servers_unconfirmed", float64(counts.Unconfirmed))
 	m.set("upstreams_out_of_reach", float64(counts.CutOff))
 	m.set("prefill_backlog_seconds", max(0, counts.Backlog.Seconds()))
 	m.set("upstreams_placed_adaptively", float64(counts.Adaptive.Upstreams))
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -56,6 +56,8 @@
 	Answered func(endpoint place.Endpoint, sentAt time.Time, response *upstream.Response)
 	Log      *log.Logger
 
+	// wake has an element while a probe is needed at once.
+	wake chan struct{}
 	// watches holds the upstreams whose paths seem broken. It belongs to run.
 	watches map[string]*watch
 	probes  sync.WaitGroup
@@ -69,9 +71,17 @@
 	probedAt time.Time
 }
 
-// Start starts to watch in the background.
+// Start starts to watch in the background. It sets Fleet.ProbeNeeded and must be called before
+// the first Fleet.Pick.
 func (m *Monitor) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
+	m.wake = make(chan struct{}, 1)
+	m.Fleet.ProbeNeeded = func() {
+		select {
+		case m.wake <- struct{}{}:
+		default:
+		}
+	}
 	m.stop = cancel
 	m.done = make(chan struct{})
 	m.watches = make(map[string]*watch)
@@ -94,7 +104,9 @@
 		select {
 		case <-ticker.C:
 			m.check(ctx)
-			m.probeCold(ctx)
+			m.probeCold(ctx, m.Fleet.StartColdProbes(time.Now()))
+		case <-m.wake:
+			m.probeCold(ctx, m.Fleet.StartUnconfirmedProbes(time.Now()))
 		case <-ctx.Done():
 			return
 		}
@@ -129,9 +141,9 @@
 	}
 }
 
-// probeCold asks the servers that may have started again whether they are cold.
-func (m *Monitor) probeCold(ctx context.Context) {
-	for _, endpoint := range m.Fleet.StartColdProbes(time.Now()) {
+// probeCold asks servers that may have started again whether they are cold.
+func (m *Monitor) probeCold(ctx context.Context, endpoints []place.Endpoint) {
+	for _, endpoint := range endpoints {
 		m.probes.Go(func() {
 			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
