--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -34,6 +36,26 @@
 	}
 }
 
+// TestEmptyOrIncompleteFileIsAClearError guards against an instance that starts with defaults,
+// or fails without naming its settings file, because the file was not written completely.
+func TestEmptyOrIncompleteFileIsAClearError(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry-0.json")
+	for content, want := range map[string]string{
+		"":                       "is not valid JSON: EOF",
+		`{"instance_id": "entr`:  "is not valid JSON: unexpected EOF",
+		`{"instance_id": "e-0",`: "is not valid JSON: unexpected EOF",
+	} {
+		err := os.WriteFile(path, []byte(content), 0o600)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = Load(path)
+		if err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v, want one with the path and %q", content, err, want)
+		}
+	}
+}
+
 func TestSecretIsReadFromTheEnvironment(t *testing.T) {
 	t.Setenv("CACTUSBAY_TEST_SECRET", "value")
 	got, err := (&Secret{Environment: "CACTUSBAY_TEST_SECRET"}).Read()
