Look at the operator's socket before an evacuation order is proposed

Cause: a control instance that goes on after a pause reads an order and the end of its connection together. It noticed the end only by the context of the request, which the HTTP server cancels once its reader has run.

Change: listeners keep the connection in the context, and the order is dropped if a look at the socket shows that the end has arrived. The look does not need the right to read, which the HTTP server's reader holds. The member of the log is an interface, so that the test counts proposals.

--- a/internal/operator/evacuation.go
+++ b/internal/operator/evacuation.go
@@ -12,6 +12,7 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/quorum"
+	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
 var (
@@ -23,11 +24,20 @@
 	ErrNoConfiguration = errors.New("there is no configuration yet")
 )
 
+// Member is an instance's member of the replicated log.
+type Member interface {
+	group.Log
+	// Barrier returns once this instance has applied all that was committed before.
+	Barrier(ctx context.Context) error
+	// Status returns what this instance knows of the group.
+	Status() quorum.Status
+}
+
 // Evacuations begins and ends the evacuations of failure domains for operators. Its fields
 // must not change while its methods are in use.
 type Evacuations struct {
 	// Node is this instance's member of the replicated log.
-	Node *quorum.Node
+	Node Member
 	// Log is the logger of the process, not the replicated log.
 	Log *log.Logger
 	// Voters is the number of voters that the group should have before it
@@ -85,16 +95,17 @@
 	}
 }
 
-// confirmWanted returns an error if the operator has given up on the order, which ends ctx. An
-// instance that was stopped for a while reads the order before it notices that its
-// connection was closed, and the operator may have ordered the opposite elsewhere since.
-// The barrier takes a round trip to another member, and the close is noticed meanwhile.
+// confirmWanted returns an error if the operator has given up on the order: that ends ctx, or
+// the end of the connection has arrived. An instance that was stopped for a while reads the
+// order and the end of its connection at the same time, and the operator may have ordered the
+// opposite elsewhere since. The barrier takes a round trip to another member, in which an end
+// that is still on its way may arrive.
 func (e *Evacuations) confirmWanted(ctx context.Context) error {
 	err := e.Node.Barrier(ctx)
 	if err != nil {
 		return errors.Newf("confirm the leader: %w", err)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || transport.IsClosedByPeer(ctx) {
 		return errors.Newf("the operator has given up on the order: %w", peer.ErrUnavailable)
 	}
 	return nil
--- a/internal/operator/releases.go
+++ b/internal/operator/releases.go
@@ -63,7 +63,7 @@
 
 // mayAcknowledge reports whether the group has at least the given number of voters, or
 // voterWaitTimeout has passed since the instance started.
-func mayAcknowledge(node *quorum.Node, wanted int, started time.Time) bool {
+func mayAcknowledge(node Member, wanted int, started time.Time) bool {
 	voters := 0
 	for _, member := range node.Status().Members {
 		if !member.Learner {
--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -107,6 +107,11 @@
 	deadline time.Time
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *connection) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	for {
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -66,6 +66,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         l.trackState,
+		ConnContext:       transport.WithConn,
 	}
 	go l.run()
 	return l, nil
--- a/internal/transport/quiet.go
+++ b/internal/transport/quiet.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"net"
 	"syscall"
 
@@ -25,14 +26,62 @@
 	}
 	reusable := false
 	err = raw.Read(func(descriptor uintptr) bool {
-		var buffer [1]byte
-		_, _, err := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = err == unix.EAGAIN || err == unix.EINTR
+		_, err := peek(descriptor)
+		reusable = isEmpty(err)
 		return true
 	})
 	return err == nil && reusable
 }
 
+// peek returns the number of unread bytes at a socket, at most one, without reading them. It
+// does not block. 0 without an error means that the peer has closed the connection.
+func peek(descriptor uintptr) (int, error) {
+	var buffer [1]byte
+	n, _, err := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
+// isEmpty reports whether peek has found an open connection without unread bytes.
+func isEmpty(err error) bool {
+	return err == unix.EAGAIN || err == unix.EINTR
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// WithConn returns a context that holds the connection on which a request arrived, for
+// IsClosedByPeer. It is an http.Server's ConnContext function.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// IsClosedByPeer reports whether the end of the connection on which a request arrived has
+// arrived too. It looks at the socket: the HTTP server cancels ctx only once its reader has
+// run, which may be after the handler has ended if both wait for a processor. It returns false
+// if ctx holds no connection, or one without a file descriptor, such as one of a simulated
+// network.
+func IsClosedByPeer(ctx context.Context) bool {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapper.NetConn()
+	}
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	// Control instead of Read: the HTTP server's reader holds the right to read.
+	err = raw.Control(func(descriptor uintptr) {
+		n, err := peek(descriptor)
+		closed = n == 0 && !isEmpty(err)
+	})
+	return err != nil || closed
+}
+
 // setUserTimeout makes the kernel close a connection whose peer acknowledges no
 // data within userTimeoutMillis. It is a net.Dialer Control function.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
