Shutdown: look at the queue before the listening socket is closed

Cause: the queue counted as empty when an accept had waited for 100 ms, and the socket was closed after 500 ms at the latest. Both are times of the clock. A process that gets no processor for so long finds them over, with the connections of that time in the queue, and the close resets them. Callers see that a connection was closed without an answer.

Change: before it ends, Accept looks at the queue. After the 500 ms the socket is closed at the first moment at which no connection waits, and after 500 ms more in any case, for lack of descriptors for example.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,12 @@
 // connectionListener wraps the connections that it accepts.
 type connectionListener struct {
 	net.Listener
+	// hurried is set once Accept must end at the first moment at which the queue is empty.
+	hurried *atomic.Bool
+}
+
+func newConnectionListener(socket net.Listener) connectionListener {
+	return connectionListener{Listener: socket, hurried: &atomic.Bool{}}
 }
 
 // Accept implements net.Listener. After stop, it returns the connections that wait in
@@ -69,18 +76,27 @@
 }
 
 // acceptQueued accepts a connection that waits in the queue. An accept after its deadline
-// doesn't look at the queue.
+// doesn't look at the queue. The deadline may also pass because the process gets no
+// processor, so that the end of the wait says nothing about the queue.
 func (l connectionListener) acceptQueued() (net.Conn, error) {
 	limited, ok := l.Listener.(deadlineListener)
 	if !ok {
 		return nil, net.ErrClosed
 	}
-	_ = limited.SetDeadline(time.Now().Add(queueTimeout))
-	conn, err := limited.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, net.ErrClosed
+	for !l.hurried.Load() || transport.HasQueued(l.Listener) {
+		_ = limited.SetDeadline(time.Now().Add(queueTimeout))
+		conn, err := limited.Accept()
+		if l.hurried.Load() {
+			l.stop()
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if !transport.HasQueued(l.Listener) {
+			break
+		}
 	}
-	return conn, err
+	return nil, net.ErrClosed
 }
 
 // stop makes Accept end as soon as the queue is empty. It reports whether it can.
@@ -89,6 +105,12 @@
 	return ok && limited.SetDeadline(pastDeadline) == nil
 }
 
+// hurry makes Accept end without waiting for further connections, after stop.
+func (l connectionListener) hurry() {
+	l.hurried.Store(true)
+	l.stop()
+}
+
 // connection is an accepted connection that can be closed while it is idle without
 // losing a request. It isn't closed from outside, because the HTTP server may have
 // read a request already. Instead, the read that waits for the next request fails,
--- a/internal/process/idle_test.go
+++ b/internal/process/idle_test.go
@@ -355,6 +355,30 @@
 	}
 }
 
+// TestConnectionsQueuedDuringAPauseAreServed guards against resets of connections that wait to
+// be accepted when a shutdown closes the socket, because the process got no processor: for
+// longer than the queue must be empty, and for longer than connections may keep arriving.
+func TestConnectionsQueuedDuringAPauseAreServed(t *testing.T) {
+	for _, pause := range []time.Duration{2 * queueTimeout, maxQueueDuration * 3 / 2} {
+		var armed atomic.Bool
+		paused := make(chan struct{})
+		network := &hookedNetwork{beforeAccept: func() {
+			if armed.CompareAndSwap(true, false) {
+				close(paused)
+				time.Sleep(pause)
+			}
+		}}
+		l := listenForTest(t, network, &echo{})
+		openKept(t, l.address())
+		armed.Store(true)
+		startShutdown(t, l, time.Millisecond)
+		<-paused
+		conn := sendRequest(t, l.address(), "/")
+		queued := &keptConnection{Conn: conn, responses: bufio.NewReader(conn)}
+		queued.check(t, "")
+	}
+}
+
 // TestAcceptingEndsUnderASteadyStreamOfConnections guards against a listener that is
 // never closed because a connection always waits in its queue.
 func TestAcceptingEndsUnderASteadyStreamOfConnections(t *testing.T) {
@@ -385,7 +409,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = caller.Close() })
-	accepted, err = connectionListener{socket}.Accept()
+	accepted, err = newConnectionListener(socket).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -55,7 +55,7 @@
 		return nil, errors.Newf("start listener: %w", err)
 	}
 	l := &listener{
-		socket: connectionListener{socket},
+		socket: newConnectionListener(socket),
 		done:   make(chan struct{}),
 		open:   open,
 		conns:  make(map[*connection]struct{}),
@@ -146,22 +146,34 @@
 }
 
 // stopAccepting serves the connections that are established and wait to be accepted,
-// which the close of the socket would reset, and closes the socket. When ctx ends or
-// connections keep arriving for maxQueueDuration, it closes the socket at once.
+// which the close of the socket would reset, and closes the socket. When connections keep
+// arriving for maxQueueDuration, it closes the socket at the first moment at which none
+// waits: the process may have got no processor for that long, and then all that arrived
+// meanwhile wait. When ctx ends, or connections wait for maxQueueDuration more, it closes the
+// socket at once.
 func (l *listener) stopAccepting(ctx context.Context) {
-	if l.socket.stop() {
-		limit := time.NewTimer(maxQueueDuration)
-		defer limit.Stop()
-		select {
-		case <-l.done:
-		case <-limit.C:
-		case <-ctx.Done():
-		}
+	if l.socket.stop() && !l.awaitAccepted(ctx) {
+		l.socket.hurry()
+		l.awaitAccepted(ctx)
 	}
 	_ = l.socket.Close()
 	<-l.done
 }
 
+// awaitAccepted waits until the server accepts no more connections, or for
+// maxQueueDuration, or until ctx ends. It reports whether none is accepted.
+func (l *listener) awaitAccepted(ctx context.Context) bool {
+	limit := time.NewTimer(maxQueueDuration)
+	defer limit.Stop()
+	select {
+	case <-l.done:
+		return true
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // close stops the server and closes all connections.
 func (l *listener) close() {
 	_ = l.server.Close()
--- a/internal/transport/quiet.go
+++ b/internal/transport/quiet.go
@@ -46,6 +46,27 @@
 	return err == unix.EAGAIN || err == unix.EINTR
 }
 
+// HasQueued reports whether connections wait to be accepted by a listener. It does not block.
+// It returns false for a listener without a file descriptor, such as one of a simulated
+// network.
+func HasQueued(listener net.Listener) bool {
+	syscallListener, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallListener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = raw.Control(func(descriptor uintptr) {
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		_, err := unix.Poll(polled, 0)
+		queued = err == nil && polled[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && queued
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
