Judge the path to an upstream by the servers that the entry tries

Cause: an entry that is cut off from its servers asks others once enough servers are out of reach. It counted cold ones to which it may send nothing, and so never try.

Change: cold servers of which the entry has no share do not count.

--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -180,10 +180,24 @@
 	if !r.cutOffSince.IsZero() {
 		return Path{Upstream: upstream, CutOff: true, Since: r.cutOffSince}
 	}
-	servers := len(f.available(upstream))
+	servers := f.countTried(upstream, r, now)
 	return Path{Upstream: upstream, Since: r.brokenSince(servers, now), Lost: r.isLost(servers, now)}
 }
 
+// countTried returns the number of servers of an upstream by which its path is judged. Cold
+// ones to which this entry may send nothing say nothing about it; mu is held.
+func (f *Fleet) countTried(upstream string, r *reach, now time.Time) int {
+	count := 0
+	for _, s := range f.available(upstream) {
+		o, failed := r.unreachable[s.id]
+		f.coldWait(s, now)
+		if failed && !o.isOver(now) || !f.isCold(s, now) || s.cold.share > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // ProvenSince returns the time after which a server must have answered another entry, so
 // that this entry may pass requests to that one.
 func (f *Fleet) ProvenSince(upstream string, now time.Time) time.Time {
