Fleet explains a choice without making it

Cause: nobody outside an entry can see why a request goes to a server.

Change: Fleet.Explain lets the code of Pick decide (choose, extracted from Pick) and records servers, reasons and terms of costs into a trace of the query, which is nil for requests. It saves what a choice may change and puts it back, so that random numbers, buckets, shares, caches, classes and notices are those without it. timeUntilTaken says beside the time which rule holds.

--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -133,12 +133,19 @@
 	var lowest time.Duration
 	for _, s := range servers {
 		load := u.estimate(s, q.Now)
-		if wait := f.timeUntilTaken(s, u.fullFor(s, q, load), q.Now); wait > 0 {
+		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q.Now); wait > 0 {
+			if q.trace != nil {
+				q.trace.skip(s, why, wait)
+			}
 			full = minPositive(full, wait)
 			continue
 		}
 		cost, firstEvent := u.cost(s, q, load, s == preferred)
-		if late := q.lateBy(firstEvent); late > 0 {
+		late := q.lateBy(firstEvent)
+		if q.trace != nil {
+			q.trace.compare(s, cost, firstEvent, late)
+		}
+		if late > 0 {
 			q.late = true
 			full = minPositive(full, late)
 			continue
@@ -177,6 +184,9 @@
 		weights := plainWeights
 		weights.Backlog = 1
 		weights.Occupancy = load.duration(weights.Occupancy)
+		if q.trace != nil {
+			q.trace.weigh(&weights, &c)
+		}
 		return weights.Cost(&c), c.Backlog
 	}
 	u.evictPrefixes(s, load)
@@ -189,12 +199,21 @@
 	// The engine reads one prompt after another: what it reads again delays the following
 	// prompts by the same time.
 	cost = adaptiveWeights.Cost(&c) + prefill
+	var forgiven, favour time.Duration
 	if used > kept {
 		reread := prefill - u.prefillTime(s, q.Prompt, used)
-		cost -= time.Duration(evictedWeight * float64(2*reread))
+		forgiven = time.Duration(evictedWeight * float64(2*reread))
+		cost -= forgiven
 	}
 	if preferred {
-		cost -= time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
+		favour = time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
+		cost -= favour
+	}
+	if q.trace != nil {
+		q.trace.weigh(&adaptiveWeights, &c)
+		q.trace.add("delayed_prompts", prefill)
+		q.trace.add("evicted_segments", -forgiven)
+		q.trace.add("preferred_prefix", -favour)
 	}
 	return cost, c.Backlog + c.Prefill
 }
--- /dev/null
+++ b/internal/place/explain.go
@@ -0,0 +1,309 @@
+package place
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Explanation tells how a request would be placed now, and why.
+type Explanation struct {
+	// Decision says what Pick would return.
+	Decision ExplainedDecision
+	// Adaptive is set if the servers are chosen by estimates of their load and speed.
+	Adaptive bool
+	// Yields is set if the request would be refused in favour of more urgent ones, unless it
+	// may use their room.
+	Yields bool
+	// Servers are those of the upstream: the chosen one first, then the others by state,
+	// cost and id.
+	Servers []ExplainedServer
+}
+
+// ExplainedDecision is the result of an explained choice: WouldChoose, Full or NoServer.
+type ExplainedDecision interface {
+	isExplainedDecision()
+}
+
+// WouldChoose means that the request would be placed at a server.
+type WouldChoose struct {
+	Server  string
+	Address string
+	// Granted is set if the request would use the room of the most urgent ones.
+	Granted bool
+}
+
+func (WouldChoose) isExplainedDecision() {}
+func (Full) isExplainedDecision()        {}
+func (NoServer) isExplainedDecision()    {}
+
+// Values of ExplainedServer.State, in the order of Explanation.Servers.
+const (
+	// ServerChosen is the state of the server with the lowest cost.
+	ServerChosen = "chosen"
+	// ServerCompared means that another one costs less.
+	ServerCompared = "compared"
+	// ServerLate means that the first event would come too late.
+	ServerLate = "late"
+	// ServerFull means that the server takes no request now.
+	ServerFull = "full"
+	// ServerExcluded means that the request may not go to the server.
+	ServerExcluded = "excluded"
+	// ServerNotCompared means that the server is not among those that were compared.
+	ServerNotCompared = "not_compared"
+)
+
+var serverStates = []string{ServerChosen, ServerCompared, ServerLate, ServerFull, ServerExcluded, ServerNotCompared}
+
+// Reasons for which a server is full or excluded.
+const (
+	whyHeldOff     = "wants_no_requests"
+	whyFull        = "full"
+	whyBrittle     = "brittle"
+	whyLimit       = "limit"
+	whyCold        = "cold"
+	whyOutstanding = "outstanding_bytes"
+	whyLate        = "expected_too_late"
+	whyVersion     = "version"
+	whyRegion      = "region"
+	whyTried       = "tried"
+	whyEvacuated   = "evacuated"
+	whyLeaving     = "leaving"
+	whyEjected     = "ejected"
+)
+
+// ExplainedServer is a server in an explanation.
+type ExplainedServer struct {
+	ID            string
+	Address       string
+	FailureDomain string
+	Region        string
+	Version       string
+	// State is one of the Server constants, and Reason says more if the server is full, late
+	// or excluded.
+	State  string
+	Reason string
+	// Wait is the time after which a server that is full or late may take the request.
+	Wait time.Duration
+	// Cost is the sum of the terms, of servers that were weighed.
+	Cost  time.Duration
+	Terms []CostTerm
+	// FirstEvent is the expected time to the first event, of servers that are chosen by
+	// estimates.
+	FirstEvent time.Duration
+	// Requests is the number of requests that is believed to be at the server, and InFlight
+	// how many of them are this entry's.
+	Requests int
+	InFlight int
+	Slots    int
+	// CachedTokens is the part of the prompt that is believed to be cached.
+	CachedTokens int64
+	// Cold is why the server counts as cold; empty if it does not.
+	Cold string
+	// ReportAge is the age of the load report that was used, if HasReport says that there is
+	// one.
+	ReportAge time.Duration
+	HasReport bool
+}
+
+// CostTerm is a part of the cost of a server.
+type CostTerm struct {
+	Name string
+	Cost time.Duration
+}
+
+// trace records what a choice compares. That of requests is nil and records nothing.
+type trace struct {
+	servers map[*server]*ExplainedServer
+	// requests and terms belong to the server that is being weighed.
+	requests int
+	terms    []CostTerm
+	yields   bool
+}
+
+// skip records that a server takes no request for the given time.
+func (t *trace) skip(s *server, why string, wait time.Duration) {
+	t.record(s, ExplainedServer{State: ServerFull, Reason: why, Wait: wait})
+}
+
+// compare records the cost of a server, whose first event is late by the given time.
+func (t *trace) compare(s *server, cost, firstEvent, late time.Duration) {
+	e := ExplainedServer{State: ServerCompared, Cost: cost, FirstEvent: firstEvent, Requests: t.requests, Terms: t.terms}
+	if late > 0 {
+		e.State, e.Reason, e.Wait = ServerLate, whyLate, late
+	}
+	t.record(s, e)
+	t.terms = nil
+}
+
+// record replaces what is recorded of a server: a choice may pass over the servers several
+// times, and the last one decides.
+func (t *trace) record(s *server, e ExplainedServer) {
+	t.servers[s] = &e
+}
+
+// weigh records the terms of w.Cost(c).
+func (t *trace) weigh(w *Weights, c *Candidate) {
+	t.requests = c.Running
+	for _, part := range w.parts() {
+		t.add(part.name, part.weights.Cost(c)-c.Prefill)
+	}
+	t.add("prefill", c.Prefill)
+}
+
+// add records a term of the cost, unless it is 0.
+func (t *trace) add(name string, cost time.Duration) {
+	if cost != 0 {
+		t.terms = append(t.terms, CostTerm{Name: name, Cost: cost})
+	}
+}
+
+// namedWeights are weights of which only one is set.
+type namedWeights struct {
+	name    string
+	weights Weights
+}
+
+// parts returns each weight alone. The costs that they give, each less the prefill, add up to
+// the cost by all of them less the prefill.
+func (w *Weights) parts() []namedWeights {
+	return []namedWeights{
+		{"other_failure_domain", Weights{CrossDomain: w.CrossDomain}},
+		{"failures", Weights{Failure: w.Failure}},
+		{"refusal", Weights{Refusal: w.Refusal}},
+		{"occupancy", Weights{Occupancy: w.Occupancy}},
+		{"backlog", Weights{Backlog: w.Backlog}},
+		{"delayed_streams", Weights{DelayedStream: w.DelayedStream}},
+		{"preferred", Weights{Affinity: w.Affinity}},
+	}
+}
+
+// Explain tells what Pick would decide on a request now. It places nothing and leaves the
+// fleet as it was, so that later choices are the same as without it.
+func (f *Fleet) Explain(q Query) Explanation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.upstreams[q.Upstream]
+	if u == nil {
+		return Explanation{Decision: NoServer{}}
+	}
+	saved := f.save(u)
+	defer saved.restore(f, u)
+	q.trace = &trace{servers: make(map[*server]*ExplainedServer, len(u.servers))}
+	adaptive := f.isAdaptive(u, q.Now)
+	cheapest, full := f.choose(&q)
+	e := Explanation{Adaptive: adaptive, Yields: q.trace.yields, Servers: f.explainServers(u, &q, cheapest, adaptive)}
+	switch {
+	case cheapest != nil:
+		e.Decision = WouldChoose{Server: cheapest.id, Address: cheapest.address, Granted: q.granted}
+	case full > 0:
+		e.Decision = Full{RetryAfter: full, Late: q.late}
+	default:
+		e.Decision = NoServer{}
+	}
+	return e
+}
+
+// explainServers returns what the choice has found about the servers of an upstream; mu is
+// held.
+func (f *Fleet) explainServers(u *upstreamState, q *Query, cheapest *server, adaptive bool) []ExplainedServer {
+	explained := make([]ExplainedServer, 0, len(u.servers))
+	for _, s := range u.servers {
+		e := ExplainedServer{State: ServerNotCompared}
+		if recorded := q.trace.servers[s]; recorded != nil {
+			e = *recorded
+		} else if reason := f.exclusion(s, q); reason != "" {
+			e.State, e.Reason = ServerExcluded, reason
+		}
+		if s == cheapest {
+			e.State, e.Reason, e.Wait = ServerChosen, "", 0
+		}
+		e.ID, e.Address, e.FailureDomain, e.Region, e.Version = s.id, s.address, s.failureDomain, s.region, s.version
+		e.InFlight, e.Slots, e.Cold = s.inFlight, s.slots, f.coldReason(s, q.Now)
+		if !s.report.at.IsZero() {
+			e.ReportAge, e.HasReport = max(0, q.Now.Sub(s.report.at)), true
+		}
+		if q.Prompt != nil {
+			used, kept := s.prefixes.leadingTokens(q.Prompt)
+			e.CachedTokens = used
+			if adaptive {
+				e.CachedTokens = kept
+			}
+		}
+		explained = append(explained, e)
+	}
+	slices.SortFunc(explained, compareExplained)
+	return explained
+}
+
+// compareExplained orders servers by state, cost and id.
+func compareExplained(a, b ExplainedServer) int {
+	if order := slices.Index(serverStates, a.State) - slices.Index(serverStates, b.State); order != 0 {
+		return order
+	}
+	if a.Cost != b.Cost {
+		return int(max(-1, min(1, a.Cost-b.Cost)))
+	}
+	return strings.Compare(a.ID, b.ID)
+}
+
+// exclusion returns why a request may not go to a server now, or an empty string; mu is held.
+func (f *Fleet) exclusion(s *server, q *Query) string {
+	switch {
+	case !q.Version.allows(s.version):
+		return whyVersion
+	case !q.Regions.Allows(s.region):
+		return whyRegion
+	case slices.Contains(q.Tried, s.id):
+		return whyTried
+	case f.isEvacuated(s):
+		return whyEvacuated
+	case s.leaving:
+		return whyLeaving
+	case s.isEjected(q.Now):
+		return whyEjected
+	default:
+		return ""
+	}
+}
+
+// savedState is what a choice at an upstream may change.
+type savedState struct {
+	changed   func(Change)
+	draws     uint64
+	eligibles []*server
+	upstream  upstreamState
+	// servers are copies of those of the upstream, in the same order.
+	servers []server
+}
+
+// save returns the state before a choice at an upstream, and lets the choice notify nobody;
+// mu is held.
+func (f *Fleet) save(u *upstreamState) *savedState {
+	saved := &savedState{changed: f.Changed, draws: f.draws, eligibles: f.eligibles, upstream: *u, servers: make([]server, len(u.servers))}
+	for i, s := range u.servers {
+		saved.servers[i] = *s
+	}
+	f.Changed = nil
+	f.eligibles = nil
+	return saved
+}
+
+// restore takes back what a choice at an upstream has changed; mu is held.
+func (saved *savedState) restore(f *Fleet, u *upstreamState) {
+	f.Changed = saved.changed
+	f.draws = saved.draws
+	f.eligibles = saved.eligibles
+	*u = saved.upstream
+	for i, s := range u.servers {
+		s.prefixes.keepAgain(saved.servers[i].prefixes.oldestKept)
+		*s = saved.servers[i]
+	}
+}
+
+// keepAgain takes back that the segments from the given one on were marked as evicted.
+func (p *prefixCache) keepAgain(oldestKept *usedSegment) {
+	for c := oldestKept; c != p.oldestKept; c = c.newer {
+		c.evicted = false
+	}
+}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -321,13 +321,7 @@
 func (f *Fleet) Pick(q Query) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var cheapest *server
-	var full time.Duration
-	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
-		cheapest, full = f.pickAdaptive(u, &q)
-	} else {
-		cheapest, full = f.cheapestEligible(&q)
-	}
+	cheapest, full := f.choose(&q)
 	switch {
 	case cheapest != nil:
 		return Chosen{Placement: f.startPlacement(cheapest, q)}
@@ -338,6 +332,15 @@
 	}
 }
 
+// choose returns the server with the lowest estimated cost, or nil. If servers were full, full
+// is the time until the first of them may take the request; mu is held.
+func (f *Fleet) choose(q *Query) (cheapest *server, full time.Duration) {
+	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+		return f.pickAdaptive(u, q)
+	}
+	return f.cheapestEligible(q)
+}
+
 // cheapestEligible is cheapest among the servers that are neither ejected nor leaving, or
 // among others if there are none.
 func (f *Fleet) cheapestEligible(q *Query) (cheapest *server, full time.Duration) {
@@ -366,11 +369,21 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if wait := max(f.timeUntilFree(s, q.Now), f.outstandingWait(s, q.Bytes)); wait > 0 {
+		wait, why := f.timeUntilFree(s, q.Now)
+		if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
+			wait, why = outstanding, whyOutstanding
+		}
+		if wait > 0 {
+			if q.trace != nil {
+				q.trace.skip(s, why, wait)
+			}
 			full = minPositive(full, wait)
 			continue
 		}
 		cost := s.cost(*q, s == preferred)
+		if q.trace != nil {
+			q.trace.compare(s, cost, 0, 0)
+		}
 		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
 			cheapest = s
 			lowest = cost
@@ -400,8 +413,8 @@
 }
 
 // timeUntilFree returns how long the server takes no request, because it wants none, its
-// limit is reached or it is full; 0 if it takes one now. mu is held.
-func (f *Fleet) timeUntilFree(s *server, now time.Time) time.Duration {
+// limit is reached or it is full, and which of these; 0 if it takes one now. mu is held.
+func (f *Fleet) timeUntilFree(s *server, now time.Time) (wait time.Duration, why string) {
 	var full time.Duration
 	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
 		full = fullRetryAfter
@@ -410,20 +423,20 @@
 }
 
 // timeUntilTaken is timeUntilFree for a server that is full for the given time.
-func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) time.Duration {
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
-		return held
+		return held, whyHeldOff
 	}
 	if full > 0 {
-		return full
+		return full, whyFull
 	}
 	if wait := f.brittleWait(s, now); wait > 0 {
-		return wait
+		return wait, whyBrittle
 	}
 	if wait := f.limitWait(s, now); wait > 0 {
-		return wait
+		return wait, whyLimit
 	}
-	return f.coldWait(s, now)
+	return f.coldWait(s, now), whyCold
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
@@ -443,12 +456,16 @@
 		Slots:       s.slots,
 		Preferred:   preferred,
 	}
-	if q.Prompt == nil {
-		return plainWeights.Cost(&c)
+	weights := &plainWeights
+	if q.Prompt != nil {
+		weights = &engineWeights
+		c.Backlog = max(0, s.prefillUntil.Sub(q.Now))
+		c.Prefill = s.prefillTime(q.Prompt)
+	}
+	if q.trace != nil {
+		q.trace.weigh(weights, &c)
 	}
-	c.Backlog = max(0, s.prefillUntil.Sub(q.Now))
-	c.Prefill = s.prefillTime(q.Prompt)
-	return engineWeights.Cost(&c)
+	return weights.Cost(&c)
 }
 
 // preferred returns the server with the highest rendezvous weight for the last
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -51,6 +51,8 @@
 	granted bool
 	// late is set if a server takes the request, but too late for the caller.
 	late bool
+	// trace records what the choice compares; nil for requests.
+	trace *trace
 }
 
 // Decision is the result of Fleet.Pick: Chosen, Full or NoServer.
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -185,6 +185,9 @@
 	}
 	own := u.room.arrive(q)
 	full = u.room.yieldFor(own, u.firstEventTime.or(defaultFirstEvent))
+	if q.trace != nil {
+		q.trace.yields = full > 0
+	}
 	if full == 0 {
 		cheapest, full = f.cheapestEligible(q)
 	}
