--- a/internal/budget/escrow.go
+++ b/internal/budget/escrow.go
@@ -36,9 +36,14 @@
 	}
 }
 
+// CanReserve reports whether tokens can be reserved.
+func (e *Escrow) CanReserve(tokens int64) bool {
+	return tokens >= 0 && tokens <= e.Available()
+}
+
 // Reserve sets tokens aside. It reports whether enough were available.
 func (e *Escrow) Reserve(tokens int64) bool {
-	if tokens < 0 || tokens > e.Available() {
+	if !e.CanReserve(tokens) {
 		return false
 	}
 	e.Reserved += tokens
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -200,7 +200,7 @@
 		}
 		return &Reservation{holder: h, workspace: workspace, reserved: tokens}, nil
 	}
-	if !h.exchangeFailed && a.isKnownExhausted(now, tokens) {
+	if h.knowsExhausted(a, now, tokens) {
 		h.mu.Unlock()
 		return nil, ErrExhausted
 	}
@@ -239,10 +239,14 @@
 func (h *Holder) Balance(workspace string) Balance {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a := h.account(workspace)
+	return h.account(workspace).balance(time.Now())
+}
+
+// balance returns the holder's view of the budget; the holder's mu is held.
+func (a *account) balance(now time.Time) Balance {
 	var age time.Duration
 	if !a.lastExchange.IsZero() {
-		age = time.Since(a.lastExchange)
+		age = now.Sub(a.lastExchange)
 	}
 	return Balance{
 		Age:       age,
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -151,19 +151,36 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	more := usage{total: bytes - r.bytes, requests: bytes - r.bytes}
-	held, caller := a.held.plus(more), a.callers[r.caller].plus(more)
-	if held.total > a.Bounds.Total || held.requests > a.Bounds.Requests && held.requests > bytes {
+	if !a.hasRoom(r.caller, r.bytes, bytes) {
 		return false
 	}
-	if !a.Bounds.caller().allows(caller) && caller.total > bytes {
-		return false
-	}
-	a.add(r.caller, more)
+	a.add(r.caller, usage{total: bytes - r.bytes, requests: bytes - r.bytes})
 	r.bytes = bytes
 	return true
 }
 
+// HasRoom reports whether TryGrow would grant a new request of the named caller the given
+// number of bytes.
+func (a *Account) HasRoom(caller string, bytes int64) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hasRoom(caller, 0, bytes)
+}
+
+// hasRoom reports whether a reservation of the named caller may grow to the given number of
+// bytes; mu is held.
+func (a *Account) hasRoom(caller string, from, to int64) bool {
+	more := usage{total: to - from, requests: to - from}
+	held, ofCaller := a.held.plus(more), a.callers[caller].plus(more)
+	if held.total > a.Bounds.Total || held.requests > a.Bounds.Requests && held.requests > to {
+		return false
+	}
+	return a.Bounds.caller().allows(ofCaller) || ofCaller.total <= to
+}
+
 // Release gives all bytes back. Further calls have no effect.
 func (r *Request) Release() {
 	if r == nil {
--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -129,10 +129,10 @@
 	defer c.mu.Unlock()
 	c.targets.record(now, r.LatencyTarget)
 	c.step(now)
-	if c.known && c.measured > r.Remaining {
+	if c.isHopeless(r) {
 		return Refused{Reason: Hopeless}
 	}
-	if !r.Resumes && c.level > 0 && c.Random.Float64() < c.refusalProbability(now, r) {
+	if c.mayShed(r) && c.Random.Float64() < c.refusalProbability(now, r) {
 		return Refused{Reason: Shed}
 	}
 	c.usage.add(now, r.Workspace, r.Bytes)
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -170,8 +170,8 @@
 		if known == nil || known.quarantinedAt.IsZero() {
 			continue
 		}
-		remaining := known.quarantinedAt.Add(Duration).Sub(now)
-		if remaining <= 0 {
+		remaining := known.remaining(now)
+		if remaining == 0 {
 			r.expire(known)
 			continue
 		}
