--- a/internal/forward/overload.go
+++ b/internal/forward/overload.go
@@ -81,33 +81,43 @@
 	if controller == nil {
 		return nil
 	}
-	decision := controller.Admit(t.start, overload.Request{
+	decision := controller.Admit(t.start, t.overloadRequest(r))
+	refused, ok := decision.(overload.Refused)
+	if !ok {
+		return nil
+	}
+	t.closeBeforeBody(r)
+	return serviceUnavailable(reason(refused.Reason), retryAfterOtherEntry)
+}
+
+// overloadRequest describes the request to the controller.
+func (t *task) overloadRequest(r *http.Request) overload.Request {
+	return overload.Request{
 		Workspace:     t.workspaceName(),
 		Priority:      t.route.priority(t.workspace),
 		LatencyTarget: t.route.LatencyTarget.Or(0),
 		Remaining:     t.timeout(),
 		Bytes:         t.expectedBytes(r),
 		Resumes:       t.request.LastEventID != "",
-	})
-	refused, ok := decision.(overload.Refused)
-	if !ok {
-		return nil
 	}
-	t.closeBeforeBody(r)
-	return serviceUnavailable(reason(refused.Reason), retryAfterOtherEntry)
 }
 
 // refuseWithoutDescriptors refuses a request while few file descriptors are free, and closes
 // the caller's connection to free another one. The rest of a response that has begun may use
 // the last ones.
 func (t *task) refuseWithoutDescriptors() *refusal {
-	if t.server.HasDescriptors == nil || t.request.LastEventID != "" || t.server.HasDescriptors() {
+	if !t.lacksDescriptors() {
 		return nil
 	}
 	t.w.Header().Set("Connection", "close")
 	return serviceUnavailable(reasonNoDescriptors, retryAfterOtherEntry)
 }
 
+// lacksDescriptors reports whether too few file descriptors are free for the request.
+func (t *task) lacksDescriptors() bool {
+	return t.server.HasDescriptors != nil && t.request.LastEventID == "" && !t.server.HasDescriptors()
+}
+
 // expectedBytes estimates what the request and its response send over the link in one
 // direction, from the headers.
 func (t *task) expectedBytes(r *http.Request) int64 {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -45,10 +45,15 @@
 // quarantineKeys returns what the request may crash servers by: itself and the segments
 // that its prompt shares with others.
 func (t *task) quarantineKeys() []quarantine.Key {
-	keys := []quarantine.Key{quarantine.Request(t.digest())}
+	return append([]quarantine.Key{quarantine.Request(t.digest())}, t.segmentKeys()...)
+}
+
+// segmentKeys returns the segments of the prompt.
+func (t *task) segmentKeys() []quarantine.Key {
 	if t.request.Prompt == nil {
-		return keys
+		return nil
 	}
+	var keys []quarantine.Key
 	for _, segment := range t.request.Prompt.Prefix {
 		keys = append(keys, quarantine.Segment(segment.ID))
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -36,14 +36,11 @@
 // placeAtPeer places the request at another entry that the upstream's servers have answered
 // a short time ago, or returns nil.
 func (t *task) placeAtPeer() *place.Placement {
-	if t.relayed || t.mayHaveRun || t.server.Peers == nil || t.peersTried >= maxPeersTried {
-		return nil
-	}
-	if t.isEvacuated() || t.isOutsideRegions() || !t.mayRelay() {
+	now := time.Now()
+	peers, allowed := t.reachingPeers(now)
+	if !allowed {
 		return nil
 	}
-	now := time.Now()
-	peers := t.server.Peers.Reaching(t.upstream, t.server.Fleet.ProvenSince(t.upstream, now))
 	placement := t.server.Fleet.PickPeer(peers, t.tried, now)
 	if placement != nil {
 		t.peersTried++
@@ -53,6 +50,18 @@
 	return placement
 }
 
+// reachingPeers returns the addresses of the other entries that the upstream's servers have
+// answered a short time ago, if the request may be passed on.
+func (t *task) reachingPeers(now time.Time) (peers []string, allowed bool) {
+	if t.relayed || t.mayHaveRun || t.server.Peers == nil || t.peersTried >= maxPeersTried {
+		return nil, false
+	}
+	if t.isEvacuated() || t.isOutsideRegions() || !t.mayRelay() {
+		return nil, false
+	}
+	return t.server.Peers.Reaching(t.upstream, t.server.Fleet.ProvenSince(t.upstream, now)), true
+}
+
 // releaseReservation ends the reservation of a request that no server has run. The entry
 // that it is passed to makes its own.
 func (t *task) releaseReservation() {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -183,18 +183,11 @@
 		return &refusal{reason: reasonMalformed, status: http.StatusBadRequest}
 	}
 	t.request = request
-	t.route = t.table.Route(request.Host, request.Path)
-	if t.route == nil {
-		return &refusal{reason: reasonNoRoute, status: http.StatusNotFound}
-	}
-	t.workspace = t.table.Workspace(request.Key)
-	if t.workspace == nil && t.table.requiresKeys && !t.route.Public {
-		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
+	refused := t.resolve(r)
+	if refused != nil {
+		return refused
 	}
-	t.regions = t.route.regions(t.workspace)
-	t.caller = t.callerOf(r)
-	t.deadline = t.start.Add(t.timeout())
-	refused := t.refuseForLoad(r)
+	refused = t.refuseForLoad(r)
 	if refused != nil {
 		return refused
 	}
@@ -205,6 +198,22 @@
 	return refused
 }
 
+// resolve finds the route and the workspace of a decoded request, and what depends on them.
+func (t *task) resolve(r *http.Request) *refusal {
+	t.route = t.table.Route(t.request.Host, t.request.Path)
+	if t.route == nil {
+		return &refusal{reason: reasonNoRoute, status: http.StatusNotFound}
+	}
+	t.workspace = t.table.Workspace(t.request.Key)
+	if t.workspace == nil && t.table.requiresKeys && !t.route.Public {
+		return &refusal{reason: reasonUnknownKey, status: http.StatusUnauthorized}
+	}
+	t.regions = t.route.regions(t.workspace)
+	t.caller = t.callerOf(r)
+	t.deadline = t.start.Add(t.timeout())
+	return nil
+}
+
 // timeout returns how long the request may take: the route's timeout, or the
 // caller's if that is shorter.
 func (t *task) timeout() time.Duration {
@@ -320,17 +329,32 @@
 // reserve sets aside the tokens of a request to a model engine if its workspace
 // has a budget.
 func (t *task) reserve(ctx context.Context) *refusal {
-	prompt := t.request.Prompt
-	if prompt == nil || t.workspace == nil || !t.workspace.Budgeted {
+	tokens, needed := t.neededTokens()
+	if !needed {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reservation, err := t.server.Holder.Reserve(ctx, t.workspace.Name, prompt.Tokens+prompt.Output)
+	reservation, err := t.server.Holder.Reserve(ctx, t.workspace.Name, tokens)
+	if err != nil {
+		return tokenRefusal(err)
+	}
+	t.reservation = reservation
+	return nil
+}
+
+// neededTokens returns how many tokens the request reserves, if it reserves any.
+func (t *task) neededTokens() (tokens int64, needed bool) {
+	prompt := t.request.Prompt
+	if prompt == nil || t.workspace == nil || !t.workspace.Budgeted {
+		return 0, false
+	}
+	return prompt.Tokens + prompt.Output, true
+}
+
+// tokenRefusal returns the refusal of a request whose reservation has failed.
+func tokenRefusal(err error) *refusal {
 	switch {
-	case err == nil:
-		t.reservation = reservation
-		return nil
 	case errors.Is(err, escrow.ErrExhausted):
 		return &refusal{reason: reasonBudgetExhausted, status: http.StatusPaymentRequired}
 	case errors.Is(err, escrow.ErrReserved):
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -148,32 +148,46 @@
 	case place.Chosen:
 		return t.sendTo(ctx, d.Placement, nil)
 	case place.Full:
-		if d.Late {
-			return t.fail(reasonTooLate, d.RetryAfter), false
-		}
-		return t.fail(reasonServersFull, d.RetryAfter), false
+		return t.refuseFull(d), false
 	}
 	if peer := t.placeAtPeer(); peer != nil {
 		return t.sendTo(ctx, peer, nil)
 	}
+	return t.refuseWithoutServer(), false
+}
+
+// refuseFull returns the refusal of a request that no server takes now.
+func (t *task) refuseFull(full place.Full) *refusal {
+	if full.Late {
+		return t.fail(reasonTooLate, full.RetryAfter)
+	}
+	return t.fail(reasonServersFull, full.RetryAfter)
+}
+
+// refuseWithoutServer returns the refusal of a request that no server may take.
+func (t *task) refuseWithoutServer() *refusal {
 	if t.isEvacuated() {
-		return t.fail(reasonEvacuated, retryAfterLater), false
+		return t.fail(reasonEvacuated, retryAfterLater)
 	}
 	if t.isOutsideRegions() {
-		return t.fail(reasonRegion, retryAfterLater), false
+		return t.fail(reasonRegion, retryAfterLater)
 	}
-	return t.fail(reasonNoServer, retryAfterLater), false
+	return t.fail(reasonNoServer, retryAfterLater)
 }
 
 // pick places the request at a server other than those of tried.
 func (t *task) pick(tried []string) place.Decision {
-	now := time.Now()
+	return t.server.Fleet.Pick(t.query(tried, time.Now()))
+}
+
+// query describes the request to the fleet.
+func (t *task) query(tried []string, now time.Time) place.Query {
 	timeLeft := max(0, t.deadline.Sub(now))
 	if t.mayHaveRun {
 		// The server that goes on with a response gets a chance, even if it seems late.
 		timeLeft = 0
 	}
-	return t.server.Fleet.Pick(place.Query{
+	return place.Query{
 		Now:           now,
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
@@ -184,7 +198,7 @@
 		Tried:         tried,
 		Priority:      t.route.priority(t.workspace),
 		TimeLeft:      timeLeft,
-	})
+	}
 }
 
 // abandonNext ends the attempt at a successor that is not used.
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -176,7 +176,10 @@
 
 // path returns the state of the path to an upstream; mu is held.
 func (f *Fleet) path(upstream string, now time.Time) Path {
-	r := f.reachOf(upstream)
+	r := f.paths[upstream]
+	if r == nil {
+		r = &reach{}
+	}
 	if !r.cutOffSince.IsZero() {
 		return Path{Upstream: upstream, CutOff: true, Since: r.cutOffSince}
 	}
