Command cactusbay explain, and POST /explain at the metrics address

Change: the entry of a seeded site answers the call at its metrics address; operator.Entry is the client; the command prints text or JSON.

--- a/internal/cmd/main.go
+++ b/internal/cmd/main.go
@@ -108,6 +108,7 @@
 			cmdConfig,
 			cmdServer,
 			cmdEvacuation,
+			cmdExplain,
 		},
 	}
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -335,7 +335,10 @@
 	}
 	g.closers.add(status.close)
 	if g.settings.MetricsAddress != "" {
-		metrics, err := listen(environment.Network, g.settings.MetricsAddress, statusHandler(environment.Telemetry, g.isReady))
+		mux := http.NewServeMux()
+		mux.Handle("/", statusHandler(environment.Telemetry, g.isReady))
+		mux.Handle("POST "+explainPath, &explainer{instance: g.settings.InstanceID, explain: g.Server.Explain})
+		metrics, err := listen(environment.Network, g.settings.MetricsAddress, mux)
 		if err != nil {
 			return err
 		}
