Explanations compute terms and sort after the fleet's lock is released

Change: the trace only stores what costs were computed from, in a slice that is allocated once. Terms are computed and servers sorted without the lock. BenchmarkExplain measures the part under the lock.

--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -112,50 +112,76 @@
 	Cost time.Duration
 }
 
-// trace records what a choice compares. That of requests is nil and records nothing.
+// trace records what a choice compares. That of requests is nil and records nothing. It only
+// stores, because the lock of the fleet is held; terms are computed later.
 type trace struct {
-	servers map[*server]*ExplainedServer
-	// requests and terms belong to the server that is being weighed.
-	requests int
-	terms    []CostTerm
-	yields   bool
+	// records are in the order in which the servers were passed over. A choice may do that
+	// several times, and the last record of a server decides.
+	records []record
+	// weighed belongs to the server that is being weighed.
+	weighed weighing
+	yields  bool
+}
+
+// record is what a choice has found about a server.
+type record struct {
+	server           *server
+	state            string
+	reason           string
+	wait             time.Duration
+	cost, firstEvent time.Duration
+	weighing
+}
+
+// weighing is what the cost of a server was computed from.
+type weighing struct {
+	weights   Weights
+	candidate Candidate
+	// extra are the terms beside those of the weights.
+	extra []CostTerm
 }
 
 // skip records that a server takes no request for the given time.
 func (t *trace) skip(s *server, why string, wait time.Duration) {
-	t.record(s, ExplainedServer{State: ServerFull, Reason: why, Wait: wait})
+	t.records = append(t.records, record{server: s, state: ServerFull, reason: why, wait: wait})
 }
 
 // compare records the cost of a server, whose first event is late by the given time.
 func (t *trace) compare(s *server, cost, firstEvent, late time.Duration) {
-	e := ExplainedServer{State: ServerCompared, Cost: cost, FirstEvent: firstEvent, Requests: t.requests, Terms: t.terms}
+	r := record{server: s, state: ServerCompared, cost: cost, firstEvent: firstEvent, weighing: t.weighed}
 	if late > 0 {
-		e.State, e.Reason, e.Wait = ServerLate, whyLate, late
+		r.state, r.reason, r.wait = ServerLate, whyLate, late
 	}
-	t.record(s, e)
-	t.terms = nil
-}
-
-// record replaces what is recorded of a server: a choice may pass over the servers several
-// times, and the last one decides.
-func (t *trace) record(s *server, e ExplainedServer) {
-	t.servers[s] = &e
+	t.records = append(t.records, r)
+	t.weighed = weighing{}
 }
 
-// weigh records the terms of w.Cost(c).
+// weigh records what w.Cost(c) is computed from.
 func (t *trace) weigh(w *Weights, c *Candidate) {
-	t.requests = c.Running
-	for _, part := range w.parts() {
-		t.add(part.name, part.weights.Cost(c)-c.Prefill)
-	}
-	t.add("prefill", c.Prefill)
+	t.weighed.weights, t.weighed.candidate = *w, *c
 }
 
-// add records a term of the cost, unless it is 0.
+// add records a term of the cost beside those of the weights.
 func (t *trace) add(name string, cost time.Duration) {
-	if cost != 0 {
-		t.terms = append(t.terms, CostTerm{Name: name, Cost: cost})
+	t.weighed.extra = append(t.weighed.extra, CostTerm{Name: name, Cost: cost})
+}
+
+// terms returns the terms of the cost that are not 0.
+func (w *weighing) terms() []CostTerm {
+	var terms []CostTerm
+	add := func(name string, cost time.Duration) {
+		if cost != 0 {
+			terms = append(terms, CostTerm{Name: name, Cost: cost})
+		}
+	}
+	for _, part := range w.weights.parts() {
+		add(part.name, part.weights.Cost(&w.candidate)-w.candidate.Prefill)
+	}
+	add("prefill", w.candidate.Prefill)
+	for _, term := range w.extra {
+		add(term.Name, term.Cost)
 	}
+	return terms
 }
 
 // namedWeights are weights of which only one is set.
@@ -181,18 +207,47 @@
 // Explain tells what Pick would decide on a request now. It places nothing and leaves the
 // fleet as it was, so that later choices are the same as without it.
 func (f *Fleet) Explain(q Query) Explanation {
+	e, servers, records := f.explainChoice(q)
+	last := make(map[*server]int, len(records))
+	for i := range records {
+		last[records[i].server] = i
+	}
+	for i := range e.Servers {
+		at, recorded := last[servers[i]]
+		if !recorded {
+			continue
+		}
+		s, r := &e.Servers[i], &records[at]
+		if s.State != ServerChosen {
+			s.State, s.Reason, s.Wait = r.state, r.reason, r.wait
+		}
+		if r.state != ServerFull {
+			s.Cost, s.FirstEvent, s.Requests, s.Terms = r.cost, r.firstEvent, r.candidate.Running, r.terms()
+		}
+	}
+	slices.SortFunc(e.Servers, compareExplained)
+	return e
+}
+
+// explainChoice lets the fleet choose a server and takes back what that changes. It returns the
+// explanation, whose servers are in the order of the given ones, and what was recorded. Without
+// the lock, these servers may only be compared.
+func (f *Fleet) explainChoice(q Query) (e Explanation, servers []*server, records []record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.upstreams[q.Upstream]
 	if u == nil {
-		return Explanation{Decision: NoServer{}}
+		return Explanation{Decision: NoServer{}}, nil, nil
 	}
 	saved := f.save(u)
 	defer saved.restore(f, u)
-	q.trace = &trace{servers: make(map[*server]*ExplainedServer, len(u.servers))}
 	adaptive := f.isAdaptive(u, q.Now)
+	q.trace = &trace{}
+	if !adaptive {
+		q.trace.records = make([]record, 0, len(u.servers))
+	}
 	cheapest, full := f.choose(&q)
-	e := Explanation{Adaptive: adaptive, Yields: q.trace.yields, Servers: f.explainServers(u, &q, cheapest, adaptive)}
+	e = Explanation{Adaptive: adaptive, Yields: q.trace.yields, Servers: f.explainServers(u, &q, cheapest, adaptive)}
 	switch {
 	case cheapest != nil:
 		e.Decision = WouldChoose{Server: cheapest.id, Address: cheapest.address, Granted: q.granted}
@@ -201,22 +256,20 @@
 	default:
 		e.Decision = NoServer{}
 	}
-	return e
+	return e, slices.Clone(u.servers), q.trace.records
 }
 
-// explainServers returns what the choice has found about the servers of an upstream; mu is
-// held.
+// explainServers returns what is known of the servers of an upstream after a choice, without
+// what the choice has recorded; mu is held.
 func (f *Fleet) explainServers(u *upstreamState, q *Query, cheapest *server, adaptive bool) []ExplainedServer {
 	explained := make([]ExplainedServer, 0, len(u.servers))
 	for _, s := range u.servers {
-		e := ExplainedServer{State: ServerNotCompared}
-		if recorded := q.trace.servers[s]; recorded != nil {
-			e = *recorded
-		} else if reason := f.exclusion(s, q); reason != "" {
-			e.State, e.Reason = ServerExcluded, reason
-		}
-		if s == cheapest {
-			e.State, e.Reason, e.Wait = ServerChosen, "", 0
+		e := ExplainedServer{State: ServerNotCompared, Reason: f.exclusion(s, q)}
+		switch {
+		case s == cheapest:
+			e.State, e.Reason = ServerChosen, ""
+		case e.Reason != "":
+			e.State = ServerExcluded
 		}
 		e.ID, e.Address, e.FailureDomain, e.Region, e.Version = s.id, s.address, s.failureDomain, s.region, s.version
 		e.InFlight, e.Slots, e.Cold = s.inFlight, s.slots, f.coldReason(s, q.Now)
@@ -232,7 +285,6 @@
 		}
 		explained = append(explained, e)
 	}
-	slices.SortFunc(explained, compareExplained)
 	return explained
 }
 
--- a/internal/place/explain_internal_test.go
+++ b/internal/place/explain_internal_test.go
@@ -290,3 +290,19 @@
 		}
 	}
 }
+
+// BenchmarkExplain measures for how long an explanation holds the lock of the fleet.
+func BenchmarkExplain(b *testing.B) {
+	for _, count := range []int{160, 12_000} {
+		for _, adaptive := range []bool{false, true} {
+			b.Run(fmt.Sprintf("servers=%d,adaptive=%t", count, adaptive), func(b *testing.B) {
+				f := engineFleet(count)
+				f.Adaptive = adaptive
+				prompt := &Prompt{Tokens: 20_000, Output: 100, Prefix: []PrefixSegment{{ID: 1, Tokens: 4000}}}
+				for b.Loop() {
+					f.explainChoice(Query{Now: internalStart, Upstream: "pool", FailureDomain: "a", Prompt: prompt})
+				}
+			})
+		}
+	}
+}
