--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -176,7 +176,10 @@
 
 // path returns the state of the path to an upstream; mu is held.
 func (f *Fleet) path(upstream string, now time.Time) Path {
-	r := f.reachOf(upstream)
+	r := f.paths[upstream]
+	if r == nil {
+		r = &reach{}
+	}
 	if !r.cutOffSince.IsZero() {
 		return Path{Upstream: upstream, CutOff: true, Since: r.cutOffSince}
 	}
@@ -214,9 +217,13 @@
 // available returns the servers of an upstream that are neither leaving nor in an evacuated
 // failure domain; mu is held.
 func (f *Fleet) available(upstream string) []*server {
+	u := f.upstreams[upstream]
+	if u == nil {
+		return nil
+	}
 	var servers []*server
-	for _, s := range f.servers {
-		if s.upstream == upstream && !s.leaving && !f.isEvacuated(s) {
+	for _, s := range u.servers {
+		if !s.leaving && !f.isEvacuated(s) {
 			servers = append(servers, s)
 		}
 	}
