Entries report not ready while their link is nearly full

An entry with overload.divert counts the bytes of its connections, compares them with the bandwidth of its link, and reports not ready to the load balancer while utilization or the measured delay is too high and its peers have room. Echo answers state utilization and whether the peer diverts. The thresholds are not yet checked with a model.

Without overload.divert and overload.shed nothing changes.

--- a/internal/gossip/echo.go
+++ b/internal/gossip/echo.go
@@ -13,19 +13,28 @@
 
 const (
 	echoRequestLength = 1 + 8
-	// minEchoAnswerLength is that of an answer of this build; later ones may add bytes.
+	// minEchoAnswerLength is that of an answer of the first build that answers. Later ones
+	// add bytes; echoAnswerLength is that of this build.
 	minEchoAnswerLength = 1 + 8 + 1 + 1
+	echoAnswerLength    = minEchoAnswerLength + 3
 	// echoDelayUnit and echoMinimumUnit are the units of the two times of an answer.
 	echoDelayUnit   = 4 * time.Millisecond
 	echoMinimumUnit = 2 * time.Millisecond
 	// unknownEchoTime is the encoded time of an entry that has measured nothing.
 	unknownEchoTime = math.MaxUint8
+	// unknownEchoPercent is the encoded utilization of an entry that does not measure it, and
+	// maxEchoPercent the highest one that is encoded.
+	unknownEchoPercent = math.MaxUint8
+	maxEchoPercent     = math.MaxUint8 - 1
+	// echoFlagDiverting is set while the answering entry diverts.
+	echoFlagDiverting = 1
 )
 
 // An echo request is encoded as the format and an identifier. The answer is encoded as the
 // format, the identifier, and of the answering entry its queueing delay and the usual
-// minimum of its round-trip times, in units of echoDelayUnit and echoMinimumUnit. Numbers are
-// big-endian.
+// minimum of its round-trip times, in units of echoDelayUnit and echoMinimumUnit. Three bytes
+// follow that older builds neither send nor read: the utilization of the entry's link in
+// percent, flags, and the percentage of its peers that divert. Numbers are big-endian.
 
 // echoAnswer is what an entry answers to an echo request.
 type echoAnswer struct {
@@ -35,6 +44,10 @@
 	delayKnown bool
 	// minimum is the usual minimum of round-trip times; 0 if unknown.
 	minimum time.Duration
+	// The rest is known if utilizationKnown is set. Shares have a resolution of a hundredth.
+	utilizationKnown            bool
+	utilization, peersDiverting float64
+	diverting                   bool
 }
 
 // append appends the encoded answer to buffer.
@@ -48,7 +61,19 @@
 		minimum = byte(min(unknownEchoTime-1, (a.minimum+echoMinimumUnit-1)/echoMinimumUnit))
 	}
 	buffer = binary.BigEndian.AppendUint64(append(buffer, formatEchoAnswer), a.id)
-	return append(buffer, delay, minimum)
+	utilization, flags, peersDiverting := byte(unknownEchoPercent), byte(0), byte(0)
+	if a.utilizationKnown {
+		utilization, peersDiverting = percent(a.utilization), percent(a.peersDiverting)
+	}
+	if a.diverting {
+		flags |= echoFlagDiverting
+	}
+	return append(buffer, delay, minimum, utilization, flags, peersDiverting)
+}
+
+// percent returns a share in percent, as far as it can be encoded.
+func percent(share float64) byte {
+	return byte(min(maxEchoPercent, math.Round(100*share)))
 }
 
 // decodeEchoAnswer decodes an echoAnswer or returns errInvalidDatagram.
@@ -63,6 +88,11 @@
 	if data[10] != unknownEchoTime {
 		a.minimum = time.Duration(data[10]) * echoMinimumUnit
 	}
+	if len(data) >= echoAnswerLength && data[11] != unknownEchoPercent {
+		a.utilizationKnown = true
+		a.utilization, a.peersDiverting = float64(data[11])/100, float64(data[13])/100
+		a.diverting = data[12]&echoFlagDiverting != 0
+	}
 	return a, nil
 }
 
@@ -114,6 +144,11 @@
 		delayKnown: status.Known,
 		minimum:    g.prober.Minimum(),
 	}
+	if g.Diverter != nil {
+		state := g.Diverter.Status()
+		answer.utilizationKnown, answer.utilization = true, state.Utilization.Highest()
+		answer.diverting, answer.peersDiverting = state.Diverting, state.PeersDiverting
+	}
 	g.trySend(answer.append(nil), from)
 	return nil
 }
@@ -132,5 +167,12 @@
 	if answer.delayKnown {
 		g.Overload.RecordPeer(now, from.String(), answer.delay)
 	}
+	if g.Diverter != nil {
+		g.Diverter.RecordPeer(now, from.String(), overload.PeerState{
+			Delay: answer.delay, DelayKnown: answer.delayKnown,
+			Utilization: answer.utilization, UtilizationKnown: answer.utilizationKnown,
+			Diverting: answer.diverting, PeersDiverting: answer.peersDiverting,
+		})
+	}
 	return nil
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,6 +62,9 @@
 	// Overload receives the delays that echoes of peers show; nil sends and answers no
 	// echoes.
 	Overload *overload.Controller
+	// Diverter receives what peers state in echoes besides their delay; nil states nothing of
+	// that kind to them.
+	Diverter *overload.Diverter
 	Log      *log.Logger
 
 	socket *net.UDPConn
--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -67,6 +67,8 @@
 	LinkBytesPerSecond float64
 	// Random draws which requests are refused.
 	Random *rand.Rand
+	// MeasureOnly makes Admit refuse nothing, and Status report a level of 0.
+	MeasureOnly bool
 
 	mu      sync.Mutex
 	echoes  window
@@ -119,7 +121,11 @@
 	defer c.mu.Unlock()
 	c.step(now)
 	target := c.targets.target(now)
-	return Status{Delay: c.measured, Known: c.known, Target: target, Level: c.level, Room: c.peers.room(now, target)}
+	level := c.level
+	if c.MeasureOnly {
+		level = 0
+	}
+	return Status{Delay: c.measured, Known: c.known, Target: target, Level: level, Room: c.peers.room(now, target)}
 }
 
 // Admit decides on a request from what is known before its body is read. It counts the bytes
@@ -129,6 +135,9 @@
 	defer c.mu.Unlock()
 	c.targets.record(now, r.LatencyTarget)
 	c.step(now)
+	if c.MeasureOnly {
+		return Admitted{}
+	}
 	if c.known && c.measured > r.Remaining {
 		return Refused{Reason: Hopeless}
 	}
--- /dev/null
+++ b/internal/overload/diverter.go
@@ -0,0 +1,252 @@
+package overload
+
+import (
+	"sync"
+	"time"
+)
+
+// DivertInterval is the time between two decisions of a Diverter.
+const DivertInterval = 100 * time.Millisecond
+
+const (
+	// highUtilization is the utilization from which an entry diverts, and lowUtilization the
+	// one below which it may cease to: new connections that come back then leave room for
+	// those that are kept.
+	highUtilization = 0.85
+	lowUtilization  = 0.65
+	// utilizationOnset and delayOnset are how long utilization and delay must be too high
+	// before an entry diverts. A delay is a queue that is there already.
+	utilizationOnset = 500 * time.Millisecond
+	delayOnset       = 300 * time.Millisecond
+	// minDivertTime is how long an entry diverts at least: a load balancer that polls once a
+	// second needs up to 2 s to notice.
+	minDivertTime = 3 * time.Second
+	// calmTime is how long utilization and delay must be low before an entry ceases to divert.
+	calmTime = 2 * time.Second
+	// minReadyTime is how long an entry is ready at least between two diversions, so that
+	// the load balancer notices that too.
+	minReadyTime = 2 * time.Second
+	// minRoom is the share of the peers that must have room for an entry to begin to divert,
+	// and minRoomLeft that below which it ceases to after roomOnset.
+	minRoom     = 0.5
+	minRoomLeft = 0.25
+	roomOnset   = time.Second
+	// maxDiverting is the share of the entries that divert at which no other begins to, and
+	// maxDivertingLeft that above which those that do cease to. Operators pay for more than
+	// an eighth, and load balancers ignore readiness when half of the entries are not ready.
+	maxDiverting     = 0.125
+	maxDivertingLeft = 0.25
+	// noticeTime is how long after its begin a diversion is noticed by the load balancer.
+	// A connection that is closed earlier comes back.
+	noticeTime = 2 * time.Second
+)
+
+// PeerState is what a peer states of itself in an echo.
+type PeerState struct {
+	// Delay is the queueing delay, if DelayKnown is set.
+	Delay      time.Duration
+	DelayKnown bool
+	// Utilization is that of the peer's link, if UtilizationKnown is set.
+	Utilization      float64
+	UtilizationKnown bool
+	// Diverting is set while the peer diverts.
+	Diverting bool
+	// PeersDiverting is the share of its own peers that divert, if UtilizationKnown is set.
+	PeersDiverting float64
+}
+
+// Cause says why an entry has begun or ceased to divert.
+type Cause string
+
+const (
+	// HighUtilization and HighDelay begin a diversion.
+	HighUtilization Cause = "utilization"
+	HighDelay       Cause = "delay"
+	// Recovered, NoRoom and TooManyDivert end it: the load is gone, the peers have no room,
+	// or so many entries divert that the load balancer would soon ignore it.
+	Recovered     Cause = "recovered"
+	NoRoom        Cause = "no_room"
+	TooManyDivert Cause = "too_many_divert"
+)
+
+// Diversion is the state of a Diverter.
+type Diversion struct {
+	Diverting bool
+	// Cause is that of the last change, at Since; empty before the first one.
+	Cause Cause
+	Since time.Time
+	// Utilization is that of the entry's link.
+	Utilization Utilization
+	// Peers is the number of peers with a recent statement, Room the share of them that has
+	// room, and PeersDiverting the share that diverts, as far as this entry and its peers
+	// know.
+	Peers                int
+	Room, PeersDiverting float64
+	// CloseShare is the share of the responses on kept connections that ask their callers to
+	// close them.
+	CloseShare float64
+}
+
+// Diverter decides when an entry reports not ready, so that new connections go to others. It
+// is safe for concurrent use.
+type Diverter struct {
+	mu    sync.Mutex
+	link  LinkMeter
+	peers map[string]statedPeer
+	state Diversion
+
+	busySince, delayedSince, calmSince, fullSince onset
+}
+
+type statedPeer struct {
+	PeerState
+	at time.Time
+}
+
+// NewDiverter returns a diverter for a link with the given bandwidth in one direction.
+func NewDiverter(bytesPerSecond float64) *Diverter {
+	return &Diverter{link: LinkMeter{BytesPerSecond: bytesPerSecond}, peers: make(map[string]statedPeer)}
+}
+
+// RecordPeer records what a peer states. Peers are told apart by name.
+func (d *Diverter) RecordPeer(now time.Time, peer string, state PeerState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetPeers(now)
+	if _, known := d.peers[peer]; known || len(d.peers) < maxPeerDelays {
+		d.peers[peer] = statedPeer{PeerState: state, at: now}
+	}
+}
+
+// Status returns the state after the last step.
+func (d *Diverter) Status() Diversion {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state
+}
+
+// Step decides from the traffic so far and the status of the controller, and returns the state
+// and whether Diverting has changed. It is called every DivertInterval.
+func (d *Diverter) Step(now time.Time, total Traffic, status Status) (Diversion, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.Utilization = d.link.Update(now, total)
+	d.lookAtPeers(now, status.Target)
+	utilization := d.state.Utilization.Highest()
+	delayed := status.Known && status.Delay > status.Target
+	busy := d.busySince.lasted(now, utilization >= highUtilization, utilizationOnset)
+	late := d.delayedSince.lasted(now, delayed, delayOnset)
+	calm := d.calmSince.lasted(now, !delayed && utilization < lowUtilization, calmTime)
+	full := d.fullSince.lasted(now, d.state.Peers > 0 && d.state.Room < minRoomLeft, roomOnset)
+	changed := false
+	if d.state.Diverting {
+		changed = d.mayEnd(now, calm, full)
+	} else {
+		changed = d.mayBegin(now, busy, late)
+	}
+	d.state.CloseShare = d.closeShare(now)
+	return d.state, changed
+}
+
+// mayBegin begins a diversion if there is a cause and the peers allow it.
+func (d *Diverter) mayBegin(now time.Time, busy, late bool) bool {
+	cause := HighUtilization
+	if late {
+		cause = HighDelay
+	}
+	switch {
+	case !busy && !late:
+	case !d.state.Since.IsZero() && now.Sub(d.state.Since) < minReadyTime:
+	case d.state.Peers < minAnsweringPeers || d.state.Room < minRoom || d.state.PeersDiverting >= maxDiverting:
+	default:
+		d.state.Diverting, d.state.Cause, d.state.Since = true, cause, now
+		return true
+	}
+	return false
+}
+
+// mayEnd ends a diversion if the load or what the peers have to spare is gone. Silence of the
+// peers ends none.
+func (d *Diverter) mayEnd(now time.Time, calm, full bool) bool {
+	cause := Recovered
+	switch {
+	case now.Sub(d.state.Since) < minDivertTime:
+		return false
+	case full:
+		cause = NoRoom
+	case d.state.PeersDiverting > maxDivertingLeft:
+		cause = TooManyDivert
+	case !calm:
+		return false
+	}
+	d.state.Diverting, d.state.Cause, d.state.Since = false, cause, now
+	return true
+}
+
+// closeShare returns the share of the kept connections by which the load exceeds what the
+// entry can carry.
+func (d *Diverter) closeShare(now time.Time) float64 {
+	utilization := d.state.Utilization.Highest()
+	if !d.state.Diverting || now.Sub(d.state.Since) < noticeTime || utilization <= highUtilization {
+		return 0
+	}
+	return 1 - highUtilization/utilization
+}
+
+// lookAtPeers sums up the recent statements of the peers.
+func (d *Diverter) lookAtPeers(now time.Time, target time.Duration) {
+	d.forgetPeers(now)
+	free, diverting := 0, 0
+	// The shares that peers state are whole percents, so that their sum does not depend on
+	// the order of the map.
+	percents, stating := 0, 0
+	for _, p := range d.peers {
+		if p.hasRoom(target) {
+			free++
+		}
+		if p.Diverting {
+			diverting++
+		}
+		if p.UtilizationKnown {
+			stating++
+			percents += int(float64(p.PeersDiverting*100) + 0.5)
+		}
+	}
+	d.state.Peers = len(d.peers)
+	d.state.Room, d.state.PeersDiverting = 1, 0
+	if len(d.peers) == 0 {
+		return
+	}
+	d.state.Room = float64(free) / float64(len(d.peers))
+	own := float64(diverting) / float64(len(d.peers))
+	d.state.PeersDiverting = (own + float64(percents)/100) / float64(1+stating)
+}
+
+// hasRoom reports whether a peer can take more connections, as far as it states.
+func (p statedPeer) hasRoom(target time.Duration) bool {
+	return !p.Diverting && !(p.DelayKnown && p.Delay >= target) && !(p.UtilizationKnown && p.Utilization >= highUtilization)
+}
+
+// forgetPeers removes the statements that are too old.
+func (d *Diverter) forgetPeers(now time.Time) {
+	for name, p := range d.peers {
+		if now.Sub(p.at) > peerMemory {
+			delete(d.peers, name)
+		}
+	}
+}
+
+// onset is when a condition became true; zero while it is false.
+type onset time.Time
+
+// lasted reports whether the condition has been true for the given time.
+func (o *onset) lasted(now time.Time, condition bool, during time.Duration) bool {
+	if !condition {
+		*o = onset{}
+		return false
+	}
+	if time.Time(*o).IsZero() {
+		*o = onset(now)
+	}
+	return now.Sub(time.Time(*o)) >= during
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -56,8 +56,12 @@
 	connections atomic.Int64
 	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
 	descriptorLimit overload.DescriptorLimit
-	closers         closers
-	shuttingDown    atomic.Bool
+	// diverter decides when the entry reports not ready because it is overloaded; nil never
+	// does. link counts for it.
+	diverter     *overload.Diverter
+	link         linkCounter
+	closers      closers
+	shuttingDown atomic.Bool
 }
 
 // StartGateway starts an entry instance of a seeded site and its listeners. The
@@ -78,7 +82,7 @@
 	epochID := rand.Text()
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
-		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
+		Upstream:      &upstream.Client{},
 		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
@@ -90,6 +94,7 @@
 	if s.Seeded.Overload != nil && dialect.BoundsLoad(s.Seeded.Contracts) {
 		g.boundLoad(s.Seeded.Overload)
 	}
+	g.Server.Upstream.Network = g.requestNetwork(backendNetwork(s.Seeded, environment.Network))
 	g.Server.Fleet.Changed = g.logServerChange
 	g.Server.Fleet.AdaptiveChanged = g.logAdaptiveChange
 	gossiper, err := g.newGossiper(environment)
@@ -118,10 +123,7 @@
 	g.monitorReach(environment, gossiper)
 	meter := startMeter(environment.Telemetry.Scope, func(m *meter) { g.measure(m, gossiper) })
 	g.closers.add(meter.close)
-	if g.Server.Overload != nil {
-		logger := startShedLogger(g.Server.Overload, environment.Telemetry.Log)
-		g.closers.add(logger.close)
-	}
+	g.startOverload(environment)
 	return nil
 }
 
@@ -165,6 +167,8 @@
 	m.countDatagrams(gossiper.Counts())
 	m.countTo("backend_connections", g.Server.Upstream.Dials())
 	m.setOverload(g.Server.Overload)
+	m.setDiversion(g.diverter)
+	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting())
 	m.setMemory(g.Server.Memory, counts.ServerBytes)
 	_, idle := g.Server.Upstream.Open()
 	m.set("backend_connections_idle", float64(idle))
@@ -246,6 +250,7 @@
 		Address:  net.JoinHostPort(host, strconv.Itoa(g.settings.Seeded.PeerPort)),
 		Fleet:    g.Server.Fleet,
 		Overload: g.Server.Overload,
+		Diverter: g.diverter,
 		Log:      environment.Telemetry.Log,
 	}, nil
 }
@@ -315,13 +320,15 @@
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
 // if set, for metrics.
 func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
-	callers, err := listenCounted(environment.Network, g.settings.CallerAddress, g.Server, &g.connections)
+	network := g.requestNetwork(environment.Network)
+	callers, err := listenCounted(network, g.settings.CallerAddress, g.Server, &g.connections)
 	if err != nil {
 		return err
 	}
+	callers.setCloseShare(g.closeShare)
 	g.callers = callers
 	g.closers.add(callers.close)
-	g.relays, err = listenCounted(environment.Network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
+	g.relays, err = listenCounted(network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
 	if err != nil {
 		return err
 	}
@@ -349,8 +356,10 @@
 	return g.Server.Table() != nil && !g.shuttingDown.Load()
 }
 
+// serveReady answers the load balancer. Unlike the other status endpoints it also reports not
+// ready while the entry diverts.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.isReady() {
+	if !g.isReady() || g.isDiverting() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -35,6 +36,9 @@
 	// draining adds "Connection: close" to each response, so that callers open
 	// their next connection elsewhere.
 	draining atomic.Bool
+	// closeShare returns the share of the other responses that get the same header; nil
+	// means none.
+	closeShare atomic.Pointer[func() float64]
 
 	// open counts the connections of this listener and others that share the counter.
 	open *atomic.Int64
@@ -76,11 +80,26 @@
 	_ = l.server.Serve(l.socket)
 }
 
-// closeWhenDraining makes the responses of a draining listener close their
-// connections.
+// setCloseShare sets the function that returns which share of the responses ends the
+// connections of their callers.
+func (l *listener) setCloseShare(share func() float64) {
+	l.closeShare.Store(&share)
+}
+
+// closesAfterResponse draws whether the connection of a response is closed after it.
+func (l *listener) closesAfterResponse() bool {
+	if l.draining.Load() {
+		return true
+	}
+	share := l.closeShare.Load()
+	return share != nil && rand.Float64() < (*share)()
+}
+
+// closeWhenDraining makes the responses of a draining listener, and a share of those of one
+// that diverts, close their connections.
 func (l *listener) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.draining.Load() {
+		if l.closesAfterResponse() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -147,6 +147,36 @@
 	m.set("peers_with_room", status.Room)
 }
 
+// setDiversion sets the gauges of the decision to divert; they are 0 if the entry never does.
+func (m *meter) setDiversion(diverter *overload.Diverter) {
+	var state overload.Diversion
+	if diverter != nil {
+		state = diverter.Status()
+	}
+	m.set("diverting", indicator(state.Diverting))
+	m.set("peers_diverting", state.PeersDiverting)
+	m.set("kept_connections_close_share", state.CloseShare)
+	for direction, utilization := range map[string]float64{"received": state.Utilization.Received, "sent": state.Utilization.Sent} {
+		m.scope.Tagged(map[string]string{"direction": direction}).Gauge("link_utilization").Update(utilization)
+	}
+}
+
+// setReady sets, for each reason why an entry may report not ready to the load balancer,
+// whether it applies.
+func (m *meter) setReady(configured, shuttingDown, diverting bool) {
+	for reason, applies := range map[string]bool{"no_configuration": !configured, "shutting_down": shuttingDown, "diverting": diverting} {
+		m.scope.Tagged(map[string]string{"reason": reason}).Gauge("not_ready").Update(indicator(applies))
+	}
+}
+
+// indicator returns the value of a gauge that is 1 while a condition holds.
+func indicator(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // setMemory sets the gauges of the bodies that the entry holds, and of the most bytes at one
 // server; they are 0 if they have no bounds.
 func (m *meter) setMemory(account *memory.Account, serverBytes int64) {
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -10,6 +10,7 @@
 	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/settings"
+	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
 const (
@@ -22,11 +23,14 @@
 )
 
 // boundLoad bounds what callers and backend servers occupy of the entry's resources, and lets
-// it shed load if the settings ask for that.
+// it shed and divert load if the settings ask for that.
 func (g *Gateway) boundLoad(s *settings.Overload) {
-	if s.Shed {
+	if s.Shed || s.Divert {
 		g.Server.Overload = newOverloadController(s)
 	}
+	if s.Divert {
+		g.diverter = overload.NewDiverter(s.LinkMbps * bytesPerMegabit)
+	}
 	g.limitConnections(descriptorLimit())
 	bounds := memory.BoundsOf(s.MemoryMB)
 	g.Server.Memory = &memory.Account{Bounds: bounds}
@@ -37,6 +41,7 @@
 func newOverloadController(s *settings.Overload) *overload.Controller {
 	return &overload.Controller{
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMegabit,
+		MeasureOnly:        !s.Shed,
 		Random:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -66,6 +71,41 @@
 	g.Server.HasDescriptors = func() bool { return limit.HasRoom(g.connectionsInUse()) }
 }
 
+// requestNetwork returns the network for connections that carry requests. It counts what they
+// receive and send if the entry may divert.
+func (g *Gateway) requestNetwork(network transport.Network) transport.Network {
+	if g.diverter == nil {
+		return network
+	}
+	return countedNetwork{Network: network, counter: &g.link}
+}
+
+// startOverload starts what watches the measured overload, if the settings ask for it.
+func (g *Gateway) startOverload(environment Environment) {
+	controller := g.Server.Overload
+	if controller != nil && !controller.MeasureOnly {
+		logger := startShedLogger(controller, environment.Telemetry.Log)
+		g.closers.add(logger.close)
+	}
+	if g.diverter != nil {
+		loop := startDivertLoop(g.diverter, controller, &g.link, environment.Telemetry.Log)
+		g.closers.add(loop.close)
+	}
+}
+
+// isDiverting reports whether the entry asks the load balancer for no new connections.
+func (g *Gateway) isDiverting() bool {
+	return g.diverter != nil && g.diverter.Status().Diverting
+}
+
+// closeShare returns the share of the responses to callers that end their connections.
+func (g *Gateway) closeShare() float64 {
+	if g.diverter == nil {
+		return 0
+	}
+	return g.diverter.Status().CloseShare
+}
+
 // connectionsInUse returns the number of open connections, without the idle ones to servers.
 func (g *Gateway) connectionsInUse() int {
 	open, idle := g.Server.Upstream.Open()
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -55,6 +55,9 @@
 	// Shed makes the entry measure its own delay, and refuse requests while others have
 	// room that it lacks.
 	Shed bool `json:"shed,omitempty"`
+	// Divert makes the entry measure its delay and the utilization of its link, and report
+	// not ready to the load balancer while it is overloaded and others have room.
+	Divert bool `json:"divert,omitempty"`
 	// LinkMbps is the bandwidth of the entry's link in each direction, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
 	// MemoryMB is the memory of the entry in MiB.
