Refuse connections while requests fill the incoming link; model of a burst of one hash

With overload.refuse_connections an entry closes its socket for callers, for a second at most, while the incoming link is used above 0.92 (average over 0.1 s) and peers have room. Callers lose nothing, since none of the request was read.

--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -9,20 +9,24 @@
 const DivertInterval = 100 * time.Millisecond
 
 const (
+	// utilizationTime is the time constant of the utilization that decides. A burst of a few
+	// large bodies is over sooner.
+	utilizationTime = 500 * time.Millisecond
 	// highUtilization is the utilization from which an entry diverts, and lowUtilization the
 	// one below which it may cease to: new connections that come back then leave room for
 	// those that are kept.
-	highUtilization = 0.85
+	highUtilization = 0.8
 	lowUtilization  = 0.65
 	// utilizationOnset and delayOnset are how long utilization and delay must be too high
-	// before an entry diverts. A delay is a queue that is there already.
-	utilizationOnset = 500 * time.Millisecond
+	// before an entry diverts, so that a burst that drains by itself has no effect. The
+	// utilization is a mean already.
+	utilizationOnset = 200 * time.Millisecond
 	delayOnset       = 300 * time.Millisecond
 	// minDivertTime is how long an entry diverts at least: a load balancer that polls once a
 	// second needs up to 2 s to notice.
 	minDivertTime = 3 * time.Second
 	// calmTime is how long utilization and delay must be low before an entry ceases to divert.
-	calmTime = 2 * time.Second
+	calmTime = 5 * time.Second
 	// minReadyTime is how long an entry is ready at least between two diversions, so that
 	// the load balancer notices that too.
 	minReadyTime = 2 * time.Second
@@ -36,9 +40,9 @@
 	// an eighth, and load balancers ignore readiness when half of the entries are not ready.
 	maxDiverting     = 0.125
 	maxDivertingLeft = 0.25
-	// noticeTime is how long after its begin a diversion is noticed by the load balancer.
-	// A connection that is closed earlier comes back.
-	noticeTime = 2 * time.Second
+	// roomMemory is how long peers count as having room after their last statement: a full
+	// link drops the echoes that state it. After that, a partition is more likely.
+	roomMemory = maxFullLink
 )
 
 // PeerState is what a peer states of itself in an echo.
@@ -82,9 +86,8 @@
 	// know.
 	Peers                int
 	Room, PeersDiverting float64
-	// CloseShare is the share of the responses on kept connections that ask their callers to
-	// close them.
-	CloseShare float64
+	// PeersHaveRoom is set if enough peers had room when they were last heard of.
+	PeersHaveRoom bool
 }
 
 // Diverter decides when an entry reports not ready, so that new connections go to others. It
@@ -94,6 +97,8 @@
 	link  LinkMeter
 	peers map[string]statedPeer
 	state Diversion
+	// roomAt is when enough peers last stated room.
+	roomAt time.Time
 
 	busySince, delayedSince, calmSince, fullSince onset
 }
@@ -105,7 +110,7 @@
 
 // NewDiverter returns a diverter for a link with the given bandwidth in one direction.
 func NewDiverter(bytesPerSecond float64) *Diverter {
-	return &Diverter{link: LinkMeter{BytesPerSecond: bytesPerSecond}, peers: make(map[string]statedPeer)}
+	return &Diverter{link: LinkMeter{BytesPerSecond: bytesPerSecond, TimeConstant: utilizationTime}, peers: make(map[string]statedPeer)}
 }
 
 // RecordPeer records what a peer states. Peers are told apart by name.
@@ -144,7 +149,6 @@
 	} else {
 		changed = d.mayBegin(now, busy, late)
 	}
-	d.state.CloseShare = d.closeShare(now)
 	return d.state, changed
 }
 
@@ -157,7 +161,7 @@
 	switch {
 	case !busy && !late:
 	case !d.state.Since.IsZero() && now.Sub(d.state.Since) < minReadyTime:
-	case d.state.Peers < minAnsweringPeers || d.state.Room < minRoom || d.state.PeersDiverting >= maxDiverting:
+	case !d.state.PeersHaveRoom || d.state.PeersDiverting >= maxDiverting:
 	default:
 		d.state.Diverting, d.state.Cause, d.state.Since = true, cause, now
 		return true
@@ -183,16 +187,6 @@
 	return true
 }
 
-// closeShare returns the share of the kept connections by which the load exceeds what the
-// entry can carry.
-func (d *Diverter) closeShare(now time.Time) float64 {
-	utilization := d.state.Utilization.Highest()
-	if !d.state.Diverting || now.Sub(d.state.Since) < noticeTime || utilization <= highUtilization {
-		return 0
-	}
-	return 1 - highUtilization/utilization
-}
-
 // lookAtPeers sums up the recent statements of the peers.
 func (d *Diverter) lookAtPeers(now time.Time, target time.Duration) {
 	d.forgetPeers(now)
@@ -215,9 +209,14 @@
 	d.state.Peers = len(d.peers)
 	d.state.Room, d.state.PeersDiverting = 1, 0
 	if len(d.peers) == 0 {
+		d.state.PeersHaveRoom = now.Sub(d.roomAt) < roomMemory
 		return
 	}
 	d.state.Room = float64(free) / float64(len(d.peers))
+	if len(d.peers) >= minAnsweringPeers && d.state.Room >= minRoom {
+		d.roomAt = now
+	}
+	d.state.PeersHaveRoom = d.state.Room >= minRoom && now.Sub(d.roomAt) < roomMemory
 	own := float64(diverting) / float64(len(d.peers))
 	d.state.PeersDiverting = (own + float64(percents)/100) / float64(1+stating)
 }
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -7,10 +7,6 @@
 // in the other.
 const PacketOverhead = 54
 
-// utilizationTime is the time constant of the moving average. A burst of a few large bodies
-// is over sooner.
-const utilizationTime = 500 * time.Millisecond
-
 // Traffic is what an entry has received and sent over its link since it started, in bytes.
 type Traffic struct {
 	Received, Sent int64
@@ -31,6 +27,8 @@
 type LinkMeter struct {
 	// BytesPerSecond is the bandwidth of the link in one direction.
 	BytesPerSecond float64
+	// TimeConstant is that of the moving average.
+	TimeConstant time.Duration
 
 	at      time.Time
 	traffic Traffic
@@ -48,7 +46,7 @@
 		return m.average
 	}
 	// Not math.Exp, whose last bits differ between processors.
-	weight := elapsed.Seconds() / (elapsed + utilizationTime).Seconds()
+	weight := elapsed.Seconds() / (elapsed + m.TimeConstant).Seconds()
 	capacity := m.BytesPerSecond * elapsed.Seconds()
 	m.average.Received = blend(m.average.Received, float64(total.Received-m.traffic.Received)/capacity, weight)
 	m.average.Sent = blend(m.average.Sent, float64(total.Sent-m.traffic.Sent)/capacity, weight)
--- a/internal/overload/simulation_test.go
+++ b/internal/overload/simulation_test.go
@@ -66,6 +66,8 @@
 	in, out, processor simQueue
 	controller         *Controller
 	prober             *Prober
+	// diverter is nil unless the entry may divert.
+	diverter *Diverter
 }
 
 // simRequest is a request of a caller, with its second try.
@@ -187,6 +189,12 @@
 			s.at(peer.processor.use(s.now, simEchoWork), func() {
 				status := peer.controller.Status(s.now)
 				minimum := peer.prober.Minimum()
+				stated := PeerState{Delay: status.Delay, DelayKnown: status.Known}
+				if peer.diverter != nil {
+					state := peer.diverter.Status()
+					stated.UtilizationKnown, stated.Utilization = true, state.Utilization.Highest()
+					stated.Diverting, stated.PeersDiverting = state.Diverting, state.PeersDiverting
+				}
 				hop(&peer.out, func() {
 					hop(&e.in, func() {
 						s.at(e.processor.use(s.now, simEchoWork), func() {
@@ -194,6 +202,9 @@
 							if ok {
 								e.controller.RecordEcho(s.now, sample)
 							}
+							if e.diverter != nil {
+								e.diverter.RecordPeer(s.now, probe.Peer.String(), stated)
+							}
 							if status.Known {
 								e.controller.RecordPeer(s.now, probe.Peer.String(), status.Delay)
 							}
--- /dev/null
+++ b/internal/process/acceptloop.go
@@ -0,0 +1,129 @@
+package process
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cactusbay/cactusbay/internal/overload"
+)
+
+// acceptLogPause is how long connections must be accepted before refusing them counts as
+// ended, so that pauses of some milliseconds write at most two lines in this time.
+const acceptLogPause = 3 * time.Second
+
+// acceptLoop refuses the connections of callers while their requests fill the incoming link.
+type acceptLoop struct {
+	limiter  *overload.AcceptLimiter
+	diverter *overload.Diverter
+	counter  *linkCounter
+	listener *pausableListener
+	log      *log.Logger
+
+	// paused is set from a pause until the socket is open again, and isRefusing tells others.
+	paused     bool
+	isRefusing atomic.Bool
+	// pauses counts the pauses, and pausedTime sums up their nanoseconds.
+	pauses     atomic.Int64
+	pausedTime atomic.Int64
+	steppedAt  time.Time
+	failed     bool
+
+	// logged is set from the first line to the second one; the other fields belong to the
+	// time between them.
+	logged             bool
+	began, lastPaused  time.Time
+	loggedPauses       int64
+	loggedTime         time.Duration
+	highestUtilization float64
+
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// start decides in the background until close is called.
+func (l *acceptLoop) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stop, l.done = cancel, make(chan struct{})
+	go l.run(ctx)
+}
+
+func (l *acceptLoop) run(ctx context.Context) {
+	defer close(l.done)
+	ticker := time.NewTicker(overload.AcceptInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		l.step(time.Now())
+	}
+}
+
+// close ends the decisions and accepts connections again. It may be called more than once.
+func (l *acceptLoop) close() {
+	l.stop()
+	<-l.done
+	err := l.listener.resume()
+	if err != nil {
+		l.log.Error("connections are refused after the end of a pause", "err", err.Error())
+	}
+	l.isRefusing.Store(false)
+}
+
+// step pauses or resumes the listener as the limiter says.
+func (l *acceptLoop) step(now time.Time) {
+	if l.paused {
+		l.pausedTime.Add(int64(now.Sub(l.steppedAt)))
+	}
+	l.steppedAt = now
+	pause := l.limiter.Step(now, l.counter.total(), l.diverter.Status().PeersHaveRoom)
+	switch {
+	case pause && !l.paused:
+		l.listener.pause()
+		l.paused = true
+		l.pauses.Add(1)
+	case !pause && l.paused:
+		l.paused = !l.resume()
+	}
+	l.isRefusing.Store(l.paused)
+	l.logChange(now)
+}
+
+// resume opens the listener's socket and reports whether it could. The next step tries again.
+func (l *acceptLoop) resume() bool {
+	err := l.listener.resume()
+	if err != nil && !l.failed {
+		l.log.Error("connections are refused after the end of a pause", "err", err.Error())
+	}
+	l.failed = err != nil
+	return err == nil
+}
+
+// logChange logs that the entry has begun or ceased to refuse connections.
+func (l *acceptLoop) logChange(now time.Time) {
+	utilization := l.limiter.Utilization()
+	if l.paused {
+		if !l.logged {
+			l.logged, l.began, l.highestUtilization = true, now, 0
+			l.loggedPauses, l.loggedTime = l.pauses.Load()-1, time.Duration(l.pausedTime.Load())
+			l.log.Info("refusing connections begun", "utilization_received", utilization)
+		}
+		l.lastPaused = now
+		l.highestUtilization = max(l.highestUtilization, utilization)
+		return
+	}
+	if l.logged && now.Sub(l.lastPaused) >= acceptLogPause {
+		l.logged = false
+		l.log.Info("refusing connections ended",
+			"utilization_received", utilization,
+			"highest_utilization_received", l.highestUtilization,
+			"pauses", l.pauses.Load()-l.loggedPauses,
+			"refusing_ms", (time.Duration(l.pausedTime.Load()) - l.loggedTime).Milliseconds(),
+			"for_ms", l.lastPaused.Sub(l.began).Milliseconds())
+	}
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -58,8 +58,10 @@
 	descriptorLimit overload.DescriptorLimit
 	// diverter decides when the entry reports not ready because it is overloaded; nil never
 	// does. link counts for it.
-	diverter     *overload.Diverter
-	link         linkCounter
+	diverter *overload.Diverter
+	link     linkCounter
+	// accepts closes the socket for callers while requests fill the link; nil never does.
+	accepts      *acceptLoop
 	closers      closers
 	shuttingDown atomic.Bool
 }
@@ -168,6 +170,7 @@
 	m.countTo("backend_connections", g.Server.Upstream.Dials())
 	m.setOverload(g.Server.Overload)
 	m.setDiversion(g.diverter)
+	m.setAccepts(g.accepts)
 	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting())
 	m.setMemory(g.Server.Memory, counts.ServerBytes)
 	_, idle := g.Server.Upstream.Open()
@@ -320,15 +323,11 @@
 // serve opens the listeners for callers, for other entries at peerAddress, for status and,
 // if set, for metrics.
 func (g *Gateway) serve(environment Environment, dialect Dialect, peerAddress string) error {
-	network := g.requestNetwork(environment.Network)
-	callers, err := listenCounted(network, g.settings.CallerAddress, g.Server, &g.connections)
+	err := g.listenForCallers(environment)
 	if err != nil {
 		return err
 	}
-	callers.setCloseShare(g.closeShare)
-	g.callers = callers
-	g.closers.add(callers.close)
-	g.relays, err = listenCounted(network, peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
+	g.relays, err = listenCounted(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
 	if err != nil {
 		return err
 	}
@@ -348,7 +347,7 @@
 		}
 		g.closers.add(metrics.close)
 	}
-	environment.Telemetry.Log.Info("entry instance started", "caller_address", callers.address())
+	environment.Telemetry.Log.Info("entry instance started", "caller_address", g.callers.address())
 	return nil
 }
 
@@ -372,6 +371,9 @@
 // leave reports not ready and tells the control group that the instance is leaving.
 func (g *Gateway) leave(plan drain.Plan) {
 	g.shuttingDown.Store(true)
+	if g.accepts != nil {
+		g.accepts.close()
+	}
 	g.Server.Drain(plan)
 	g.Watcher.Leave()
 	g.Server.Holder.Leave()
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -36,9 +35,6 @@
 	// draining adds "Connection: close" to each response, so that callers open
 	// their next connection elsewhere.
 	draining atomic.Bool
-	// closeShare returns the share of the other responses that get the same header; nil
-	// means none.
-	closeShare atomic.Pointer[func() float64]
 
 	// open counts the connections of this listener and others that share the counter.
 	open *atomic.Int64
@@ -58,6 +54,11 @@
 	if err != nil {
 		return nil, errors.Newf("start listener: %w", err)
 	}
+	return serveOn(socket, handler, open), nil
+}
+
+// serveOn starts serving handler on a socket and counts the open connections in open.
+func serveOn(socket net.Listener, handler http.Handler, open *atomic.Int64) *listener {
 	l := &listener{
 		socket: connectionListener{socket},
 		done:   make(chan struct{}),
@@ -72,7 +73,7 @@
 		ConnState:         l.trackState,
 	}
 	go l.run()
-	return l, nil
+	return l
 }
 
 func (l *listener) run() {
@@ -80,26 +81,11 @@
 	_ = l.server.Serve(l.socket)
 }
 
-// setCloseShare sets the function that returns which share of the responses ends the
-// connections of their callers.
-func (l *listener) setCloseShare(share func() float64) {
-	l.closeShare.Store(&share)
-}
-
-// closesAfterResponse draws whether the connection of a response is closed after it.
-func (l *listener) closesAfterResponse() bool {
-	if l.draining.Load() {
-		return true
-	}
-	share := l.closeShare.Load()
-	return share != nil && rand.Float64() < (*share)()
-}
-
-// closeWhenDraining makes the responses of a draining listener, and a share of those of one
-// that diverts, close their connections.
+// closeWhenDraining makes the responses of a draining listener close their
+// connections.
 func (l *listener) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.closesAfterResponse() {
+		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -155,12 +155,22 @@
 	}
 	m.set("diverting", indicator(state.Diverting))
 	m.set("peers_diverting", state.PeersDiverting)
-	m.set("kept_connections_close_share", state.CloseShare)
 	for direction, utilization := range map[string]float64{"received": state.Utilization.Received, "sent": state.Utilization.Sent} {
 		m.scope.Tagged(map[string]string{"direction": direction}).Gauge("link_utilization").Update(utilization)
 	}
 }
 
+// setAccepts sets the gauge and the counters of the times in which connections are refused.
+func (m *meter) setAccepts(accepts *acceptLoop) {
+	refusing, pauses, pausedTime := false, int64(0), int64(0)
+	if accepts != nil {
+		refusing, pauses, pausedTime = accepts.isRefusing.Load(), accepts.pauses.Load(), accepts.pausedTime.Load()
+	}
+	m.set("refusing_connections", indicator(refusing))
+	m.countTo("accept_pauses", pauses)
+	m.countTo("accept_pause_milliseconds", time.Duration(pausedTime).Milliseconds())
+}
+
 // setReady sets, for each reason why an entry may report not ready to the load balancer,
 // whether it applies.
 func (m *meter) setReady(configured, shuttingDown, diverting bool) {
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -98,12 +98,33 @@
 	return g.diverter != nil && g.diverter.Status().Diverting
 }
 
-// closeShare returns the share of the responses to callers that end their connections.
-func (g *Gateway) closeShare() float64 {
-	if g.diverter == nil {
-		return 0
+// listenForCallers opens the listener for callers. Its socket may be closed for a time if the
+// settings ask for that.
+func (g *Gateway) listenForCallers(environment Environment) error {
+	network := g.requestNetwork(environment.Network)
+	bounds := g.settings.Seeded.Overload
+	if g.diverter == nil || !bounds.RefuseConnections {
+		callers, err := listenCounted(network, g.settings.CallerAddress, g.Server, &g.connections)
+		if err != nil {
+			return err
+		}
+		g.callers = callers
+		g.closers.add(callers.close)
+		return nil
+	}
+	socket, err := listenPausable(network, g.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	g.callers = serveOn(socket, g.Server, &g.connections)
+	g.closers.add(g.callers.close)
+	g.accepts = &acceptLoop{
+		limiter:  overload.NewAcceptLimiter(bounds.LinkMbps * bytesPerMegabit),
+		diverter: g.diverter, counter: &g.link, listener: socket, log: environment.Telemetry.Log,
 	}
-	return g.diverter.Status().CloseShare
+	g.accepts.start()
+	g.closers.add(g.accepts.close)
+	return nil
 }
 
 // connectionsInUse returns the number of open connections, without the idle ones to servers.
--- /dev/null
+++ b/internal/process/pausable.go
@@ -0,0 +1,196 @@
+package process
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
+)
+
+const (
+	// pauseQueueTimeout is how long no connection must arrive for the queue of a listener to
+	// count as empty when it pauses, and maxPauseQueueTime bounds the time in which the queue
+	// is emptied.
+	pauseQueueTimeout = time.Millisecond
+	maxPauseQueueTime = 20 * time.Millisecond
+)
+
+// pausableListener is a listener whose socket can be closed for a time, so that the operating
+// system refuses connections. It accepts the connections that wait in the queue first; one that
+// arrives between the last look at the queue and the close is reset, and nothing of it was read.
+type pausableListener struct {
+	network transport.Network
+	// address is the one that the first socket was bound to.
+	address net.Addr
+
+	mu sync.Mutex
+	// socket is nil while the listener is paused.
+	socket deadlineListener
+	// closeBy is set while the socket is about to be closed for a pause: the time by which
+	// it is closed even if its queue is not empty.
+	closeBy time.Time
+	// accepted is set if a connection was accepted since the queue was last looked at.
+	accepted bool
+	closed   bool
+	// changed is closed and replaced when the socket is opened or the listener is closed.
+	changed chan struct{}
+}
+
+// listenPausable listens on address. It fails if the listeners of the network have no
+// deadlines.
+func listenPausable(network transport.Network, address string) (*pausableListener, error) {
+	l := &pausableListener{network: network, changed: make(chan struct{})}
+	socket, err := l.open(address)
+	if err != nil {
+		return nil, errors.Newf("start listener: %w", err)
+	}
+	l.socket, l.address = socket, socket.Addr()
+	return l, nil
+}
+
+func (l *pausableListener) open(address string) (deadlineListener, error) {
+	socket, err := l.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	limited, ok := socket.(deadlineListener)
+	if !ok {
+		_ = socket.Close()
+		return nil, errors.New("listener has no deadline")
+	}
+	return limited, nil
+}
+
+// Accept implements net.Listener. It waits while the listener is paused.
+func (l *pausableListener) Accept() (net.Conn, error) {
+	for {
+		socket, err := l.current()
+		if err != nil {
+			return nil, err
+		}
+		conn, err := socket.Accept()
+		if !l.endAccept(socket, err) {
+			return conn, err
+		}
+	}
+}
+
+// current returns the open socket, and waits for it while the listener is paused.
+func (l *pausableListener) current() (deadlineListener, error) {
+	for {
+		l.mu.Lock()
+		socket, closed, changed := l.socket, l.closed, l.changed
+		l.mu.Unlock()
+		switch {
+		case closed:
+			return nil, net.ErrClosed
+		case socket != nil:
+			return socket, nil
+		}
+		<-changed
+	}
+}
+
+// endAccept evaluates an accept that ended with err. It closes the socket for a pause once the
+// queue is empty, and reports whether another accept must follow.
+func (l *pausableListener) endAccept(socket deadlineListener, err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.accepted = true
+		return false
+	case l.closed:
+		return false
+	case l.socket != socket:
+		return true
+	case l.closeBy.IsZero():
+		return false
+	}
+	now := time.Now()
+	// An accept after its deadline doesn't look at the queue, so that one with a new deadline
+	// must follow, unless the last one has found the queue empty.
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.accepted && now.Before(l.closeBy) {
+		l.accepted = false
+		_ = socket.SetDeadline(now.Add(pauseQueueTimeout))
+		return true
+	}
+	_ = socket.Close()
+	l.socket, l.closeBy = nil, time.Time{}
+	return true
+}
+
+// pause makes the operating system refuse connections until resume is called.
+func (l *pausableListener) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.socket == nil || !l.closeBy.IsZero() {
+		return
+	}
+	l.closeBy, l.accepted = time.Now().Add(maxPauseQueueTime), true
+	_ = l.socket.SetDeadline(pastDeadline)
+}
+
+// resume opens the socket again at the same address. After an error it may be called again.
+func (l *pausableListener) resume() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	if l.socket != nil {
+		if !l.closeBy.IsZero() {
+			l.closeBy = time.Time{}
+			_ = l.socket.SetDeadline(time.Time{})
+		}
+		return nil
+	}
+	socket, err := l.open(l.address.String())
+	if err != nil {
+		return errors.Newf("listen again: %w", err)
+	}
+	l.socket = socket
+	l.signal()
+	return nil
+}
+
+// signal wakes an accept that waits. The caller holds mu.
+func (l *pausableListener) signal() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Addr implements net.Listener.
+func (l *pausableListener) Addr() net.Addr {
+	return l.address
+}
+
+// SetDeadline implements deadlineListener. It fails while the listener is paused.
+func (l *pausableListener) SetDeadline(at time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.socket == nil {
+		return net.ErrClosed
+	}
+	l.closeBy = time.Time{}
+	return l.socket.SetDeadline(at)
+}
+
+// Close implements net.Listener.
+func (l *pausableListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.signal()
+	if l.socket == nil {
+		return nil
+	}
+	return l.socket.Close()
+}
--- a/internal/settings/overload_test.go
+++ b/internal/settings/overload_test.go
@@ -7,7 +7,8 @@
 )
 
 // TestOverloadNeedsResources guards against an entry that measures its overload without
-// knowing its link, and against errors that do not name the field.
+// knowing its link, against one that refuses connections without knowing whether others have
+// room, and against errors that do not name the field.
 func TestOverloadNeedsResources(t *testing.T) {
 	for _, test := range []struct {
 		overload *Overload
@@ -15,6 +16,8 @@
 	}{
 		{nil, ""},
 		{&Overload{LinkMbps: 7.5, MemoryMB: 144}, ""},
+		{&Overload{LinkMbps: 7.5, MemoryMB: 144, Divert: true, RefuseConnections: true}, ""},
+		{&Overload{LinkMbps: 7.5, MemoryMB: 144, RefuseConnections: true}, "seeded.overload.refuse_connections"},
 		{&Overload{MemoryMB: 144}, "seeded.overload.link_mbps"},
 		{&Overload{LinkMbps: -1, MemoryMB: 144}, "seeded.overload.link_mbps"},
 		{&Overload{LinkMbps: 10}, "seeded.overload.memory_mb"},
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -58,6 +58,9 @@
 	// Divert makes the entry measure its delay and the utilization of its link, and report
 	// not ready to the load balancer while it is overloaded and others have room.
 	Divert bool `json:"divert,omitempty"`
+	// RefuseConnections makes an entry that may divert also accept no connections, for up to
+	// a second at a time, while requests fill its incoming link.
+	RefuseConnections bool `json:"refuse_connections,omitempty"`
 	// LinkMbps is the bandwidth of the entry's link in each direction, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
 	// MemoryMB is the memory of the entry in MiB.
@@ -152,4 +155,7 @@
 	if o.MemoryMB <= 0 {
 		faults.Add("seeded.overload.memory_mb", "must be 1 or more megabytes")
 	}
+	if o.RefuseConnections && !o.Divert {
+		faults.Add("seeded.overload.refuse_connections", "needs divert, which knows whether other entries have room")
+	}
 }
