Tests of diverting and refusing connections; no diversion of a load that rises everywhere

A peer has room only below the utilization at which diversions end, the onset is 0.5 s instead of 0.2 s, and a diversion without room ends at once. Then no entry diverts there.

An entry whose socket for callers can't be opened again reports not ready.

--- a/internal/gossip/echo_test.go
+++ b/internal/gossip/echo_test.go
@@ -17,6 +17,16 @@
 // startEchoPeers starts count entries on loopback that know each other. The first without of
 // them measure nothing.
 func startEchoPeers(t *testing.T, count, without int) []*Gossiper {
+	t.Helper()
+	return startEchoPeersWith(t, count, func(i int, g *Gossiper) {
+		if i >= without {
+			g.Overload = &overload.Controller{Random: rand.New(rand.NewPCG(uint64(i), 0))}
+		}
+	})
+}
+
+// startEchoPeersWith starts count entries, each after a call of configure.
+func startEchoPeersWith(t *testing.T, count int, configure func(int, *Gossiper)) []*Gossiper {
 	t.Helper()
 	var entries []*Gossiper
 	var addresses []string
@@ -27,9 +37,7 @@
 		}
 		g := &Gossiper{Address: socket.LocalAddr().String(), Fleet: &place.Fleet{}, Log: log.New(io.Discard)}
 		_ = socket.Close()
-		if i >= without {
-			g.Overload = &overload.Controller{Random: rand.New(rand.NewPCG(uint64(i), 0))}
-		}
+		configure(i, g)
 		err = g.Start()
 		if err != nil {
 			t.Fatal(err)
@@ -71,6 +79,8 @@
 		{id: 1},
 		{id: 1 << 63, delay: 0, delayKnown: true},
 		{id: 7, delay: 400 * time.Millisecond, delayKnown: true, minimum: 2 * time.Millisecond},
+		{id: 8, utilizationKnown: true},
+		{id: 9, utilizationKnown: true, utilization: 0.93, peersDiverting: 0.13, diverting: true},
 	} {
 		got, err := decodeEchoAnswer(append(want.append(nil), 1, 2, 3))
 		if err != nil || got != want {
@@ -81,6 +91,10 @@
 	if !got.delayKnown || got.delay != 254*echoDelayUnit || got.minimum != echoMinimumUnit {
 		t.Errorf("an hour and a microsecond became %+v", got)
 	}
+	got, _ = decodeEchoAnswer(echoAnswer{utilizationKnown: true, utilization: 9, peersDiverting: 1}.append(nil))
+	if !got.utilizationKnown || got.utilization != maxEchoPercent/100.0 || got.peersDiverting != 1 {
+		t.Errorf("a utilization of 9 became %+v", got)
+	}
 	for length := range minEchoAnswerLength {
 		if _, err := decodeEchoAnswer(shortAnswer(length)); err == nil {
 			t.Errorf("an answer of %d bytes was accepted", length)
@@ -88,6 +102,41 @@
 	}
 }
 
+// TestEchoAnswersOfOlderBuilds guards against answers without the later bytes that are refused or
+// read as statements, and against later bytes that change what older builds read.
+func TestEchoAnswersOfOlderBuilds(t *testing.T) {
+	answer := echoAnswer{id: 7, delay: 40 * time.Millisecond, delayKnown: true, utilizationKnown: true, utilization: 0.5, diverting: true}.append(nil)
+	got, err := decodeEchoAnswer(answer[:minEchoAnswerLength])
+	if want := (echoAnswer{id: 7, delay: 40 * time.Millisecond, delayKnown: true}); err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if answer[0] != formatEchoAnswer || binary.BigEndian.Uint64(answer[1:]) != 7 || answer[9] != 10 || answer[10] != unknownEchoTime {
+		t.Errorf("older builds read other values from %v", answer)
+	}
+}
+
+// TestEchoesStateDiversions guards against entries that don't hear which of their peers are busy
+// or divert, and against an answer to an entry that may not divert that misleads it.
+func TestEchoesStateDiversions(t *testing.T) {
+	entries := startEchoPeersWith(t, 5, func(i int, g *Gossiper) {
+		g.Overload = &overload.Controller{Random: rand.New(rand.NewPCG(uint64(i), 0))}
+		if i != 4 {
+			g.Diverter = overload.NewDiverter(1e6)
+		}
+	})
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		state, _ := entries[0].Diverter.Step(time.Now(), overload.Traffic{}, overload.Status{Target: time.Second})
+		if state.Peers == 4 && state.PeersHaveRoom {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no room of 4 peers is known after 10 s: %+v", state)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 func shortAnswer(length int) []byte {
 	return echoAnswer{id: 5}.append(nil)[:length]
 }
--- a/internal/overload/controller_test.go
+++ b/internal/overload/controller_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// TestMeasureOnlyRefusesNothing guards against an entry that may only divert and refuses
+// requests, or reports a level.
+func TestMeasureOnlyRefusesNothing(t *testing.T) {
+	c := &Controller{LinkBytesPerSecond: simLink, Random: rand.New(rand.NewPCG(5, 6)), MeasureOnly: true}
+	now := hold(c, simStart, 400*time.Millisecond, 3*time.Second)
+	for _, remaining := range []time.Duration{time.Millisecond, time.Minute} {
+		if got := refusedOf(c, now, Request{Workspace: "usual", Priority: 9, Bytes: 1_000_000, Remaining: remaining}); got != 0 {
+			t.Errorf("%d of 1000 requests with %s left are refused, want none", got, remaining)
+		}
+	}
+	if got := c.Status(now); got.Level != 0 || !got.Known || got.Delay != 400*time.Millisecond || got.Target != 500*time.Millisecond/targetDivisor {
+		t.Errorf("got %+v, want level 0 and what was measured", got)
+	}
+}
+
 // TestShortBurstIsNotShed guards against shedding while a queue drains by itself.
 func TestShortBurstIsNotShed(t *testing.T) {
 	c, now := congested(0)
--- a/internal/overload/divert_model_test.go
+++ b/internal/overload/divert_model_test.go
@@ -362,6 +362,13 @@
 // playBurst plays a burst of the hot workspace, whose usual requests a second are given.
 func playBurst(seed uint64, mode divertMode, usual float64) *divertModel {
 	m := newDivertModel(seed, mode)
+	m.playAt(usual)
+	return m
+}
+
+func (m *divertModel) play() { m.playAt(divertUsual) }
+
+func (m *divertModel) playAt(usual float64) {
 	m.load(func(at time.Duration) float64 {
 		if at >= divertBurstAt && at < divertBurstEnd {
 			return divertBurst * usual
@@ -370,10 +377,12 @@
 	}, func() string { return "large" })
 	m.load(func(time.Duration) float64 { return divertOthers }, func() string { return fmt.Sprintf("small-%d", m.random.IntN(9)) })
 	m.runFor(divertRun)
-	return m
 }
 
 func (m *divertModel) String() string {
+	for _, key := range []string{"burst", "draft", "tagging", "large"} {
+		counterOf(m.count, key)
+	}
 	slices.Sort(m.refusedAfter)
 	refused := time.Duration(0)
 	if len(m.refusedAfter) > 0 {
@@ -425,3 +434,87 @@
 		}
 	}
 }
+
+var chosenMode = divertMode{divert: true, refuse: true}
+
+// TestNothingIsDivertedBelowCapacity guards against connections that are moved or refused while
+// the entry serves all in time.
+func TestNothingIsDivertedBelowCapacity(t *testing.T) {
+	for seed := range uint64(2) {
+		m := newDivertModel(seed, chosenMode)
+		m.load(func(time.Duration) float64 { return divertUsual / 2 }, func() string { return "large" })
+		m.load(func(time.Duration) float64 { return divertOthers }, func() string { return "small" })
+		m.runFor(20 * time.Second)
+		if m.changes > 0 || m.refusedConnections > 0 || m.notReadyPolls > 0 {
+			t.Errorf("seed %d: want no change and no refusal: %s", seed, m)
+		}
+	}
+}
+
+// TestBurstBesideASlowPeer guards against an entry that diverts nothing because one of its peers
+// is slow, and against others that take the slow peer for a queue of their own.
+func TestBurstBesideASlowPeer(t *testing.T) {
+	const slow = 9
+	m := newDivertModel(1, chosenMode)
+	var delay func()
+	delay = func() {
+		m.at(m.now.Add(10*time.Millisecond), delay)
+		m.entries[slow].out.free = m.now.Add(400 * time.Millisecond)
+	}
+	m.at(m.now, delay)
+	m.play()
+	if got := m.count["large"].share(); got < 0.8 {
+		t.Errorf("%.3f of the hot workspace are served in time, want at least 0.8: %s", got, m)
+	}
+	for i, changes := range m.changesOf {
+		if i > 4 && i != slow && changes > 0 {
+			t.Errorf("entry %d has changed %d times, want none", i, changes)
+		}
+	}
+}
+
+// TestRestartInABurst guards against an entry that comes back with everything queued and without
+// its memory, and stays overloaded.
+func TestRestartInABurst(t *testing.T) {
+	m := newDivertModel(1, chosenMode)
+	m.at(simStart.Add(divertBurstAt+2*time.Second), func() {
+		e := m.entries[0]
+		e.in.free, e.out.free = m.now.Add(2*time.Second), m.now.Add(2*time.Second)
+		*e.controller = Controller{LinkBytesPerSecond: simLink, Random: e.controller.Random, MeasureOnly: true}
+		*e.prober = Prober{Random: e.prober.Random}
+		e.diverter, m.limiters[0], m.traffic[0] = NewDiverter(simLink), NewAcceptLimiter(simLink), Traffic{}
+		if e.diverter.Status().Diverting {
+			t.Error("the entry does not start ready")
+		}
+	})
+	m.play()
+	if got := m.count["all"].share(); got < 0.75 {
+		t.Errorf("%.3f are served in time, want at least 0.75: %s", got, m)
+	}
+	if state := m.entries[0].diverter.Status(); state.Diverting && state.Utilization.Highest() < lowUtilization {
+		t.Errorf("the entry still diverts at the end: %+v", state)
+	}
+	t.Log(m)
+}
+
+// TestAllEntriesOverloaded guards against entries that refuse callers, or report not ready,
+// although no other has room.
+func TestAllEntriesOverloaded(t *testing.T) {
+	served := make(map[bool]float64)
+	for _, acts := range []bool{false, true} {
+		m := newDivertModel(1, divertMode{divert: acts, refuse: acts})
+		m.load(func(time.Duration) float64 { return simEntries * 1.3 * divertUsual }, func() string { return fmt.Sprintf("small-%d", m.random.IntN(9)) })
+		m.runFor(8 * time.Second)
+		served[acts] = m.count["all"].share()
+		t.Log(m)
+		if share := float64(m.notReadyPolls) / float64(m.polls); share > maxDiverting {
+			t.Errorf("entries are not ready for %.3f of the time, want at most an eighth", share)
+		}
+		if m.refusedConnections > m.connections/5 {
+			t.Errorf("%d of %d connections are refused although no entry has room", m.refusedConnections, m.connections)
+		}
+	}
+	if served[true] < served[false]-0.05 {
+		t.Errorf("%.3f are served in time, and %.3f if entries do nothing", served[true], served[false])
+	}
+}
--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -18,23 +18,26 @@
 	highUtilization = 0.8
 	lowUtilization  = 0.65
 	// utilizationOnset and delayOnset are how long utilization and delay must be too high
-	// before an entry diverts, so that a burst that drains by itself has no effect. The
-	// utilization is a mean already.
-	utilizationOnset = 200 * time.Millisecond
-	delayOnset       = 300 * time.Millisecond
+	// before an entry diverts, so that a burst that drains by itself has no effect. Each peer
+	// is heard of every 0.4 s: with a shorter onset, a load that rises everywhere would make
+	// many entries divert before they hear of each other.
+	utilizationOnset = 500 * time.Millisecond
+	delayOnset       = 500 * time.Millisecond
 	// minDivertTime is how long an entry diverts at least: a load balancer that polls once a
 	// second needs up to 2 s to notice.
 	minDivertTime = 3 * time.Second
 	// calmTime is how long utilization and delay must be low before an entry ceases to divert.
 	calmTime = 5 * time.Second
 	// minReadyTime is how long an entry is ready at least between two diversions, so that
-	// the load balancer notices that too.
-	minReadyTime = 2 * time.Second
+	// the load balancer notices that too, and minReadyTimeWithout the same after the peers
+	// had no room or too many entries diverted.
+	minReadyTime        = 2 * time.Second
+	minReadyTimeWithout = 5 * time.Second
 	// minRoom is the share of the peers that must have room for an entry to begin to divert,
 	// and minRoomLeft that below which it ceases to after roomOnset.
 	minRoom     = 0.5
 	minRoomLeft = 0.25
-	roomOnset   = time.Second
+	roomOnset   = 500 * time.Millisecond
 	// maxDiverting is the share of the entries that divert at which no other begins to, and
 	// maxDivertingLeft that above which those that do cease to. Operators pay for more than
 	// an eighth, and load balancers ignore readiness when half of the entries are not ready.
@@ -97,7 +100,7 @@
 	link  LinkMeter
 	peers map[string]statedPeer
 	state Diversion
-	// roomAt is when enough peers last stated room.
+	// roomAt is when enough peers last stated room; zero once they state none.
 	roomAt time.Time
 
 	busySince, delayedSince, calmSince, fullSince onset
@@ -160,7 +163,7 @@
 	}
 	switch {
 	case !busy && !late:
-	case !d.state.Since.IsZero() && now.Sub(d.state.Since) < minReadyTime:
+	case now.Sub(d.state.Since) < d.minReadyTime():
 	case !d.state.PeersHaveRoom || d.state.PeersDiverting >= maxDiverting:
 	default:
 		d.state.Diverting, d.state.Cause, d.state.Since = true, cause, now
@@ -169,18 +172,26 @@
 	return false
 }
 
+// minReadyTime returns how long the entry must have been ready before it diverts again.
+func (d *Diverter) minReadyTime() time.Duration {
+	switch d.state.Cause {
+	case NoRoom, TooManyDivert:
+		return minReadyTimeWithout
+	default:
+		return minReadyTime
+	}
+}
+
 // mayEnd ends a diversion if the load or what the peers have to spare is gone. Silence of the
 // peers ends none.
 func (d *Diverter) mayEnd(now time.Time, calm, full bool) bool {
 	cause := Recovered
 	switch {
-	case now.Sub(d.state.Since) < minDivertTime:
-		return false
 	case full:
 		cause = NoRoom
 	case d.state.PeersDiverting > maxDivertingLeft:
 		cause = TooManyDivert
-	case !calm:
+	case !calm || now.Sub(d.state.Since) < minDivertTime:
 		return false
 	}
 	d.state.Diverting, d.state.Cause, d.state.Since = false, cause, now
@@ -213,17 +224,21 @@
 		return
 	}
 	d.state.Room = float64(free) / float64(len(d.peers))
-	if len(d.peers) >= minAnsweringPeers && d.state.Room >= minRoom {
+	switch {
+	case d.state.Room < minRoom:
+		d.roomAt = time.Time{}
+	case len(d.peers) >= minAnsweringPeers:
 		d.roomAt = now
 	}
-	d.state.PeersHaveRoom = d.state.Room >= minRoom && now.Sub(d.roomAt) < roomMemory
+	d.state.PeersHaveRoom = now.Sub(d.roomAt) < roomMemory
 	own := float64(diverting) / float64(len(d.peers))
 	d.state.PeersDiverting = (own + float64(percents)/100) / float64(1+stating)
 }
 
-// hasRoom reports whether a peer can take more connections, as far as it states.
+// hasRoom reports whether a peer can take more connections, as far as it states. One whose
+// utilization is not low would soon divert itself.
 func (p statedPeer) hasRoom(target time.Duration) bool {
-	return !p.Diverting && !(p.DelayKnown && p.Delay >= target) && !(p.UtilizationKnown && p.Utilization >= highUtilization)
+	return !p.Diverting && !(p.DelayKnown && p.Delay >= target) && !(p.UtilizationKnown && p.Utilization >= lowUtilization)
 }
 
 // forgetPeers removes the statements that are too old.
--- a/internal/overload/diverter_test.go
+++ b/internal/overload/diverter_test.go
@@ -194,6 +194,20 @@
 	}
 }
 
+// TestRoomIsRememberedForAWhile guards against an entry that ceases to refuse connections because
+// its full link drops the echoes, and against one that refuses them in a long partition.
+func TestRoomIsRememberedForAWhile(t *testing.T) {
+	d := newDivertTrial()
+	d.hold(time.Second, fullLoad, 0)
+	d.peers = 0
+	if state, _ := d.hold(peerMemory+3*time.Second, fullLoad, 0); !state.PeersHaveRoom || state.Peers != 0 {
+		t.Errorf("5 s without echoes: got %+v, want room", state)
+	}
+	if state, _ := d.hold(roomMemory, fullLoad, 0); state.PeersHaveRoom {
+		t.Errorf("over %s without echoes: got %+v, want no room", roomMemory, state)
+	}
+}
+
 // TestEntryStartsReady guards against an entry that starts not ready, whatever it did before
 // its restart, and against counters before the first step that look like traffic.
 func TestEntryStartsReady(t *testing.T) {
--- a/internal/process/acceptloop.go
+++ b/internal/process/acceptloop.go
@@ -25,11 +25,12 @@
 	// paused is set from a pause until the socket is open again, and isRefusing tells others.
 	paused     bool
 	isRefusing atomic.Bool
+	// isFailing is set while the socket can't be opened again.
+	isFailing atomic.Bool
 	// pauses counts the pauses, and pausedTime sums up their nanoseconds.
 	pauses     atomic.Int64
 	pausedTime atomic.Int64
 	steppedAt  time.Time
-	failed     bool
 
 	// logged is set from the first line to the second one; the other fields belong to the
 	// time between them.
@@ -97,10 +98,10 @@
 // resume opens the listener's socket and reports whether it could. The next step tries again.
 func (l *acceptLoop) resume() bool {
 	err := l.listener.resume()
-	if err != nil && !l.failed {
+	failed := l.isFailing.Swap(err != nil)
+	if err != nil && !failed {
 		l.log.Error("connections are refused after the end of a pause", "err", err.Error())
 	}
-	l.failed = err != nil
 	return err == nil
 }
 
--- a/internal/process/divert.go
+++ b/internal/process/divert.go
@@ -43,13 +43,17 @@
 		case <-ctx.Done():
 			return
 		}
-		now := time.Now()
-		status := l.controller.Status(now)
-		state, changed := l.diverter.Step(now, l.counter.total(), status)
-		l.logChange(now, state, status, changed)
+		l.step(time.Now())
 	}
 }
 
+// step decides and logs a change.
+func (l *divertLoop) step(now time.Time) {
+	status := l.controller.Status(now)
+	state, changed := l.diverter.Step(now, l.counter.total(), status)
+	l.logChange(now, state, status, changed)
+}
+
 func (l *divertLoop) close() {
 	l.stop()
 	<-l.done
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -171,7 +171,7 @@
 	m.setOverload(g.Server.Overload)
 	m.setDiversion(g.diverter)
 	m.setAccepts(g.accepts)
-	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting())
+	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting(), g.isNotListening())
 	m.setMemory(g.Server.Memory, counts.ServerBytes)
 	_, idle := g.Server.Upstream.Open()
 	m.set("backend_connections_idle", float64(idle))
@@ -356,9 +356,9 @@
 }
 
 // serveReady answers the load balancer. Unlike the other status endpoints it also reports not
-// ready while the entry diverts.
+// ready while the entry diverts, or can't open its socket for callers.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.isReady() || g.isDiverting() {
+	if !g.isReady() || g.isDiverting() || g.isNotListening() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -173,8 +173,8 @@
 
 // setReady sets, for each reason why an entry may report not ready to the load balancer,
 // whether it applies.
-func (m *meter) setReady(configured, shuttingDown, diverting bool) {
-	for reason, applies := range map[string]bool{"no_configuration": !configured, "shutting_down": shuttingDown, "diverting": diverting} {
+func (m *meter) setReady(configured, shuttingDown, diverting, notListening bool) {
+	for reason, applies := range map[string]bool{"no_configuration": !configured, "shutting_down": shuttingDown, "diverting": diverting, "not_listening": notListening} {
 		m.scope.Tagged(map[string]string{"reason": reason}).Gauge("not_ready").Update(indicator(applies))
 	}
 }
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -98,6 +98,11 @@
 	return g.diverter != nil && g.diverter.Status().Diverting
 }
 
+// isNotListening reports whether the socket for callers can't be opened again after a pause.
+func (g *Gateway) isNotListening() bool {
+	return g.accepts != nil && g.accepts.isFailing.Load()
+}
+
 // listenForCallers opens the listener for callers. Its socket may be closed for a time if the
 // settings ask for that.
 func (g *Gateway) listenForCallers(environment Environment) error {
