Refused connections begin a diversion; diversions end after 3 s

A refused connection now begins a diversion, or prolongs it. The utilization needs no onset, since it is a mean, an entry may divert again at once, and a diversion ends after 3 s without load.

--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -17,22 +17,17 @@
 	// those that are kept.
 	highUtilization = 0.8
 	lowUtilization  = 0.65
-	// utilizationOnset and delayOnset are how long utilization and delay must be too high
-	// before an entry diverts, so that a burst that drains by itself has no effect. Each peer
-	// is heard of every 0.4 s: with a shorter onset, a load that rises everywhere would make
-	// many entries divert before they hear of each other.
-	utilizationOnset = 500 * time.Millisecond
-	delayOnset       = 500 * time.Millisecond
-	// minDivertTime is how long an entry diverts at least: a load balancer that polls once a
-	// second needs up to 2 s to notice.
-	minDivertTime = 3 * time.Second
-	// calmTime is how long utilization and delay must be low before an entry ceases to divert.
-	calmTime = 5 * time.Second
-	// minReadyTime is how long an entry is ready at least between two diversions, so that
-	// the load balancer notices that too, and minReadyTimeWithout the same after the peers
-	// had no room or too many entries diverted.
-	minReadyTime        = 2 * time.Second
-	minReadyTimeWithout = 5 * time.Second
+	// delayOnset is how long the delay must be too high before an entry diverts, so that a
+	// burst that drains by itself has no effect. The utilization is a mean already.
+	delayOnset = 300 * time.Millisecond
+	// calmTime is how long utilization and delay must be low, and connections accepted, before
+	// an entry ceases to divert. A load balancer that polls once a second needs up to 2 s to
+	// notice a diversion.
+	calmTime = 3 * time.Second
+	// minReadyTime is how long an entry is ready at least after the peers had no room or too
+	// many entries diverted. After other diversions it may divert again at once: a load that
+	// comes back would be refused or late until then.
+	minReadyTime = 5 * time.Second
 	// minRoom is the share of the peers that must have room for an entry to begin to divert,
 	// and minRoomLeft that below which it ceases to after roomOnset.
 	minRoom     = 0.5
@@ -69,6 +64,10 @@
 	// HighUtilization and HighDelay begin a diversion.
 	HighUtilization Cause = "utilization"
 	HighDelay       Cause = "delay"
+	// RefusedConnections begins one as well: callers of one hash whose connections are
+	// refused come back until the load balancer sends them elsewhere. Refusing keeps the
+	// utilization just below the threshold.
+	RefusedConnections Cause = "refusing_connections"
 	// Recovered, NoRoom and TooManyDivert end it: the load is gone, the peers have no room,
 	// or so many entries divert that the load balancer would soon ignore it.
 	Recovered     Cause = "recovered"
@@ -103,7 +102,9 @@
 	// roomAt is when enough peers last stated room; zero once they state none.
 	roomAt time.Time
 
-	busySince, delayedSince, calmSince, fullSince onset
+	delayedSince, calmSince, fullSince onset
+	// paused is set if connections were refused since the last step.
+	paused bool
 }
 
 type statedPeer struct {
@@ -126,6 +127,14 @@
 	}
 }
 
+// RecordPause records that the entry refuses connections. It is called at each decision of the
+// AcceptLimiter with that result.
+func (d *Diverter) RecordPause() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = true
+}
+
 // Status returns the state after the last step.
 func (d *Diverter) Status() Diversion {
 	d.mu.Lock()
@@ -142,28 +151,34 @@
 	d.lookAtPeers(now, status.Target)
 	utilization := d.state.Utilization.Highest()
 	delayed := status.Known && status.Delay > status.Target
-	busy := d.busySince.lasted(now, utilization >= highUtilization, utilizationOnset)
 	late := d.delayedSince.lasted(now, delayed, delayOnset)
-	calm := d.calmSince.lasted(now, !delayed && utilization < lowUtilization, calmTime)
+	calm := d.calmSince.lasted(now, !delayed && !d.paused && utilization < lowUtilization, calmTime)
 	full := d.fullSince.lasted(now, d.state.Peers > 0 && d.state.Room < minRoomLeft, roomOnset)
 	changed := false
 	if d.state.Diverting {
 		changed = d.mayEnd(now, calm, full)
 	} else {
-		changed = d.mayBegin(now, busy, late)
+		changed = d.mayBegin(now, utilization >= highUtilization, late)
 	}
+	d.paused = false
 	return d.state, changed
 }
 
 // mayBegin begins a diversion if there is a cause and the peers allow it.
 func (d *Diverter) mayBegin(now time.Time, busy, late bool) bool {
-	cause := HighUtilization
-	if late {
+	var cause Cause
+	switch {
+	case late:
 		cause = HighDelay
+	case d.paused:
+		cause = RefusedConnections
+	case busy:
+		cause = HighUtilization
+	default:
+		return false
 	}
 	switch {
-	case !busy && !late:
-	case now.Sub(d.state.Since) < d.minReadyTime():
+	case d.hadNoRoom() && now.Sub(d.state.Since) < minReadyTime:
 	case !d.state.PeersHaveRoom || d.state.PeersDiverting >= maxDiverting:
 	default:
 		d.state.Diverting, d.state.Cause, d.state.Since = true, cause, now
@@ -172,14 +187,9 @@
 	return false
 }
 
-// minReadyTime returns how long the entry must have been ready before it diverts again.
-func (d *Diverter) minReadyTime() time.Duration {
-	switch d.state.Cause {
-	case NoRoom, TooManyDivert:
-		return minReadyTimeWithout
-	default:
-		return minReadyTime
-	}
+// hadNoRoom reports whether the last diversion ended although its load was still there.
+func (d *Diverter) hadNoRoom() bool {
+	return d.state.Cause == NoRoom || d.state.Cause == TooManyDivert
 }
 
 // mayEnd ends a diversion if the load or what the peers have to spare is gone. Silence of the
@@ -191,7 +201,7 @@
 		cause = NoRoom
 	case d.state.PeersDiverting > maxDivertingLeft:
 		cause = TooManyDivert
-	case !calm || now.Sub(d.state.Since) < minDivertTime:
+	case !calm:
 		return false
 	}
 	d.state.Diverting, d.state.Cause, d.state.Since = false, cause, now
--- a/internal/process/acceptloop.go
+++ b/internal/process/acceptloop.go
@@ -83,6 +83,9 @@
 	}
 	l.steppedAt = now
 	pause := l.limiter.Step(now, l.counter.total(), l.diverter.Status().PeersHaveRoom)
+	if pause {
+		l.diverter.RecordPause()
+	}
 	switch {
 	case pause && !l.paused:
 		l.listener.pause()
