A pause that ends early no longer stops the listener for callers

An accept that failed by the deadline of a pause was evaluated after the pause had ended, and looked like the deadline of a shutdown: the HTTP server stopped accepting.

--- a/internal/process/pausable.go
+++ b/internal/process/pausable.go
@@ -36,6 +36,9 @@
 	// accepted is set if a connection was accepted since the queue was last looked at.
 	accepted bool
 	closed   bool
+	// deadline is the one that SetDeadline has set. A deadline of a pause is not told to
+	// callers of Accept, who would stop.
+	deadline time.Time
 	// changed is closed and replaced when the socket is opened or the listener is closed.
 	changed chan struct{}
 }
@@ -109,7 +112,8 @@
 	case l.socket != socket:
 		return true
 	case l.closeBy.IsZero():
-		return false
+		// A pause that was ended in the meantime, unless the deadline is that of SetDeadline.
+		return errors.Is(err, os.ErrDeadlineExceeded) && l.deadline.IsZero()
 	}
 	now := time.Now()
 	// An accept after its deadline doesn't look at the queue, so that one with a new deadline
@@ -128,7 +132,7 @@
 func (l *pausableListener) pause() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.socket == nil || !l.closeBy.IsZero() {
+	if l.closed || l.socket == nil || !l.closeBy.IsZero() || !l.deadline.IsZero() {
 		return
 	}
 	l.closeBy, l.accepted = time.Now().Add(maxPauseQueueTime), true
@@ -176,7 +180,7 @@
 	if l.socket == nil {
 		return net.ErrClosed
 	}
-	l.closeBy = time.Time{}
+	l.closeBy, l.deadline = time.Time{}, at
 	return l.socket.SetDeadline(at)
 }
 
--- a/internal/process/pausable_test.go
+++ b/internal/process/pausable_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -145,6 +146,33 @@
 	}
 }
 
+// TestDeadlineOfAnEndedPause guards against a listener that stops for good because an accept
+// failed by the deadline of a pause and the pause ended before that was evaluated. A deadline of a
+// shutdown must stop it.
+func TestDeadlineOfAnEndedPause(t *testing.T) {
+	socket, err := listenPausable(transport.TCP{}, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	socket.pause()
+	err = socket.resume()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !socket.endAccept(socket.socket, os.ErrDeadlineExceeded) {
+		t.Error("the listener stops after a pause")
+	}
+	err = socket.SetDeadline(pastDeadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket.pause()
+	if socket.endAccept(socket.socket, os.ErrDeadlineExceeded) {
+		t.Error("the listener does not stop for a shutdown")
+	}
+}
+
 // failingNetwork fails to listen while fails is set.
 type failingNetwork struct {
 	transport.TCP
