An entry states the share of its own peers that divert

It stated the mean that includes what others state, which follows a change only after about 4 s and would have let more entries divert than allowed. A test guards it.

--- a/internal/gossip/echo.go
+++ b/internal/gossip/echo.go
@@ -147,7 +147,7 @@
 	if g.Diverter != nil {
 		state := g.Diverter.Status()
 		answer.utilizationKnown, answer.utilization = true, state.Utilization.Highest()
-		answer.diverting, answer.peersDiverting = state.Diverting, state.PeersDiverting
+		answer.diverting, answer.peersDiverting = state.Diverting, state.OwnPeersDiverting
 	}
 	g.trySend(answer.append(nil), from)
 	return nil
--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -88,6 +88,9 @@
 	// know.
 	Peers                int
 	Room, PeersDiverting float64
+	// OwnPeersDiverting is the share of the peers alone. It is what the entry states: from
+	// shares that contain those of others, a change would take seconds to be known.
+	OwnPeersDiverting float64
 	// PeersHaveRoom is set if enough peers had room when they were last heard of.
 	PeersHaveRoom bool
 }
@@ -228,7 +231,7 @@
 		}
 	}
 	d.state.Peers = len(d.peers)
-	d.state.Room, d.state.PeersDiverting = 1, 0
+	d.state.Room, d.state.PeersDiverting, d.state.OwnPeersDiverting = 1, 0, 0
 	if len(d.peers) == 0 {
 		d.state.PeersHaveRoom = now.Sub(d.roomAt) < roomMemory
 		return
@@ -241,8 +244,8 @@
 		d.roomAt = now
 	}
 	d.state.PeersHaveRoom = now.Sub(d.roomAt) < roomMemory
-	own := float64(diverting) / float64(len(d.peers))
-	d.state.PeersDiverting = (own + float64(percents)/100) / float64(1+stating)
+	d.state.OwnPeersDiverting = float64(diverting) / float64(len(d.peers))
+	d.state.PeersDiverting = (d.state.OwnPeersDiverting + float64(percents)/100) / float64(1+stating)
 }
 
 // hasRoom reports whether a peer can take more connections, as far as it states. One whose
--- a/internal/overload/diverter_test.go
+++ b/internal/overload/diverter_test.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// TestStatedShareIsThatOfThePeers guards against entries that repeat what others state: a share
+// that has changed would be known only after seconds.
+func TestStatedShareIsThatOfThePeers(t *testing.T) {
+	d := newDivertTrial()
+	d.diverting = 2
+	d.peer.PeersDiverting = 0.6
+	if state, _ := d.hold(time.Second, calmLoad, 0); state.OwnPeersDiverting != 0.25 || state.PeersDiverting < 0.5 {
+		t.Errorf("2 of 8 peers divert, which hear of 0.6: got %+v", state)
+	}
+}
+
 // TestSilenceDecidesNothing guards against diverting in a partition, where nobody knows whether
 // peers have room, and against a diversion that ends because a full link drops all echoes.
 func TestSilenceDecidesNothing(t *testing.T) {
