--- a/internal/overload/explain.go
+++ b/internal/overload/explain.go
@@ -25,19 +25,20 @@
 	saved := c.usage
 	c.usage.bytes = maps.Clone(saved.bytes)
 	defer func() { c.usage = saved }()
-	o := Outlook{Hopeless: c.isHopeless(r), Delay: c.measured, Known: c.known, Level: c.level}
+	o := Outlook{Hopeless: c.isHopeless(r), Delay: c.measured, Known: c.known, Level: c.sheddingLevel()}
 	if c.mayShed(r) {
 		o.Refusal = c.refusalProbability(now, r)
 	}
 	return o
 }
 
-// isHopeless reports whether the delay exceeds the time that the caller still has; mu is held.
+// isHopeless reports whether a request is refused because the delay exceeds the time that the
+// caller still has; mu is held.
 func (c *Controller) isHopeless(r Request) bool {
-	return c.known && c.measured > r.Remaining
+	return !c.MeasureOnly && c.known && c.measured > r.Remaining
 }
 
 // mayShed reports whether requests like r are shed; mu is held.
 func (c *Controller) mayShed(r Request) bool {
-	return !r.Resumes && c.level > 0
+	return !r.Resumes && c.sheddingLevel() > 0
 }
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -54,6 +54,11 @@
 	if err != nil {
 		return nil, errors.Newf("start listener: %w", err)
 	}
+	return serveOn(socket, handler, open), nil
+}
+
+// serveOn starts serving handler on a socket and counts the open connections in open.
+func serveOn(socket net.Listener, handler http.Handler, open *atomic.Int64) *listener {
 	l := &listener{
 		socket: newConnectionListener(socket),
 		done:   make(chan struct{}),
@@ -69,7 +74,7 @@
 		ConnContext:       transport.WithConn,
 	}
 	go l.run()
-	return l, nil
+	return l
 }
 
 func (l *listener) run() {
