Platform: the contract "pressure" asks for placement by estimates

Cause: deployment B states three figures of a server's load and no slowdown, so that its entries used the earlier placement, which takes the speed of engines as 140 tokens/ms; they read 85.2 at 1.0 to 1.3 times the time.

Change: process.Dialect.EstimatesLoad says whether the contracts ask for estimates; the platform's dialect does with the contract that also bounds load. Templates cannot express a condition on the contents of a list, so that the entry's template cannot set placement.adaptive for it. The setting is kept.

--- a/internal/place/uneven_model_test.go
+++ b/internal/place/uneven_model_test.go
@@ -90,6 +90,13 @@
 	{name: "tagging", share: 0.3, priority: 2, shared: 500, own: 0, fresh: 900, workspaces: 24, documents: 24, output: 20, firstEvent: 1200 * time.Millisecond, timeLeft: 3000 * time.Millisecond},
 }}
 
+// siteB has the figures of deployment B, whose servers state three figures of their load.
+var siteB = site{entries: 75, slots: 48, speed: 85.2, fastest: 1, spread: 0.3, steady: true, memory: 556_354, rate: 730, concentrated: 6, kinds: []*kind{
+	{name: "draft", share: 0.3, priority: 0, shared: 800, own: 1600, fresh: 3500, workspaces: 24, documents: 1500, output: 400, firstEvent: 500 * time.Millisecond, timeLeft: 2000 * time.Millisecond},
+	{name: "chat", share: 0.4, priority: 1, shared: 400, own: 900, fresh: 1500, workspaces: 24, documents: 3000, output: 150, firstEvent: 600 * time.Millisecond, timeLeft: 2400 * time.Millisecond},
+	{name: "tagging", share: 0.3, priority: 2, shared: 500, own: 0, fresh: 900, workspaces: 24, documents: 24, output: 20, firstEvent: 2 * time.Second, timeLeft: 2500 * time.Millisecond},
+}}
+
 // model is a site in virtual time.
 type model struct {
 	site
--- a/internal/place/uneven_test.go
+++ b/internal/place/uneven_test.go
@@ -140,3 +140,26 @@
 		}
 	}
 }
+
+// Estimates must serve more than the earlier placement at deployment B, whose servers state no
+// slowdown, and must not buy it by reading more prompts again while nearly all first events
+// are in time. Above that load, they may read a few more again.
+func TestEstimatesServeMoreWhereNoSlowdownIsStated(t *testing.T) {
+	for _, c := range []struct{ load, gain, again float64 }{{1, 0, 0}, {1.5, 0.1, 0}, {2, 0.2, 0.03}} {
+		playB := func(name string, adaptive bool) result {
+			return playSite(t, fmt.Sprintf("deployment B at %.1f times its load, %s", c.load, name), siteB, reportsWithoutAge, func(m *model) {
+				m.rate *= c.load
+				m.adaptive = adaptive
+				m.stated = m.memory
+				m.restartEntries()
+			}).totals()
+		}
+		former, estimated := playB("earlier placement", false), playB("estimates", true)
+		if estimated.shareInTime() < former.shareInTime()+c.gain {
+			t.Errorf("%.4f in time, want %.2f more than %.4f", estimated.shareInTime(), c.gain, former.shareInTime())
+		}
+		if estimated.rereadShare() > former.rereadShare()+c.again {
+			t.Errorf("%.4f of the prompt tokens were read again, want at most %.2f more than %.4f", estimated.rereadShare(), c.again, former.rereadShare())
+		}
+	}
+}
--- a/internal/process/dialect.go
+++ b/internal/process/dialect.go
@@ -20,6 +20,9 @@
 	// BoundsLoad reports whether the platform's contracts ask entries to bound the
 	// descriptors and the memory that callers and backend servers occupy.
 	BoundsLoad(contracts []string) bool
+	// EstimatesLoad reports whether the platform's contracts ask entries to choose backend
+	// servers by estimates of their load, also where these state no slowdown.
+	EstimatesLoad(contracts []string) bool
 	// ReadyPath returns the URL path that the platform polls for the
 	// readiness of an entry.
 	ReadyPath() string
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -79,7 +79,7 @@
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
 		Upstream:      &upstream.Client{Network: backendNetwork(s.Seeded, environment.Network)},
-		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
+		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: isAdaptive(s.Seeded, dialect), Seed: placementSeed(epochID)},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
 		Region:        regionOf(s),
@@ -125,6 +125,11 @@
 	return nil
 }
 
+// isAdaptive reports whether all backend servers are chosen by estimates of their load.
+func isAdaptive(s *settings.Seeded, dialect Dialect) bool {
+	return s.Placement.Adaptive || dialect.EstimatesLoad(s.Contracts)
+}
+
 // placementSeed returns the seed of the random choices among backend servers, which differ
 // from those of other entries.
 func placementSeed(epochID string) uint64 {
