Placement by estimates: weigh the time of a new connection

Change: where no idle connection can carry the request, the cost of a server and the expected first event include the mean time in which this entry's connections were opened and 1 ms at the server. The fleet asks through Fleet.ConnectTime under its lock. The choice without estimates does not ask.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -182,6 +182,7 @@
 		Version:       t.version,
 		Regions:       t.regions,
 		Tried:         tried,
+		Once:          !t.route.retriable(),
 		Priority:      t.route.priority(t.workspace),
 		TimeLeft:      timeLeft,
 	})
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -139,7 +139,7 @@
 			full = minPositive(full, wait)
 			continue
 		}
-		cost, firstEvent := u.cost(s, q, load, s == preferred)
+		cost, firstEvent := f.adaptiveCost(u, s, q, load, s == preferred)
 		if late := q.lateBy(firstEvent); late > 0 {
 			q.late = true
 			full = minPositive(full, late)
@@ -164,9 +164,9 @@
 	return roomWait(time.Duration((excess + 1) / float64(s.slots) * float64(u.holdTime.or(defaultHoldTime))))
 }
 
-// cost returns the estimated cost of placing the request at s, whose load is given, and the
-// time to the first event.
-func (u *upstreamState) cost(s *server, q *Query, load estimate, preferred bool) (cost, firstEvent time.Duration) {
+// adaptiveCost returns the estimated cost of placing the request at s, whose load is given, and
+// the time to the first event; mu is held.
+func (f *Fleet) adaptiveCost(u *upstreamState, s *server, q *Query, load estimate, preferred bool) (cost, firstEvent time.Duration) {
 	c := Candidate{
 		OtherDomain: s.failureDomain != q.FailureDomain,
 		FailureRate: s.failureRate,
@@ -174,12 +174,13 @@
 		Slots:       s.slots,
 		Preferred:   preferred,
 		Backlog:     u.slotWait(load.requests, s.slots),
+		Connect:     f.connectTime(s, q),
 	}
 	if q.Prompt == nil {
 		weights := plainWeights
 		weights.Backlog = 1
 		weights.Occupancy = load.duration(weights.Occupancy)
-		return weights.Cost(&c), c.Backlog
+		return weights.Cost(&c), c.Connect + c.Backlog
 	}
 	u.evictPrefixes(s, load)
 	used, kept := s.prefixes.leadingTokens(q.Prompt)
@@ -198,7 +199,15 @@
 	if preferred {
 		cost -= time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
 	}
-	return cost, c.Backlog + c.Prefill
+	return cost, c.Connect + c.Backlog + c.Prefill
+}
+
+// connectTime returns the time until the request can be sent to s; mu is held.
+func (f *Fleet) connectTime(s *server, q *Query) time.Duration {
+	if f.ConnectTime == nil {
+		return 0
+	}
+	return f.ConnectTime(s.id, q.Once)
 }
 
 // prefillTime returns how long the engine needs at usual speed for a prompt of which it has
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -41,6 +41,8 @@
 	Prefill time.Duration
 	// Preferred is set for the preferred server of the prompt prefix.
 	Preferred bool
+	// Connect is the time to open a connection to the server; 0 if one is open.
+	Connect time.Duration
 }
 
 // Cost returns the estimated cost of placing a request at c.
@@ -53,7 +55,7 @@
 	if c.Refusal > 0 {
 		cost += time.Duration(c.Refusal * float64(w.Refusal))
 	}
-	cost += time.Duration(w.Backlog*float64(c.Backlog)) + c.Prefill
+	cost += c.Connect + time.Duration(w.Backlog*float64(c.Backlog)) + c.Prefill
 	if w.DelayedStream > 0 {
 		cost += w.streamDelayCost(c)
 	}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -128,6 +128,11 @@
 	// AdaptiveChanged, if not nil, is called when an upstream begins or ceases to use
 	// estimates, with the number of its servers. Counts calls it. It must not call the fleet.
 	AdaptiveChanged func(upstream string, adaptive bool, servers int)
+	// ConnectTime, if not nil, returns the time until a request can be sent to a server: 0 if
+	// an idle connection is open that can carry it. Once is set for a request that must not
+	// run twice. It counts in the choice by estimates. It is called with the lock of the
+	// fleet held, must return at once and must not hold a lock under which the fleet is called.
+	ConnectTime func(server string, once bool) time.Duration
 	// Seed is the seed of the random choices among the servers of such upstreams.
 	Seed uint64
 	// draws counts the random numbers that were drawn.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -40,6 +40,8 @@
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
+	// Once is set for a request that must not run twice, which fewer idle connections carry.
+	Once bool
 	// Priority orders requests; 0 is the most urgent.
 	Priority int
 	// TimeLeft is how long the caller still waits for the first event; 0 if it is not known.
--- a/internal/place/uneven_model_test.go
+++ b/internal/place/uneven_model_test.go
@@ -35,6 +35,9 @@
 	exchangeInterval   = 100 * time.Millisecond
 	exchangePeers      = 8
 	exchangedReports   = 8
+	// modelConnectTime is the time to open a connection: a round trip and 1 ms at the server.
+	modelConnectTime = 2*modelLatency + time.Millisecond
+	modelIdleTimeout = 4 * time.Second
 )
 
 // site is a deployment of entries and engines.
@@ -119,6 +122,8 @@
 	stated int64
 	// documents multiplies the number of documents of each kind.
 	documents int
+	// weighConnections makes entries tell their fleets of idle connections.
+	weighConnections bool
 	// alone makes entries exchange no loads.
 	alone bool
 	// measureFrom is when results begin to count.
@@ -131,6 +136,8 @@
 	promptTokens, readTokens  int64
 	// rereadTokens counts the tokens of segments that some server had read before.
 	rereadTokens int64
+	// connections counts the opened connections to servers.
+	connections int
 }
 
 func (r *result) shareInTime() float64 {
@@ -149,7 +156,9 @@
 }
 
 type modelEntry struct {
-	fleet     *place.Fleet
+	fleet *place.Fleet
+	// idle holds, by server, since when each idle connection is idle.
+	idle      map[string][]time.Time
 	seed      uint64
 	allowance float64
 	allowedAt time.Time
@@ -159,6 +168,7 @@
 type modelRequest struct {
 	kind      *kind
 	arrived   time.Time
+	entry     *modelEntry
 	placement *place.Placement
 	prompt    *place.Prompt
 }
@@ -261,6 +271,15 @@
 // startEntry replaces an entry by one that has learned nothing.
 func (m *model) startEntry(e *modelEntry) {
 	e.fleet = &place.Fleet{Seed: e.seed, Adaptive: m.adaptive}
+	e.idle = make(map[string][]time.Time)
+	if m.weighConnections {
+		e.fleet.ConnectTime = func(server string, _ bool) time.Duration {
+			if e.hasIdle(server, m.now) {
+				return 0
+			}
+			return modelConnectTime
+		}
+	}
 	e.fleet.Update(m.list, m.now)
 	e.fleet.SetUpstreams(map[string]place.UpstreamPolicy{"pool": {CacheTokens: m.stated}})
 	e.fleet.PromptSent = func(server string, prefillTime time.Duration, segments []place.PrefixSegment) {
@@ -268,6 +287,12 @@
 	}
 }
 
+// hasIdle reports whether an idle connection to a server is open. It forgets expired ones.
+func (e *modelEntry) hasIdle(server string, now time.Time) bool {
+	e.idle[server] = slices.DeleteFunc(e.idle[server], func(since time.Time) bool { return now.Sub(since) > modelIdleTimeout })
+	return len(e.idle[server]) > 0
+}
+
 func (m *model) restartEntries() {
 	for _, e := range m.entryList {
 		m.startEntry(e)
@@ -373,8 +398,15 @@
 		return
 	}
 	s := m.byID[chosen.Placement.ID]
-	r := &modelRequest{kind: k, arrived: m.now, placement: chosen.Placement, prompt: prompt}
-	m.after(modelLatency, func() { m.receive(s, r) })
+	r := &modelRequest{kind: k, arrived: m.now, entry: entry, placement: chosen.Placement, prompt: prompt}
+	latency := modelLatency
+	if entry.hasIdle(s.id, m.now) {
+		entry.idle[s.id] = entry.idle[s.id][:len(entry.idle[s.id])-1]
+	} else {
+		latency += modelConnectTime
+		m.count(k, func(r *result) { r.connections++ })
+	}
+	m.after(latency, func() { m.receive(s, r) })
 	if k.timeLeft > 0 {
 		m.after(k.timeLeft, func() { m.leave(s, r) })
 	}
@@ -535,6 +567,7 @@
 // end ends a request and gives its slot to the most urgent one that waits.
 func (m *model) end(s *modelServer, r *modelRequest, outcome place.Outcome) {
 	r.placement.Done(outcome, m.now)
+	r.entry.idle[s.id] = append(r.entry.idle[s.id], m.now)
 	s.running--
 	s.held -= r.held()
 	if len(s.waiting) > 0 {
@@ -590,6 +623,7 @@
 		total.promptTokens += r.promptTokens
 		total.readTokens += r.readTokens
 		total.rereadTokens += r.rereadTokens
+		total.connections += r.connections
 	}
 	return total
 }
--- a/internal/place/uneven_test.go
+++ b/internal/place/uneven_test.go
@@ -27,7 +27,7 @@
 	}
 	m.run(warmUp + 8*time.Second)
 	total := m.totals()
-	t.Logf("%s: in time %.3f, refused %d, prompt tokens read %.3f, again %.3f", name, total.shareInTime(), total.refused, total.readShare(), total.rereadShare())
+	t.Logf("%s: in time %.3f, refused %d, prompt tokens read %.3f, again %.3f, new connections %.3f", name, total.shareInTime(), total.refused, total.readShare(), total.rereadShare(), float64(total.connections)/float64(total.requests))
 	for _, k := range m.kinds {
 		t.Logf("    %s: in time %.3f of %d, refused %d", k.name, m.results[k].shareInTime(), m.results[k].requests, m.results[k].refused)
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -92,6 +92,7 @@
 	}
 	g.Server.Fleet.Changed = g.logServerChange
 	g.Server.Fleet.AdaptiveChanged = g.logAdaptiveChange
+	g.Server.Fleet.ConnectTime = g.Server.Upstream.ConnectTime
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
 		return err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,9 @@
 	dials atomic.Int64
 	open  atomic.Int64
 
+	// connects follows idle. Its lock is taken with mu held, and not the other way round.
+	connects connectTimes
+
 	// bodies bounds the memory of the bodies that are being read.
 	bodies bodyBudget
 
@@ -96,6 +99,7 @@
 // setList replaces the idle connections to a server; mu is held.
 func (p *pool) setList(id string, list []*conn) {
 	p.idleCount += len(list) - len(p.idle[id])
+	p.connects.setIdle(id, list)
 	if len(list) == 0 {
 		delete(p.idle, id)
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -202,10 +202,12 @@
 	if network == nil {
 		network = transport.TCP{}
 	}
+	began := time.Now()
 	socket, err := network.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %w", id, err)
 	}
+	c.pool.connects.recordOpened(time.Since(began))
 	c.pool.dials.Add(1)
 	return newConn(id, socket, c.unstatedIdleTimeout(), &c.pool.open), nil
 }
