--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -196,6 +196,7 @@
 		Version:       t.version,
 		Regions:       t.regions,
 		Tried:         tried,
+		Once:          !t.route.retriable(),
 		Priority:      t.route.priority(t.workspace),
 		TimeLeft:      timeLeft,
 	}
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -20,10 +20,12 @@
 )
 
 // adaptiveWeights are engineWeights for estimated loads. Occupancy is larger because a slot
-// in use may also make other requests wait.
+// in use may also make other requests wait. Affinity is larger so that fewer prompts are
+// read again; above 50 ms, more first events are late near the capacity of the engines.
 var adaptiveWeights = func() Weights {
 	w := engineWeights
 	w.Occupancy = 200 * time.Millisecond
+	w.Affinity = 50 * time.Millisecond
 	return w
 }()
 
@@ -133,14 +135,14 @@
 	var lowest time.Duration
 	for _, s := range servers {
 		load := u.estimate(s, q.Now)
-		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q.Now); wait > 0 {
+		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q); wait > 0 {
 			if q.trace != nil {
 				q.trace.skip(s, why, wait)
 			}
 			full = minPositive(full, wait)
 			continue
 		}
-		cost, firstEvent := u.cost(s, q, load, s == preferred)
+		cost, firstEvent := f.adaptiveCost(u, s, q, load, s == preferred)
 		late := q.lateBy(firstEvent)
 		if q.trace != nil {
 			q.trace.compare(s, cost, firstEvent, late)
@@ -169,9 +171,9 @@
 	return roomWait(time.Duration((excess + 1) / float64(s.slots) * float64(u.holdTime.or(defaultHoldTime))))
 }
 
-// cost returns the estimated cost of placing the request at s, whose load is given, and the
-// time to the first event.
-func (u *upstreamState) cost(s *server, q *Query, load estimate, preferred bool) (cost, firstEvent time.Duration) {
+// adaptiveCost returns the estimated cost of placing the request at s, whose load is given, and
+// the time to the first event; mu is held.
+func (f *Fleet) adaptiveCost(u *upstreamState, s *server, q *Query, load estimate, preferred bool) (cost, firstEvent time.Duration) {
 	c := Candidate{
 		OtherDomain: s.failureDomain != q.FailureDomain,
 		FailureRate: s.failureRate,
@@ -179,6 +181,7 @@
 		Slots:       s.slots,
 		Preferred:   preferred,
 		Backlog:     u.slotWait(load.requests, s.slots),
+		Connect:     f.connectTime(s, q),
 	}
 	if q.Prompt == nil {
 		weights := plainWeights
@@ -187,7 +190,7 @@
 		if q.trace != nil {
 			q.trace.weigh(&weights, &c)
 		}
-		return weights.Cost(&c), c.Backlog
+		return weights.Cost(&c), c.Connect + c.Backlog
 	}
 	u.evictPrefixes(s, load)
 	used, kept := s.prefixes.leadingTokens(q.Prompt)
@@ -215,7 +218,15 @@
 		q.trace.add("evicted_segments", -forgiven)
 		q.trace.add("preferred_prefix", -favour)
 	}
-	return cost, c.Backlog + c.Prefill
+	return cost, c.Connect + c.Backlog + c.Prefill
+}
+
+// connectTime returns the time until the request can be sent to s; mu is held.
+func (f *Fleet) connectTime(s *server, q *Query) time.Duration {
+	if f.ConnectTime == nil {
+		return 0
+	}
+	return f.ConnectTime(s.id, q.Once)
 }
 
 // prefillTime returns how long the engine needs at usual speed for a prompt of which it has
@@ -229,19 +240,29 @@
 	return max(0, s.prefillUntil.Sub(now))
 }
 
-// preferredOf is preferred among the known servers of the upstream; mu is held.
+// preferredOf returns the server of the group of the prompt's first segment with the highest
+// rendezvous weight for the last one, or nil. Entries with the same counts of first segments
+// compute the same one. mu is held.
 func (f *Fleet) preferredOf(u *upstreamState, q *Query) *server {
 	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
 		return nil
 	}
-	segment := q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID
+	servers := f.preferables[:0]
+	for _, s := range u.servers {
+		if !s.leaving && !f.isEvacuated(s) && q.Version.allows(s.version) && q.Regions.Allows(s.region) && !s.isEjected(q.Now) {
+			servers = append(servers, s)
+		}
+	}
+	f.preferables = servers
+	lowest := f.groupWeight(u, q.Prompt, servers)
+	first, last := q.Prompt.Prefix[0].ID, q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID
 	var preferred *server
 	var highest uint64
-	for _, s := range u.servers {
-		if s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
+	for _, s := range servers {
+		if mixWeight(first, s.hash) < lowest {
 			continue
 		}
-		weight := mixWeight(segment, s.hash)
+		weight := mixWeight(last, s.hash)
 		if preferred == nil || weight > highest {
 			preferred = s
 			highest = weight
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -174,9 +174,11 @@
 			terms = append(terms, CostTerm{Name: name, Cost: cost})
 		}
 	}
+	unweighted := w.candidate.Connect + w.candidate.Prefill
 	for _, part := range w.weights.parts() {
-		add(part.name, part.weights.Cost(&w.candidate)-w.candidate.Prefill)
+		add(part.name, part.weights.Cost(&w.candidate)-unweighted)
 	}
+	add("new_connection", w.candidate.Connect)
 	add("prefill", w.candidate.Prefill)
 	for _, term := range w.extra {
 		add(term.Name, term.Cost)
@@ -190,8 +192,8 @@
 	weights Weights
 }
 
-// parts returns each weight alone. The costs that they give, each less the prefill, add up to
-// the cost by all of them less the prefill.
+// parts returns each weight alone. The costs that they give, each less what has no weight, add
+// up to the cost by all of them less the same.
 func (w *Weights) parts() []namedWeights {
 	return []namedWeights{
 		{"other_failure_domain", Weights{CrossDomain: w.CrossDomain}},
@@ -321,10 +323,11 @@
 
 // savedState is what a choice at an upstream may change.
 type savedState struct {
-	changed   func(Change)
-	draws     uint64
-	eligibles []*server
-	upstream  upstreamState
+	changed                func(Change)
+	draws                  uint64
+	eligibles, preferables []*server
+	groupWeights           []uint64
+	upstream               upstreamState
 	// servers are copies of those of the upstream, in the same order.
 	servers []server
 }
@@ -332,12 +335,12 @@
 // save returns the state before a choice at an upstream, and lets the choice notify nobody;
 // mu is held.
 func (f *Fleet) save(u *upstreamState) *savedState {
-	saved := &savedState{changed: f.Changed, draws: f.draws, eligibles: f.eligibles, upstream: *u, servers: make([]server, len(u.servers))}
+	saved := &savedState{changed: f.Changed, draws: f.draws, eligibles: f.eligibles, preferables: f.preferables, groupWeights: f.groupWeights, upstream: *u, servers: make([]server, len(u.servers))}
 	for i, s := range u.servers {
 		saved.servers[i] = *s
 	}
 	f.Changed = nil
-	f.eligibles = nil
+	f.eligibles, f.preferables, f.groupWeights = nil, nil, nil
 	return saved
 }
 
@@ -345,7 +348,7 @@
 func (saved *savedState) restore(f *Fleet, u *upstreamState) {
 	f.Changed = saved.changed
 	f.draws = saved.draws
-	f.eligibles = saved.eligibles
+	f.eligibles, f.preferables, f.groupWeights = saved.eligibles, saved.preferables, saved.groupWeights
 	*u = saved.upstream
 	for i, s := range u.servers {
 		s.prefixes.keepAgain(saved.servers[i].prefixes.oldestKept)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -134,6 +134,11 @@
 	// AdaptiveChanged, if not nil, is called when an upstream begins or ceases to use
 	// estimates, with the number of its servers. Counts calls it. It must not call the fleet.
 	AdaptiveChanged func(upstream string, adaptive bool, servers int)
+	// ConnectTime, if not nil, returns the time until a request can be sent to a server: 0 if
+	// an idle connection is open that can carry it. Once is set for a request that must not
+	// run twice. It counts in the choice by estimates. It is called with the lock of the
+	// fleet held, must return at once and must not hold a lock under which the fleet is called.
+	ConnectTime func(server string, once bool) time.Duration
 	// Seed is the seed of the random choices among the servers of such upstreams.
 	Seed uint64
 	// draws counts the random numbers that were drawn.
@@ -142,6 +147,9 @@
 	upstreams map[string]*upstreamState
 	// eligibles is the buffer for the servers that may take a request.
 	eligibles []*server
+	// preferables and groupWeights are buffers for the search of the preferred server.
+	preferables  []*server
+	groupWeights []uint64
 }
 
 // Placement counts a request in flight at a server. Done must be called once.
@@ -384,11 +392,7 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		wait, why := f.timeUntilFree(s, q.Now)
-		if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
-			wait, why = outstanding, whyOutstanding
-		}
-		if wait > 0 {
+		if wait, why := f.timeUntilFree(s, q); wait > 0 {
 			if q.trace != nil {
 				q.trace.skip(s, why, wait)
 			}
@@ -427,18 +431,28 @@
 	return allowed.ejected || !s.isEjected(now)
 }
 
-// timeUntilFree returns how long the server takes no request, because it wants none, its
-// limit is reached or it is full, and which of these; 0 if it takes one now. mu is held.
-func (f *Fleet) timeUntilFree(s *server, now time.Time) (wait time.Duration, why string) {
+// timeUntilFree returns how long the server does not take the request, because it wants none,
+// its limit is reached, it is full or has too many bytes of this entry, and which of these; 0 if
+// it takes it now. mu is held.
+func (f *Fleet) timeUntilFree(s *server, q *Query) (wait time.Duration, why string) {
 	var full time.Duration
-	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
+	if float64(s.occupancy(q.Now)) >= maxOccupancy*float64(s.slots) {
 		full = fullRetryAfter
 	}
-	return f.timeUntilTaken(s, full, now)
+	return f.timeUntilTaken(s, full, q)
 }
 
 // timeUntilTaken is timeUntilFree for a server that is full for the given time.
-func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, q *Query) (wait time.Duration, why string) {
+	wait, why = f.unboundedWait(s, full, q.Now)
+	if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
+		return outstanding, whyOutstanding
+	}
+	return wait, why
+}
+
+// unboundedWait is timeUntilTaken without the bound of this entry's bytes at the server.
+func (f *Fleet) unboundedWait(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
 		return held, whyHeldOff
 	}
@@ -553,6 +567,9 @@
 	s.prefillUntil = s.prefillUntil.Add(prefillTime)
 	u := f.upstreamOf(s.upstream)
 	s.prefixes.record(prompt.Prefix, int64(u.segmentTokens), now)
+	if f.isAdaptive(u, now) {
+		u.firstSegments.record(prompt.Prefix)
+	}
 	if u.policy.CacheTokens > 0 && f.isAdaptive(u, now) {
 		u.evictPrefixes(s, u.estimate(s, now))
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -85,7 +85,7 @@
 	g.Server = &forward.Server{
 		Translator:    dialect.Translator(),
 		Upstream:      &upstream.Client{},
-		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: s.Seeded.Placement.Adaptive, Seed: placementSeed(epochID)},
+		Fleet:         &place.Fleet{Regions: s.Seeded.FailureDomains, Adaptive: isAdaptive(s.Seeded, dialect), Seed: placementSeed(epochID)},
 		Retries:       &retry.Budget{Limits: retryLimits(s.Seeded.Retries)},
 		FailureDomain: s.FailureDomain,
 		Region:        regionOf(s),
@@ -99,6 +99,7 @@
 	g.Server.Upstream.Network = g.requestNetwork(backendNetwork(s.Seeded, environment.Network))
 	g.Server.Fleet.Changed = g.logServerChange
 	g.Server.Fleet.AdaptiveChanged = g.logAdaptiveChange
+	g.Server.Fleet.ConnectTime = g.Server.Upstream.ConnectTime
 	gossiper, err := g.newGossiper(environment)
 	if err != nil {
 		return err
@@ -129,6 +130,11 @@
 	return nil
 }
 
+// isAdaptive reports whether all backend servers are chosen by estimates of their load.
+func isAdaptive(s *settings.Seeded, dialect Dialect) bool {
+	return s.Placement.Adaptive || dialect.EstimatesLoad(s.Contracts)
+}
+
 // placementSeed returns the seed of the random choices among backend servers, which differ
 // from those of other entries.
 func placementSeed(epochID string) uint64 {
