Placement: one preferred server and one load report

Cause: place.Fleet.preferred and preferredOf had the same condition and loop, and server.load with loadReportedAt repeated what server.report holds.

Change: preferred uses the servers grouped by upstream with their stored hashes, for both choices; groups of first segments apply only where servers are chosen by estimates. The occupancy of a server is read from its one report. A load that another entry tells of would change the choice without estimates through this report; it is ignored there unless it states a slowdown, which begins the choice by estimates as before. Where servers are chosen by estimates, a brittle server's occupancy now includes such loads.

Test: the reference in TestChoiceWithoutSlowdownIsTheFormerOne keeps its own reports and computes its own preferred server, and loads of other entries arrive at random. It fails if they are not ignored.

--- a/internal/place/cache_internal_test.go
+++ b/internal/place/cache_internal_test.go
@@ -18,7 +18,7 @@
 	f := engineFleet(3)
 	f.SetUpstreams(map[string]UpstreamPolicy{"pool": {CacheTokens: memory}})
 	c := &prefixCase{fleet: f, upstream: f.upstreamOf("pool"), prompt: &Prompt{Tokens: 20_000, Output: 100, Prefix: []PrefixSegment{{ID: 1, Tokens: 16_000}}}}
-	c.preferred = f.preferredOf(c.upstream, &Query{Now: internalStart, Prompt: c.prompt})
+	c.preferred = f.preferred(c.upstream, &Query{Now: internalStart, Prompt: c.prompt})
 	for _, s := range c.upstream.servers {
 		s.failureDomain = "a"
 		if s != c.preferred {
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -57,7 +57,7 @@
 		}
 	}
 	f.eligibles = eligibles
-	preferred := f.preferredOf(u, q)
+	preferred := f.preferred(u, q)
 	chosen := f.candidates(u, q, eligibles, preferred)
 	cheapest, full = f.cheapestOf(u, q, chosen.list(), preferred)
 	if cheapest == nil && len(eligibles) > chosen.count {
@@ -221,37 +221,6 @@
 	return max(0, s.prefillUntil.Sub(now))
 }
 
-// preferredOf returns the server of the group of the prompt's first segment with the highest
-// rendezvous weight for the last one, or nil. Entries with the same counts of first segments
-// compute the same one. mu is held.
-func (f *Fleet) preferredOf(u *upstreamState, q *Query) *server {
-	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
-		return nil
-	}
-	servers := f.preferables[:0]
-	for _, s := range u.servers {
-		if !s.leaving && !f.isEvacuated(s) && q.Version.allows(s.version) && q.Regions.Allows(s.region) && !s.isEjected(q.Now) {
-			servers = append(servers, s)
-		}
-	}
-	f.preferables = servers
-	lowest := f.groupWeight(u, q.Prompt, servers)
-	first, last := q.Prompt.Prefix[0].ID, q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID
-	var preferred *server
-	var highest uint64
-	for _, s := range servers {
-		if mixWeight(first, s.hash) < lowest {
-			continue
-		}
-		weight := mixWeight(last, s.hash)
-		if preferred == nil || weight > highest {
-			preferred = s
-			highest = weight
-		}
-	}
-	return preferred
-}
-
 // random returns a number from 0 to n-1. It depends only on the fleet's seed and on how many
 // numbers were drawn before.
 func (f *Fleet) random(n int) int {
--- a/internal/place/choice_internal_test.go
+++ b/internal/place/choice_internal_test.go
@@ -12,12 +12,17 @@
 
 var internalStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// ownReports holds the last load that each server has stated to this entry.
+type ownReports map[*server]ownReport
+
+type ownReport struct {
+	load Load
+	at   time.Time
+}
+
 // formerCost is the cost of a server without estimates of its load.
-func formerCost(s *server, q Query, preferred bool) time.Duration {
-	occupancy := s.inFlight
-	if q.Now.Sub(s.loadReportedAt) <= 1500*time.Millisecond {
-		occupancy = max(s.inFlight, s.load.Running+s.load.Waiting)
-	}
+func (r ownReports) formerCost(s *server, q Query, preferred bool) time.Duration {
+	occupancy := r.formerOccupancy(s, q.Now)
 	c := Candidate{OtherDomain: s.failureDomain != q.FailureDomain, FailureRate: s.failureRate, Running: occupancy, Slots: s.slots, Preferred: preferred}
 	if q.Prompt == nil {
 		return plainWeights.Cost(&c)
@@ -35,20 +40,46 @@
 	return engineWeights.Cost(&c)
 }
 
+func (r ownReports) formerOccupancy(s *server, now time.Time) int {
+	if now.Sub(r[s].at) > 1500*time.Millisecond {
+		return s.inFlight
+	}
+	return max(s.inFlight, r[s].load.Running+r[s].load.Waiting)
+}
+
+// formerPreferred returns the server with the highest rendezvous weight for the last segment.
+func formerPreferred(f *Fleet, q Query) *server {
+	if q.Prompt == nil {
+		return nil
+	}
+	var preferred *server
+	var highest uint64
+	for _, s := range f.servers {
+		if s.upstream != q.Upstream || s.leaving || s.isEjected(q.Now) {
+			continue
+		}
+		weight := mixWeight(q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID, hashID(s.id))
+		if preferred == nil || weight > highest {
+			preferred, highest = s, weight
+		}
+	}
+	return preferred
+}
+
 // formerChoice returns the server that was chosen without estimates; nil if all are full or
 // none is eligible.
-func formerChoice(f *Fleet, q Query) *server {
+func (r ownReports) formerChoice(f *Fleet, q Query) *server {
 	var cheapest *server
 	var lowest time.Duration
-	preferred := f.preferred(q)
+	preferred := formerPreferred(f, q)
 	for _, s := range f.servers {
 		if s.upstream != q.Upstream || slices.Contains(q.Tried, s.id) || s.leaving || s.isEjected(q.Now) || q.Now.Before(s.heldOffUntil) {
 			continue
 		}
-		if float64(s.occupancy(q.Now)) >= 2.5*float64(s.slots) {
+		if float64(r.formerOccupancy(s, q.Now)) >= 2.5*float64(s.slots) {
 			continue
 		}
-		cost := formerCost(s, q, s == preferred)
+		cost := r.formerCost(s, q, s == preferred)
 		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
 			cheapest, lowest = s, cost
 		}
@@ -69,6 +100,7 @@
 		f.SetUpstreams(map[string]UpstreamPolicy{"pool": {CacheTokens: 5000}})
 		f.Update(list, internalStart)
 		now := internalStart
+		reports := make(ownReports)
 		var placements []*Placement
 		for range 300 {
 			now = now.Add(time.Duration(random.IntN(100)) * time.Millisecond)
@@ -77,7 +109,7 @@
 				segment := uint64(random.IntN(5))
 				q.Prompt = &Prompt{Tokens: int64(1000 + random.IntN(30_000)), Output: 50, Prefix: []PrefixSegment{{ID: segment, Tokens: 700}, {ID: 100 + segment, Tokens: 4000}}}
 			}
-			want := formerChoice(f, q)
+			want := reports.formerChoice(f, q)
 			chosen, _ := f.Pick(q).(Chosen)
 			if want == nil {
 				continue
@@ -93,7 +125,7 @@
 				}
 			}
 			placements = append(placements, chosen.Placement)
-			changeState(f, random, placements, now)
+			reports.changeState(f, random, placements, now)
 		}
 		f.RecordRemoteLoad(LoadReport{Server: "e0", Load: Load{Running: 3, Slots: 8}}, now)
 		if len(f.FreshLoads(8, now)) != 0 {
@@ -103,11 +135,13 @@
 }
 
 // changeState applies a random event to a random placement.
-func changeState(f *Fleet, random *rand.Rand, placements []*Placement, now time.Time) {
+func (r ownReports) changeState(f *Fleet, random *rand.Rand, placements []*Placement, now time.Time) {
 	p := placements[random.IntN(len(placements))]
-	switch random.IntN(6) {
+	switch random.IntN(7) {
 	case 0:
-		p.SetLoad(Load{Running: random.IntN(9), Waiting: random.IntN(3), Slots: 8}, now)
+		load := Load{Running: random.IntN(9), Waiting: random.IntN(3), Slots: 8}
+		p.SetLoad(load, now)
+		r[p.server] = ownReport{load: load, at: now}
 	case 1:
 		p.RecordFirstEvent(now)
 	case 2:
@@ -118,6 +152,8 @@
 			copy(placements, placements[1:])
 		}
 	case 4:
+		f.RecordRemoteLoad(LoadReport{Server: p.ID, Load: Load{Running: 3 + random.IntN(9), Slots: 8}}, now)
+	case 5:
 		p.HoldOff(now.Add(time.Duration(random.IntN(200)) * time.Millisecond))
 	}
 }
--- a/internal/place/choice_limits_internal_test.go
+++ b/internal/place/choice_limits_internal_test.go
@@ -30,7 +30,7 @@
 			for segment := range uint64(100) {
 				q := Query{Now: internalStart, Upstream: "pool", FailureDomain: "a", Regions: test.regions,
 					Prompt: &Prompt{Tokens: 20_000, Output: 100, Prefix: []PrefixSegment{{ID: segment, Tokens: 16_000}}}}
-				if preferred := f.preferredOf(f.upstreamOf("pool"), &q); preferred != nil && !slices.Contains(test.want, preferred.failureDomain) {
+				if preferred := f.preferred(f.upstreamOf("pool"), &q); preferred != nil && !slices.Contains(test.want, preferred.failureDomain) {
 					t.Errorf("%s in failure domain %s is preferred, want one in %v", preferred.id, preferred.failureDomain, test.want)
 				}
 				if chosen, ok := f.Pick(q).(Chosen); ok {
--- a/internal/place/exchange.go
+++ b/internal/place/exchange.go
@@ -40,7 +40,8 @@
 }
 
 // RecordRemoteLoad records the load that a server has stated to another entry. Older reports
-// than the last one and unknown servers are ignored.
+// than the last one and unknown servers are ignored, and all reports where servers are not
+// chosen by estimates, unless they state a slowdown: they would change that choice.
 func (f *Fleet) RecordRemoteLoad(r LoadReport, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -49,5 +50,9 @@
 	if s == nil || !at.After(s.report.at) {
 		return
 	}
-	f.upstreamOf(s.upstream).recordReport(s, r.Load, at)
+	u := f.upstreamOf(s.upstream)
+	if r.Load.Slowdown == 0 && !f.isAdaptive(u, now) {
+		return
+	}
+	u.recordReport(s, r.Load, at)
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -362,13 +361,17 @@
 // cheapest returns the server with the lowest cost, or nil. If it skipped full servers or
 // ones that want no requests now, full is the time until the first of them may take one.
 func (f *Fleet) cheapest(q *Query, allowed eligible) (cheapest *server, full time.Duration) {
-	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+	u := f.upstreams[q.Upstream]
+	if u == nil {
+		return nil, 0
+	}
+	if f.isAdaptive(u, q.Now) {
 		return f.cheapestAdaptive(u, q, allowed)
 	}
-	preferred := f.preferred(*q)
+	preferred := f.preferred(u, q)
 	var lowest time.Duration
-	for _, s := range f.servers {
-		if s.upstream != q.Upstream || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || slices.Contains(q.Tried, s.id) {
+	for _, s := range u.servers {
+		if !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || slices.Contains(q.Tried, s.id) {
 			continue
 		}
 		if !f.isEligible(s, allowed, q.Now) {
@@ -459,48 +462,6 @@
 	return engineWeights.Cost(&c)
 }
 
-// preferred returns the server with the highest rendezvous weight for the last
-// prefix segment of the prompt, or nil. All entries compute the same one.
-func (f *Fleet) preferred(q Query) *server {
-	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
-		return nil
-	}
-	segment := q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID
-	var preferred *server
-	var highest uint64
-	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
-			continue
-		}
-		weight := rendezvousWeight(segment, s.id)
-		if preferred == nil || weight > highest {
-			preferred = s
-			highest = weight
-		}
-	}
-	return preferred
-}
-
-// rendezvousWeight hashes a segment and a server id for rendezvous hashing.
-func rendezvousWeight(segment uint64, id string) uint64 {
-	return mixWeight(segment, hashID(id))
-}
-
-// hashID hashes a server id for rendezvous hashing.
-func hashID(id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum64()
-}
-
-// mixWeight returns the rendezvous weight of a segment at the server with a hashed id.
-func mixWeight(segment, hash uint64) uint64 {
-	x := hash ^ segment*0x9E3779B97F4A7C15
-	x ^= x >> 32
-	x *= 0xD6E8FEB86659FD93
-	return x ^ x>>32
-}
-
 // startPlacement counts the request as in flight at s and adds its prompt to
 // the engine's expected load; mu is held.
 func (f *Fleet) startPlacement(s *server, q Query) *Placement {
@@ -560,8 +521,6 @@
 func (p *Placement) SetLoad(load Load, now time.Time) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	p.server.load = load
-	p.server.loadReportedAt = now
 	p.recordReport(load, now)
 }
 
--- a/internal/place/group.go
+++ b/internal/place/preferred.go
@@ -1,6 +1,9 @@
 package place
 
-import "slices"
+import (
+	"hash/fnv"
+	"slices"
+)
 
 const (
 	// groupOversize is how many times as many servers a group has as its share of the
@@ -61,6 +64,56 @@
 	return min(size, servers)
 }
 
+// preferred returns the server with the highest rendezvous weight for the last segment of the
+// prompt's prefix, or nil. Where servers are chosen by estimates, it is the highest among the
+// group of the first segment. All entries compute the same one; with groups, those that count
+// the same prompts. mu is held.
+func (f *Fleet) preferred(u *upstreamState, q *Query) *server {
+	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
+		return nil
+	}
+	servers := f.preferables[:0]
+	for _, s := range u.servers {
+		if !s.leaving && !f.isEvacuated(s) && q.Version.allows(s.version) && q.Regions.Allows(s.region) && !s.isEjected(q.Now) {
+			servers = append(servers, s)
+		}
+	}
+	f.preferables = servers
+	var lowest uint64
+	if f.isAdaptive(u, q.Now) {
+		lowest = f.groupWeight(u, q.Prompt, servers)
+	}
+	first, last := q.Prompt.Prefix[0].ID, q.Prompt.Prefix[len(q.Prompt.Prefix)-1].ID
+	var preferred *server
+	var highest uint64
+	for _, s := range servers {
+		if mixWeight(first, s.hash) < lowest {
+			continue
+		}
+		weight := mixWeight(last, s.hash)
+		if preferred == nil || weight > highest {
+			preferred = s
+			highest = weight
+		}
+	}
+	return preferred
+}
+
+// hashID hashes a server id for rendezvous hashing.
+func hashID(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
+// mixWeight returns the rendezvous weight of a segment at the server with a hashed id.
+func mixWeight(segment, hash uint64) uint64 {
+	x := hash ^ segment*0x9E3779B97F4A7C15
+	x ^= x >> 32
+	x *= 0xD6E8FEB86659FD93
+	return x ^ x>>32
+}
+
 // groupWeight returns the lowest rendezvous weight for the first segment of the prompt's
 // prefix among its group: the servers with the highest weights. It returns 0 if all the given
 // servers are the group. Prefixes that begin alike are kept at one group, so that fewer
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -5,7 +5,7 @@
 )
 
 const (
-	// loadReportTTL is how long a server's own load report is used.
+	// loadReportTTL is how long a load report counts in the occupancy.
 	loadReportTTL = 1500 * time.Millisecond
 	// failureRateWeight is the weight of the newest outcome in the moving
 	// average of the failure rate.
@@ -60,9 +60,7 @@
 	ownSlots   int
 	ownSlotsAt time.Time
 
-	load           Load
-	loadReportedAt time.Time
-	// report is the last load report less this entry's requests, and pace how much slower
+	// report is the last load report, and pace how much slower
 	// the engine is than those of its upstream in the mean.
 	report loadReport
 	pace   pace
@@ -86,10 +84,10 @@
 // occupancy returns the number of requests running or queued at the server: the
 // larger of this entry's own count and a recent load report.
 func (s *server) occupancy(now time.Time) int {
-	if now.Sub(s.loadReportedAt) > loadReportTTL {
+	if now.Sub(s.report.at) > loadReportTTL {
 		return s.inFlight
 	}
-	return max(s.inFlight, s.load.Running+s.load.Waiting)
+	return max(s.inFlight, s.report.load.Running+s.report.load.Waiting)
 }
 
 // isEjected reports whether the server must get no request because of failures.
