Prefer unconfirmed servers for prefixes only after a time that differs

Cause: all entries prefer the same server for a prompt prefix. If many start together and one prefix is in half of all prompts, each sends its preferred server a request and a probe, before one of them has announced that it is cold.

Change: an entry prefers an unconfirmed server only after a part of cold_start that differs between entries and servers, or once it has confirmed it. The next server in the order of the prefix takes its place.

The price, prompts that are read again in the first seconds of an entry, was not measured.

--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -219,7 +219,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range u.servers {
-		if s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
+		if s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) || f.isTooEarlyToPrefer(s, q.Now) {
 			continue
 		}
 		weight := mixWeight(segment, s.hash)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -472,7 +472,7 @@
 	var preferred *server
 	var highest uint64
 	for _, s := range f.servers {
-		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) {
+		if s.upstream != q.Upstream || s.leaving || f.isEvacuated(s) || !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || s.isEjected(q.Now) || f.isTooEarlyToPrefer(s, q.Now) {
 			continue
 		}
 		weight := rendezvousWeight(segment, s.id)
--- a/internal/place/unconfirmed.go
+++ b/internal/place/unconfirmed.go
@@ -105,3 +105,16 @@
 	}
 	return s.id < other.id
 }
+
+// isTooEarlyToPrefer reports whether an unconfirmed server must not be preferred for its prompt
+// prefixes yet: all entries prefer the same server, and those that start together would send
+// it a request and a probe each before one of them has announced that it is cold. The time is
+// a part of ColdStart that differs between entries and servers; mu is held.
+func (f *Fleet) isTooEarlyToPrefer(s *server, now time.Time) bool {
+	if !f.isUnconfirmed(s, now) {
+		return false
+	}
+	part := float64(mixWeight(f.Seed, s.hash)>>11) / (1 << 53)
+	wait := time.Duration(part * float64(f.upstreamOf(s.upstream).policy.ColdStart))
+	return now.Before(s.cold.unconfirmed.since.Add(wait))
+}
--- a/internal/place/unconfirmed_test.go
+++ b/internal/place/unconfirmed_test.go
@@ -28,8 +28,10 @@
 	// probeTime is how long a probe takes, and probeTimeout how long an entry waits for it.
 	probeTime    = 5 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
-	// mostPreferred is the server of 112 that most of the prompt prefixes prefer, 18 of 1,000.
+	// mostPreferred is the server of 112 that most of the prompt prefixes prefer, 18 of 1,000,
+	// and hotPreferred the one that prefix 0 prefers.
 	mostPreferred = 31
+	hotPreferred  = 13
 	// startStep is the time between two looks at a site that starts.
 	startStep = 5 * time.Millisecond
 )
@@ -44,10 +46,10 @@
 	list    []instances.Instance
 	// restarted is the position of the server that has restarted.
 	restarted int
-	// perSecond is the number of requests that arrive at a running entry in a second, and
-	// prompts is set if they have prompts.
+	// perSecond is the number of requests that arrive in a second.
 	perSecond float64
-	prompts   bool
+	// prompts is set if they have prompts, and hot if half of these have the prefix 0.
+	prompts, hot bool
 	// announced is set if the entries' datagrams reach each other.
 	announced bool
 
@@ -208,7 +210,11 @@
 func (s *startSite) send(e *startEntry, now time.Time) bool {
 	q := place.Query{Now: now, Upstream: "pool", FailureDomain: "a"}
 	if s.prompts {
-		q.Prompt = prompt(uint64(s.random.IntN(coldPrefixes)), coldPromptTokens)
+		prefix := s.random.IntN(coldPrefixes)
+		if s.hot && s.random.IntN(2) == 0 {
+			prefix = 0
+		}
+		q.Prompt = prompt(uint64(prefix), coldPromptTokens)
 	}
 	chosen, ok := e.fleet.Pick(q).(place.Chosen)
 	if e.probeNeeded {
@@ -327,17 +333,23 @@
 }
 
 // TestManyEntriesThatStartDoNotOverloadAServer guards against 70 entries that know nothing
-// and choose the same server first, with prompts whose prefixes prefer servers and without.
+// and choose the same server first: the one with the lowest id, or that a prompt prefix
+// prefers, also if half of all prompts have it.
 func TestManyEntriesThatStartDoNotOverloadAServer(t *testing.T) {
 	for _, c := range []struct {
-		prompts   bool
-		restarted int
-	}{{prompts: true, restarted: mostPreferred}, {prompts: false, restarted: 0}, {prompts: false, restarted: 50}} {
+		prompts, hot bool
+		restarted    int
+	}{
+		{prompts: true, restarted: mostPreferred},
+		{prompts: true, hot: true, restarted: hotPreferred},
+		{restarted: 0},
+		{restarted: 50},
+	} {
 		for _, announced := range []bool{true, false} {
-			t.Run(fmt.Sprintf("prompts=%t/restarted=%d/announced=%t", c.prompts, c.restarted, announced), func(t *testing.T) {
+			t.Run(fmt.Sprintf("prompts=%t/hot=%t/restarted=%d/announced=%t", c.prompts, c.hot, c.restarted, announced), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newStartSite(t, coldEntries, startSpread, warmServers+coldServers, c.restarted, coldArrivals, coldPerSecond)
-					s.prompts = c.prompts
+					s.prompts, s.hot = c.prompts, c.hot
 					s.announced = announced
 					s.run(4 * time.Second)
 					s.expect(maxColdRequests, minServed)
