Entries divert also where servers state a slowdown

Change: an entry with overload.divert may divert and refuse connections where the contracts ask for bounds, or while a backend server states a slowdown. The bounds on connections, descriptors and memory, and shedding, need the contracts as before. Elsewhere no echo is sent and the loops look once a second. Listeners whose bytes are counted, or whose socket may be closed, tell a shutdown of the connections that wait.

--- a/internal/gossip/echo.go
+++ b/internal/gossip/echo.go
@@ -119,6 +119,9 @@
 		for _, sample := range g.prober.Expire(time.Now()) {
 			g.Overload.RecordEcho(time.Now(), sample)
 		}
+		if g.Measures != nil && !g.Measures() {
+			continue
+		}
 		probe, ok := g.prober.Next(time.Now(), g.peerAddresses())
 		if !ok {
 			continue
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -65,6 +65,9 @@
 	// Diverter receives what peers state in echoes besides their delay; nil states nothing of
 	// that kind to them.
 	Diverter *overload.Diverter
+	// Measures reports whether the delay is to be measured now; nil means always. While it is
+	// not, no echo is sent.
+	Measures func() bool
 	Log      *log.Logger
 
 	socket *net.UDPConn
--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -73,6 +73,8 @@
 	Recovered     Cause = "recovered"
 	NoRoom        Cause = "no_room"
 	TooManyDivert Cause = "too_many_divert"
+	// NotAsked ends a diversion because nothing at the site asks for it any more.
+	NotAsked Cause = "not_asked"
 )
 
 // Diversion is the state of a Diverter.
@@ -167,6 +169,20 @@
 	return d.state, changed
 }
 
+// Stop ends a diversion because nothing at the site asks for it any more, and returns the state
+// and whether Diverting has changed. While Step is not called, peers do not count as having
+// room.
+func (d *Diverter) Stop(now time.Time) (Diversion, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.PeersHaveRoom = false
+	if !d.state.Diverting {
+		return d.state, false
+	}
+	d.state.Diverting, d.state.Cause, d.state.Since = false, NotAsked, now
+	return d.state, true
+}
+
 // mayBegin begins a diversion if there is a cause and the peers allow it.
 func (d *Diverter) mayBegin(now time.Time, busy, late bool) bool {
 	var cause Cause
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -88,8 +88,25 @@
 	}
 }
 
+// StatesSlowdown reports whether a server has lately stated how much longer than usual it works.
+func (f *Fleet) StatesSlowdown(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.upstreams {
+		if u.statesSlowdown(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// statesSlowdown reports whether a server of the upstream has lately stated a slowdown.
+func (u *upstreamState) statesSlowdown(now time.Time) bool {
+	return !u.slowdownStatedAt.IsZero() && now.Sub(u.slowdownStatedAt) < slowdownTTL
+}
+
 // isAdaptive reports whether the servers of an upstream are chosen by estimates of their
 // load and speed; mu is held.
 func (f *Fleet) isAdaptive(u *upstreamState, now time.Time) bool {
-	return f.Adaptive || !u.slowdownStatedAt.IsZero() && now.Sub(u.slowdownStatedAt) < slowdownTTL
+	return f.Adaptive || u.statesSlowdown(now)
 }
--- a/internal/process/acceptloop.go
+++ b/internal/process/acceptloop.go
@@ -18,9 +18,11 @@
 type acceptLoop struct {
 	limiter  *overload.AcceptLimiter
 	diverter *overload.Diverter
-	counter  *linkCounter
-	listener *pausableListener
-	log      *log.Logger
+	// mayDivert is set while the entry may divert; only then it may refuse connections.
+	mayDivert *atomic.Bool
+	counter   *linkCounter
+	listener  *pausableListener
+	log       *log.Logger
 
 	// paused is set from a pause until the socket is open again, and isRefusing tells others.
 	paused     bool
@@ -53,15 +55,16 @@
 
 func (l *acceptLoop) run(ctx context.Context) {
 	defer close(l.done)
-	ticker := time.NewTicker(overload.AcceptInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		l.step(time.Now())
+		timer.Reset(intervalOf(l.mayDivert, overload.AcceptInterval))
 	}
 }
 
@@ -82,7 +85,7 @@
 		l.pausedTime.Add(int64(now.Sub(l.steppedAt)))
 	}
 	l.steppedAt = now
-	pause := l.limiter.Step(now, l.counter.total(), l.diverter.Status().PeersHaveRoom)
+	pause := l.limiter.Step(now, l.counter.total(), l.mayDivert.Load() && l.diverter.Status().PeersHaveRoom)
 	if pause {
 		l.diverter.RecordPause()
 	}
--- a/internal/process/divert.go
+++ b/internal/process/divert.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -9,13 +10,19 @@
 	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
+// idleInterval is the time between two steps of the loops of an entry that may not divert.
+const idleInterval = time.Second
+
 // divertLoop passes what an entry measures to its diverter, and logs when the entry begins and
 // ceases to divert.
 type divertLoop struct {
 	diverter   *overload.Diverter
 	controller *overload.Controller
 	counter    *linkCounter
-	log        *log.Logger
+	// mayDivert is set while asked says that the entry may divert.
+	mayDivert *atomic.Bool
+	asked     func(now time.Time) bool
+	log       *log.Logger
 
 	// began and highest belong to the time between the two lines.
 	began   time.Time
@@ -26,29 +33,44 @@
 }
 
 // startDivertLoop decides in the background until close is called.
-func startDivertLoop(diverter *overload.Diverter, controller *overload.Controller, counter *linkCounter, logger *log.Logger) *divertLoop {
+func startDivertLoop(diverter *overload.Diverter, controller *overload.Controller, counter *linkCounter, mayDivert *atomic.Bool, asked func(now time.Time) bool, logger *log.Logger) *divertLoop {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &divertLoop{diverter: diverter, controller: controller, counter: counter, log: logger, stop: cancel, done: make(chan struct{})}
+	l := &divertLoop{diverter: diverter, controller: controller, counter: counter, mayDivert: mayDivert, asked: asked, log: logger, stop: cancel, done: make(chan struct{})}
 	go l.run(ctx)
 	return l
 }
 
 func (l *divertLoop) run(ctx context.Context) {
 	defer close(l.done)
-	ticker := time.NewTicker(overload.DivertInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		l.step(time.Now())
+		timer.Reset(intervalOf(l.mayDivert, overload.DivertInterval))
+	}
+}
+
+// intervalOf returns the time to the next step of a loop.
+func intervalOf(mayDivert *atomic.Bool, interval time.Duration) time.Duration {
+	if mayDivert.Load() {
+		return interval
 	}
+	return idleInterval
 }
 
 // step decides and logs a change.
 func (l *divertLoop) step(now time.Time) {
+	l.mayDivert.Store(l.asked(now))
+	if !l.mayDivert.Load() {
+		state, changed := l.diverter.Stop(now)
+		l.logChange(now, state, overload.Status{}, changed)
+		return
+	}
 	status := l.controller.Status(now)
 	state, changed := l.diverter.Step(now, l.counter.total(), status)
 	l.logChange(now, state, status, changed)
--- a/internal/process/divert_test.go
+++ b/internal/process/divert_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/escrow"
 	"github.com/cactusbay/cactusbay/internal/forward"
+	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/place"
 	"github.com/cactusbay/cactusbay/internal/settings"
@@ -30,14 +32,16 @@
 	*divertLoop
 	now    time.Time
 	output bytes.Buffer
+	// notAsked is set while nothing asks for diverting.
+	notAsked bool
 }
 
 func newDivertInputs() *divertInputs {
 	i := &divertInputs{now: time.Unix(1000, 0)}
 	logger := log.New(&i.output)
 	logger.SetFormatter(log.JSONFormatter)
-	controller := newOverloadController(&settings.Overload{LinkMbps: 10, Divert: true})
-	i.divertLoop = &divertLoop{diverter: overload.NewDiverter(10 * bytesPerMegabit), controller: controller, counter: &linkCounter{}, log: logger}
+	controller := newOverloadController(&settings.Overload{LinkMbps: 10, Divert: true}, false)
+	i.divertLoop = &divertLoop{diverter: overload.NewDiverter(10 * bytesPerMegabit), controller: controller, counter: &linkCounter{}, mayDivert: &atomic.Bool{}, asked: func(time.Time) bool { return !i.notAsked }, log: logger}
 	return i
 }
 
@@ -124,16 +128,22 @@
 func TestOverloadSettings(t *testing.T) {
 	for _, c := range []struct {
 		settings          settings.Overload
+		bounded           bool
 		measures, refuses bool
 		diverts           bool
 	}{
-		{settings.Overload{LinkMbps: 10, MemoryMB: 184}, false, false, false},
-		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Shed: true}, true, true, false},
-		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true}, true, false, true},
-		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true, Shed: true}, true, true, true},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184}, true, false, false, false},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Shed: true}, true, true, true, false},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true}, true, true, false, true},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true, Shed: true}, true, true, true, true},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Shed: true}, false, false, false, false},
+		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true, Shed: true}, false, true, false, true},
 	} {
 		g := &Gateway{Server: &forward.Server{Upstream: &upstream.Client{}, Fleet: &place.Fleet{}}}
-		g.boundLoad(&c.settings)
+		g.limitLoad(&c.settings, c.bounded)
+		if bounds := g.Server.Memory != nil && g.Server.Fleet.MaxServerBytes > 0; bounds != c.bounded || g.mayDivert.Load() != c.bounded {
+			t.Errorf("%+v, bounded %t: bounds resources %t, may divert %t; want both as bounded", c.settings, c.bounded, bounds, g.mayDivert.Load())
+		}
 		controller := g.Server.Overload
 		_, counts := g.requestNetwork(transport.TCP{}).(countedNetwork)
 		if (controller != nil) != c.measures || (g.diverter != nil) != c.diverts || counts != c.diverts {
@@ -145,6 +155,59 @@
 	}
 }
 
+// allowed returns the state of an entry that may divert.
+func allowed() *atomic.Bool {
+	mayDivert := &atomic.Bool{}
+	mayDivert.Store(true)
+	return mayDivert
+}
+
+// TestDivertsOnlyWhereAsked guards against an entry that diverts although neither the contracts
+// nor the backend servers ask for it, and one that goes on once they no longer do.
+func TestDivertsOnlyWhereAsked(t *testing.T) {
+	i := newDivertInputs()
+	i.notAsked = true
+	i.hold(3*time.Second, 1)
+	if state := i.diverter.Status(); state.Diverting || state.PeersHaveRoom || i.mayDivert.Load() {
+		t.Errorf("not asked: got %+v, want no diversion and no room to refuse connections", state)
+	}
+	i.notAsked = false
+	i.hold(3*time.Second, 1)
+	if !i.diverter.Status().Diverting || !i.mayDivert.Load() {
+		t.Fatal("asked: the entry does not divert")
+	}
+	i.notAsked = true
+	i.hold(overload.DivertInterval, 1)
+	if state := i.diverter.Status(); state.Diverting || state.Cause != overload.NotAsked {
+		t.Errorf("no longer asked: got %+v, want the end of the diversion", state)
+	}
+	if lines := strings.Count(i.output.String(), "diverting "); lines != 2 {
+		t.Errorf("%d lines, want one for the begin and one for the end", lines)
+	}
+}
+
+// TestStatedSlowdownAsksForDiverting guards against an entry that ignores servers which share
+// their machines, and against one that takes a load without a slowdown for such a statement.
+func TestStatedSlowdownAsksForDiverting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for slowdown, want := range map[float64]bool{0: false, 0.7: true} {
+		fleet := &place.Fleet{}
+		fleet.Update([]instances.Instance{{ID: "i-0", Upstream: "pool", Address: "a", Slots: 8}}, now)
+		g := &Gateway{Server: &forward.Server{Fleet: fleet}}
+		chosen, ok := fleet.Pick(place.Query{Now: now, Upstream: "pool"}).(place.Chosen)
+		if !ok {
+			t.Fatal("no server is available")
+		}
+		chosen.Placement.SetLoad(place.Load{Running: 1, Slots: 8, Slowdown: slowdown}, now)
+		if got := g.isDivertingAsked(now); got != want {
+			t.Errorf("slowdown %v: asked %t, want %t", slowdown, got, want)
+		}
+		if g.isDivertingAsked(now.Add(time.Hour)) {
+			t.Errorf("slowdown %v: still asked after an hour", slowdown)
+		}
+	}
+}
+
 // TestFullLinkRefusesConnections guards against an entry that accepts connections while requests
 // fill its link, that goes on to refuse them when it shuts down, and that fills its log.
 func TestFullLinkRefusesConnections(t *testing.T) {
@@ -152,7 +215,7 @@
 	logger := log.New(&output)
 	logger.SetFormatter(log.JSONFormatter)
 	socket, l := startPausable(t, transport.TCP{})
-	loop := &acceptLoop{limiter: overload.NewAcceptLimiter(10 * bytesPerMegabit), diverter: overload.NewDiverter(10 * bytesPerMegabit), counter: &linkCounter{}, listener: socket, log: logger}
+	loop := &acceptLoop{limiter: overload.NewAcceptLimiter(10 * bytesPerMegabit), mayDivert: allowed(), diverter: overload.NewDiverter(10 * bytesPerMegabit), counter: &linkCounter{}, listener: socket, log: logger}
 	now := time.Unix(1000, 0)
 	hold := func(during time.Duration, utilization float64) {
 		for end := now.Add(during); now.Before(end); {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -59,7 +59,11 @@
 	// diverter decides when the entry reports not ready because it is overloaded; nil never
 	// does. link counts for it.
 	diverter *overload.Diverter
-	link     linkCounter
+	// bounded is set if the contracts ask the entry to bound load, and mayDivert while it may
+	// divert.
+	bounded   bool
+	mayDivert atomic.Bool
+	link      linkCounter
 	// accepts closes the socket for callers while requests fill the link; nil never does.
 	accepts      *acceptLoop
 	closers      closers
@@ -93,8 +97,8 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
-	if s.Seeded.Overload != nil && dialect.BoundsLoad(s.Seeded.Contracts) {
-		g.boundLoad(s.Seeded.Overload)
+	if s.Seeded.Overload != nil {
+		g.limitLoad(s.Seeded.Overload, dialect.BoundsLoad(s.Seeded.Contracts))
 	}
 	g.Server.Upstream.Network = g.requestNetwork(backendNetwork(s.Seeded, environment.Network))
 	g.Server.Fleet.Changed = g.logServerChange
@@ -260,6 +264,7 @@
 		Fleet:    g.Server.Fleet,
 		Overload: g.Server.Overload,
 		Diverter: g.diverter,
+		Measures: g.mayDivert.Load,
 		Log:      environment.Telemetry.Log,
 	}, nil
 }
--- a/internal/process/linkcount.go
+++ b/internal/process/linkcount.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/overload"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
@@ -94,6 +96,21 @@
 	return l.limited.SetDeadline(at)
 }
 
+// SyscallConn implements syscall.Conn for transport.HasQueued. It fails if the listener has no
+// file descriptor.
+func (l countedDeadlineListener) SyscallConn() (syscall.RawConn, error) {
+	return rawOf(l.Listener)
+}
+
+// rawOf returns the file descriptor of a listener.
+func rawOf(listener net.Listener) (syscall.RawConn, error) {
+	raw, ok := listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("listener has no file descriptor")
+	}
+	return raw.SyscallConn()
+}
+
 // wrap returns a connection that counts. It is a syscall.Conn if conn is one, because
 // transport.IsReusable treats others as those of a simulated network.
 func (c *linkCounter) wrap(conn net.Conn) net.Conn {
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -22,15 +22,27 @@
 	backendIdleTimeout = 12 * time.Second
 )
 
-// boundLoad bounds what callers and backend servers occupy of the entry's resources, and lets
-// it shed and divert load if the settings ask for that.
-func (g *Gateway) boundLoad(s *settings.Overload) {
-	if s.Shed || s.Divert {
-		g.Server.Overload = newOverloadController(s)
+// limitLoad lets the entry divert load if the settings ask for that. If bounded is set, it also
+// bounds what callers and backend servers occupy of the entry's resources, and lets it shed
+// load.
+func (g *Gateway) limitLoad(s *settings.Overload, bounded bool) {
+	sheds := bounded && s.Shed
+	if sheds || s.Divert {
+		g.Server.Overload = newOverloadController(s, sheds)
 	}
 	if s.Divert {
 		g.diverter = overload.NewDiverter(s.LinkMbps * bytesPerMegabit)
 	}
+	g.bounded = bounded
+	g.mayDivert.Store(bounded)
+	if bounded {
+		g.boundResources(s)
+	}
+}
+
+// boundResources bounds what callers and backend servers occupy of the entry's connections,
+// descriptors and memory.
+func (g *Gateway) boundResources(s *settings.Overload) {
 	g.limitConnections(descriptorLimit())
 	bounds := memory.BoundsOf(s.MemoryMB)
 	g.Server.Memory = &memory.Account{Bounds: bounds}
@@ -38,10 +50,10 @@
 }
 
 // newOverloadController returns the controller of an entry with the given resources.
-func newOverloadController(s *settings.Overload) *overload.Controller {
+func newOverloadController(s *settings.Overload, sheds bool) *overload.Controller {
 	return &overload.Controller{
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMegabit,
-		MeasureOnly:        !s.Shed,
+		MeasureOnly:        !sheds,
 		Random:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -88,11 +100,17 @@
 		g.closers.add(logger.close)
 	}
 	if g.diverter != nil {
-		loop := startDivertLoop(g.diverter, controller, &g.link, environment.Telemetry.Log)
+		loop := startDivertLoop(g.diverter, controller, &g.link, &g.mayDivert, g.isDivertingAsked, environment.Telemetry.Log)
 		g.closers.add(loop.close)
 	}
 }
 
+// isDivertingAsked reports whether the entry may divert: the contracts ask it to bound load, or
+// backend servers share their machines with others and state so, in which case load is uneven.
+func (g *Gateway) isDivertingAsked(now time.Time) bool {
+	return g.bounded || g.Server.Fleet.StatesSlowdown(now)
+}
+
 // isDiverting reports whether the entry asks the load balancer for no new connections.
 func (g *Gateway) isDiverting() bool {
 	return g.diverter != nil && g.diverter.Status().Diverting
@@ -124,8 +142,8 @@
 	g.callers = serveOn(socket, g.Server, &g.connections)
 	g.closers.add(g.callers.close)
 	g.accepts = &acceptLoop{
-		limiter:  overload.NewAcceptLimiter(bounds.LinkMbps * bytesPerMegabit),
-		diverter: g.diverter, counter: &g.link, listener: socket, log: environment.Telemetry.Log,
+		limiter:   overload.NewAcceptLimiter(bounds.LinkMbps * bytesPerMegabit),
+		mayDivert: &g.mayDivert, diverter: g.diverter, counter: &g.link, listener: socket, log: environment.Telemetry.Log,
 	}
 	g.accepts.start()
 	g.closers.add(g.accepts.close)
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -20,7 +20,7 @@
 // TestOverloadGauges guards against gauges that are missing where overload is off, and that
 // show an unmeasured delay like none.
 func TestOverloadGauges(t *testing.T) {
-	measured := newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184})
+	measured := newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184}, true)
 	for range 4 {
 		measured.RecordEcho(time.Now(), overload.Sample{Delay: 250 * time.Millisecond})
 	}
@@ -29,7 +29,7 @@
 		delay, target, room float64
 	}{
 		{nil, 0, 0, 0},
-		{newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184}), -1, 0.125, 1},
+		{newOverloadController(&settings.Overload{LinkMbps: 10, MemoryMB: 184}, true), -1, 0.125, 1},
 		{measured, 0.25, 0.125, 1},
 	} {
 		scope := tally.NewTestScope("", nil)
--- a/internal/process/pausable.go
+++ b/internal/process/pausable.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -173,6 +174,17 @@
 	return l.address
 }
 
+// SyscallConn implements syscall.Conn for transport.HasQueued. It fails while the listener is
+// paused.
+func (l *pausableListener) SyscallConn() (syscall.RawConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.socket == nil {
+		return nil, net.ErrClosed
+	}
+	return rawOf(l.socket)
+}
+
 // SetDeadline implements deadlineListener. It fails while the listener is paused.
 func (l *pausableListener) SetDeadline(at time.Time) error {
 	l.mu.Lock()
--- a/internal/process/pausable_test.go
+++ b/internal/process/pausable_test.go
@@ -225,3 +225,22 @@
 		}
 	}
 }
+
+// TestQueueIsSeenThroughWrappers guards against a shutdown that cannot see the connections that
+// wait at a listener whose bytes are counted or whose socket may be closed for a time.
+func TestQueueIsSeenThroughWrappers(t *testing.T) {
+	socket, err := listenPausable(countedNetwork{Network: transport.TCP{}, counter: &linkCounter{}}, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	if transport.HasQueued(socket) {
+		t.Error("connections are queued before any was opened")
+	}
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	await(t, "the connection is queued", func() bool { return transport.HasQueued(socket) })
+}
