--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -67,6 +67,8 @@
 	LinkBytesPerSecond float64
 	// Random draws which requests are refused.
 	Random *rand.Rand
+	// MeasureOnly makes Admit refuse nothing, and Status report a level of 0.
+	MeasureOnly bool
 
 	mu      sync.Mutex
 	echoes  window
@@ -119,7 +121,15 @@
 	defer c.mu.Unlock()
 	c.step(now)
 	target := c.targets.target(now)
-	return Status{Delay: c.measured, Known: c.known, Target: target, Level: c.level, Room: c.peers.room(now, target)}
+	return Status{Delay: c.measured, Known: c.known, Target: target, Level: c.sheddingLevel(), Room: c.peers.room(now, target)}
+}
+
+// sheddingLevel returns the level by which requests are shed; mu is held.
+func (c *Controller) sheddingLevel() float64 {
+	if c.MeasureOnly {
+		return 0
+	}
+	return c.level
 }
 
 // Admit decides on a request from what is known before its body is read. It counts the bytes
@@ -129,10 +139,13 @@
 	defer c.mu.Unlock()
 	c.targets.record(now, r.LatencyTarget)
 	c.step(now)
-	if c.known && c.measured > r.Remaining {
+	if c.MeasureOnly {
+		return Admitted{}
+	}
+	if c.isHopeless(r) {
 		return Refused{Reason: Hopeless}
 	}
-	if !r.Resumes && c.level > 0 && c.Random.Float64() < c.refusalProbability(now, r) {
+	if c.mayShed(r) && c.Random.Float64() < c.refusalProbability(now, r) {
 		return Refused{Reason: Shed}
 	}
 	c.usage.add(now, r.Workspace, r.Bytes)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -98,6 +98,12 @@
 	// These should probe it. It must not call the fleet.
 	Unreached func(server string, maxEntries int)
 
+	// ProbeNeeded, if not nil, is called when StartUnconfirmedProbes must be called at once. It
+	// must not call the fleet and must not block.
+	ProbeNeeded func()
+	// unprobed holds the servers that StartUnconfirmedProbes has to look at.
+	unprobed []*server
+
 	// Regions maps the name of each failure domain to its region. Set it before the first
 	// Update.
 	Regions map[string]string
@@ -267,6 +273,9 @@
 	Limited int
 	// Cold counts servers that count as cold, which are counted above too.
 	Cold int
+	// Unconfirmed counts servers that get no further request until their probe is answered,
+	// which are counted above too.
+	Unconfirmed int
 	// CutOff counts the upstreams whose servers this entry can't reach while others do.
 	CutOff int
 	// Adaptive sums up the upstreams whose servers are chosen by estimates.
@@ -301,6 +310,8 @@
 		}
 		if f.isCold(s, now) {
 			counts.Cold++
+		} else if f.unconfirmedWait(s, now) > 0 {
+			counts.Unconfirmed++
 		}
 		counts.InFlight += s.inFlight
 		counts.ServerBytes = max(counts.ServerBytes, s.outstandingBytes)
@@ -328,13 +339,7 @@
 func (f *Fleet) Pick(q Query) Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var cheapest *server
-	var full time.Duration
-	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
-		cheapest, full = f.pickAdaptive(u, &q)
-	} else {
-		cheapest, full = f.cheapestEligible(&q)
-	}
+	cheapest, full := f.choose(&q)
 	switch {
 	case cheapest != nil:
 		return Chosen{Placement: f.startPlacement(cheapest, q)}
@@ -345,6 +350,15 @@
 	}
 }
 
+// choose returns the server with the lowest estimated cost, or nil. If servers were full, full
+// is the time until the first of them may take the request; mu is held.
+func (f *Fleet) choose(q *Query) (cheapest *server, full time.Duration) {
+	if u := f.upstreams[q.Upstream]; u != nil && f.isAdaptive(u, q.Now) {
+		return f.pickAdaptive(u, q)
+	}
+	return f.cheapestEligible(q)
+}
+
 // cheapestEligible is cheapest among the servers that are neither ejected nor leaving, or
 // among others if there are none.
 func (f *Fleet) cheapestEligible(q *Query) (cheapest *server, full time.Duration) {
@@ -377,12 +391,22 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if wait := max(f.timeUntilFree(s, q.Now), f.outstandingWait(s, q.Bytes)); wait > 0 {
+		wait, why := f.timeUntilFree(s, q.Now)
+		if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
+			wait, why = outstanding, whyOutstanding
+		}
+		if wait > 0 {
+			if q.trace != nil {
+				q.trace.skip(s, why, wait)
+			}
 			full = minPositive(full, wait)
 			continue
 		}
 		cost := s.cost(*q, s == preferred)
-		if cheapest == nil || cost < lowest || cost == lowest && s.id < cheapest.id {
+		if q.trace != nil {
+			q.trace.compare(s, cost, 0, 0)
+		}
+		if cheapest == nil || cost < lowest || cost == lowest && f.precedesAtEqualCost(s, cheapest, q.Now) {
 			cheapest = s
 			lowest = cost
 		}
@@ -411,8 +435,8 @@
 }
 
 // timeUntilFree returns how long the server takes no request, because it wants none, its
-// limit is reached or it is full; 0 if it takes one now. mu is held.
-func (f *Fleet) timeUntilFree(s *server, now time.Time) time.Duration {
+// limit is reached or it is full, and which of these; 0 if it takes one now. mu is held.
+func (f *Fleet) timeUntilFree(s *server, now time.Time) (wait time.Duration, why string) {
 	var full time.Duration
 	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
 		full = fullRetryAfter
@@ -421,20 +445,20 @@
 }
 
 // timeUntilTaken is timeUntilFree for a server that is full for the given time.
-func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) time.Duration {
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
-		return held
+		return held, whyHeldOff
 	}
 	if full > 0 {
-		return full
+		return full, whyFull
 	}
 	if wait := f.brittleWait(s, now); wait > 0 {
-		return wait
+		return wait, whyBrittle
 	}
 	if wait := f.limitWait(s, now); wait > 0 {
-		return wait
+		return wait, whyLimit
 	}
-	return f.coldWait(s, now)
+	return f.coldWait(s, now), whyCold
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
@@ -454,12 +478,16 @@
 		Slots:       s.slots,
 		Preferred:   preferred,
 	}
-	if q.Prompt == nil {
-		return plainWeights.Cost(&c)
+	weights := &plainWeights
+	if q.Prompt != nil {
+		weights = &engineWeights
+		c.Backlog = max(0, s.prefillUntil.Sub(q.Now))
+		c.Prefill = s.prefillTime(q.Prompt)
+	}
+	if q.trace != nil {
+		q.trace.weigh(weights, &c)
 	}
-	c.Backlog = max(0, s.prefillUntil.Sub(q.Now))
-	c.Prefill = s.prefillTime(q.Prompt)
-	return engineWeights.Cost(&c)
+	return weights.Cost(&c)
 }
 
 // startPlacement counts the request as in flight at s and adds its prompt to
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -176,14 +176,31 @@
 
 // path returns the state of the path to an upstream; mu is held.
 func (f *Fleet) path(upstream string, now time.Time) Path {
-	r := f.reachOf(upstream)
+	r := f.paths[upstream]
+	if r == nil {
+		r = &reach{}
+	}
 	if !r.cutOffSince.IsZero() {
 		return Path{Upstream: upstream, CutOff: true, Since: r.cutOffSince}
 	}
-	servers := len(f.available(upstream))
+	servers := f.countTried(upstream, r, now)
 	return Path{Upstream: upstream, Since: r.brokenSince(servers, now), Lost: r.isLost(servers, now)}
 }
 
+// countTried returns the number of servers of an upstream by which its path is judged. Cold
+// ones to which this entry may send nothing say nothing about it; mu is held.
+func (f *Fleet) countTried(upstream string, r *reach, now time.Time) int {
+	count := 0
+	for _, s := range f.available(upstream) {
+		o, failed := r.unreachable[s.id]
+		f.coldWait(s, now)
+		if failed && !o.isOver(now) || !f.isCold(s, now) || s.cold.share > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // ProvenSince returns the time after which a server must have answered another entry, so
 // that this entry may pass requests to that one.
 func (f *Fleet) ProvenSince(upstream string, now time.Time) time.Time {
@@ -200,9 +217,13 @@
 // available returns the servers of an upstream that are neither leaving nor in an evacuated
 // failure domain; mu is held.
 func (f *Fleet) available(upstream string) []*server {
+	u := f.upstreams[upstream]
+	if u == nil {
+		return nil
+	}
 	var servers []*server
-	for _, s := range f.servers {
-		if s.upstream == upstream && !s.leaving && !f.isEvacuated(s) {
+	for _, s := range u.servers {
+		if !s.leaving && !f.isEvacuated(s) {
 			servers = append(servers, s)
 		}
 	}
@@ -277,8 +298,8 @@
 	var endpoints []Endpoint
 	for _, s := range servers[:min(count, len(servers))] {
 		wait := f.coldWait(s, now)
-		if wait == 0 && f.isCold(s, now) {
-			s.cold.tokens--
+		if wait == 0 {
+			f.takePathProbe(s, now)
 		}
 		endpoints = append(endpoints, Endpoint{ID: s.id, Address: s.address, Upstream: upstream, ConnectOnly: wait > 0})
 	}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -94,6 +94,7 @@
 	m.set("attempts_in_progress", float64(counts.InFlight))
 	m.set("backend_servers_limited", float64(counts.Limited))
 	m.set("backend_servers_cold", float64(counts.Cold))
+	m.set("backend_servers_unconfirmed", float64(counts.Unconfirmed))
 	m.set("upstreams_out_of_reach", float64(counts.CutOff))
 	m.set("prefill_backlog_seconds", max(0, counts.Backlog.Seconds()))
 	m.set("upstreams_placed_adaptively", float64(counts.Adaptive.Upstreams))
@@ -147,6 +148,46 @@
 	m.set("peers_with_room", status.Room)
 }
 
+// setDiversion sets the gauges of the decision to divert; they are 0 if the entry never does.
+func (m *meter) setDiversion(diverter *overload.Diverter) {
+	var state overload.Diversion
+	if diverter != nil {
+		state = diverter.Status()
+	}
+	m.set("diverting", indicator(state.Diverting))
+	m.set("peers_diverting", state.PeersDiverting)
+	for direction, utilization := range map[string]float64{"received": state.Utilization.Received, "sent": state.Utilization.Sent} {
+		m.scope.Tagged(map[string]string{"direction": direction}).Gauge("link_utilization").Update(utilization)
+	}
+}
+
+// setAccepts sets the gauge and the counters of the times in which connections are refused.
+func (m *meter) setAccepts(accepts *acceptLoop) {
+	refusing, pauses, pausedTime := false, int64(0), int64(0)
+	if accepts != nil {
+		refusing, pauses, pausedTime = accepts.isRefusing.Load(), accepts.pauses.Load(), accepts.pausedTime.Load()
+	}
+	m.set("refusing_connections", indicator(refusing))
+	m.countTo("accept_pauses", pauses)
+	m.countTo("accept_pause_milliseconds", time.Duration(pausedTime).Milliseconds())
+}
+
+// setReady sets, for each reason why an entry may report not ready to the load balancer,
+// whether it applies.
+func (m *meter) setReady(configured, shuttingDown, diverting, notListening bool) {
+	for reason, applies := range map[string]bool{"no_configuration": !configured, "shutting_down": shuttingDown, "diverting": diverting, "not_listening": notListening} {
+		m.scope.Tagged(map[string]string{"reason": reason}).Gauge("not_ready").Update(indicator(applies))
+	}
+}
+
+// indicator returns the value of a gauge that is 1 while a condition holds.
+func indicator(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // setMemory sets the gauges of the bodies that the entry holds, and of the most bytes at one
 // server; they are 0 if they have no bounds.
 func (m *meter) setMemory(account *memory.Account, serverBytes int64) {
