--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -135,7 +135,7 @@
 	var lowest time.Duration
 	for _, s := range servers {
 		load := u.estimate(s, q.Now)
-		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q.Now); wait > 0 {
+		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q); wait > 0 {
 			if q.trace != nil {
 				q.trace.skip(s, why, wait)
 			}
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -174,10 +174,11 @@
 			terms = append(terms, CostTerm{Name: name, Cost: cost})
 		}
 	}
+	unweighted := w.candidate.Connect + w.candidate.Prefill
 	for _, part := range w.weights.parts() {
-		add(part.name, part.weights.Cost(&w.candidate)-w.candidate.Prefill-w.candidate.Connect)
+		add(part.name, part.weights.Cost(&w.candidate)-unweighted)
 	}
-	add("connection", w.candidate.Connect)
+	add("new_connection", w.candidate.Connect)
 	add("prefill", w.candidate.Prefill)
 	for _, term := range w.extra {
 		add(term.Name, term.Cost)
@@ -191,8 +192,8 @@
 	weights Weights
 }
 
-// parts returns each weight alone. The costs that they give, each less the prefill and the
-// connection, add up to the cost by all of them less these.
+// parts returns each weight alone. The costs that they give, each less what has no weight, add
+// up to the cost by all of them less the same.
 func (w *Weights) parts() []namedWeights {
 	return []namedWeights{
 		{"other_failure_domain", Weights{CrossDomain: w.CrossDomain}},
@@ -322,13 +323,11 @@
 
 // savedState is what a choice at an upstream may change.
 type savedState struct {
-	changed   func(Change)
-	draws     uint64
-	eligibles []*server
-	// preferables and groupWeights are the buffers of the fleet.
-	preferables  []*server
-	groupWeights []uint64
-	upstream     upstreamState
+	changed                func(Change)
+	draws                  uint64
+	eligibles, preferables []*server
+	groupWeights           []uint64
+	upstream               upstreamState
 	// servers are copies of those of the upstream, in the same order.
 	servers []server
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -391,11 +391,7 @@
 		if !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		wait, why := f.timeUntilFree(s, q.Now)
-		if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
-			wait, why = outstanding, whyOutstanding
-		}
-		if wait > 0 {
+		if wait, why := f.timeUntilFree(s, q); wait > 0 {
 			if q.trace != nil {
 				q.trace.skip(s, why, wait)
 			}
@@ -434,18 +430,28 @@
 	return allowed.ejected || !s.isEjected(now)
 }
 
-// timeUntilFree returns how long the server takes no request, because it wants none, its
-// limit is reached or it is full, and which of these; 0 if it takes one now. mu is held.
-func (f *Fleet) timeUntilFree(s *server, now time.Time) (wait time.Duration, why string) {
+// timeUntilFree returns how long the server does not take the request, because it wants none,
+// its limit is reached, it is full or has too many bytes of this entry, and which of these; 0 if
+// it takes it now. mu is held.
+func (f *Fleet) timeUntilFree(s *server, q *Query) (wait time.Duration, why string) {
 	var full time.Duration
-	if float64(s.occupancy(now)) >= maxOccupancy*float64(s.slots) {
+	if float64(s.occupancy(q.Now)) >= maxOccupancy*float64(s.slots) {
 		full = fullRetryAfter
 	}
-	return f.timeUntilTaken(s, full, now)
+	return f.timeUntilTaken(s, full, q)
 }
 
 // timeUntilTaken is timeUntilFree for a server that is full for the given time.
-func (f *Fleet) timeUntilTaken(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, q *Query) (wait time.Duration, why string) {
+	wait, why = f.unboundedWait(s, full, q.Now)
+	if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
+		return outstanding, whyOutstanding
+	}
+	return wait, why
+}
+
+// unboundedWait is timeUntilTaken without the bound of this entry's bytes at the server.
+func (f *Fleet) unboundedWait(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
 		return held, whyHeldOff
 	}
