Placement: split fleet.go by responsibility

The file held the list of servers, the choice, placements and counts. No line of code changes beside the constants' blocks; the sorted lines of the files before and after are equal otherwise. Tests of place and the linter pass.

--- a/internal/place/cache.go
+++ b/internal/place/cache.go
@@ -2,8 +2,19 @@
 
 import "time"
 
-// segmentTokensWeight is the weight of a prompt's segments in the mean length of segments.
-const segmentTokensWeight = 0.05
+const (
+	// maxSegments is the number of remembered prefix segments per server above
+	// which unused ones are removed.
+	maxSegments = 4096
+	// segmentTTL is how long an unused prefix segment counts as cached.
+	segmentTTL = 60 * time.Second
+	// sweepInterval is the least time between two sweeps of a server's
+	// segments. Without it, each placement would scan all segments whenever
+	// more than maxSegments are recent.
+	sweepInterval = time.Second
+	// segmentTokensWeight is the weight of a prompt's segments in the mean length of segments.
+	segmentTokensWeight = 0.05
+)
 
 // usedSegment is a prefix segment that was sent to an engine.
 type usedSegment struct {
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -4,6 +4,37 @@
 	"time"
 )
 
+const (
+	// stallThreshold is the longest uninterrupted prefill that delays no event
+	// of a running stream. At stallThreshold + stallRange, every stream has a
+	// late event.
+	stallThreshold = 180 * time.Millisecond
+	stallRange     = 200 * time.Millisecond
+)
+
+var (
+	// engineWeights are the weights for model engines. CrossDomain exceeds the
+	// extra latency because traffic between failure domains is billed, and
+	// Occupancy stands for the slowdown by each request in flight.
+	engineWeights = Weights{
+		CrossDomain:   4 * time.Millisecond,
+		Failure:       2 * time.Second,
+		Occupancy:     60 * time.Millisecond,
+		Backlog:       1,
+		DelayedStream: 40 * time.Millisecond,
+		Affinity:      25 * time.Millisecond,
+	}
+	// plainWeights are the weights for servers that run no model. Occupancy is how
+	// long a request holds a slot.
+	plainWeights = Weights{
+		CrossDomain: 4 * time.Millisecond,
+		Failure:     2 * time.Second,
+		Occupancy:   25 * time.Millisecond,
+	}
+	// engineSpeed is the speed of the model engines.
+	engineSpeed = Speed{TokensPerMs: 140, PairsPerMs: 3.4e6}
+)
+
 // Weights are the parts of the estimated cost of placing a request at a server. Costs
 // are times: the estimated time to the first byte, plus penalties.
 type Weights struct {
