--- a/internal/place/preferred.go
+++ b/internal/place/preferred.go
@@ -64,6 +64,12 @@
 	return min(size, servers)
 }
 
+// mayPrefer reports whether a server may be the preferred one of a prompt; mu is held.
+func (f *Fleet) mayPrefer(s *server, q *Query) bool {
+	return !s.leaving && !f.isEvacuated(s) && !s.isEjected(q.Now) && !f.isTooEarlyToPrefer(s, q.Now) &&
+		q.Version.allows(s.version) && q.Regions.Allows(s.region)
+}
+
 // preferred returns the server with the highest rendezvous weight for the last segment of the
 // prompt's prefix, or nil. Where servers are chosen by estimates, it is the highest among the
 // group of the first segment. All entries compute the same one; with groups, those that count
@@ -74,7 +80,7 @@
 	}
 	servers := f.preferables[:0]
 	for _, s := range u.servers {
-		if !s.leaving && !f.isEvacuated(s) && q.Version.allows(s.version) && q.Regions.Allows(s.region) && !s.isEjected(q.Now) {
+		if f.mayPrefer(s, q) {
 			servers = append(servers, s)
 		}
 	}
