--- a/internal/place/explain_internal_test.go
+++ b/internal/place/explain_internal_test.go
@@ -26,6 +26,9 @@
 	f := &Fleet{Seed: seed, Adaptive: adaptive, Regions: map[string]string{"a": "north", "b": "north", "c": "south"}, MaxServerBytes: 5000}
 	f.LimitShare = func(_ string, maxEntries int) float64 { return 1 / float64(min(maxEntries, 3)) }
 	f.IsLearning = func() bool { return false }
+	f.ConnectTime = func(server string, _ bool) time.Duration {
+		return time.Duration(hashID(server)%3) * time.Millisecond
+	}
 	f.SetUpstreams(explainedPolicy)
 	f.SetEvacuated(map[string]bool{"d": seed%2 == 0}, internalStart)
 	f.Update(list, internalStart)
