--- a/internal/gossip/echo.go
+++ b/internal/gossip/echo.go
@@ -26,6 +26,8 @@
 	// maxEchoPercent the highest one that is encoded.
 	unknownEchoPercent = math.MaxUint8
 	maxEchoPercent     = math.MaxUint8 - 1
+	// idleEchoInterval is the time between two looks at whether the delay is to be measured.
+	idleEchoInterval = time.Second
 	// echoFlagDiverting is set while the answering entry diverts.
 	echoFlagDiverting = 1
 )
@@ -105,23 +107,26 @@
 	g.done.Go(func() { g.echoLoop(ctx) })
 }
 
-// echoLoop probes one peer every overload.ProbeInterval until ctx ends.
+// echoLoop probes one peer every overload.ProbeInterval, while the delay is to be measured,
+// until ctx ends.
 func (g *Gossiper) echoLoop(ctx context.Context) {
-	ticker := time.NewTicker(overload.ProbeInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var buffer []byte
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
+		if !g.measures() {
+			timer.Reset(idleEchoInterval)
+			continue
+		}
+		timer.Reset(overload.ProbeInterval)
 		for _, sample := range g.prober.Expire(time.Now()) {
 			g.Overload.RecordEcho(time.Now(), sample)
 		}
-		if g.Measures != nil && !g.Measures() {
-			continue
-		}
 		probe, ok := g.prober.Next(time.Now(), g.peerAddresses())
 		if !ok {
 			continue
@@ -131,6 +136,11 @@
 	}
 }
 
+// measures reports whether the delay is to be measured now.
+func (g *Gossiper) measures() bool {
+	return g.Measures == nil || g.Measures()
+}
+
 // handleEchoRequest answers a peer at once. An entry without a controller does not answer,
 // like an older build.
 func (g *Gossiper) handleEchoRequest(data []byte, from netip.AddrPort) error {
--- a/internal/gossip/echo_test.go
+++ b/internal/gossip/echo_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +73,28 @@
 	}
 }
 
+// TestEchoesAreSentOnlyWhileTheDelayIsMeasured guards against entries that send echoes where
+// nothing asks for their delay, and against ones that never begin to.
+func TestEchoesAreSentOnlyWhileTheDelayIsMeasured(t *testing.T) {
+	var measures atomic.Bool
+	entries := startEchoPeersWith(t, 4, func(i int, g *Gossiper) {
+		g.Overload = &overload.Controller{Random: rand.New(rand.NewPCG(uint64(i), 0))}
+		g.Measures = measures.Load
+	})
+	time.Sleep(200 * time.Millisecond)
+	if sent := entries[0].Counts().Sent; sent != 0 {
+		t.Errorf("%d datagrams were sent while no delay is measured, want none", sent)
+	}
+	measures.Store(true)
+	deadline := time.Now().Add(10 * time.Second)
+	for !entries[0].Overload.Status(time.Now()).Known {
+		if time.Now().After(deadline) {
+			t.Fatal("no delay is known 10 s after it is to be measured")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // TestEchoAnswerCoding guards against times that an answer does not carry, and against
 // answers of later builds that this one refuses.
 func TestEchoAnswerCoding(t *testing.T) {
