Placement, upstream, reach: clearer comments and names; shared checks once

Change: the check of version, region and earlier attempts is Query.permits in both ways to choose a server. The checks of idle connections are methods of idleTimes, which the pool and ConnectTime share. Reasons and discounts have plain names. Comments state units, zero values and locks. The comment of TestSharedPrefixesAreRarelyReadAgain gives the reason for its bounds in place of measured figures.

Two identifiers in tests have new names: TestConnectTimeUnderPoolLock and rejectCall.

--- a/internal/operator/evacuation.go
+++ b/internal/operator/evacuation.go
@@ -95,11 +95,11 @@
 	}
 }
 
-// confirmWanted returns an error if the operator has given up on the order: that ends ctx, or
-// the end of the connection has arrived. An instance that was stopped for a while reads the
-// order and the end of its connection at the same time, and the operator may have ordered the
-// opposite elsewhere since. The barrier takes a round trip to another member, in which an end
-// that is still on its way may arrive.
+// confirmWanted returns an error if the operator has given up on the order: ctx has ended, or
+// the operator has closed the connection. An instance that was stopped for a while reads the
+// order and the close of its connection at the same time, and the operator may have ordered the
+// opposite elsewhere since. The barrier takes a round trip to another member, during which a
+// close that is still in transit may arrive.
 func (e *Evacuations) confirmWanted(ctx context.Context) error {
 	err := e.Node.Barrier(ctx)
 	if err != nil {
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -21,7 +21,8 @@
 
 // adaptiveWeights are engineWeights for estimated loads. Occupancy is larger because a slot
 // in use may also make other requests wait. Affinity is larger so that fewer prompts are
-// read again; above 50 ms, more first events are late near the capacity of the engines.
+// read again. Still larger values make more first events late near the capacity of the
+// engines.
 var adaptiveWeights = func() Weights {
 	w := engineWeights
 	w.Occupancy = 200 * time.Millisecond
@@ -52,7 +53,7 @@
 func (f *Fleet) cheapestAdaptive(u *upstreamState, q *Query, allowed eligible) (cheapest *server, full time.Duration) {
 	eligibles := f.eligibles[:0]
 	for _, s := range u.servers {
-		if q.Version.allows(s.version) && q.Regions.Allows(s.region) && !slices.Contains(q.Tried, s.id) && f.isEligible(s, allowed, q.Now) {
+		if q.permits(s) && f.isEligible(s, allowed, q.Now) {
 			eligibles = append(eligibles, s)
 		}
 	}
@@ -135,9 +136,9 @@
 	var lowest time.Duration
 	for _, s := range servers {
 		load := u.estimate(s, q.Now)
-		if wait, why := f.timeUntilTaken(s, u.fullFor(s, q, load), q); wait > 0 {
+		if wait, reason := f.timeUntilTaken(s, u.fullFor(s, q, load), q); wait > 0 {
 			if q.trace != nil {
-				q.trace.skip(s, why, wait)
+				q.trace.skip(s, reason, wait)
 			}
 			full = minPositive(full, wait)
 			continue
@@ -202,21 +203,21 @@
 	// The engine reads one prompt after another: what it reads again delays the following
 	// prompts by the same time.
 	cost = adaptiveWeights.Cost(&c) + prefill
-	var forgiven, favour time.Duration
+	var evictedDiscount, preferredDiscount time.Duration
 	if used > kept {
 		reread := prefill - u.prefillTime(s, q.Prompt, used)
-		forgiven = time.Duration(evictedWeight * float64(2*reread))
-		cost -= forgiven
+		evictedDiscount = time.Duration(evictedWeight * float64(2*reread))
+		cost -= evictedDiscount
 	}
 	if preferred {
-		favour = time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
-		cost -= favour
+		preferredDiscount = time.Duration(preferredWeight * u.paceFactor(s) * float64(engineSpeed.Prefill(0, q.Prompt.prefixTokens())))
+		cost -= preferredDiscount
 	}
 	if q.trace != nil {
 		q.trace.weigh(&adaptiveWeights, &c)
 		q.trace.add("delayed_prompts", prefill)
-		q.trace.add("evicted_segments", -forgiven)
-		q.trace.add("preferred_prefix", -favour)
+		q.trace.add("evicted_segments", -evictedDiscount)
+		q.trace.add("preferred_prefix", -preferredDiscount)
 	}
 	return cost, c.Connect + c.Backlog + c.Prefill
 }
--- a/internal/place/cold_probe.go
+++ b/internal/place/cold_probe.go
@@ -70,8 +70,8 @@
 }
 
 // takePathProbe counts a probe of the path that sends a request: against this entry's share of
-// a cold server, or as the only request to an unconfirmed one, whose own probe then follows
-// only if this one states nothing. mu is held.
+// a cold server, or as the only request to an unconfirmed one. The unconfirmed server is then
+// probed only if it is still unconfirmed after coldProbeInterval. mu is held.
 func (f *Fleet) takePathProbe(s *server, now time.Time) {
 	switch {
 	case f.isCold(s, now):
@@ -106,8 +106,8 @@
 	return endpoints
 }
 
-// mayProbeCold reports whether the server may be probed, and its upstream states a cold
-// start; mu is held.
+// mayProbeCold reports whether the server is neither leaving nor evacuated and its upstream
+// bounds cold starts, so that it may be probed; mu is held.
 func (f *Fleet) mayProbeCold(s *server) bool {
 	return !s.leaving && !f.isEvacuated(s) && f.boundsColdStart(s.upstream)
 }
@@ -119,8 +119,8 @@
 
 // startColdProbe reports whether the server must be probed now, and counts a probe of a cold
 // one against this entry's share. It waits for no token, because requests would leave it none
-// and entries that join would not learn that the server is cold; mu is held. A probe of an
-// unconfirmed one needs no share.
+// and entries that join would not learn that the server is cold. A probe of an unconfirmed
+// server needs no share. mu is held.
 func (f *Fleet) startColdProbe(s *server, now time.Time) bool {
 	p := &s.cold.probe
 	if p.running || !f.needsColdProbe(s, now) {
--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -72,7 +72,8 @@
 	Prefill time.Duration
 	// Preferred is set for the preferred server of the prompt prefix.
 	Preferred bool
-	// Connect is the time to open a connection to the server; 0 if one is open.
+	// Connect is the time to open a connection to the server; 0 if an idle one can carry the
+	// request.
 	Connect time.Duration
 }
 
--- a/internal/place/exchange.go
+++ b/internal/place/exchange.go
@@ -39,9 +39,10 @@
 	return reports[:min(limit, len(reports))]
 }
 
-// RecordRemoteLoad records the load that a server has stated to another entry. Older reports
-// than the last one and unknown servers are ignored, and all reports where servers are not
-// chosen by estimates, unless they state a slowdown: they would change that choice.
+// RecordRemoteLoad records the load that a server has stated to another entry. It ignores
+// reports of unknown servers and those that are not newer than the last one. Where servers are
+// not chosen by estimates, it also ignores reports without a slowdown, because choices there
+// depend only on the loads that servers have stated to this entry.
 func (f *Fleet) RecordRemoteLoad(r LoadReport, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -57,19 +57,19 @@
 
 // Reasons for which a server is full or excluded.
 const (
-	whyHeldOff     = "wants_no_requests"
-	whyFull        = "full"
-	whyBrittle     = "brittle"
-	whyLimit       = "limit"
-	whyCold        = "cold"
-	whyOutstanding = "outstanding_bytes"
-	whyLate        = "expected_too_late"
-	whyVersion     = "version"
-	whyRegion      = "region"
-	whyTried       = "tried"
-	whyEvacuated   = "evacuated"
-	whyLeaving     = "leaving"
-	whyEjected     = "ejected"
+	reasonHeldOff     = "wants_no_requests"
+	reasonFull        = "full"
+	reasonBrittle     = "brittle"
+	reasonLimit       = "limit"
+	reasonCold        = "cold"
+	reasonOutstanding = "outstanding_bytes"
+	reasonLate        = "expected_too_late"
+	reasonVersion     = "version"
+	reasonRegion      = "region"
+	reasonTried       = "tried"
+	reasonEvacuated   = "evacuated"
+	reasonLeaving     = "leaving"
+	reasonEjected     = "ejected"
 )
 
 // ExplainedServer is a server in an explanation.
@@ -83,13 +83,14 @@
 	// or excluded.
 	State  string
 	Reason string
-	// Wait is the time after which a server that is full or late may take the request.
+	// Wait is the time from now after which a server that is full or late may take the
+	// request.
 	Wait time.Duration
-	// Cost is the sum of the terms, of servers that were weighed.
+	// Cost is the sum of the terms; 0 if the cost was not computed.
 	Cost  time.Duration
 	Terms []CostTerm
-	// FirstEvent is the expected time to the first event, of servers that are chosen by
-	// estimates.
+	// FirstEvent is the expected time from now to the first event; 0 if the server was not
+	// compared by estimates.
 	FirstEvent time.Duration
 	// Requests is the number of requests that is believed to be at the server, and InFlight
 	// how many of them are this entry's.
@@ -112,15 +113,17 @@
 	Cost time.Duration
 }
 
-// trace records what a choice compares. That of requests is nil and records nothing. It only
-// stores, because the lock of the fleet is held; terms are computed later.
+// trace records what a choice compares for an explanation. The trace of a request that is to be
+// placed is nil, and callers check for that. Its methods only store, because they run under the
+// lock of the fleet; the terms of costs are computed later.
 type trace struct {
-	// records are in the order in which the servers were passed over. A choice may do that
-	// several times, and the last record of a server decides.
+	// records are in the order in which the servers were looked at. A choice may look at a
+	// server several times, and its last record decides.
 	records []record
-	// weighed belongs to the server that is being weighed.
+	// weighed is what weigh and add have recorded for the server that compare records next.
 	weighed weighing
-	yields  bool
+	// yields is the value of Explanation.Yields.
+	yields bool
 }
 
 // record is what a choice has found about a server.
@@ -142,15 +145,15 @@
 }
 
 // skip records that a server takes no request for the given time.
-func (t *trace) skip(s *server, why string, wait time.Duration) {
-	t.records = append(t.records, record{server: s, state: ServerFull, reason: why, wait: wait})
+func (t *trace) skip(s *server, reason string, wait time.Duration) {
+	t.records = append(t.records, record{server: s, state: ServerFull, reason: reason, wait: wait})
 }
 
 // compare records the cost of a server, whose first event is late by the given time.
 func (t *trace) compare(s *server, cost, firstEvent, late time.Duration) {
 	r := record{server: s, state: ServerCompared, cost: cost, firstEvent: firstEvent, weighing: t.weighed}
 	if late > 0 {
-		r.state, r.reason, r.wait = ServerLate, whyLate, late
+		r.state, r.reason, r.wait = ServerLate, reasonLate, late
 	}
 	t.records = append(t.records, r)
 	t.weighed = weighing{}
@@ -192,8 +195,8 @@
 	weights Weights
 }
 
-// parts returns each weight alone. The costs that they give, each less what has no weight, add
-// up to the cost by all of them less the same.
+// parts returns each weight alone. Costs are linear in the weights: if the unweighted terms
+// (Connect and Prefill) are left out, the costs by the parts add up to the cost by w.
 func (w *Weights) parts() []namedWeights {
 	return []namedWeights{
 		{"other_failure_domain", Weights{CrossDomain: w.CrossDomain}},
@@ -206,7 +209,7 @@
 	}
 }
 
-// Explain tells what Pick would decide on a request now. It places nothing and leaves the
+// Explain returns what Pick would decide on a request now. It places nothing and leaves the
 // fleet as it was, so that later choices are the same as without it.
 func (f *Fleet) Explain(q Query) Explanation {
 	e, servers, records := f.explainChoice(q)
@@ -231,9 +234,9 @@
 	return e
 }
 
-// explainChoice lets the fleet choose a server and takes back what that changes. It returns the
-// explanation, whose servers are in the order of the given ones, and what was recorded. Without
-// the lock, these servers may only be compared.
+// explainChoice lets the fleet choose a server and takes back what that changes. The servers of
+// the explanation are in the order of the returned servers. The lock is no longer held on
+// return: the returned servers and those of the records may only be compared by pointer.
 func (f *Fleet) explainChoice(q Query) (e Explanation, servers []*server, records []record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -305,23 +308,23 @@
 func (f *Fleet) exclusion(s *server, q *Query) string {
 	switch {
 	case !q.Version.allows(s.version):
-		return whyVersion
+		return reasonVersion
 	case !q.Regions.Allows(s.region):
-		return whyRegion
+		return reasonRegion
 	case slices.Contains(q.Tried, s.id):
-		return whyTried
+		return reasonTried
 	case f.isEvacuated(s):
-		return whyEvacuated
+		return reasonEvacuated
 	case s.leaving:
-		return whyLeaving
+		return reasonLeaving
 	case s.isEjected(q.Now):
-		return whyEjected
+		return reasonEjected
 	default:
 		return ""
 	}
 }
 
-// savedState is what a choice at an upstream may change.
+// savedState is a copy of what a choice at an upstream may change.
 type savedState struct {
 	changed                func(Change)
 	draws                  uint64
@@ -332,8 +335,8 @@
 	servers []server
 }
 
-// save returns the state before a choice at an upstream, and lets the choice notify nobody;
-// mu is held.
+// save returns a copy of what a choice at an upstream may change. Until restore, Changed is nil
+// and the buffers are empty; mu is held.
 func (f *Fleet) save(u *upstreamState) *savedState {
 	saved := &savedState{changed: f.Changed, draws: f.draws, eligibles: f.eligibles, preferables: f.preferables, groupWeights: f.groupWeights, upstream: *u, servers: make([]server, len(u.servers))}
 	for i, s := range u.servers {
@@ -351,13 +354,14 @@
 	f.eligibles, f.preferables, f.groupWeights = saved.eligibles, saved.preferables, saved.groupWeights
 	*u = saved.upstream
 	for i, s := range u.servers {
-		s.prefixes.keepAgain(saved.servers[i].prefixes.oldestKept)
+		s.prefixes.unmarkEvicted(saved.servers[i].prefixes.oldestKept)
 		*s = saved.servers[i]
 	}
 }
 
-// keepAgain takes back that the segments from the given one on were marked as evicted.
-func (p *prefixCache) keepAgain(oldestKept *usedSegment) {
+// unmarkEvicted clears the eviction mark of the segments from the given one up to the oldest
+// that is kept now.
+func (p *prefixCache) unmarkEvicted(oldestKept *usedSegment) {
 	for c := oldestKept; c != p.oldestKept; c = c.newer {
 		c.evicted = false
 	}
--- a/internal/place/explain_internal_test.go
+++ b/internal/place/explain_internal_test.go
@@ -193,17 +193,17 @@
 		random := rand.New(rand.NewPCG(seed, 11))
 		f := newExplainedFleet(seed, seed%3 > 0)
 		explaining := false
-		told := func(what string) {
+		rejectCall := func(what string) {
 			if explaining {
 				t.Fatalf("seed %d: the explanation has called %s", seed, what)
 			}
 		}
-		f.Changed = func(Change) { told("Changed") }
-		f.PromptSent = func(string, time.Duration, []PrefixSegment) { told("PromptSent") }
-		f.LimitStated = func(string, Limit, time.Duration) { told("LimitStated") }
-		f.ColdStated = func(string, time.Duration) { told("ColdStated") }
-		f.Unreached = func(string, int) { told("Unreached") }
-		f.AdaptiveChanged = func(string, bool, int) { told("AdaptiveChanged") }
+		f.Changed = func(Change) { rejectCall("Changed") }
+		f.PromptSent = func(string, time.Duration, []PrefixSegment) { rejectCall("PromptSent") }
+		f.LimitStated = func(string, Limit, time.Duration) { rejectCall("LimitStated") }
+		f.ColdStated = func(string, time.Duration) { rejectCall("ColdStated") }
+		f.Unreached = func(string, int) { rejectCall("Unreached") }
+		f.AdaptiveChanged = func(string, bool, int) { rejectCall("AdaptiveChanged") }
 		now := internalStart
 		var placements []*Placement
 		for i := range 150 {
--- a/internal/place/pick.go
+++ b/internal/place/pick.go
@@ -68,15 +68,12 @@
 	preferred := f.preferred(u, q)
 	var lowest time.Duration
 	for _, s := range u.servers {
-		if !q.Version.allows(s.version) || !q.Regions.Allows(s.region) || slices.Contains(q.Tried, s.id) {
+		if !q.permits(s) || !f.isEligible(s, allowed, q.Now) {
 			continue
 		}
-		if !f.isEligible(s, allowed, q.Now) {
-			continue
-		}
-		if wait, why := f.timeUntilFree(s, q); wait > 0 {
+		if wait, reason := f.timeUntilFree(s, q); wait > 0 {
 			if q.trace != nil {
-				q.trace.skip(s, why, wait)
+				q.trace.skip(s, reason, wait)
 			}
 			full = minPositive(full, wait)
 			continue
@@ -93,6 +90,12 @@
 	return cheapest, full
 }
 
+// permits reports whether the request may go to a server by its software version, its region
+// and the earlier attempts.
+func (q *Query) permits(s *server) bool {
+	return q.Version.allows(s.version) && q.Regions.Allows(s.region) && !slices.Contains(q.Tried, s.id)
+}
+
 // eligible says which servers may be chosen beside those that are neither ejected nor
 // leaving.
 type eligible struct {
@@ -113,10 +116,9 @@
 	return allowed.ejected || !s.isEjected(now)
 }
 
-// timeUntilFree returns how long the server does not take the request, because it wants none,
-// its limit is reached, it is full or has too many bytes of this entry, and which of these; 0 if
-// it takes it now. mu is held.
-func (f *Fleet) timeUntilFree(s *server, q *Query) (wait time.Duration, why string) {
+// timeUntilFree returns how long the server does not take the request, or 0 if it takes it now.
+// The reason is one of the reason constants and means nothing if the time is 0. mu is held.
+func (f *Fleet) timeUntilFree(s *server, q *Query) (wait time.Duration, reason string) {
 	var full time.Duration
 	if float64(s.occupancy(q.Now)) >= maxOccupancy*float64(s.slots) {
 		full = fullRetryAfter
@@ -125,29 +127,29 @@
 }
 
 // timeUntilTaken is timeUntilFree for a server that is full for the given time.
-func (f *Fleet) timeUntilTaken(s *server, full time.Duration, q *Query) (wait time.Duration, why string) {
-	wait, why = f.unboundedWait(s, full, q.Now)
+func (f *Fleet) timeUntilTaken(s *server, full time.Duration, q *Query) (wait time.Duration, reason string) {
+	wait, reason = f.unboundedWait(s, full, q.Now)
 	if outstanding := f.outstandingWait(s, q.Bytes); outstanding > wait {
-		return outstanding, whyOutstanding
+		return outstanding, reasonOutstanding
 	}
-	return wait, why
+	return wait, reason
 }
 
 // unboundedWait is timeUntilTaken without the bound of this entry's bytes at the server.
-func (f *Fleet) unboundedWait(s *server, full time.Duration, now time.Time) (wait time.Duration, why string) {
+func (f *Fleet) unboundedWait(s *server, full time.Duration, now time.Time) (wait time.Duration, reason string) {
 	if held := s.heldOffUntil.Sub(now); held > 0 {
-		return held, whyHeldOff
+		return held, reasonHeldOff
 	}
 	if full > 0 {
-		return full, whyFull
+		return full, reasonFull
 	}
 	if wait := f.brittleWait(s, now); wait > 0 {
-		return wait, whyBrittle
+		return wait, reasonBrittle
 	}
 	if wait := f.limitWait(s, now); wait > 0 {
-		return wait, whyLimit
+		return wait, reasonLimit
 	}
-	return f.coldWait(s, now), whyCold
+	return f.coldWait(s, now), reasonCold
 }
 
 // minPositive returns the smaller of two durations, of which a may be 0 for none.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -40,7 +40,8 @@
 	// Tried lists the ids of the servers of earlier attempts, which are not
 	// picked again.
 	Tried []string
-	// Once is set for a request that must not run twice, which fewer idle connections carry.
+	// Once is set for a request that must not run twice. Only recently used idle connections
+	// carry it.
 	Once bool
 	// Priority orders requests; 0 is the most urgent.
 	Priority int
@@ -53,7 +54,7 @@
 	granted bool
 	// late is set if a server takes the request, but too late for the caller.
 	late bool
-	// trace records what the choice compares; nil for requests.
+	// trace records what the choice compares; nil unless the choice is explained.
 	trace *trace
 }
 
--- a/internal/place/preferred.go
+++ b/internal/place/preferred.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// groupOversize is how many times as many servers a group has as its share of the
-	// prompts. Smaller groups send more requests past them while their segment is used
-	// more than usual.
+	// groupOversize is the part of the servers in the group of a segment, divided by the
+	// segment's part of the prompts. With smaller groups, more requests go to servers outside
+	// of the group while the segment is used more than usual.
 	groupOversize = 5
-	// minGroup is the size of the smallest group.
+	// minGroup is the number of servers in the smallest group.
 	minGroup = 4
 	// maxFirstSegments is the number of counted prompts at which all counts are halved.
 	maxFirstSegments = 4096
@@ -19,6 +19,7 @@
 // firstSegments counts the recent prompts of an upstream by the first segment of their
 // prefix. Its zero value is empty.
 type firstSegments struct {
+	// counts holds the prompts by segment id, and total is their sum.
 	counts map[uint64]float64
 	total  float64
 }
@@ -71,9 +72,9 @@
 }
 
 // preferred returns the server with the highest rendezvous weight for the last segment of the
-// prompt's prefix, or nil. Where servers are chosen by estimates, it is the highest among the
-// group of the first segment. All entries compute the same one; with groups, those that count
-// the same prompts. mu is held.
+// prompt's prefix, or nil. Where servers are chosen by estimates, only the group of the first
+// segment is considered. All entries compute the same server; with groups, as far as they have
+// counted the same prompts. mu is held.
 func (f *Fleet) preferred(u *upstreamState, q *Query) *server {
 	if q.Prompt == nil || len(q.Prompt.Prefix) == 0 {
 		return nil
--- a/internal/place/reach.go
+++ b/internal/place/reach.go
@@ -187,13 +187,14 @@
 	return Path{Upstream: upstream, Since: r.brokenSince(servers, now), Lost: r.isLost(servers, now)}
 }
 
-// countTried returns the number of servers of an upstream by which its path is judged. Cold
-// ones to which this entry may send nothing say nothing about it; mu is held.
+// countTried returns the number of servers of an upstream by which its path is judged. It leaves
+// out cold servers to which this entry may send nothing, unless they have failed lately; mu is
+// held.
 func (f *Fleet) countTried(upstream string, r *reach, now time.Time) int {
 	count := 0
 	for _, s := range f.available(upstream) {
 		o, failed := r.unreachable[s.id]
-		f.coldWait(s, now)
+		f.coldWait(s, now) // updates s.cold.share
 		if failed && !o.isOver(now) || !f.isCold(s, now) || s.cold.share > 0 {
 			count++
 		}
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -5,7 +5,7 @@
 )
 
 const (
-	// loadReportTTL is how long a load report counts in the occupancy.
+	// loadReportTTL is the age up to which a load report counts in the occupancy.
 	loadReportTTL = 1500 * time.Millisecond
 	// failureRateWeight is the weight of the newest outcome in the moving
 	// average of the failure rate.
@@ -60,8 +60,8 @@
 	ownSlots   int
 	ownSlotsAt time.Time
 
-	// report is the last load report, and pace how much slower
-	// the engine is than those of its upstream in the mean.
+	// report is the last load report, and pace how much slower the engine is than the mean of
+	// its upstream.
 	report loadReport
 	pace   pace
 
--- a/internal/place/unconfirmed.go
+++ b/internal/place/unconfirmed.go
@@ -9,14 +9,15 @@
 // unconfirmed is the state of a server of this entry's first list, which may have started
 // again since that list was read. Its zero value is a server that counts as it is listed.
 type unconfirmed struct {
-	// since is when the list was applied; zero once the server is confirmed.
+	// since is when the list was applied; zero if the server is confirmed.
 	since time.Time
 	// sent is set once this entry has sent the server a request.
 	sent bool
 }
 
 // isUnconfirmed reports whether it is unknown if the server has started again since the first
-// list; mu is held. After ColdStart a start from before that list is over.
+// list was read. Once ColdStart has passed since the list was applied, the server is no longer
+// cold from a start before it. mu is held.
 func (f *Fleet) isUnconfirmed(s *server, now time.Time) bool {
 	since := s.cold.unconfirmed.since
 	return !since.IsZero() && f.boundsColdStart(s.upstream) && now.Before(since.Add(f.upstreamOf(s.upstream).policy.ColdStart))
@@ -33,7 +34,7 @@
 	}
 }
 
-// confirm records that the entry knows of a start of the server, or that there was none.
+// confirm records that it is known whether the server has started again.
 func (c *coldness) confirm() {
 	c.unconfirmed = unconfirmed{}
 }
@@ -45,8 +46,8 @@
 	}
 }
 
-// unconfirmedWait returns how long an unconfirmed server gets no request, because it has got
-// one and its probe has not been answered; mu is held.
+// unconfirmedWait returns the delay for requests to an unconfirmed server that has got one and
+// whose probe has not been answered; 0 if the server may get a request. mu is held.
 func (f *Fleet) unconfirmedWait(s *server, now time.Time) time.Duration {
 	if s.cold.unconfirmed.sent && f.isUnconfirmed(s, now) {
 		return noColdShareWait
@@ -54,8 +55,8 @@
 	return 0
 }
 
-// recordUnconfirmedSent records that the server gets a request, and asks for a probe if it is
-// unconfirmed; mu is held.
+// recordUnconfirmedSent records the first request to an unconfirmed server and asks for a
+// probe; mu is held.
 func (f *Fleet) recordUnconfirmedSent(s *server, now time.Time) {
 	if s.cold.unconfirmed.sent || !f.isUnconfirmed(s, now) {
 		return
@@ -84,8 +85,8 @@
 }
 
 // needsUnconfirmedProbe reports whether the server is unconfirmed and must be probed; mu is
-// held. The first probe belongs to the request that was sent. A further one is due only if
-// the server has answered that request, and not the probe.
+// held. The first probe is sent together with the only request. A server that does not answer
+// it counts as cold, so that a further one is due only if it answers the request afterwards.
 func (f *Fleet) needsUnconfirmedProbe(s *server, now time.Time) bool {
 	return s.cold.unconfirmed.sent && f.isUnconfirmed(s, now) && !f.isCold(s, now)
 }
--- a/internal/place/uneven_test.go
+++ b/internal/place/uneven_test.go
@@ -121,8 +121,8 @@
 }
 
 // A prefix must weigh enough that requests stay where it is cached while first events are in
-// time. Without groups of servers and with an
-// Affinity of 25 ms, 0.043 and 0.057 of the prompt tokens were read again here.
+// time. The bounds on the tokens that are read again are exceeded without groups of servers and
+// with the Affinity of engineWeights.
 func TestSharedPrefixesAreRarelyReadAgain(t *testing.T) {
 	for _, c := range []struct {
 		load, again, inTime float64
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -39,7 +39,7 @@
 	// length of a prefix segment.
 	held          meanHeld
 	segmentTokens float64
-	// firstSegments counts the recent prompts.
+	// firstSegments counts the recent prompts by the first segment of their prefix.
 	firstSegments firstSegments
 	// room is what this entry keeps free for urgent requests.
 	room room
@@ -88,7 +88,8 @@
 	}
 }
 
-// StatesSlowdown reports whether a server has lately stated how much longer than usual it works.
+// StatesSlowdown reports whether a server of any upstream has stated a slowdown within
+// slowdownTTL.
 func (f *Fleet) StatesSlowdown(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +101,8 @@
 	return false
 }
 
-// statesSlowdown reports whether a server of the upstream has lately stated a slowdown.
+// statesSlowdown reports whether a server of the upstream has stated a slowdown within
+// slowdownTTL.
 func (u *upstreamState) statesSlowdown(now time.Time) bool {
 	return !u.slowdownStatedAt.IsZero() && now.Sub(u.slowdownStatedAt) < slowdownTTL
 }
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -56,7 +56,7 @@
 	Answered func(endpoint place.Endpoint, sentAt time.Time, response *upstream.Response)
 	Log      *log.Logger
 
-	// wake has an element while a probe is needed at once.
+	// wake holds an element while unconfirmed servers may have to be probed at once.
 	wake chan struct{}
 	// watches holds the upstreams whose paths seem broken. It belongs to run.
 	watches map[string]*watch
--- a/internal/transport/quiet.go
+++ b/internal/transport/quiet.go
@@ -67,7 +67,7 @@
 	return err == nil && queued
 }
 
-// connKey is the key of the connection in the context of a request.
+// connKey is the context key under which WithConn stores the connection.
 type connKey struct{}
 
 // WithConn returns a context that holds the connection on which a request arrived, for
@@ -76,9 +76,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// IsClosedByPeer reports whether the end of the connection on which a request arrived has
-// arrived too. It looks at the socket: the HTTP server cancels ctx only once its reader has
-// run, which may be after the handler has ended if both wait for a processor. It returns false
+// IsClosedByPeer reports whether the peer has closed the connection on which a request arrived.
+// It looks at the socket, because the HTTP server cancels ctx only once its reader has run,
+// which may be after the handler has ended if both wait for a processor. It returns false
 // if ctx holds no connection, or one without a file descriptor, such as one of a simulated
 // network.
 func IsClosedByPeer(ctx context.Context) bool {
@@ -95,7 +95,7 @@
 		return true
 	}
 	closed := false
-	// Control instead of Read: the HTTP server's reader holds the right to read.
+	// Read would block: the HTTP server's reader holds the read lock of the descriptor.
 	err = raw.Control(func(descriptor uintptr) {
 		n, err := peek(descriptor)
 		closed = n == 0 && !isEmpty(err)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -139,16 +139,9 @@
 	_ = c.socket.Close()
 }
 
-// isExpired reports whether an idle connection has been idle for so long that its server
-// may be about to close it.
-func (c *conn) isExpired(now time.Time) bool {
-	return now.Sub(c.idleSince) > c.idleTimeout
-}
-
-// mayCarry reports whether a connection that has not expired may carry a request. With once
-// set it must have been idle for at most maxIdleTimeOnce.
-func (c *conn) mayCarry(once bool, now time.Time) bool {
-	return !once || now.Sub(c.idleSince) <= maxIdleTimeOnce
+// idleTimes returns the times of an idle connection.
+func (c *conn) idleTimes() idleTimes {
+	return idleTimes{since: c.idleSince, timeout: c.idleTimeout}
 }
 
 // isOpen reports whether the server has neither closed an idle connection nor sent any bytes
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -11,26 +11,40 @@
 	serverConnectTime = time.Millisecond
 	// defaultRoundTrip is the time to open a connection before the first one was opened.
 	defaultRoundTrip = time.Millisecond
-	// maxRoundTrip bounds the time that one connection shows. Longer ones wait for a lost
-	// packet to be sent again.
+	// maxRoundTrip bounds what one connection adds to the mean. Connections that take longer
+	// mostly wait for the retransmission of a lost packet.
 	maxRoundTrip = 100 * time.Millisecond
-	// roundTripWeight is the weight of a new connection in the mean.
+	// roundTripWeight is the weight of a new connection in the moving average.
 	roundTripWeight = 0.1
 )
 
-// connectTimes knows how long connections take to open, and the newest idle connection to
-// each server. Its lock is held only here and for a moment, so that it may be asked under any
-// other lock. Its zero value is ready to use.
+// connectTimes holds how long connections take to open, and the times of the newest idle
+// connection to each server. No other lock is taken while its lock is held, so that its methods
+// may be called under any lock. Its zero value is ready to use.
 type connectTimes struct {
 	mu sync.Mutex
-	// roundTrip is the mean time in which connections were opened; 0 before the first.
+	// roundTrip is the moving average of the time to open a connection; 0 before the first.
 	roundTrip time.Duration
-	newest    map[string]idleTimes
+	// newest holds the most recently used idle connection, by server id.
+	newest map[string]idleTimes
 }
 
-// idleTimes says since when a connection is idle, and until when it may be used.
+// idleTimes says since when a connection has been idle, and how long it may stay idle.
 type idleTimes struct {
-	since, until time.Time
+	since   time.Time
+	timeout time.Duration
+}
+
+// isExpired reports whether the connection has been idle for so long that its server may be
+// about to close it.
+func (i idleTimes) isExpired(now time.Time) bool {
+	return now.Sub(i.since) > i.timeout
+}
+
+// mayCarry reports whether the connection, if it has not expired, may carry a request. With
+// once set it must have been idle for at most maxIdleTimeOnce.
+func (i idleTimes) mayCarry(once bool, now time.Time) bool {
+	return !once || now.Sub(i.since) <= maxIdleTimeOnce
 }
 
 // recordOpened records the time in which a connection was opened.
@@ -56,16 +70,16 @@
 	if t.newest == nil {
 		t.newest = make(map[string]idleTimes)
 	}
-	c := list[len(list)-1]
-	t.newest[id] = idleTimes{since: c.idleSince, until: c.idleSince.Add(c.idleTimeout)}
+	t.newest[id] = list[len(list)-1].idleTimes()
 }
 
-// until returns the time until a request can be sent to a server.
+// until returns the expected time from now until a request can be sent to a server: 0 if the
+// newest idle connection can carry it.
 func (t *connectTimes) until(id string, once bool, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	idle, found := t.newest[id]
-	if found && !now.After(idle.until) && (!once || now.Sub(idle.since) <= maxIdleTimeOnce) {
+	if found && !idle.isExpired(now) && idle.mayCarry(once, now) {
 		return 0
 	}
 	if t.roundTrip == 0 {
--- a/internal/upstream/connect_test.go
+++ b/internal/upstream/connect_test.go
@@ -10,7 +10,7 @@
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
 
-// slowNetwork is a pipeNetwork on which connections take a time to open.
+// slowNetwork is a pipeNetwork on which opening a connection takes roundTrip.
 type slowNetwork struct {
 	pipeNetwork
 	roundTrip time.Duration
@@ -61,9 +61,10 @@
 	})
 }
 
-// TestConnectTimeIsToldUnderTheLockOfThePool guards against a deadlock between the pool, which
-// asks the fleet which servers are listed, and the fleet, which asks for connections.
-func TestConnectTimeIsToldUnderTheLockOfThePool(t *testing.T) {
+// TestConnectTimeUnderPoolLock guards against a deadlock between the pool, which calls the fleet
+// under its lock to learn which servers are listed, and the fleet, which calls ConnectTime under
+// its own lock.
+func TestConnectTimeUnderPoolLock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client := &upstream.Client{Network: &pipeNetwork{}}
 		if err := exchange(client, "server", request("a")); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,7 +34,8 @@
 	dials atomic.Int64
 	open  atomic.Int64
 
-	// connects follows idle. Its lock is taken with mu held, and not the other way round.
+	// connects holds the times of the newest connections in idle. Its lock may be taken while
+	// mu is held; mu is never taken while its lock is held.
 	connects connectTimes
 
 	// bodies bounds the memory of the bodies that are being read.
@@ -83,8 +84,8 @@
 			i = 0
 		}
 		c := list[i]
-		expired := c.isExpired(now)
-		if !expired && !c.mayCarry(once, now) {
+		expired := c.idleTimes().isExpired(now)
+		if !expired && !c.idleTimes().mayCarry(once, now) {
 			return nil
 		}
 		p.setList(id, slices.Delete(list, i, i+1))
@@ -193,7 +194,7 @@
 	p.sweeping = false
 	for id, list := range p.idle {
 		p.setList(id, slices.DeleteFunc(list, func(c *conn) bool {
-			expired := c.isExpired(now)
+			expired := c.idleTimes().isExpired(now)
 			if expired {
 				c.close()
 			}
