Overload, explain: names, comments and doc comments for newcomers

Change: the loops of acceptLoop and divertLoop share stepEvery. The unused field escrow.Outlook.Known is removed. Names, comments, one text of explain and one settings error are clearer. The test TestSlowPeersAreNoReason is renamed to TestSlowPeersDoNotPreventDiverting; its checks are the same.

Ruled out: the JSON types of process/explain.go and pkg/operator look alike on purpose, since wire types stand beside their handlers.

--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -124,7 +124,7 @@
 	return prompt, nil
 }
 
-// parseTokenCount parses a number of tokens.
+// parseTokenCount parses a decimal number that is not negative.
 func parseTokenCount(text string) (int64, error) {
 	count, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
 	if err != nil || count < 0 {
@@ -133,7 +133,8 @@
 	return count, nil
 }
 
-// writeExplanation writes an explanation for people.
+// writeExplanation writes an explanation as text, with at most maxExplainedServers servers of each
+// upstream.
 func writeExplanation(output io.Writer, e operator.Explanation) error {
 	w := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	line := func(name, format string, values ...any) {
@@ -178,7 +179,7 @@
 	}
 	line("servers chosen", "%s", way)
 	if u.Placement.Yields {
-		line("priority", "more urgent requests are missed, and this one yields unless it may use their room")
+		line("priority", "refused in favour of more urgent requests, unless it may use the room kept for them")
 	}
 	if len(u.Placement.Servers) == 0 {
 		return
@@ -260,7 +261,7 @@
 	return text
 }
 
-// routeName returns the name of a route, or what it fits.
+// routeName returns the name of a route, if it has one, and the host and path that it fits.
 func routeName(r *operator.ExplainedRoute) string {
 	return joined(" for ", r.Name, r.Host+r.PathPrefix)
 }
@@ -279,7 +280,7 @@
 	return strings.Join(names, " ")
 }
 
-// age returns the age of something that may not be known.
+// age returns an age in milliseconds as text; a negative one stands for nothing received yet.
 func age(milliseconds float64) string {
 	if milliseconds < 0 {
 		return "none yet"
--- a/internal/escrow/explain.go
+++ b/internal/escrow/explain.go
@@ -4,9 +4,8 @@
 
 // Outlook tells what Reserve would find.
 type Outlook struct {
+	// Balance is zero if the holder has no account of the workspace.
 	Balance
-	// Known is set if the holder has an account of the workspace.
-	Known bool
 	// Err is what Reserve would return at once: nil if the holder has the tokens, and
 	// ErrExhausted if it knows that the budget does not cover them. It is ErrUnavailable if
 	// Reserve would wait for an exchange or a loan, which may bring them.
@@ -23,7 +22,7 @@
 		return Outlook{Err: ErrUnavailable}
 	}
 	now := time.Now()
-	o := Outlook{Balance: a.balance(now), Known: true}
+	o := Outlook{Balance: a.balance(now)}
 	switch {
 	case a.escrow.CanReserve(tokens):
 	case h.knowsExhausted(a, now, tokens):
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -170,8 +170,8 @@
 	return a.hasRoom(caller, 0, bytes)
 }
 
-// hasRoom reports whether a reservation of the named caller may grow to the given number of
-// bytes; mu is held.
+// hasRoom reports whether a reservation of the named caller may grow from one number of bytes
+// to another; mu is held.
 func (a *Account) hasRoom(caller string, from, to int64) bool {
 	more := usage{total: to - from, requests: to - from}
 	held, ofCaller := a.held.plus(more), a.callers[caller].plus(more)
--- a/internal/overload/acceptance.go
+++ b/internal/overload/acceptance.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// AcceptInterval is the time between two decisions of an AcceptLimiter. A link of 10 Mbit/s
-// receives five requests in it.
+// AcceptInterval is the time between two decisions of an AcceptLimiter. It is short because
+// each request that is received before a decision uses the full link.
 const AcceptInterval = 10 * time.Millisecond
 
 const (
@@ -22,7 +22,8 @@
 )
 
 // AcceptLimiter decides when an entry accepts no connections, because requests fill its
-// incoming link. A refused connection costs the link a twentieth of a refused request.
+// incoming link. A refused connection uses the link for a few small packets only, a refused
+// request for its whole header and body.
 type AcceptLimiter struct {
 	link        LinkMeter
 	paused      bool
@@ -35,8 +36,9 @@
 	return &AcceptLimiter{link: LinkMeter{BytesPerSecond: bytesPerSecond, TimeConstant: acceptUtilizationTime}}
 }
 
-// Step returns whether the entry accepts no connections, from the traffic so far and from
-// whether its peers have room for those that it refuses. It is called every AcceptInterval.
+// Step decides and returns whether the entry refuses connections. total is the traffic since the
+// start, and peersHaveRoom tells whether peers can take the refused connections. It is called
+// every AcceptInterval.
 func (l *AcceptLimiter) Step(now time.Time, total Traffic, peersHaveRoom bool) bool {
 	utilization := l.link.Update(now, total).Received
 	switch {
@@ -50,7 +52,7 @@
 	return l.paused
 }
 
-// Utilization returns that of the incoming link at the last step.
+// Utilization returns the share of the incoming link's bandwidth in use at the last step.
 func (l *AcceptLimiter) Utilization() float64 {
 	return l.link.average.Received
 }
--- a/internal/overload/divert_model_test.go
+++ b/internal/overload/divert_model_test.go
@@ -17,8 +17,8 @@
 	divertEvent    = 130
 	// Four events arrive in three packets in the mean.
 	divertEventsPer, divertPacketsPer = 4, 3
-	// divertOverhead is what a packet adds. The measured links carried more than PacketOverhead
-	// in both directions allows, so that entries overestimate their utilization by a sixth.
+	// divertOverhead is what a packet adds at the simulated links. It is below PacketOverhead,
+	// because entries overestimate the utilization of real links too.
 	divertOverhead = 40
 	// divertOthers are the requests a second of all other workspaces.
 	divertOthers = 130
@@ -45,8 +45,8 @@
 	divert, refuse, shed bool
 	// closing is the share of the responses of a diverting entry that end their connections.
 	closing float64
-	// apart makes refused connections begin no diversion.
-	apart bool
+	// noCause makes refused connections begin no diversion.
+	noCause bool
 	// elsewhere makes callers whose connection is refused reach another entry.
 	elsewhere bool
 	// retryAfter is what refusals tell; 0 means simRetryAfter.
@@ -124,7 +124,7 @@
 func (m *divertModel) limit(i int) {
 	m.at(m.now.Add(AcceptInterval), func() { m.limit(i) })
 	m.paused[i] = m.limiters[i].Step(m.now, m.traffic[i], m.entries[i].diverter.Status().PeersHaveRoom)
-	if m.paused[i] && !m.mode.apart {
+	if m.paused[i] && !m.mode.noCause {
 		m.entries[i].diverter.RecordPause()
 	}
 }
@@ -453,7 +453,7 @@
 func TestLastingLoad(t *testing.T) {
 	served := make(map[bool]float64)
 	for _, apart := range []bool{true, false} {
-		m := newDivertModel(1, divertMode{divert: true, refuse: true, apart: apart})
+		m := newDivertModel(1, divertMode{divert: true, refuse: true, noCause: apart})
 		m.load(func(time.Duration) float64 { return divertLasting }, func() string { return "large" })
 		m.runFor(divertRun)
 		t.Logf("diverting apart from refusing %t: %s", apart, m)
--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -83,15 +83,16 @@
 	// Cause is that of the last change, at Since; empty before the first one.
 	Cause Cause
 	Since time.Time
-	// Utilization is that of the entry's link.
+	// Utilization is that of the entry's link, as a moving average over utilizationTime.
 	Utilization Utilization
-	// Peers is the number of peers with a recent statement, Room the share of them that has
-	// room, and PeersDiverting the share that diverts, as far as this entry and its peers
-	// know.
+	// Peers is the number of peers with a recent statement, and Room the share of them, from 0
+	// to 1, that has room. PeersDiverting is the share of all entries that diverts, estimated
+	// from what this entry and its peers know.
 	Peers                int
 	Room, PeersDiverting float64
-	// OwnPeersDiverting is the share of the peers alone. It is what the entry states: from
-	// shares that contain those of others, a change would take seconds to be known.
+	// OwnPeersDiverting is the share of this entry's own peers that diverts. The entry states
+	// this share to others: if entries repeated what others state, a change would take seconds
+	// to be known.
 	OwnPeersDiverting float64
 	// PeersHaveRoom is set if enough peers had room when they were last heard of.
 	PeersHaveRoom bool
@@ -107,6 +108,8 @@
 	// roomAt is when enough peers last stated room; zero once they state none.
 	roomAt time.Time
 
+	// The delay is too high since delayedSince, the load is low since calmSince, and too few
+	// peers have room since fullSince.
 	delayedSince, calmSince, fullSince onset
 	// paused is set if connections were refused since the last step.
 	paused bool
@@ -153,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state.Utilization = d.link.Update(now, total)
-	d.lookAtPeers(now, status.Target)
+	d.summarizePeers(now, status.Target)
 	utilization := d.state.Utilization.Highest()
 	delayed := status.Known && status.Delay > status.Target
 	late := d.delayedSince.lasted(now, delayed, delayOnset)
@@ -161,9 +164,9 @@
 	full := d.fullSince.lasted(now, d.state.Peers > 0 && d.state.Room < minRoomLeft, roomOnset)
 	changed := false
 	if d.state.Diverting {
-		changed = d.mayEnd(now, calm, full)
+		changed = d.endIfNeeded(now, calm, full)
 	} else {
-		changed = d.mayBegin(now, utilization >= highUtilization, late)
+		changed = d.beginIfNeeded(now, utilization >= highUtilization, late)
 	}
 	d.paused = false
 	return d.state, changed
@@ -183,8 +186,8 @@
 	return d.state, true
 }
 
-// mayBegin begins a diversion if there is a cause and the peers allow it.
-func (d *Diverter) mayBegin(now time.Time, busy, late bool) bool {
+// beginIfNeeded begins a diversion if there is a cause and the peers allow it.
+func (d *Diverter) beginIfNeeded(now time.Time, busy, late bool) bool {
 	var cause Cause
 	switch {
 	case late:
@@ -211,9 +214,9 @@
 	return d.state.Cause == NoRoom || d.state.Cause == TooManyDivert
 }
 
-// mayEnd ends a diversion if the load or what the peers have to spare is gone. Silence of the
-// peers ends none.
-func (d *Diverter) mayEnd(now time.Time, calm, full bool) bool {
+// endIfNeeded ends a diversion if the load is gone, the peers have no room, or too many entries
+// divert. Silence of the peers ends none.
+func (d *Diverter) endIfNeeded(now time.Time, calm, full bool) bool {
 	cause := Recovered
 	switch {
 	case full:
@@ -227,8 +230,9 @@
 	return true
 }
 
-// lookAtPeers sums up the recent statements of the peers.
-func (d *Diverter) lookAtPeers(now time.Time, target time.Duration) {
+// summarizePeers computes the shares of the state from the recent statements of the peers. target
+// is the delay from which a peer has no room.
+func (d *Diverter) summarizePeers(now time.Time, target time.Duration) {
 	d.forgetPeers(now)
 	free, diverting := 0, 0
 	// The shares that peers state are whole percents, so that their sum does not depend on
--- a/internal/overload/diverter_test.go
+++ b/internal/overload/diverter_test.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// TestSlowPeersAreNoReason guards against an entry that stays overloaded because one or a few
+// TestSlowPeersDoNotPreventDiverting guards against an entry that stays overloaded because one or a few
 // peers are slow or state nothing.
-func TestSlowPeersAreNoReason(t *testing.T) {
+func TestSlowPeersDoNotPreventDiverting(t *testing.T) {
 	d := newDivertTrial()
 	d.peers = 7
 	for range 30 {
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -12,8 +12,8 @@
 	Received, Sent int64
 }
 
-// Utilization is the share of the bandwidth in use in each direction. A queue does not show in
-// it, so that it hardly exceeds 1.
+// Utilization is the share of the bandwidth in use in each direction. It hardly exceeds 1, because
+// bytes that wait in a queue are not counted.
 type Utilization struct {
 	Received, Sent float64
 }
--- a/internal/process/acceptloop.go
+++ b/internal/process/acceptloop.go
@@ -10,21 +10,22 @@
 	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
-// acceptLogPause is how long connections must be accepted before refusing them counts as
-// ended, so that pauses of some milliseconds write at most two lines in this time.
-const acceptLogPause = 3 * time.Second
+// refusalLogDelay is how long connections must have been accepted before the end of refusing
+// them is logged, because pauses of some milliseconds would otherwise write two lines each.
+const refusalLogDelay = 3 * time.Second
 
 // acceptLoop refuses the connections of callers while their requests fill the incoming link.
 type acceptLoop struct {
 	limiter  *overload.AcceptLimiter
 	diverter *overload.Diverter
-	// mayDivert is set while the entry may divert; only then it may refuse connections.
+	// mayDivert is set while the entry may divert. Only then may it refuse connections.
 	mayDivert *atomic.Bool
 	counter   *linkCounter
 	listener  *pausableListener
 	log       *log.Logger
 
-	// paused is set from a pause until the socket is open again, and isRefusing tells others.
+	// paused is set from a pause until the socket is open again. isRefusing is its copy for
+	// other goroutines.
 	paused     bool
 	isRefusing atomic.Bool
 	// isFailing is set while the socket can't be opened again.
@@ -32,10 +33,12 @@
 	// pauses counts the pauses, and pausedTime sums up their nanoseconds.
 	pauses     atomic.Int64
 	pausedTime atomic.Int64
-	steppedAt  time.Time
+	// steppedAt is the time of the last step.
+	steppedAt time.Time
 
-	// logged is set from the first line to the second one; the other fields belong to the
-	// time between them.
+	// logged is set once the begin of refusing connections is logged, until its end is. The
+	// other fields describe the time between the two lines: loggedPauses and loggedTime are
+	// the values of pauses and pausedTime at its begin.
 	logged             bool
 	began, lastPaused  time.Time
 	loggedPauses       int64
@@ -55,17 +58,7 @@
 
 func (l *acceptLoop) run(ctx context.Context) {
 	defer close(l.done)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return
-		}
-		l.step(time.Now())
-		timer.Reset(intervalOf(l.mayDivert, overload.AcceptInterval))
-	}
+	stepEvery(ctx, overload.AcceptInterval, l.mayDivert, l.step)
 }
 
 // close ends the decisions and accepts connections again. It may be called more than once.
@@ -124,7 +117,7 @@
 		l.highestUtilization = max(l.highestUtilization, utilization)
 		return
 	}
-	if l.logged && now.Sub(l.lastPaused) >= acceptLogPause {
+	if l.logged && now.Sub(l.lastPaused) >= refusalLogDelay {
 		l.logged = false
 		l.log.Info("refusing connections ended",
 			"utilization_received", utilization,
--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -34,12 +34,13 @@
 // connectionListener wraps the connections that it accepts.
 type connectionListener struct {
 	net.Listener
-	// hurried is set once Accept must end at the first moment at which the queue is empty.
-	hurried *atomic.Bool
+	// noWait is set once Accept must end as soon as no connection is in the queue, without
+	// waiting for one.
+	noWait *atomic.Bool
 }
 
 func newConnectionListener(socket net.Listener) connectionListener {
-	return connectionListener{Listener: socket, hurried: &atomic.Bool{}}
+	return connectionListener{Listener: socket, noWait: &atomic.Bool{}}
 }
 
 // Accept implements net.Listener. After stop, it returns the connections that wait in
@@ -76,17 +77,17 @@
 }
 
 // acceptQueued accepts a connection that waits in the queue. An accept after its deadline
-// doesn't look at the queue. The deadline may also pass because the process gets no
-// processor, so that the end of the wait says nothing about the queue.
+// doesn't look at the queue. The deadline may also pass while the process is not
+// scheduled, so that the queue must be checked when it has passed.
 func (l connectionListener) acceptQueued() (net.Conn, error) {
 	limited, ok := l.Listener.(deadlineListener)
 	if !ok {
 		return nil, net.ErrClosed
 	}
-	for !l.hurried.Load() || transport.HasQueued(l.Listener) {
+	for !l.noWait.Load() || transport.HasQueued(l.Listener) {
 		_ = limited.SetDeadline(time.Now().Add(queueTimeout))
 		conn, err := limited.Accept()
-		if l.hurried.Load() {
+		if l.noWait.Load() {
 			l.stop()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -105,9 +106,10 @@
 	return ok && limited.SetDeadline(pastDeadline) == nil
 }
 
-// hurry makes Accept end without waiting for further connections, after stop.
-func (l connectionListener) hurry() {
-	l.hurried.Store(true)
+// stopWaiting makes Accept end without waiting for further connections. It is called after
+// stop.
+func (l connectionListener) stopWaiting() {
+	l.noWait.Store(true)
 	l.stop()
 }
 
@@ -129,7 +131,7 @@
 	deadline time.Time
 }
 
-// NetConn returns the connection that is wrapped.
+// NetConn returns the wrapped connection, whose file descriptor transport.IsClosedByPeer needs.
 func (c *connection) NetConn() net.Conn {
 	return c.Conn
 }
--- a/internal/process/divert.go
+++ b/internal/process/divert.go
@@ -13,18 +13,20 @@
 // idleInterval is the time between two steps of the loops of an entry that may not divert.
 const idleInterval = time.Second
 
-// divertLoop passes what an entry measures to its diverter, and logs when the entry begins and
+// divertLoop passes the entry's measurements to its diverter, and logs when the entry begins and
 // ceases to divert.
 type divertLoop struct {
 	diverter   *overload.Diverter
 	controller *overload.Controller
 	counter    *linkCounter
-	// mayDivert is set while asked says that the entry may divert.
+	// asked reports whether the contracts or the backend servers ask for diverting. mayDivert
+	// is its result at the last step, for other goroutines.
 	mayDivert *atomic.Bool
 	asked     func(now time.Time) bool
 	log       *log.Logger
 
-	// began and highest belong to the time between the two lines.
+	// began is when the diversion in progress has begun, and highest the highest utilization
+	// since then.
 	began   time.Time
 	highest overload.Utilization
 
@@ -42,6 +44,12 @@
 
 func (l *divertLoop) run(ctx context.Context) {
 	defer close(l.done)
+	stepEvery(ctx, overload.DivertInterval, l.mayDivert, l.step)
+}
+
+// stepEvery calls step at once and then, until ctx ends, at the given interval while mayDivert
+// is set and at idleInterval while it is not.
+func stepEvery(ctx context.Context, interval time.Duration, mayDivert *atomic.Bool, step func(now time.Time)) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -50,20 +58,16 @@
 		case <-ctx.Done():
 			return
 		}
-		l.step(time.Now())
-		timer.Reset(intervalOf(l.mayDivert, overload.DivertInterval))
-	}
-}
-
-// intervalOf returns the time to the next step of a loop.
-func intervalOf(mayDivert *atomic.Bool, interval time.Duration) time.Duration {
-	if mayDivert.Load() {
-		return interval
+		step(time.Now())
+		if mayDivert.Load() {
+			timer.Reset(interval)
+		} else {
+			timer.Reset(idleInterval)
+		}
 	}
-	return idleInterval
 }
 
-// step decides and logs a change.
+// step decides whether the entry diverts, and logs a change.
 func (l *divertLoop) step(now time.Time) {
 	l.mayDivert.Store(l.asked(now))
 	if !l.mayDivert.Load() {
@@ -81,7 +85,7 @@
 	<-l.done
 }
 
-// logChange logs that the entry has begun or ceased to divert, with what it decided from.
+// logChange logs a begin or an end of diverting, with the inputs of the decision.
 func (l *divertLoop) logChange(now time.Time, state overload.Diversion, status overload.Status, changed bool) {
 	if state.Diverting {
 		l.highest.Received = max(l.highest.Received, state.Utilization.Received)
--- a/internal/process/divert_test.go
+++ b/internal/process/divert_test.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// TestOverloadSettings guards against means that take effect although the settings do not ask
-// for them.
+// TestOverloadSettings guards against bounds, shedding or diverting that take effect although the
+// settings or the contracts do not ask for them.
 func TestOverloadSettings(t *testing.T) {
 	for _, c := range []struct {
 		settings          settings.Overload
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -56,15 +56,17 @@
 	connections atomic.Int64
 	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
 	descriptorLimit overload.DescriptorLimit
-	// diverter decides when the entry reports not ready because it is overloaded; nil never
-	// does. link counts for it.
+	// diverter decides when the entry reports not ready because it is overloaded. It is nil if
+	// the settings do not ask for that.
 	diverter *overload.Diverter
-	// bounded is set if the contracts ask the entry to bound load, and mayDivert while it may
-	// divert.
-	bounded   bool
+	// link counts the traffic from which diverter and accepts decide.
+	link linkCounter
+	// bounded is set if the contracts ask the entry to bound load.
+	bounded bool
+	// mayDivert is set while the entry may divert; see isDivertingAsked.
 	mayDivert atomic.Bool
-	link      linkCounter
-	// accepts closes the socket for callers while requests fill the link; nil never does.
+	// accepts closes the socket for callers while requests fill the link. It is nil if the
+	// settings do not ask for that.
 	accepts      *acceptLoop
 	closers      closers
 	shuttingDown atomic.Bool
@@ -228,7 +230,8 @@
 	g.closers.add(keeper.Close)
 }
 
-// monitorReach starts to watch the paths to backend servers. It must be called before serve.
+// monitorReach starts to watch the paths to backend servers. It must be called before serve,
+// because it sets a hook of the fleet that requests call.
 func (g *Gateway) monitorReach(environment Environment, gossiper *gossip.Gossiper) {
 	monitor := &reach.Monitor{
 		Fleet:      g.Server.Fleet,
--- a/internal/process/linkcount.go
+++ b/internal/process/linkcount.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// total returns what was counted so far.
+// total returns the bytes counted since the start.
 func (c *linkCounter) total() overload.Traffic {
 	return overload.Traffic{Received: c.received.Load(), Sent: c.sent.Load()}
 }
@@ -102,7 +102,7 @@
 	return rawOf(l.Listener)
 }
 
-// rawOf returns the file descriptor of a listener.
+// rawOf returns access to the file descriptor of a listener.
 func rawOf(listener net.Listener) (syscall.RawConn, error) {
 	raw, ok := listener.(syscall.Conn)
 	if !ok {
@@ -142,7 +142,7 @@
 	return n, err
 }
 
-// CloseWrite closes the sending direction, if the connection can.
+// CloseWrite closes the sending direction. It does nothing if the connection can't do that.
 func (c countedConn) CloseWrite() error {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
@@ -151,7 +151,8 @@
 	return halfCloser.CloseWrite()
 }
 
-// SetLinger sets what a close does with bytes that were not sent, if the connection can.
+// SetLinger sets what a close does with bytes that were not sent. It does nothing if the
+// connection can't do that.
 func (c countedConn) SetLinger(seconds int) error {
 	lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -152,13 +152,12 @@
 
 // stopAccepting serves the connections that are established and wait to be accepted,
 // which the close of the socket would reset, and closes the socket. When connections keep
-// arriving for maxQueueDuration, it closes the socket at the first moment at which none
-// waits: the process may have got no processor for that long, and then all that arrived
-// meanwhile wait. When ctx ends, or connections wait for maxQueueDuration more, it closes the
-// socket at once.
+// arriving for maxQueueDuration, it closes the socket as soon as none waits: the process
+// may not have been scheduled for that long, so that many wait. It closes the socket in any
+// case when ctx ends or after maxQueueDuration more.
 func (l *listener) stopAccepting(ctx context.Context) {
 	if l.socket.stop() && !l.awaitAccepted(ctx) {
-		l.socket.hurry()
+		l.socket.stopWaiting()
 		l.awaitAccepted(ctx)
 	}
 	_ = l.socket.Close()
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -92,7 +92,8 @@
 	return countedNetwork{Network: network, counter: &g.link}
 }
 
-// startOverload starts what watches the measured overload, if the settings ask for it.
+// startOverload starts the log of shedding and the decisions to divert, if the settings ask for
+// them.
 func (g *Gateway) startOverload(environment Environment) {
 	controller := g.Server.Overload
 	if controller != nil && !controller.MeasureOnly {
--- a/internal/process/pausable.go
+++ b/internal/process/pausable.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// pauseQueueTimeout is how long no connection must arrive for the queue of a listener to
-	// count as empty when it pauses, and maxPauseQueueTime bounds the time in which the queue
-	// is emptied.
+	// pauseQueueTimeout is how long a pausing listener waits for another connection before its
+	// queue counts as empty. maxPauseQueueTime bounds the time for emptying the queue.
 	pauseQueueTimeout = time.Millisecond
 	maxPauseQueueTime = 20 * time.Millisecond
 )
@@ -34,11 +33,12 @@
 	// closeBy is set while the socket is about to be closed for a pause: the time by which
 	// it is closed even if its queue is not empty.
 	closeBy time.Time
-	// accepted is set if a connection was accepted since the queue was last looked at.
+	// accepted is set if a connection was accepted since an accept last began to empty the
+	// queue, so that more may wait.
 	accepted bool
 	closed   bool
-	// deadline is the one that SetDeadline has set. A deadline of a pause is not told to
-	// callers of Accept, who would stop.
+	// deadline is the one that SetDeadline has set. Accept returns an error when it passes, but
+	// none for the deadline of a pause, because the HTTP server would stop serving.
 	deadline time.Time
 	// changed is closed and replaced when the socket is opened or the listener is closed.
 	changed chan struct{}
@@ -113,12 +113,13 @@
 	case l.socket != socket:
 		return true
 	case l.closeBy.IsZero():
-		// A pause that was ended in the meantime, unless the deadline is that of SetDeadline.
+		// The deadline of a pause that has ended in the meantime is no error for callers, unlike
+		// one of SetDeadline.
 		return errors.Is(err, os.ErrDeadlineExceeded) && l.deadline.IsZero()
 	}
 	now := time.Now()
-	// An accept after its deadline doesn't look at the queue, so that one with a new deadline
-	// must follow, unless the last one has found the queue empty.
+	// An accept whose deadline has already passed fails without looking at the queue. So
+	// another one with a new deadline follows, until one finds no connection.
 	if errors.Is(err, os.ErrDeadlineExceeded) && l.accepted && now.Before(l.closeBy) {
 		l.accepted = false
 		_ = socket.SetDeadline(now.Add(pauseQueueTimeout))
@@ -163,7 +164,7 @@
 	return nil
 }
 
-// signal wakes an accept that waits. The caller holds mu.
+// signal wakes the accepts that wait in current; mu is held.
 func (l *pausableListener) signal() {
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/internal/settings/seeded.go
+++ b/internal/settings/seeded.go
@@ -156,6 +156,6 @@
 		faults.Add("seeded.overload.memory_mb", "must be 1 or more megabytes")
 	}
 	if o.RefuseConnections && !o.Divert {
-		faults.Add("seeded.overload.refuse_connections", "needs divert, which knows whether other entries have room")
+		faults.Add("seeded.overload.refuse_connections", "requires divert, which measures whether other entries have room")
 	}
 }
--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -95,23 +95,31 @@
 // ExplainedTokens are the tokens of the workspace at the entry. State is enough, short or
 // exhausted.
 type ExplainedTokens struct {
-	Needed      int64   `json:"needed"`
-	State       string  `json:"state"`
-	Wait        float64 `json:"longest_wait_ms,omitempty"`
-	Available   int64   `json:"available"`
-	Reserved    int64   `json:"reserved"`
-	Target      int64   `json:"target"`
-	Left        int64   `json:"left"`
+	Needed int64  `json:"needed"`
+	State  string `json:"state"`
+	// Wait is the longest time that the request waits for tokens, if State is short.
+	Wait float64 `json:"longest_wait_ms,omitempty"`
+	// Available and Reserved are the tokens that the entry holds, and Target the unreserved
+	// ones that it should hold.
+	Available int64 `json:"available"`
+	Reserved  int64 `json:"reserved"`
+	Target    int64 `json:"target"`
+	// Left is what is left of the whole budget, as of the last exchange.
+	Left int64 `json:"left"`
+	// ExchangeAge is the time since the last exchange; 0 also if there was none.
 	ExchangeAge float64 `json:"exchange_age_ms"`
 }
 
 // ExplainedUpstream tells what becomes of the request at one upstream of the route. Outcome is
 // sent, passed_on, waits or refused.
 type ExplainedUpstream struct {
-	Name      string              `json:"name"`
-	Share     float64             `json:"share"`
-	Outcome   string              `json:"outcome"`
-	Refusal   *ExplainedRefusal   `json:"refusal,omitempty"`
+	Name string `json:"name"`
+	// Share is the part of the route's requests that go to the upstream, from 0 to 1.
+	Share   float64 `json:"share"`
+	Outcome string  `json:"outcome"`
+	// Refusal is set if the request is refused, or would be after waiting for tokens.
+	Refusal *ExplainedRefusal `json:"refusal,omitempty"`
+	// Peers are the addresses of the entries of which one gets a request that is passed on.
 	Peers     []string            `json:"peers,omitempty"`
 	Placement *ExplainedPlacement `json:"placement,omitempty"`
 }
@@ -121,8 +129,8 @@
 	// Server and Address are those of the chosen server; empty if there is none.
 	Server  string `json:"server,omitempty"`
 	Address string `json:"address,omitempty"`
-	// Granted is set if the request uses the room of the most urgent ones, and Yields if it
-	// otherwise yields to more urgent ones.
+	// Granted is set if the request may use the room that is kept for the most urgent ones.
+	// Yields is set if it would be refused in favour of more urgent ones without that.
 	Granted bool `json:"granted,omitempty"`
 	Yields  bool `json:"yields,omitempty"`
 	// Adaptive is set if the servers are chosen by estimates of their load and speed.
@@ -134,22 +142,30 @@
 // ExplainedServer is a server of the upstream. State is chosen, compared, late, full, excluded
 // or not_compared.
 type ExplainedServer struct {
-	ID            string          `json:"id"`
-	Address       string          `json:"address"`
-	FailureDomain string          `json:"failure_domain"`
-	Region        string          `json:"region,omitempty"`
-	Version       string          `json:"version,omitempty"`
-	State         string          `json:"state"`
-	Reason        string          `json:"reason,omitempty"`
-	Wait          float64         `json:"wait_ms,omitempty"`
-	Cost          float64         `json:"cost_ms"`
-	Terms         []ExplainedTerm `json:"terms,omitempty"`
-	FirstEvent    float64         `json:"first_event_ms,omitempty"`
-	Requests      int             `json:"requests"`
-	InFlight      int             `json:"in_flight"`
-	Slots         int             `json:"slots"`
-	CachedTokens  int64           `json:"cached_tokens"`
-	Cold          string          `json:"cold,omitempty"`
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region,omitempty"`
+	Version       string `json:"version,omitempty"`
+	State         string `json:"state"`
+	// Reason says more if the server is full, late or excluded.
+	Reason string `json:"reason,omitempty"`
+	// Wait is the time after which a server that is full or late may take the request.
+	Wait float64 `json:"wait_ms,omitempty"`
+	// Cost is the sum of Terms; 0 for a server that was not compared.
+	Cost  float64         `json:"cost_ms"`
+	Terms []ExplainedTerm `json:"terms,omitempty"`
+	// FirstEvent is the expected time to the first event, if servers are chosen by estimates.
+	FirstEvent float64 `json:"first_event_ms,omitempty"`
+	// Requests is the number of requests believed to be at the server, and InFlight how many
+	// of them are this entry's.
+	Requests int `json:"requests"`
+	InFlight int `json:"in_flight"`
+	Slots    int `json:"slots"`
+	// CachedTokens is the part of the prompt that is believed to be cached.
+	CachedTokens int64 `json:"cached_tokens"`
+	// Cold is why the server counts as cold; empty if it does not.
+	Cold string `json:"cold,omitempty"`
 	// ReportAge is nil if the server has reported no load.
 	ReportAge *float64 `json:"report_age_ms,omitempty"`
 }
