Faults of the read-through: resets, a stopped diverter, an explanation that panics

- A connection that its operator has reset counted as open at the first look.
- A diverter that is no longer asked kept what it had measured and heard, and stated it to its peers.
- An explanation that panics kept the next ones out until a restart.

--- a/internal/overload/diverter.go
+++ b/internal/overload/diverter.go
@@ -178,12 +178,17 @@
 func (d *Diverter) Stop(now time.Time) (Diversion, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state.PeersHaveRoom = false
-	if !d.state.Diverting {
-		return d.state, false
+	ended := d.state.Diverting
+	if ended {
+		d.state.Cause, d.state.Since = NotAsked, now
 	}
-	d.state.Diverting, d.state.Cause, d.state.Since = false, NotAsked, now
-	return d.state, true
+	// What was measured and stated so far says nothing about the time after the next Step.
+	d.state = Diversion{Cause: d.state.Cause, Since: d.state.Since}
+	d.link = LinkMeter{BytesPerSecond: d.link.BytesPerSecond, TimeConstant: d.link.TimeConstant}
+	clear(d.peers)
+	d.delayedSince, d.calmSince, d.fullSince = onset{}, onset{}, onset{}
+	d.roomAt, d.paused = time.Time{}, false
+	return d.state, ended
 }
 
 // beginIfNeeded begins a diversion if there is a cause and the peers allow it.
--- a/internal/process/divert_test.go
+++ b/internal/process/divert_test.go
@@ -181,6 +181,14 @@
 	if state := i.diverter.Status(); state.Diverting || state.Cause != overload.NotAsked {
 		t.Errorf("no longer asked: got %+v, want the end of the diversion", state)
 	}
+	if state := i.diverter.Status(); state.Utilization != (overload.Utilization{}) || state.Peers != 0 {
+		t.Errorf("no longer asked: got %+v, want nothing of what was measured and stated", state)
+	}
+	i.notAsked = false
+	i.hold(overload.DivertInterval, 0)
+	if i.diverter.Status().Diverting {
+		t.Error("asked again without load: the entry diverts because of what was measured before")
+	}
 	if lines := strings.Count(i.output.String(), "diverting "); lines != 2 {
 		t.Errorf("%d lines, want one for the begin and one for the end", lines)
 	}
--- a/internal/process/explain.go
+++ b/internal/process/explain.go
@@ -174,8 +174,8 @@
 		writeExplainProblem(w, http.StatusTooManyRequests, "busy", "another explanation is being computed")
 		return
 	}
+	defer e.busy.Unlock()
 	explanation, err := e.explain(question)
-	e.busy.Unlock()
 	if err != nil {
 		writeExplainProblem(w, http.StatusServiceUnavailable, "no_configuration", err.Error())
 		return
--- a/internal/transport/quiet.go
+++ b/internal/transport/quiet.go
@@ -98,7 +98,7 @@
 	// Read would block: the HTTP server's reader holds the read lock of the descriptor.
 	err = raw.Control(func(descriptor uintptr) {
 		n, err := peek(descriptor)
-		closed = n == 0 && !isEmpty(err)
+		closed = err == nil && n == 0 || err != nil && !isEmpty(err)
 	})
 	return err != nil || closed
 }
