Review case 2: a seed that loses its disk before the founding stops it for ever

Cause: the control group is founded once all three seeds have exchanged the names of their folders. A seed that comes back with an empty disk and bootstrap false is no founder and names no folder, and the other two wait for it without end.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -41,7 +41,8 @@
 
 // cases are the cases by name. Each returns a description of the broken rule, or "".
 var cases = map[string]func(s *site, trouble bool) (string, error){
-	"retired": playRetired,
+	"retired":  playRetired,
+	"founding": playFounding,
 }
 
 func main() {
