--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -41,8 +41,9 @@
 
 // cases are the cases by name. Each returns a description of the broken rule, or "".
 var cases = map[string]func(s *site, trouble bool) (string, error){
-	"retired":  playRetired,
-	"founding": playFounding,
+	"founding":   playFounding,
+	"retired":    playRetired,
+	"unreadable": playUnreadable,
 }
 
 func main() {
