--- a/review/platform/standin/client.go
+++ b/review/platform/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,6 +30,8 @@
 	deadline time.Duration
 	// tokens is the value of the header with the prompt and output tokens.
 	tokens string
+	// prefix is the value of the header with the parts of the prompt; empty stands for two parts.
+	prefix string
 	// lastEvent and resumes are set on a request that takes a stream up again.
 	lastEvent string
 	resumes   string
@@ -51,13 +54,13 @@
 	if q.tokens != "" {
 		r.Header.Set("X-Cactusbay-Model", "m")
 		r.Header.Set("X-Cactusbay-Token-Usage", q.tokens)
-		r.Header.Set("X-Cactusbay-Prompt-Prefix", "5c1e07a2:50,"+fmt.Sprintf("%x", s.start.UnixNano()%1e9)+":50")
+		r.Header.Set("X-Cactusbay-Prompt-Prefix", cmp.Or(q.prefix, "5c1e07a2:50,91bd3f06:50"))
 	}
 	if q.lastEvent != "" {
 		r.Header.Set("Last-Event-Id", q.lastEvent)
 		r.Header.Set("Resumes", q.resumes)
 	}
-	s.log("client: %s %s %s to entry %d, tokens %q, last event %q", attempt, q.method, q.path, q.entry, q.tokens, q.lastEvent)
+	s.log("client: %s %s %s to entry %d, tokens %q, last event %q, %d bytes of parts", attempt, q.method, q.path, q.entry, q.tokens, q.lastEvent, len(q.prefix))
 	response, err := client.Do(r)
 	if err != nil {
 		s.log("client: %s got no answer: %v", attempt, err)
--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -42,6 +42,7 @@
 // cases are the cases by name. Each returns a description of the broken rule, or "".
 var cases = map[string]func(s *site, trouble bool) (string, error){
 	"founding":   playFounding,
+	"headers":    playHeaders,
 	"retired":    playRetired,
 	"unreadable": playUnreadable,
 }
