--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -43,6 +43,7 @@
 var cases = map[string]func(s *site, trouble bool) (string, error){
 	"founding":   playFounding,
 	"headers":    playHeaders,
+	"interim":    playInterim,
 	"retired":    playRetired,
 	"unreadable": playUnreadable,
 }
--- a/review/platform/standin/server.go
+++ b/review/platform/standin/server.go
@@ -31,6 +31,8 @@
 	events   int
 	interval time.Duration
 	runs     []execution
+	// spoilEvery is the number of answers of which one is spoiled; 0 spoils none.
+	spoilEvery int
 }
 
 // execution is one request that a server has begun to work on.
@@ -99,10 +101,22 @@
 		return
 	}
 	text := "the answer to " + attempt
+	if v.spoils() {
+		v.site.log("server %s spoils its answer to %s", id, attempt)
+		spoil(w, id, attempt, text)
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
 }
 
+// spoils reports whether the answer to the newest run is spoiled.
+func (v *server) spoils() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.spoilEvery > 0 && len(v.runs)%v.spoilEvery == 0
+}
+
 // stream sends the events after the one that Last-Event-Id names.
 func (v *server) stream(w http.ResponseWriter, r *http.Request, version string, events int, interval time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
