Control: log which identity a data folder gets, and why a founder waits

Hypotheses for the machine that froze, was retired and woke again: 1. it becomes a founder again under its retired id and waits for ever; 2. its data folder is erased only in part, so that it can't be opened; 3. it joins as a learner, but is never promoted; 4. it votes, but the machine that left is never removed.

The log told none of them apart: no line named the identity that an instance starts with, and the failure of a bootstrap was dropped. Now one line names the member id and whether it is a founder, and one is written when the admission or the reason why a bootstrap failed changes (bootstrap_failure of the status). No change in behaviour.

--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	environment.Telemetry.Log.Info("identity of the control instance", "member", identity.Member.ID, "founder", len(identity.Founders) > 0, "founding", s.Seeded.Founding)
 	m.Quorum, err = quorum.Open(quorum.Options{
 		ID:           identity.Member.ID,
 		Members:      identity.Founders,
--- a/internal/process/statuslog.go
+++ b/internal/process/statuslog.go
@@ -9,12 +9,14 @@
 )
 
 // statusLogger logs each change of the leader, term or membership that a member
-// sees in its control group.
+// sees in its control group, and why the member is not part of the group.
 type statusLogger struct {
-	log     *log.Logger
-	leader  string
-	term    uint64
-	members string
+	log      *log.Logger
+	leader   string
+	term     uint64
+	members  string
+	admitted bool
+	failure  string
 }
 
 func (l *statusLogger) logChanges(status quorum.Status) {
@@ -35,4 +37,9 @@
 		l.log.Info("membership changed", "members", members, "committed", status.Committed)
 		l.members = members
 	}
+	if status.Admitted != l.admitted || status.BootstrapFailure != l.failure {
+		l.log.Info("admission changed", "member", status.ID, "admitted", status.Admitted, "founding", status.Founding, "bootstrap_failure", status.BootstrapFailure)
+		l.admitted = status.Admitted
+		l.failure = status.BootstrapFailure
+	}
 }
--- a/internal/quorum/identity.go
+++ b/internal/quorum/identity.go
@@ -50,6 +50,8 @@
 // distinguished from the folder of a new group.
 type bootstrapper struct {
 	node *Node
+	// failure is why the last attempt failed, or nil. It is guarded by node.mu.
+	failure error
 }
 
 // run tries to bootstrap until the folder is admitted or the node stops.
@@ -57,13 +59,12 @@
 	n := b.node
 	for {
 		folders, err := b.collectFolders()
-		if err == nil {
-			n.mu.Lock()
-			if !n.identity.Admitted && n.failed == nil {
-				n.admit(folders)
-			}
-			n.mu.Unlock()
+		n.mu.Lock()
+		b.failure = err
+		if err == nil && !n.identity.Admitted && n.failed == nil {
+			n.admit(folders)
 		}
+		n.mu.Unlock()
 		if n.isAdmitted() {
 			return
 		}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -58,8 +58,11 @@
 	writer  *writer
 	elector *elector
 	applier *applier
-	stop    chan struct{}
-	workers sync.WaitGroup
+	// bootstrapper is nil unless the member started as an initial member that was
+	// not admitted.
+	bootstrapper *bootstrapper
+	stop         chan struct{}
+	workers      sync.WaitGroup
 
 	// openedAt is when this member started.
 	openedAt time.Time
@@ -194,8 +197,8 @@
 		n.workers.Go(voterReplacer.run)
 	}
 	if !n.identity.Admitted && n.isInitialMember() {
-		bootstrapper := &bootstrapper{node: n}
-		n.workers.Go(bootstrapper.run)
+		n.bootstrapper = &bootstrapper{node: n}
+		n.workers.Go(n.bootstrapper.run)
 	}
 }
 
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -29,6 +29,9 @@
 	// Founding is true while an initial member waits for the other initial members
 	// to bootstrap the group.
 	Founding bool `json:"founding,omitempty"`
+	// BootstrapFailure is why an initial member's last attempt to bootstrap the
+	// group failed, or "".
+	BootstrapFailure string `json:"bootstrap_failure,omitempty"`
 	// Retired is true if the group has removed this member.
 	Retired bool `json:"retired,omitempty"`
 	// LeaderContactAge is the time since the last message of the leader in seconds,
@@ -56,6 +59,9 @@
 		status.Failure = n.failed.Error()
 	}
 	status.Founding = !n.identity.Admitted && n.isInitialMember()
+	if n.bootstrapper != nil && n.bootstrapper.failure != nil {
+		status.BootstrapFailure = n.bootstrapper.failure.Error()
+	}
 	if !n.lastLeaderContact.IsZero() {
 		status.LeaderContactAge = time.Since(n.lastLeaderContact).Seconds()
 	} else {
