Roster: a retired founder joins again instead of founding

Cause: a founder that was retired while it stood still erases its folder and opens it anew with the settings of its process, which still say that the site is being founded. The empty folder becomes a founder's again, under the retired id; the group refuses it, and a founder never asks to join. The group has one voter less than anyone can see.

Ruled out by the log lines of: a folder that is erased in part, a learner that is not promoted, a voter that is not removed.

Change: roster.Discard (Erase before) first marks the identity file as discarded, then removes the other files. Identify completes an interrupted discard and gives a discarded folder the identity of a joining member, whatever the settings say. The same mark ends a fault beside it: an instance killed between two removals could not open the folder any more, as its log had the id of before.

TestErasedFolderGetsNewIdentity, now TestDiscardedFolderGetsNewIdentity, asked for no file at all after the erase. The identity file now stays as the mark, so that the test asks for it alone, and for another id and no founders, also while the site is being founded, and again after a restart.

--- a/internal/process/supervise.go
+++ b/internal/process/supervise.go
@@ -65,9 +65,9 @@
 			member.SetSeeds(changed.Seeded.PeerAddresses())
 		case <-member.Retired():
 			member.Close()
-			err := roster.Erase(s.Environment.Folder)
+			err := roster.Discard(s.Environment.Folder)
 			if err != nil {
-				logger.Error("cannot erase the data folder of the retired member", "err", err.Error())
+				logger.Error("cannot discard the data folder of the retired member; trying again after the next start", "err", err.Error())
 			}
 			sleep.For(ctx, reopenDelay)
 			return
--- a/internal/roster/identity.go
+++ b/internal/roster/identity.go
@@ -26,8 +26,11 @@
 
 // identityBody is the content of identityFile.
 type identityBody struct {
-	ID       string   `json:"id"`
+	ID       string   `json:"id,omitempty"`
 	Founders []string `json:"founders,omitempty"`
+	// Discarded means that the group has retired the member to which the other
+	// files belong.
+	Discarded bool `json:"discarded,omitempty"`
 }
 
 // Options determine the identity that an empty data folder gets.
@@ -43,37 +46,63 @@
 
 // Identify reads the identity in a data folder. An empty folder gets a new one:
 // that of a founder if the site is being founded and the instance is a seed,
-// otherwise that of a joining member with a random ID.
+// otherwise that of a joining member with a random ID. A discarded folder is
+// emptied and always gets that of a joining member, because a group exists.
 func Identify(folder disk.Folder, options Options) (Identity, error) {
 	data, err := folder.ReadFile(identityFile)
-	switch {
-	case err == nil:
-		return decodeIdentity(data, options)
-	case !errors.Is(err, disk.ErrNotExist):
+	if errors.Is(err, disk.ErrNotExist) {
+		return create(folder, options.emptyFolderBody(), options)
+	}
+	if err != nil {
 		return Identity{}, errors.Newf("read member identity: %w", err)
 	}
-	body := identityBody{ID: options.Address + "/" + rand.Text()}
-	if options.Founding && slices.Contains(options.Seeds, options.Address) {
-		body = identityBody{ID: options.Address, Founders: options.Seeds}
+	var body identityBody
+	err = json.Unmarshal(data, &body)
+	if err != nil {
+		return Identity{}, errors.Newf("decode member identity: %w", err)
+	}
+	if !body.Discarded {
+		return body.identity(options), nil
 	}
-	data, err = json.Marshal(body)
+	err = removeOtherFiles(folder)
 	if err != nil {
-		return Identity{}, errors.Newf("encode member identity: %w", err)
+		return Identity{}, err
 	}
-	err = folder.WriteFile(identityFile, data)
+	return create(folder, options.joiningBody(), options)
+}
+
+// emptyFolderBody returns the identity of a folder that has never had one.
+func (o Options) emptyFolderBody() identityBody {
+	if o.Founding && slices.Contains(o.Seeds, o.Address) {
+		return identityBody{ID: o.Address, Founders: o.Seeds}
+	}
+	return o.joiningBody()
+}
+
+// joiningBody returns a new identity of a member that joins an existing group.
+func (o Options) joiningBody() identityBody {
+	return identityBody{ID: o.Address + "/" + rand.Text()}
+}
+
+// create stores a new identity in the folder.
+func create(folder disk.Folder, body identityBody, options Options) (Identity, error) {
+	err := body.write(folder)
 	if err != nil {
-		return Identity{}, errors.Newf("write member identity: %w", err)
+		return Identity{}, err
 	}
 	return body.identity(options), nil
 }
 
-func decodeIdentity(data []byte, options Options) (Identity, error) {
-	var body identityBody
-	err := json.Unmarshal(data, &body)
+func (b identityBody) write(folder disk.Folder) error {
+	data, err := json.Marshal(b)
 	if err != nil {
-		return Identity{}, errors.Newf("decode member identity: %w", err)
+		return errors.Newf("encode member identity: %w", err)
 	}
-	return body.identity(options), nil
+	err = folder.WriteFile(identityFile, data)
+	if err != nil {
+		return errors.Newf("write member identity: %w", err)
+	}
+	return nil
 }
 
 func (b identityBody) identity(options Options) Identity {
@@ -84,19 +113,27 @@
 	return identity
 }
 
-// Erase removes every file from the data folder of a member that the group has
-// retired.
-func Erase(folder disk.Folder) error {
+// Discard removes the state of a member that the group has retired. The folder is
+// marked first, so that the next call of Identify completes an interrupted Discard
+// and doesn't make the instance a founder again.
+func Discard(folder disk.Folder) error {
+	err := identityBody{Discarded: true}.write(folder)
+	if err != nil {
+		return err
+	}
+	return removeOtherFiles(folder)
+}
+
+// removeOtherFiles removes every file but the identity.
+func removeOtherFiles(folder disk.Folder) error {
 	names, err := folder.List()
 	if err != nil {
 		return errors.Newf("list data folder: %w", err)
 	}
-	// Remove the identity first, so that an interrupted erase does not leave a
-	// folder that still has the identity of the retired member.
-	slices.SortFunc(names, func(a, b string) int {
-		return compareBool(b == identityFile, a == identityFile)
-	})
 	for _, name := range names {
+		if name == identityFile {
+			continue
+		}
 		err = folder.Remove(name)
 		if err != nil {
 			return errors.Newf("empty data folder: %w", err)
@@ -104,15 +141,3 @@
 	}
 	return nil
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
--- a/internal/roster/identity_test.go
+++ b/internal/roster/identity_test.go
@@ -1,9 +1,12 @@
 package roster_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/fake"
 	"github.com/cactusbay/cactusbay/internal/roster"
@@ -48,22 +51,99 @@
 	}
 }
 
-func TestErasedFolderGetsNewIdentity(t *testing.T) {
-	folder := &fake.Disk{}
-	before := identify(t, folder, false, seeds)
-	err := folder.WriteFile("quorum.snapshot", []byte("old"))
-	if err != nil {
-		t.Fatal(err)
+// TestDiscardedFolderGetsNewIdentity guards against a retired member that comes back
+// with files or the identity of before, or as a founder of a group that exists.
+func TestDiscardedFolderGetsNewIdentity(t *testing.T) {
+	for _, founding := range []bool{false, true} {
+		folder := &fake.Disk{}
+		before := identify(t, folder, founding, seeds)
+		err := folder.WriteFile("quorum.snapshot", []byte("old"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = roster.Discard(folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkJoins(t, folder, before)
 	}
-	err = roster.Erase(folder)
-	if err != nil {
-		t.Fatal(err)
+}
+
+// checkJoins checks that a discarded folder becomes that of a joining member, in which
+// nothing is left of the member before.
+func checkJoins(t *testing.T, folder disk.Folder, before roster.Identity) {
+	t.Helper()
+	after := identify(t, folder, true, seeds)
+	if after.Member.ID == before.Member.ID || after.Founders != nil {
+		t.Errorf("identity %+v after the folder of %s was discarded, want another one and no founders", after, before.Member.ID)
 	}
 	names, err := folder.List()
-	if err != nil || len(names) != 0 {
-		t.Errorf("files after the erase: got %v and error %v, want none", names, err)
+	if err != nil || !slices.Equal(names, []string{"member.json"}) {
+		t.Errorf("files %v and error %v in a discarded folder, want the new identity alone", names, err)
+	}
+	if again := identify(t, folder, true, seeds); again.Member.ID != after.Member.ID {
+		t.Errorf("a restart changed the identity from %s to %s", after.Member.ID, again.Member.ID)
 	}
-	if identify(t, folder, false, seeds).Member.ID == before.Member.ID {
-		t.Error("the erased folder got its old identity again")
+}
+
+// errKilled stands for the end of the process between two changes of its folder.
+var errKilled = errors.New("killed")
+
+// killedFolder is a data folder whose process is killed after some changes.
+type killedFolder struct {
+	*fake.Disk
+	changes int
+}
+
+func (f *killedFolder) change() error {
+	if f.changes == 0 {
+		return errKilled
+	}
+	f.changes--
+	return nil
+}
+
+func (f *killedFolder) WriteFile(name string, data []byte) error {
+	err := f.change()
+	if err != nil {
+		return err
+	}
+	return f.Disk.WriteFile(name, data)
+}
+
+func (f *killedFolder) Remove(name string) error {
+	err := f.change()
+	if err != nil {
+		return err
+	}
+	return f.Disk.Remove(name)
+}
+
+// TestInterruptedDiscardIsCompleted guards against an instance that was killed while it
+// discarded its folder and then can't open it, or founds a group: after any number of
+// changes the folder holds either the member of before, whole, or a joining one.
+func TestInterruptedDiscardIsCompleted(t *testing.T) {
+	files := []string{"quorum-00000005.log", "quorum.snapshot", "quorum.snapshot.tmp"}
+	for changes := range len(files) + 1 {
+		folder := &killedFolder{Disk: &fake.Disk{}, changes: changes}
+		before := identify(t, folder.Disk, true, seeds)
+		for _, name := range files {
+			err := folder.Disk.WriteFile(name, []byte("old"))
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		err := roster.Discard(folder)
+		if !errors.Is(err, errKilled) {
+			t.Fatalf("got error %v after %d changes, want the folder to be killed", err, changes)
+		}
+		if changes > 0 {
+			checkJoins(t, folder.Disk, before)
+			continue
+		}
+		names, err := folder.List()
+		if after := identify(t, folder.Disk, true, seeds); after.Member.ID != before.Member.ID || err != nil || len(names) != len(files)+1 {
+			t.Errorf("identity %+v, files %v, error %v before the first change, want %+v and all files", after, names, err, before)
+		}
 	}
 }
