Roster: a retired member asks the members in its log, and keeps their addresses

Cause: a member that hears no leader asks only the seeds in its settings whether it was retired. Where these are its own address, or have all been replaced while it was cut off, it never learns that it was, and the group counts nobody in its place. And the new member of the discarded folder no longer knows the group.

Change: the joiner asks the seeds, then the members in its log. The answer to a retired member names the members too, and a discarded folder keeps these addresses for the member that joins from it.

--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	m.directory.SetMembers(identity.Contacts)
 	environment.Telemetry.Log.Info("identity of the control instance", "member", identity.Member.ID, "founder", len(identity.Founders) > 0, "founding", s.Seeded.Founding)
 	m.Quorum, err = quorum.Open(quorum.Options{
 		ID:           identity.Member.ID,
@@ -184,6 +185,11 @@
 	return m.joiner.Retired()
 }
 
+// Contacts returns the peer addresses at which the control group may be reached.
+func (m *Member) Contacts() []string {
+	return m.joiner.Contacts()
+}
+
 // Failure returns why the member no longer takes part in the control group, or "".
 func (m *Member) Failure() string {
 	return m.Quorum.Status().Failure
--- a/internal/process/supervise.go
+++ b/internal/process/supervise.go
@@ -64,8 +64,9 @@
 			s.Settings = changed
 			member.SetSeeds(changed.Seeded.PeerAddresses())
 		case <-member.Retired():
+			contacts := member.Contacts()
 			member.Close()
-			err := roster.Discard(s.Environment.Folder)
+			err := roster.Discard(s.Environment.Folder, contacts)
 			if err != nil {
 				logger.Error("cannot discard the data folder of the retired member; trying again after the next start", "err", err.Error())
 			}
--- a/internal/roster/identity.go
+++ b/internal/roster/identity.go
@@ -22,6 +22,9 @@
 	// Founders are the initial members of the group if this instance is one of
 	// them, otherwise nil.
 	Founders []quorum.Member
+	// Contacts are the peer addresses of the group from which the folder was
+	// discarded.
+	Contacts []string
 }
 
 // identityBody is the content of identityFile.
@@ -30,7 +33,8 @@
 	Founders []string `json:"founders,omitempty"`
 	// Discarded means that the group has retired the member to which the other
 	// files belong.
-	Discarded bool `json:"discarded,omitempty"`
+	Discarded bool     `json:"discarded,omitempty"`
+	Contacts  []string `json:"contacts,omitempty"`
 }
 
 // Options determine the identity that an empty data folder gets.
@@ -68,7 +72,7 @@
 	if err != nil {
 		return Identity{}, err
 	}
-	return create(folder, options.joiningBody(), options)
+	return create(folder, options.joiningBody(body.Contacts), options)
 }
 
 // emptyFolderBody returns the identity of a folder that has never had one.
@@ -76,12 +80,13 @@
 	if o.Founding && slices.Contains(o.Seeds, o.Address) {
 		return identityBody{ID: o.Address, Founders: o.Seeds}
 	}
-	return o.joiningBody()
+	return o.joiningBody(nil)
 }
 
-// joiningBody returns a new identity of a member that joins an existing group.
-func (o Options) joiningBody() identityBody {
-	return identityBody{ID: o.Address + "/" + rand.Text()}
+// joiningBody returns a new identity of a member that joins an existing group, with
+// the addresses that are known of it.
+func (o Options) joiningBody(contacts []string) identityBody {
+	return identityBody{ID: o.Address + "/" + rand.Text(), Contacts: contacts}
 }
 
 // create stores a new identity in the folder.
@@ -106,7 +111,10 @@
 }
 
 func (b identityBody) identity(options Options) Identity {
-	identity := Identity{Member: quorum.Member{ID: b.ID, Address: options.Address, FailureDomain: options.FailureDomain}}
+	identity := Identity{
+		Member:   quorum.Member{ID: b.ID, Address: options.Address, FailureDomain: options.FailureDomain},
+		Contacts: b.Contacts,
+	}
 	for _, founder := range b.Founders {
 		identity.Founders = append(identity.Founders, quorum.Member{ID: founder, Address: founder})
 	}
@@ -115,9 +123,10 @@
 
 // Discard removes the state of a member that the group has retired. The folder is
 // marked first, so that the next call of Identify completes an interrupted Discard
-// and doesn't make the instance a founder again.
-func Discard(folder disk.Folder) error {
-	err := identityBody{Discarded: true}.write(folder)
+// and doesn't make the instance a founder again. contacts are the peer addresses of
+// the group, which the next member joins.
+func Discard(folder disk.Folder, contacts []string) error {
+	err := identityBody{Discarded: true, Contacts: contacts}.write(folder)
 	if err != nil {
 		return err
 	}
--- a/internal/roster/identity_test.go
+++ b/internal/roster/identity_test.go
@@ -14,6 +14,9 @@
 
 const ownAddress = "10.0.0.1:7340"
 
+// contacts are addresses of the group from which a folder is discarded.
+var contacts = []string{"10.0.0.7:7340", "10.0.0.8:7340"}
+
 var seeds = []string{ownAddress, "10.0.0.2:7340", "10.0.0.3:7340"}
 
 func identify(t *testing.T, folder disk.Folder, founding bool, seeds []string) roster.Identity {
@@ -61,7 +64,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		err = roster.Discard(folder)
+		err = roster.Discard(folder, contacts)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -74,15 +77,15 @@
 func checkJoins(t *testing.T, folder disk.Folder, before roster.Identity) {
 	t.Helper()
 	after := identify(t, folder, true, seeds)
-	if after.Member.ID == before.Member.ID || after.Founders != nil {
-		t.Errorf("identity %+v after the folder of %s was discarded, want another one and no founders", after, before.Member.ID)
+	if after.Member.ID == before.Member.ID || after.Founders != nil || !slices.Equal(after.Contacts, contacts) {
+		t.Errorf("identity %+v after the folder of %s was discarded, want another one, no founders and contacts %v", after, before.Member.ID, contacts)
 	}
 	names, err := folder.List()
 	if err != nil || !slices.Equal(names, []string{"member.json"}) {
 		t.Errorf("files %v and error %v in a discarded folder, want the new identity alone", names, err)
 	}
-	if again := identify(t, folder, true, seeds); again.Member.ID != after.Member.ID {
-		t.Errorf("a restart changed the identity from %s to %s", after.Member.ID, again.Member.ID)
+	if again := identify(t, folder, true, seeds); again.Member.ID != after.Member.ID || !slices.Equal(again.Contacts, contacts) {
+		t.Errorf("a restart changed the identity from %+v to %+v", after, again)
 	}
 }
 
@@ -133,7 +136,7 @@
 				t.Fatal(err)
 			}
 		}
-		err := roster.Discard(folder)
+		err := roster.Discard(folder, contacts)
 		if !errors.Is(err, errKilled) {
 			t.Fatalf("got error %v after %d changes, want the folder to be killed", err, changes)
 		}
--- a/internal/roster/join.go
+++ b/internal/roster/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -51,7 +52,7 @@
 	defer cancel()
 	err := node.AddLearner(ctx, request.Member)
 	if errors.Is(err, quorum.ErrRetired) {
-		return &joinResponse{Retired: true}, nil
+		return &joinResponse{Retired: true, Addresses: Addresses(node)}, nil
 	}
 	if err != nil {
 		return nil, errors.Newf("join the control group: %w", err)
@@ -139,24 +140,31 @@
 // another, until one responds. It reports whether the group has retired the
 // member.
 func (j *Joiner) requestJoin(ctx context.Context) bool {
-	for _, address := range j.Directory.Addresses() {
-		if address == j.Member.Address {
-			continue
-		}
+	for _, address := range j.Contacts() {
 		response, err := j.sendJoin(ctx, address)
 		if err != nil {
 			j.Log.Debug("join request failed; trying the next control instance", "at", address, "err", err.Error())
 			continue
 		}
-		if response.Retired {
-			return true
-		}
 		j.Directory.SetMembers(response.Addresses)
-		return false
+		return response.Retired
 	}
 	return false
 }
 
+// Contacts returns the peer addresses at which the group may be reached: those in
+// the directory and then those of the members that the node knows from its log,
+// without its own.
+func (j *Joiner) Contacts() []string {
+	var others []string
+	for _, address := range slices.Concat(j.Directory.Addresses(), Addresses(j.Node)) {
+		if address != j.Member.Address && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
 func (j *Joiner) sendJoin(ctx context.Context, address string) (*joinResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
