Quorum: a founder's folder that the group doesn't know is rejected and joins

Cause: an initial member with an empty folder asks the other initial members for their folders until it is admitted. It never was where the group had started with another folder (a disk lost while "founding" is still set), or where the others had been replaced at other addresses: it asked nobody else, and members that were added later refused to answer.

Change: every admitted member answers, whatever its first settings were; the bootstrapper also asks the seeds. A folder that the initial members of the group don't know, or, where none of them exists any more, that the group can't know, is rejected. It is empty and has never voted, so that it is discarded and joins under a new id. A rejected folder is never admitted after that, so that nothing which it acknowledges can be discarded. In a site with fixed members the rejection only shows in the status.

--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -68,6 +68,7 @@
 		Client:       client,
 		Check:        environment.Check,
 		Voters:       s.Seeded.Tolerance.Voters(),
+		Contacts:     m.directory.Addresses,
 	})
 	if err != nil {
 		return err
@@ -180,7 +181,7 @@
 }
 
 // Retired returns a channel that is closed when the control group has removed
-// this member. Its data folder must then be erased before it starts again.
+// this member, or has started without the folder of this founder. Its data folder must then be erased before it starts again.
 func (m *Member) Retired() <-chan struct{} {
 	return m.joiner.Retired()
 }
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -33,7 +33,7 @@
 // checkLeaderRequest returns an error if this member must not process a request
 // from a leader: it has failed, the request is addressed to another member, or
 // its data folder is not admitted. A folder that is not admitted accepts
-// requests only as a learner. The caller holds n.mu.
+// requests only as a learner, and none once it is rejected. The caller holds n.mu.
 func (n *Node) checkLeaderRequest(to string, learner bool) error {
 	if n.failed != nil {
 		return n.failed
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	if !n.identity.Admitted && !learner {
+	if !n.identity.Admitted && (!learner || n.rejected) {
 		return errNotAdmitted
 	}
 	return nil
--- a/internal/quorum/identity.go
+++ b/internal/quorum/identity.go
@@ -40,32 +40,27 @@
 	Folder   string `cbor:"1,keyasint"`
 	Admitted bool   `cbor:"2,keyasint,omitempty"`
 	// Initial maps the ids of the initial members to the names of their folders at
-	// the bootstrap of the group.
+	// the bootstrap of the group. It is empty for a member that was added later.
 	Initial map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
 // bootstrapper admits the empty data folder of an initial member. A new group
 // starts only after all its initial members have exchanged the names of their
 // folders, so that a folder that was lost and recreated under a known id is
-// distinguished from the folder of a new group.
+// distinguished from the folder of a new group. Such a folder is rejected.
 type bootstrapper struct {
 	node *Node
 	// failure is why the last attempt failed, or nil. It is guarded by node.mu.
 	failure error
 }
 
-// run tries to bootstrap until the folder is admitted or the node stops.
+// run tries to bootstrap until the folder is admitted or rejected or the node
+// stops.
 func (b *bootstrapper) run() {
 	n := b.node
 	for {
 		folders, err := b.collectFolders()
-		n.mu.Lock()
-		b.failure = err
-		if err == nil && !n.identity.Admitted && n.failed == nil {
-			n.admit(folders)
-		}
-		n.mu.Unlock()
-		if n.isAdmitted() {
+		if b.finish(folders, err) {
 			return
 		}
 		err = n.pause(context.Background(), identifyInterval)
@@ -75,61 +70,136 @@
 	}
 }
 
-// collectFolders requests the folder names of the other initial members. A member
-// that is already admitted knows all of them; otherwise every member must
-// respond.
+// finish admits or rejects the folder according to the result of an attempt. It
+// reports whether no further attempt is needed.
+func (b *bootstrapper) finish(folders map[string]string, err error) bool {
+	n := b.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b.failure = err
+	switch {
+	case n.identity.Admitted:
+	case errors.Is(err, errUnknownFolder):
+		n.rejected = true
+	case err == nil && n.failed == nil:
+		n.admit(folders)
+	}
+	return n.identity.Admitted || n.rejected
+}
+
+// survey is what a bootstrapper has learned from the other members.
+type survey struct {
+	request *identifyRequest
+	// folders holds the folder names of the initial members that are not admitted,
+	// by id.
+	folders map[string]string
+	// initial holds the initial folders of a group that includes this member's
+	// folder, or is nil.
+	initial map[string]string
+	// founded is set once a member of a group has responded, and excluded once one
+	// has that knows the initial folders, without this member's.
+	founded  bool
+	excluded bool
+	// missing is why an initial member's state is unknown, or nil.
+	missing error
+}
+
+// collectFolders requests the folder names of the other initial members and returns
+// those with which the group starts or has started. It returns errUnknownFolder if
+// the group has started without this member's folder. Members that were added later
+// don't know the initial folders; their word counts if no initial member is missing.
 func (b *bootstrapper) collectFolders() (map[string]string, error) {
 	n := b.node
-	request := &identifyRequest{ID: n.options.ID, Folder: n.identity.Folder, Initial: n.initialIDs()}
-	folders := map[string]string{n.options.ID: n.identity.Folder}
-	var missing error
+	s := &survey{
+		request: &identifyRequest{ID: n.options.ID, Folder: n.identity.Folder, Initial: n.initialIDs()},
+		folders: map[string]string{n.options.ID: n.identity.Folder},
+	}
 	for _, member := range n.options.Members {
-		if member.ID == n.options.ID {
-			continue
+		if member.ID != n.options.ID {
+			response, err := b.identify(member.Address, s.request)
+			s.addInitialMember(member.ID, response, err)
 		}
-		response, err := b.identify(member, request)
-		switch {
-		case err != nil:
-			missing = err
-		case response.Admitted:
-			return initialFolders(response, request)
-		default:
-			folders[member.ID] = response.Folder
+	}
+	for _, address := range n.contacts() {
+		response, err := b.identify(address, s.request)
+		if err == nil && response.Admitted {
+			s.addAdmitted(response)
 		}
 	}
-	return folders, missing
+	return s.result()
 }
 
-// identify sends this member's folder name to another initial member and returns
-// the response.
-func (b *bootstrapper) identify(member Member, request *identifyRequest) (*identifyResponse, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
-	defer cancel()
-	response, err := peer.Call[identifyRequest, identifyResponse](ctx, b.node.options.Client, member.Address, identifyProcedure, request)
-	if err != nil {
-		return nil, errors.Newf("identify to %s: %w", member.ID, err)
+// addInitialMember records the response of the initial member with that id.
+func (s *survey) addInitialMember(id string, response *identifyResponse, err error) {
+	switch {
+	case err != nil:
+		s.missing = err
+	case response.Admitted:
+		s.addAdmitted(response)
+	default:
+		s.folders[id] = response.Folder
 	}
-	return response, nil
 }
 
-// initialFolders returns the folders with which the group started, or
-// errUnknownFolder if the requesting folder is not one of them.
-func initialFolders(response *identifyResponse, request *identifyRequest) (map[string]string, error) {
-	if response.Initial[request.ID] != request.Folder {
+// addAdmitted records the response of a member of a group.
+func (s *survey) addAdmitted(response *identifyResponse) {
+	s.founded = true
+	switch {
+	case response.Initial[s.request.ID] == s.request.Folder:
+		s.initial = response.Initial
+	case len(response.Initial) > 0:
+		s.excluded = true
+	}
+}
+
+// result returns the initial folders of the group, or why they are not known.
+func (s *survey) result() (map[string]string, error) {
+	switch {
+	case s.initial != nil:
+		return s.initial, nil
+	case s.excluded:
+		return nil, errUnknownFolder
+	case s.missing != nil:
+		return nil, s.missing
+	case s.founded:
 		return nil, errUnknownFolder
+	default:
+		return s.folders, nil
+	}
+}
+
+// contacts returns the addresses at which the group may be reached, without those of
+// the initial members.
+func (n *Node) contacts() []string {
+	if n.options.Contacts == nil {
+		return nil
 	}
-	return response.Initial, nil
+	return slices.DeleteFunc(n.options.Contacts(), func(address string) bool {
+		return slices.ContainsFunc(n.options.Members, func(m Member) bool { return m.Address == address })
+	})
+}
+
+// identify sends this member's folder name to the member at address and returns the
+// response.
+func (b *bootstrapper) identify(address string, request *identifyRequest) (*identifyResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	response, err := peer.Call[identifyRequest, identifyResponse](ctx, b.node.options.Client, address, identifyProcedure, request)
+	if err != nil {
+		return nil, errors.Newf("identify to %s: %w", address, err)
+	}
+	return response, nil
 }
 
-// serveIdentify returns this member's folder name to another initial member. Both
-// must have the same initial members in their settings.
+// serveIdentify returns this member's folder name to an initial member. Before the
+// group has started, both must have the same initial members in their settings.
 func (n *Node) serveIdentify(_ context.Context, request *identifyRequest) (*identifyResponse, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.failed != nil {
 		return nil, n.failed
 	}
-	if !slices.Equal(request.Initial, n.initialIDs()) {
+	if !n.identity.Admitted && !slices.Equal(request.Initial, n.initialIDs()) {
 		return nil, errors.Newf("%s lists other first members: make the settings equal: %w", request.ID, peer.ErrInvalid)
 	}
 	return &identifyResponse{Folder: n.identity.Folder, Admitted: n.identity.Admitted, Initial: n.identity.Initial}, nil
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -47,6 +47,10 @@
 	// Voters is the maximum number of voters. Further members remain learners and
 	// replace voters that are lost. 0 means that all members vote.
 	Voters int
+	// Contacts returns further addresses at which the group may be reached, apart
+	// from those of the initial members; nil means that there are none. Calls may be
+	// concurrent.
+	Contacts func() []string
 	// SnapshotEntries is the number of applied entries after which a snapshot
 	// replaces them in the log. 0 means the default of 4096.
 	SnapshotEntries int
@@ -73,6 +77,9 @@
 	// does.
 	failed   error
 	identity identity
+	// rejected is set once the group is known to have started without the folder of
+	// this initial member. The folder is never admitted after that.
+	rejected bool
 	role     statechart.State
 	term     uint64
 	vote     string
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -34,6 +34,9 @@
 	BootstrapFailure string `json:"bootstrap_failure,omitempty"`
 	// Retired is true if the group has removed this member.
 	Retired bool `json:"retired,omitempty"`
+	// Rejected is true if the group has started without the folder of this initial
+	// member: the folder is empty and must join under another id.
+	Rejected bool `json:"rejected,omitempty"`
 	// LeaderContactAge is the time since the last message of the leader in seconds,
 	// or since the start of this member if there was none.
 	LeaderContactAge float64 `json:"heard_ago_seconds"`
@@ -59,6 +62,7 @@
 		status.Failure = n.failed.Error()
 	}
 	status.Founding = !n.identity.Admitted && n.isInitialMember()
+	status.Rejected = n.rejected
 	if n.bootstrapper != nil && n.bootstrapper.failure != nil {
 		status.BootstrapFailure = n.bootstrapper.failure.Error()
 	}
--- a/internal/roster/join.go
+++ b/internal/roster/join.go
@@ -100,7 +100,7 @@
 }
 
 // Retired returns a channel that is closed once the group has retired the
-// member.
+// member, or has turned out to exist without the folder of this founder.
 func (j *Joiner) Retired() <-chan struct{} {
 	return j.retired
 }
@@ -110,7 +110,7 @@
 	for ctx.Err() == nil {
 		sleep.For(ctx, joinInterval)
 		status := j.Node.Status()
-		if status.Retired {
+		if status.Retired || status.Rejected {
 			j.signalRetired()
 			return
 		}
@@ -122,7 +122,7 @@
 }
 
 func (j *Joiner) signalRetired() {
-	j.Log.Warn("the control group has retired this member", "member", j.Member.ID)
+	j.Log.Warn("the control group has retired this member", "member", j.Member.ID, "rejected", j.Node.Status().Rejected)
 	close(j.retired)
 }
 
