Quorum: a group starts without founders that were lost before

Cause: the founders wait until all of them have named their folders, and nothing takes a lost one off the list; its replacement waits for the group.

Change: an initial member is left out if another member answers at its address, or if it is silent and the reloaded settings no longer name it, as long as a majority of the initial members remains and none of them belongs to a group. The configuration of the group is the same; the leader replaces the lost voter.

--- a/internal/quorum/identity.go
+++ b/internal/quorum/identity.go
@@ -18,6 +18,9 @@
 )
 
 var (
+	// errTooFewInitial reports that too many initial members were lost before the
+	// group started.
+	errTooFewInitial = errors.Newf("most initial members were lost before the group started: %w", peer.ErrUnavailable)
 	// errNotAdmitted reports a member whose data folder is not part of the group.
 	errNotAdmitted = errors.Newf("this member's data folder is empty and not admitted to the group: %w", peer.ErrUnavailable)
 	// errUnknownFolder reports an initial member whose data folder is not the one
@@ -42,12 +45,20 @@
 	// Initial maps the ids of the initial members to the names of their folders at
 	// the bootstrap of the group. It is empty for a member that was added later.
 	Initial map[string]string `cbor:"3,keyasint,omitempty"`
+	// ID is the id of the responding member. Another member may have taken over an
+	// initial member's address.
+	ID string `cbor:"4,keyasint,omitempty"`
 }
 
 // bootstrapper admits the empty data folder of an initial member. A new group
 // starts only after all its initial members have exchanged the names of their
 // folders, so that a folder that was lost and recreated under a known id is
 // distinguished from the folder of a new group. Such a folder is rejected.
+//
+// Initial members that were lost before the start are left out, if a majority of
+// the initial members remains: a group that had started without one of these could
+// have committed nothing. The lost ones remain voters of the new group until the
+// leader replaces them.
 type bootstrapper struct {
 	node *Node
 	// failure is why the last attempt failed, or nil. It is guarded by node.mu.
@@ -117,7 +128,7 @@
 	for _, member := range n.options.Members {
 		if member.ID != n.options.ID {
 			response, err := b.identify(member.Address, s.request)
-			s.addInitialMember(member.ID, response, err)
+			s.addInitialMember(member, response, err, n.isRemoved(member))
 		}
 	}
 	for _, address := range n.contacts() {
@@ -126,18 +137,20 @@
 			s.addAdmitted(response)
 		}
 	}
-	return s.result()
+	return s.result(n.options.Members)
 }
 
-// addInitialMember records the response of the initial member with that id.
-func (s *survey) addInitialMember(id string, response *identifyResponse, err error) {
+// addInitialMember records the response of an initial member. One that is removed
+// and does not respond is lost, and so is one whose address another member has.
+func (s *survey) addInitialMember(member Member, response *identifyResponse, err error, removed bool) {
 	switch {
-	case err != nil:
+	case err != nil && !removed:
 		s.missing = err
+	case err != nil:
 	case response.Admitted:
 		s.addAdmitted(response)
-	default:
-		s.folders[id] = response.Folder
+	case response.ID == "" || response.ID == member.ID:
+		s.folders[member.ID] = response.Folder
 	}
 }
 
@@ -152,8 +165,9 @@
 	}
 }
 
-// result returns the initial folders of the group, or why they are not known.
-func (s *survey) result() (map[string]string, error) {
+// result returns the initial folders of a group of these initial members, or why they
+// are not known.
+func (s *survey) result(initial []Member) (map[string]string, error) {
 	switch {
 	case s.initial != nil:
 		return s.initial, nil
@@ -163,11 +177,18 @@
 		return nil, s.missing
 	case s.founded:
 		return nil, errUnknownFolder
+	case len(s.folders) <= len(initial)/2:
+		return nil, errTooFewInitial
 	default:
 		return s.folders, nil
 	}
 }
 
+// isRemoved reports whether the contacts no longer include an initial member.
+func (n *Node) isRemoved(member Member) bool {
+	return n.options.Contacts != nil && !slices.Contains(n.options.Contacts(), member.Address)
+}
+
 // contacts returns the addresses at which the group may be reached, without those of
 // the initial members.
 func (n *Node) contacts() []string {
@@ -192,17 +213,17 @@
 }
 
 // serveIdentify returns this member's folder name to an initial member. Before the
-// group has started, both must have the same initial members in their settings.
+// group has started, two initial members must have the same ones in their settings.
 func (n *Node) serveIdentify(_ context.Context, request *identifyRequest) (*identifyResponse, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.failed != nil {
 		return nil, n.failed
 	}
-	if !n.identity.Admitted && !slices.Equal(request.Initial, n.initialIDs()) {
+	if !n.identity.Admitted && n.isInitialMember() && !slices.Equal(request.Initial, n.initialIDs()) {
 		return nil, errors.Newf("%s lists other first members: make the settings equal: %w", request.ID, peer.ErrInvalid)
 	}
-	return &identifyResponse{Folder: n.identity.Folder, Admitted: n.identity.Admitted, Initial: n.identity.Initial}, nil
+	return &identifyResponse{ID: n.options.ID, Folder: n.identity.Folder, Admitted: n.identity.Admitted, Initial: n.identity.Initial}, nil
 }
 
 // admit marks the data folder as part of the group. An initial member starts with
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -47,8 +47,9 @@
 	// Voters is the maximum number of voters. Further members remain learners and
 	// replace voters that are lost. 0 means that all members vote.
 	Voters int
-	// Contacts returns further addresses at which the group may be reached, apart
-	// from those of the initial members; nil means that there are none. Calls may be
+	// Contacts returns the addresses at which the group may be reached. An initial
+	// member whose address they no longer include, and that does not respond, was
+	// removed. nil means that there are only the initial members. Calls may be
 	// concurrent.
 	Contacts func() []string
 	// SnapshotEntries is the number of applied entries after which a snapshot
