Entry: an entry out of step guesses no software version

Cause: a stream of unknown origin goes on where one version alone has served, by a list of up to 4 s ago; and the age of a list counted from when its news were read, however long they had waited for an entry that stood still.

Change: the list must be proven current after the request came. A proof counts from when this entry asked. The entry reads the platform's list itself while a request waits, once a second at most and ten times a second over all entries. Without a proof within 2.5 s the request is refused as not run.

The tests that set ListFollowedFor now set AwaitList too, which stands for a current list; what they check is unchanged.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -43,7 +43,7 @@
 // Server is the HTTP handler for callers. It routes requests, reserves their
 // tokens and forwards them to backend servers. Its exported fields must be set
 // before the first request; only Peers, Streams, Overload, HasDescriptors, Memory,
-// ListAge and ListFollowedFor may be nil.
+// ListAge, ListFollowedFor and AwaitList may be nil.
 type Server struct {
 	Translator Translator
 	Upstream   *upstream.Client
@@ -69,6 +69,10 @@
 	// ListFollowedFor returns how long the list of backend servers has been followed
 	// without a gap. If it is nil, no stream of unknown origin goes on.
 	ListFollowedFor func() time.Duration
+	// AwaitList waits until the list of backend servers is known to have been current
+	// at the given time or later, and reports whether it is before ctx ends. If it is
+	// nil, no stream of unknown origin goes on.
+	AwaitList func(ctx context.Context, at time.Time) bool
 	// Entries returns the number of entries that share the fleet's retry budget.
 	Entries       func() int
 	FailureDomain string
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -9,9 +9,14 @@
 	"github.com/cactusbay/cactusbay/internal/place"
 )
 
-// streamAgeMargin is added to a route's timeout to give the longest time since the begin
-// of a stream that a caller resumes.
-const streamAgeMargin = 5 * time.Second
+const (
+	// streamAgeMargin is added to a route's timeout to give the longest time since the
+	// begin of a stream that a caller resumes.
+	streamAgeMargin = 5 * time.Second
+	// awaitListTimeout is longer than the time between two responses of the control group
+	// about the list.
+	awaitListTimeout = 2500 * time.Millisecond
+)
 
 // StreamOrigins knows where streams began, over all entries. An origin is a text that
 // only this package reads. Its methods may be called concurrently.
@@ -53,7 +58,7 @@
 	}
 	began, known := t.originOf(ctx, t.request.ContinuedAttempt)
 	if !known {
-		began, known = t.soleOrigin()
+		began, known = t.soleOrigin(ctx)
 	}
 	if !known {
 		return serviceUnavailable(reasonUnknownVersion, retryAfterSoon)
@@ -67,13 +72,22 @@
 
 // soleOrigin returns the only origin that a stream of the route can have: one version
 // alone has served for as long as the stream may have lasted, by a list that was followed
-// all the while.
-func (t *task) soleOrigin() (began origin, known bool) {
-	longest := max(t.route.Timeout, t.request.CallerTimeout) + streamAgeMargin
-	if t.server.ListFollowedFor == nil || t.server.ListFollowedFor() < longest {
+// all the while and is no older than this call. Another entry may have learned of a new
+// server, and begun the stream there, before an older list showed it here.
+func (t *task) soleOrigin(ctx context.Context) (began origin, known bool) {
+	if t.server.AwaitList == nil {
 		return origin{}, false
 	}
-	version, known := t.server.Fleet.SoleVersion(t.upstream, longest, time.Now())
+	_, known = t.soleVersion()
+	if !known {
+		return origin{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, awaitListTimeout)
+	defer cancel()
+	if !t.server.AwaitList(ctx, time.Now()) {
+		return origin{}, false
+	}
+	version, known := t.soleVersion()
 	began = origin{upstream: t.upstream, version: version}
 	if known && t.request.ContinuedAttempt != "" && t.server.Streams != nil {
 		t.server.Streams.Began(t.request.ContinuedAttempt, began.String())
@@ -81,6 +95,16 @@
 	return began, known
 }
 
+// soleVersion returns the only version in the list that the entry has followed for as
+// long as the stream may have lasted.
+func (t *task) soleVersion() (version string, known bool) {
+	longest := max(t.route.Timeout, t.request.CallerTimeout) + streamAgeMargin
+	if t.server.ListFollowedFor == nil || t.server.ListFollowedFor() < longest {
+		return "", false
+	}
+	return t.server.Fleet.SoleVersion(t.upstream, longest, time.Now())
+}
+
 // originOf returns where the stream of an earlier attempt began, if an entry knows it. It
 // records the origin again, so that it outlives entries that have ended since.
 func (t *task) originOf(ctx context.Context, attempt string) (began origin, known bool) {
--- a/internal/forward/version_test.go
+++ b/internal/forward/version_test.go
@@ -153,6 +153,7 @@
 		network, entry, stop := startPausingSite(t, retry.Limits{}, versionedServers(&events))
 		defer stop()
 		entry.ListFollowedFor = func() time.Duration { return time.Minute }
+		entry.AwaitList = func(context.Context, time.Time) bool { return true }
 		time.Sleep(time.Minute)
 		for _, header := range []http.Header{
 			{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}},
@@ -178,6 +179,7 @@
 		network, entry, stop := startPausingSite(t, retry.Limits{}, servers)
 		defer stop()
 		entry.ListFollowedFor = func() time.Duration { return time.Minute }
+		entry.AwaitList = func(context.Context, time.Time) bool { return true }
 		time.Sleep(time.Minute)
 		expectRest(t, network, "a2")
 		entry.Fleet.Update([]instances.Instance{
@@ -206,6 +208,7 @@
 		network, entry, stop := startPausingSite(t, retry.Limits{}, []pausingServer{{version: "v1", sent: events.record}})
 		defer stop()
 		entry.ListFollowedFor = func() time.Duration { return 0 }
+		entry.AwaitList = func(context.Context, time.Time) bool { return true }
 		time.Sleep(time.Minute)
 		status, body, _ := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {"of another entry"}})
 		if status != http.StatusServiceUnavailable {
@@ -215,6 +218,42 @@
 	})
 }
 
+// TestVersionIsNotGuessedFromAListOfBefore guards against an entry out of step that takes
+// the only version in its list for the one that began a stream elsewhere, although a list
+// from after the request shows another one, or no such list can be had.
+func TestVersionIsNotGuessedFromAListOfBefore(t *testing.T) {
+	for name, current := range map[string]bool{"another version has joined": true, "no list": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var events sentEvents
+				network, entry, stop := startPausingSite(t, retry.Limits{}, []pausingServer{{version: "v1", sent: events.record}})
+				defer stop()
+				entry.ListFollowedFor = func() time.Duration { return time.Minute }
+				entry.AwaitList = func(_ context.Context, at time.Time) bool {
+					if time.Since(at) != 0 {
+						t.Errorf("a list of %s ago is awaited, want a current one", time.Since(at))
+					}
+					if current {
+						entry.Fleet.Update([]instances.Instance{
+							{ID: "s1", Upstream: "pool", Address: "10.0.0.2:80", Slots: 8, Version: "v1"},
+							{ID: "s2", Upstream: "pool", Address: "10.0.0.3:80", Slots: 8, Version: "v2"},
+						}, at)
+					}
+					return current
+				}
+				time.Sleep(time.Minute)
+				for _, attempt := range []string{"", "of another entry"} {
+					status, body, _ := callWithHeader(t, network, http.Header{"Id": {"a2"}, "Last": {"2"}, "Continues": {attempt}})
+					if status != http.StatusServiceUnavailable || body != "stream_version_unknown\n" {
+						t.Errorf("status %d, body %q; want 503 because of the unknown version", status, body)
+					}
+				}
+				events.expectVersions(t)
+			})
+		})
+	}
+}
+
 // TestStreamGoesOnAtItsUpstream guards against a resumed stream of a split route that is
 // sent to the other upstream.
 func TestStreamGoesOnAtItsUpstream(t *testing.T) {
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -291,6 +291,7 @@
 		request.Listing = true
 		request.ListingReader, request.ListingNumber = w.View.ListingID()
 	}
+	sent := time.Now()
 	response, err := peer.Call[watchRequest, watchResponse](ctx, w.Client, address, watchProcedure, &request)
 	if err != nil {
 		return nil, 0, errors.Newf("watch %s: %w", address, err)
@@ -304,23 +305,26 @@
 	w.entryCount = max(w.entryCount, response.EntryCount)
 	w.mu.Unlock()
 	w.Directory.SetMembers(response.ControlAddresses)
-	w.updateListing(&request, response)
+	w.updateListing(&request, response, sent)
 	w.updatePeers(response)
 	w.countResponse(response)
 	return response, request.HaveVersion, nil
 }
 
-// updateListing passes a response's list of backend servers to the view.
-func (w *Watcher) updateListing(request *watchRequest, response *watchResponse) {
+// updateListing passes the list of backend servers in the response to a request, which
+// was sent at the given time, to the view.
+func (w *Watcher) updateListing(request *watchRequest, response *watchResponse, sent time.Time) {
 	if w.View == nil || response.ListingAge < 0 {
 		return
 	}
 	age := time.Duration(response.ListingAge) * time.Millisecond
 	if response.Listing != nil {
 		w.View.Offer(*response.Listing, age)
+		w.View.Prove(response.Listing.Reader, response.Listing.Number, sent.Add(-age))
 		return
 	}
 	w.View.Confirm(request.ListingReader, request.ListingNumber, age)
+	w.View.Prove(request.ListingReader, request.ListingNumber, sent.Add(-age))
 }
 
 // updatePeers passes the peer addresses of a response to Peers.
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -181,6 +181,46 @@
 	})
 }
 
+// TestProofOfAListIsNotOlderThanAsked guards against a list that counts as current at a time
+// after the request for it, as one does whose response waited while the entry stood still,
+// and against entries that ask the platform for it at every request.
+func TestProofOfAListIsNotOlderThanAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lister := &fakeLister{list: []instances.Instance{{ID: "i-1"}}}
+		view := &instances.View{Lister: lister, Log: discardLog}
+		view.Offer(instances.Listing{Reader: "r", Number: 1, Instances: lister.list}, 0)
+		asked := time.Now()
+		time.Sleep(time.Second)
+		view.Confirm("r", 1, 0)
+		view.Prove("r", 1, asked)
+		view.Prove("r", 2, time.Now())
+		ended, end := context.WithCancel(t.Context())
+		end()
+		if !view.AwaitCurrent(ended, asked) || view.AwaitCurrent(ended, asked.Add(1)) {
+			t.Error("the list is not proven for the time at which it was asked for, or for a later one")
+		}
+		view.Start()
+		defer view.Close()
+		for range 20 {
+			at := time.Now()
+			if !view.AwaitCurrent(t.Context(), at) || time.Since(at) > 1500*time.Millisecond {
+				t.Errorf("no proof, or one after %s; want one within 1.5 s", time.Since(at))
+			}
+		}
+		if reads := lister.count(); reads > 21 {
+			t.Errorf("%d reads for 20 requests one after another, want one at most for each", reads)
+		}
+		start := time.Now()
+		for time.Since(start) < 10*time.Second {
+			view.AwaitCurrent(t.Context(), time.Now())
+			time.Sleep(time.Millisecond)
+		}
+		if reads := lister.count(); reads > 33 {
+			t.Errorf("%d reads, want at most one a second", reads)
+		}
+	})
+}
+
 // TestChecksumChangesOnlyWithColdServers guards against a view that takes a list for its own
 // although a server became cold, and against builds that no longer confirm each other's lists
 // because one of them knows whether servers are cold.
--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -28,6 +28,11 @@
 	// maxListGap is the longest time between two confirmations of the list in which the
 	// view still counts as following it.
 	maxListGap = 4 * time.Second
+	// demandIntervalPerEntry times the number of entries, but at least
+	// minDemandInterval, is the time between two reads of the list that requests at an
+	// entry ask for, so that all entries together stay within the platform's rate.
+	demandIntervalPerEntry = 100 * time.Millisecond
+	minDemandInterval      = time.Second
 )
 
 // View is an entry's copy of the list of backend servers. It uses the listings
@@ -56,6 +61,18 @@
 	followedSince time.Time
 	// checksum is the checksum of the list that the view holds.
 	checksum uint64
+	// provenAt is the latest time at which the list is proven to have been current. It
+	// lies before the request for the news, and so doesn't depend on how long these
+	// took, or on how long this entry then stood still; confirmed does.
+	provenAt time.Time
+	// proven is closed and replaced when provenAt changes; nil if nobody waits.
+	proven chan struct{}
+	// wanted is the latest time for which a proof is awaited.
+	wanted time.Time
+	// readAt is when this entry last began to read the list itself.
+	readAt time.Time
+	// wake holds at most one pending signal to read the list.
+	wake chan struct{}
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -66,6 +83,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	v.done = make(chan struct{})
+	v.wake = make(chan struct{}, 1)
 	go v.run(ctx)
 }
 
@@ -142,6 +160,70 @@
 	return time.Since(v.followedSince)
 }
 
+// Prove records that the listing with the given reader and number was still current at
+// some time that is not before at. It has no effect if the view holds another listing.
+func (v *View) Prove(reader string, number uint64, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.reader == reader && v.number == number {
+		v.prove(at)
+	}
+}
+
+// prove records that the list was current at the given time or later; mu is held.
+func (v *View) prove(at time.Time) {
+	if !at.After(v.provenAt) {
+		return
+	}
+	v.provenAt = at
+	if v.proven != nil {
+		close(v.proven)
+		v.proven = nil
+	}
+}
+
+// AwaitCurrent waits until the list is proven to have been current at the given time or
+// later, and makes this entry read it if need be. It returns false if ctx ends first.
+func (v *View) AwaitCurrent(ctx context.Context, at time.Time) bool {
+	for {
+		v.mu.Lock()
+		if !v.provenAt.Before(at) {
+			v.mu.Unlock()
+			return true
+		}
+		if v.proven == nil {
+			v.proven = make(chan struct{})
+		}
+		proven := v.proven
+		if at.After(v.wanted) {
+			v.wanted = at
+		}
+		v.mu.Unlock()
+		select {
+		case v.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-proven:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// isReadDue reports whether a request awaits a proof and the entry may read the list
+// again.
+func (v *View) isReadDue() bool {
+	entries := 1
+	if v.Entries != nil {
+		entries = v.Entries()
+	}
+	interval := max(minDemandInterval, time.Duration(entries)*demandIntervalPerEntry)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.wanted.After(v.provenAt) && time.Since(v.readAt) >= interval
+}
+
 // Offer replaces the list by a listing that was current age ago, unless the
 // view's own list is newer.
 func (v *View) Offer(listing Listing, age time.Duration) {
@@ -167,11 +249,14 @@
 	}
 }
 
-// run reads the list whenever it is stale, until ctx is done.
+// run reads the list whenever it is stale or requests await a proof, until ctx is done.
 func (v *View) run(ctx context.Context) {
 	defer close(v.done)
 	for ctx.Err() == nil {
-		sleep.For(ctx, checkInterval)
+		v.sleep(ctx)
+		if v.Lister != nil && v.isReadDue() {
+			v.readList(ctx)
+		}
 		if v.Lister == nil || !v.isStale() {
 			continue
 		}
@@ -184,6 +269,17 @@
 	}
 }
 
+// sleep waits for checkInterval, or until a request awaits a proof or ctx is done.
+func (v *View) sleep(ctx context.Context) {
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-v.wake:
+	case <-ctx.Done():
+	}
+}
+
 // isStale reports whether the view has no list yet or has not been confirmed
 // for staleAfter.
 func (v *View) isStale() bool {
@@ -206,6 +302,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	started := time.Now()
+	v.mu.Lock()
+	v.readAt = started
+	v.mu.Unlock()
 	reading, err := v.Lister.List(ctx)
 	if err != nil {
 		v.Log.Warn("the list of instances could not be read by the entry itself", "err", err.Error(), "age_ms", v.Age().Milliseconds())
@@ -214,11 +313,22 @@
 	age := time.Since(started) + reading.Age
 	checksum := checksumOf(reading.Instances)
 	v.replace(Listing{Instances: reading.Instances}, checksum, age)
+	v.proveChecksum(checksum, started.Add(-reading.Age))
 	if v.Announce != nil {
 		v.Announce(checksum, age)
 	}
 }
 
+// proveChecksum records that a list with the given checksum was current at the given
+// time or later. It has no effect if the view holds another list.
+func (v *View) proveChecksum(checksum uint64, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.checksum == checksum {
+		v.prove(at)
+	}
+}
+
 // checksumOf returns a hash of the list, which depends on its order. Only a cold server
 // adds to its line, so that builds that know of none compute the same for all other lists.
 func checksumOf(list []Instance) uint64 {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -284,6 +284,7 @@
 	}
 	g.Server.ListAge = view.Age
 	g.Server.ListFollowedFor = view.FollowedFor
+	g.Server.AwaitList = view.AwaitCurrent
 	gossiper.ListAnnounced = view.ConfirmChecksum
 	g.Watcher = &group.Watcher{
 		Directory:       g.directory,
