Upstream: a status that no response can have ends the attempt

Cause: the client of backend servers took 101 for a final response and had no upper bound for the status.

Change: a status below 100, of 101 or above 599 is an error of the attempt, which is repeated where that is allowed, or answered with 502.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,8 @@
 	maxHeadBytes = 64 << 10
 	// maxDiscardBytes limits the body of a response that is skipped.
 	maxDiscardBytes = 64 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// maxInlineBodyBytes is the largest body that is written before the response
 	// is read.
 	maxInlineBodyBytes = 4 << 10
@@ -256,14 +258,19 @@
 }
 
 // readHeader reads the header of the next response and skips informational (1xx)
-// responses other than 101.
+// responses. It returns ErrInvalidStatus for a status that no final response has: 101
+// ends the use of HTTP on the connection, and no request asks for that.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	for {
 		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Newf("read header: %w", err)
 		}
-		if parsed.StatusCode >= http.StatusOK || parsed.StatusCode == http.StatusSwitchingProtocols {
+		status := parsed.StatusCode
+		switch {
+		case status == http.StatusSwitchingProtocols || status < http.StatusContinue || status > maxStatus:
+			return nil, errors.Newf("status %d: %w", status, ErrInvalidStatus)
+		case status >= http.StatusOK:
 			return parsed, nil
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,10 @@
 // ErrResponseMismatch reports a response that belongs to another request.
 var ErrResponseMismatch = errors.New("response belongs to another request")
 
+// ErrInvalidStatus reports a response with a status that no response to a request of the
+// client can have.
+var ErrInvalidStatus = errors.New("response has no valid status")
+
 // ErrTooLarge reports a response whose header or body is longer than the client reads.
 var ErrTooLarge = errors.New("response is too large")
 
