--- a/internal/fake/disk.go
+++ b/internal/fake/disk.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Kill invalidates all mounts and open files, as the end of a process does. Unsynced
+// data stays readable, and a later crash loses it.
+func (d *Disk) Kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+}
+
 // Erase drops all files, as if the disk were replaced, and invalidates all
 // mounts and open files.
 func (d *Disk) Erase() {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -49,8 +49,8 @@
 }
 
 // Open opens the file called name, creating it if absent, and returns the journal
-// and the payloads of its records. It truncates an incomplete record at the end of
-// the file. Damage elsewhere is an error that wraps ErrDamaged. The caller must
+// and the payloads of its records, which it syncs. It truncates an incomplete record at
+// the end of the file. Damage elsewhere is an error that wraps ErrDamaged. The caller must
 // call Close.
 func Open(folder disk.Folder, name string) (*Journal, [][]byte, error) {
 	data, err := folder.ReadFile(name)
@@ -68,9 +68,16 @@
 	if size < int64(len(data)) {
 		err = file.Truncate(size)
 		if err != nil {
+			_ = file.Close()
 			return nil, nil, errors.Newf("truncate incomplete record at the end of %s: %w", name, err)
 		}
 	}
+	// A process that was killed may have written records without syncing them.
+	err = file.Sync()
+	if err != nil {
+		_ = file.Close()
+		return nil, nil, errors.Newf("sync journal %s: %w", name, err)
+	}
 	j := &Journal{
 		folder:  folder,
 		name:    name,
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -192,6 +192,17 @@
 // kill crashes a member. Its disk keeps only the first unsyncedKept bytes of the
 // data that was not synced.
 func (c *cluster) kill(id string, unsyncedKept int) {
+	c.stop(id, func() { c.disks[id].Crash(unsyncedKept) })
+}
+
+// killProcess ends the process of a member. Its machine keeps the data that was not
+// synced, until it loses power.
+func (c *cluster) killProcess(id string) {
+	c.stop(id, c.disks[id].Kill)
+}
+
+// stop ends a member, with the effect that this has on its disk.
+func (c *cluster) stop(id string, onDisk func()) {
 	i := c.find(id)
 	if i == nil {
 		return
@@ -199,7 +210,7 @@
 	c.mu.Lock()
 	delete(c.instances, id)
 	c.mu.Unlock()
-	c.disks[id].Crash(unsyncedKept)
+	onDisk()
 	c.network.Kill(hostFor(id))
 	_ = i.server.Close()
 	i.node.shutDown()
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -284,6 +284,36 @@
 	})
 }
 
+// TestEntryFoundAfterAKillIsSyncedBeforeItCounts guards against a member that finds an
+// entry in its log which its process had written and not synced, and takes it for durable:
+// the entry is acknowledged, and a loss of power takes it.
+func TestEntryFoundAfterAKillIsSyncedBeforeItCounts(t *testing.T) {
+	runWithCluster(t, 3, func(t *testing.T, c *cluster) {
+		leader := c.leader()
+		accepted := c.proposeMany(leader, 3)
+		followers := slices.DeleteFunc(c.ids(), func(id string) bool { return id == leader })
+		killed, behind := followers[0], followers[1]
+		c.isolate(behind, true)
+		c.disks[killed].setDelay(600 * time.Millisecond)
+		done := make(chan error, 1)
+		go func() { done <- c.propose(leader, "unsynced") }()
+		time.Sleep(300 * time.Millisecond)
+		c.killProcess(killed)
+		c.disks[killed].setDelay(syncDelay)
+		c.startMember(killed)
+		err := <-done
+		if err != nil {
+			t.Fatalf("the command was not accepted: %v", err)
+		}
+		c.kill(leader, 0)
+		c.kill(killed, 0)
+		c.startMember(killed)
+		c.isolate(behind, false)
+		c.leader()
+		c.checkAgreement(append(accepted, "unsynced"))
+	})
+}
+
 // TestEmptyFolderDoesNotVoteUnderKnownID guards against a member that has lost its
 // disk and votes under its old id: it could elect a leader that lacks committed
 // entries.
--- a/internal/quorum/record.go
+++ b/internal/quorum/record.go
@@ -84,7 +84,7 @@
 	return fmt.Sprintf("%s%08d%s", segmentPrefix, number, segmentSuffix)
 }
 
-// load reads a member's data folder. It truncates an incomplete record at the end
+// load reads a member's data folder and syncs its log. It truncates an incomplete record at the end
 // of the log and removes segments that a crash left behind. Damage elsewhere is
 // an error that wraps journal.ErrDamaged.
 func load(folder disk.Folder) (*durableState, error) {
@@ -95,12 +95,20 @@
 	}
 	err = d.loadSegment(folder)
 	if err != nil {
+		d.close()
 		return nil, err
 	}
 	d.commit = max(d.commit, d.snapshot.Index)
 	return d, removeStaleSegments(folder, d.snapshot.Segment)
 }
 
+// close closes the current segment, if it is open.
+func (d *durableState) close() {
+	if d.file != nil {
+		_ = d.file.Close()
+	}
+}
+
 // loadSnapshot reads the snapshot file, if there is one.
 func (d *durableState) loadSnapshot(folder disk.Folder) error {
 	data, err := folder.ReadFile(snapshotFile)
@@ -143,6 +151,11 @@
 			return errors.Newf("truncate incomplete record at the end of %s: %w", name, err)
 		}
 	}
+	// A process that was killed may have written records without syncing them.
+	err = d.file.Sync()
+	if err != nil {
+		return errors.Newf("sync group log %s: %w", name, err)
+	}
 	return nil
 }
 
