--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TEST_TIMEOUT = 16m
 
-.PHONY: build build-deploy test lint fmt bench bench-policy bench-sizing soak soak-processes capacity
+.PHONY: build build-deploy test lint fmt bench bench-policy bench-sizing soak soak-processes soak-replacements capacity
 
 build:
 	go build -o bin/cactusbay .
@@ -28,6 +28,12 @@
 soak-processes:
 	go test -v -count=1 -timeout 0 -run '^TestFaults$$' ./platform/faults -args -faults.seed=$(SEED) -faults.minutes=$(MINUTES) $(FAULTS)
 
+# soak-replacements runs faults and replacements of control instances:
+# make soak-replacements SEED=7 SEEDS=50
+SEEDS ?= 50
+soak-replacements:
+	go test -v -count=1 -timeout 0 -run '^TestRandomReplacements$$' ./platform -args -replacements.seed=$(SEED) -replacements.seeds=$(SEEDS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 	go run ./internal/tool/latency
