--- a/internal/instances/view.go
+++ b/internal/instances/view.go
@@ -28,11 +28,6 @@
 	// maxListGap is the longest time between two confirmations of the list in which the
 	// view still counts as following it.
 	maxListGap = 4 * time.Second
-	// demandIntervalPerEntry times the number of entries, but at least
-	// minDemandInterval, is the time between two reads of the list that requests at an
-	// entry ask for, so that all entries together stay within the platform's rate.
-	demandIntervalPerEntry = 100 * time.Millisecond
-	minDemandInterval      = time.Second
 )
 
 // View is an entry's copy of the list of backend servers. It uses the listings
@@ -160,70 +155,6 @@
 	return time.Since(v.followedSince)
 }
 
-// Prove records that the listing with the given reader and number was still current at
-// some time that is not before at. It has no effect if the view holds another listing.
-func (v *View) Prove(reader string, number uint64, at time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.reader == reader && v.number == number {
-		v.prove(at)
-	}
-}
-
-// prove records that the list was current at the given time or later; mu is held.
-func (v *View) prove(at time.Time) {
-	if !at.After(v.provenAt) {
-		return
-	}
-	v.provenAt = at
-	if v.proven != nil {
-		close(v.proven)
-		v.proven = nil
-	}
-}
-
-// AwaitCurrent waits until the list is proven to have been current at the given time or
-// later, and makes this entry read it if need be. It returns false if ctx ends first.
-func (v *View) AwaitCurrent(ctx context.Context, at time.Time) bool {
-	for {
-		v.mu.Lock()
-		if !v.provenAt.Before(at) {
-			v.mu.Unlock()
-			return true
-		}
-		if v.proven == nil {
-			v.proven = make(chan struct{})
-		}
-		proven := v.proven
-		if at.After(v.wanted) {
-			v.wanted = at
-		}
-		v.mu.Unlock()
-		select {
-		case v.wake <- struct{}{}:
-		default:
-		}
-		select {
-		case <-proven:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
-// isReadDue reports whether a request awaits a proof and the entry may read the list
-// again.
-func (v *View) isReadDue() bool {
-	entries := 1
-	if v.Entries != nil {
-		entries = v.Entries()
-	}
-	interval := max(minDemandInterval, time.Duration(entries)*demandIntervalPerEntry)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.wanted.After(v.provenAt) && time.Since(v.readAt) >= interval
-}
-
 // Offer replaces the list by a listing that was current age ago, unless the
 // view's own list is newer.
 func (v *View) Offer(listing Listing, age time.Duration) {
@@ -319,16 +250,6 @@
 	}
 }
 
-// proveChecksum records that a list with the given checksum was current at the given
-// time or later. It has no effect if the view holds another list.
-func (v *View) proveChecksum(checksum uint64, at time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.checksum == checksum {
-		v.prove(at)
-	}
-}
-
 // checksumOf returns a hash of the list, which depends on its order. Only a cold server
 // adds to its line, so that builds that know of none compute the same for all other lists.
 func checksumOf(list []Instance) uint64 {
