--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -181,7 +181,8 @@
 }
 
 // Retired returns a channel that is closed when the control group has removed
-// this member, or has started without the folder of this founder. Its data folder must then be erased before it starts again.
+// this member, or has started without the folder of this founder. The folder must
+// then be discarded before the instance starts again.
 func (m *Member) Retired() <-chan struct{} {
 	return m.joiner.Retired()
 }
--- a/internal/roster/identity.go
+++ b/internal/roster/identity.go
@@ -29,10 +29,10 @@
 
 // identityBody is the content of identityFile.
 type identityBody struct {
-	ID       string   `json:"id,omitempty"`
+	ID       string   `json:"id"`
 	Founders []string `json:"founders,omitempty"`
-	// Discarded means that the group has retired the member to which the other
-	// files belong.
+	// Discarded means that the group has retired this member, to which the other files
+	// belong.
 	Discarded bool     `json:"discarded,omitempty"`
 	Contacts  []string `json:"contacts,omitempty"`
 }
@@ -53,19 +53,13 @@
 // otherwise that of a joining member with a random ID. A discarded folder is
 // emptied and always gets that of a joining member, because a group exists.
 func Identify(folder disk.Folder, options Options) (Identity, error) {
-	data, err := folder.ReadFile(identityFile)
-	if errors.Is(err, disk.ErrNotExist) {
+	body, err := read(folder)
+	switch {
+	case errors.Is(err, disk.ErrNotExist):
 		return create(folder, options.emptyFolderBody(), options)
-	}
-	if err != nil {
-		return Identity{}, errors.Newf("read member identity: %w", err)
-	}
-	var body identityBody
-	err = json.Unmarshal(data, &body)
-	if err != nil {
-		return Identity{}, errors.Newf("decode member identity: %w", err)
-	}
-	if !body.Discarded {
+	case err != nil:
+		return Identity{}, err
+	case !body.Discarded:
 		return body.identity(options), nil
 	}
 	err = removeOtherFiles(folder)
@@ -89,6 +83,21 @@
 	return identityBody{ID: o.Address + "/" + rand.Text(), Contacts: contacts}
 }
 
+// read returns the identity in the folder. The error wraps disk.ErrNotExist if there is
+// none.
+func read(folder disk.Folder) (identityBody, error) {
+	data, err := folder.ReadFile(identityFile)
+	if err != nil {
+		return identityBody{}, errors.Newf("read member identity: %w", err)
+	}
+	var body identityBody
+	err = json.Unmarshal(data, &body)
+	if err != nil {
+		return identityBody{}, errors.Newf("decode member identity: %w", err)
+	}
+	return body, nil
+}
+
 // create stores a new identity in the folder.
 func create(folder disk.Folder, body identityBody, options Options) (Identity, error) {
 	err := body.write(folder)
@@ -126,7 +135,13 @@
 // and doesn't make the instance a founder again. contacts are the peer addresses of
 // the group, which the next member joins.
 func Discard(folder disk.Folder, contacts []string) error {
-	err := identityBody{Discarded: true, Contacts: contacts}.write(folder)
+	body, err := read(folder)
+	if err != nil {
+		return err
+	}
+	body.Discarded = true
+	body.Contacts = contacts
+	err = body.write(folder)
 	if err != nil {
 		return err
 	}
