Roster: the test of a discard again looks at the folder before the next start

The test that took its place looked only after the next Identify, which also removes files: a Discard that removes nothing would have passed. That was weaker.

--- a/internal/roster/identity_test.go
+++ b/internal/roster/identity_test.go
@@ -68,6 +68,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		names, err := folder.List()
+		if err != nil || !slices.Equal(names, []string{"member.json"}) {
+			t.Errorf("files after the discard: got %v and error %v, want the mark alone", names, err)
+		}
 		checkJoins(t, folder, before)
 	}
 }
