Upstream: a long body takes no more memory than its budget counts

Cause: a body grew by copies into larger buffers, 33.6 MB of memory for 16 MiB, and memory given back to the budget of 48 MB was free for the next body long before it was collected. Ruled out: the count of the budget (TestBodiesTogetherAreBounded).

Change: a body is read into pieces of 64 KiB, never copied, and freed pieces are used for the next body until a collection of garbage. ReadAll returns an upstream.Body; the tests compare its text in place of string(body).

Measured: TestLongBodyIsNotCopied (33,638,824 bytes, at most 20,971,520) and TestFreedBodiesAreUsedAgain (168,483,616 bytes, at most 50,331,648) fail before, pass now.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -135,12 +135,12 @@
 	}
 	t.startResponse(response)
 	if t.request.Method != http.MethodHead {
-		t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		t.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	t.w.WriteHeader(response.Status)
-	t.responseBytes = int64(len(body))
+	t.responseBytes = int64(body.Len())
 	writeStart := time.Now()
-	_, err = t.w.Write(body)
+	_, err = body.WriteTo(t.w)
 	t.recordWrite(writeStart)
 	if err != nil {
 		return &refusal{reason: reasonCallerLeft}, false
@@ -150,7 +150,7 @@
 
 // readWhole reads the body of a response with memory from room, or without room from the
 // client's own budget.
-func readWhole(ctx context.Context, response *upstream.Response, room *memory.Response) ([]byte, error) {
+func readWhole(ctx context.Context, response *upstream.Response, room *memory.Response) (upstream.Body, error) {
 	if room == nil {
 		return response.ReadAll()
 	}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -124,6 +126,54 @@
 	}
 }
 
+// TestLongBodyIsNotCopied guards against a body that takes several times its length of
+// memory while it grows, as copies that are not collected yet.
+func TestLongBodyIsNotCopied(t *testing.T) {
+	address, _ := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	client := &Client{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	response, err := client.Do(t.Context(), "s", address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = response.ReadAll()
+	response.Abandon()
+	response.FreeBody()
+	runtime.ReadMemStats(&after)
+	if !errors.Is(err, ErrTooLarge) {
+		t.Errorf("the body ended with %v, want %v", err, ErrTooLarge)
+	}
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > maxBodyBytes+maxBodyBytes/4 {
+		t.Errorf("%d bytes were allocated for a body that was read up to %d", taken, maxBodyBytes)
+	}
+}
+
+// TestFreedBodiesAreUsedAgain guards against long bodies, one after another, whose memory
+// is given back to the budget long before it is collected, so that they fill the memory of
+// the entry all the same.
+func TestFreedBodiesAreUsedAgain(t *testing.T) {
+	const bodies = 10
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	address, _ := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	client := &Client{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range bodies {
+		response, err := client.Do(t.Context(), "s", address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = response.ReadAll()
+		response.Abandon()
+		response.FreeBody()
+	}
+	runtime.ReadMemStats(&after)
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > 3*maxBodyBytes {
+		t.Errorf("%d bytes were allocated for %d bodies, want at most %d", taken, bodies, 3*maxBodyBytes)
+	}
+}
+
 // TestLongBodyIsReadWhole checks that a body beyond the free size arrives unchanged.
 func TestLongBodyIsReadWhole(t *testing.T) {
 	want := strings.Repeat("0123456789", maxFreeBodyBytes)
@@ -143,8 +193,8 @@
 		body, err := response.ReadAll()
 		response.Finish()
 		response.FreeBody()
-		if err != nil || string(body) != want {
-			t.Errorf("%s: %d bytes with error %v, want %d", target, len(body), err, len(want))
+		if err != nil || body.String() != want {
+			t.Errorf("%s: %d bytes with error %v, want %d", target, body.Len(), err, len(want))
 		}
 	}
 }
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,6 +22,29 @@
 // use.
 type bodyBudget struct {
 	used atomic.Int64
+	// pieces holds pieces of pieceBytes that are free, until a collection of garbage.
+	pieces sync.Pool
+}
+
+// newPiece returns memory for a piece of the given size, at most pieceBytes.
+func (b *bodyBudget) newPiece(size int) []byte {
+	if size < pieceBytes {
+		return make([]byte, size)
+	}
+	free, ok := b.pieces.Get().(*[pieceBytes]byte)
+	if !ok {
+		free = new([pieceBytes]byte)
+	}
+	return free[:]
+}
+
+// freePieces keeps the memory of a body for other bodies.
+func (b *bodyBudget) freePieces(body Body) {
+	for _, piece := range body {
+		if cap(piece) == pieceBytes {
+			b.pieces.Put((*[pieceBytes]byte)(piece[:pieceBytes]))
+		}
+	}
 }
 
 // reserve takes memory, unless that exceeds the budget, and reports whether it did.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -34,6 +34,8 @@
 	bodyComplete  bool
 	// reserved is the memory that the body takes from the client's budget.
 	reserved int
+	// body holds what was read of a whole body.
+	body Body
 }
 
 // Read reads the body. It returns io.EOF after a complete body and ErrTruncated
@@ -56,15 +58,15 @@
 
 // ReadAll reads the rest of the body. It fails if the body is incomplete, longer than
 // 16 MiB, or larger than the memory that the bodies of other responses leave. The caller
-// must call FreeBody once it no longer needs the body.
-func (r *Response) ReadAll() ([]byte, error) {
+// must call FreeBody once it no longer needs the body, also after an error.
+func (r *Response) ReadAll() (Body, error) {
 	return r.readAll(r.reserve)
 }
 
 // ReadAllReserved is ReadAll with memory from reserve, which is called with the size of the
-// body, or else of each larger buffer, before the memory is taken. While reserve waits,
-// nothing is read from the server.
-func (r *Response) ReadAllReserved(reserve func(bytes int) error) ([]byte, error) {
+// body, or else with each larger bound of it, before the memory is taken. While reserve
+// waits, nothing is read from the server.
+func (r *Response) ReadAllReserved(reserve func(bytes int) error) (Body, error) {
 	size := int(r.parsed.ContentLength)
 	if r.parsed.Body != http.NoBody && size <= maxBodyBytes {
 		err := reserve(max(size, firstBufferBytes(size)))
@@ -75,8 +77,8 @@
 	return r.readAll(reserve)
 }
 
-// readAll reads the rest of the body. It calls reserve before it takes a larger buffer.
-func (r *Response) readAll(reserve func(bytes int) error) ([]byte, error) {
+// readAll reads the rest of the body. It calls reserve before it takes more memory.
+func (r *Response) readAll(reserve func(bytes int) error) (Body, error) {
 	if r.parsed.Body == http.NoBody {
 		r.bodyComplete = true
 		return nil, nil
@@ -87,39 +89,54 @@
 	}
 	r.conn.limitReads(maxBodyBytes + maxFramingBytes)
 	defer func() { r.conn.limited = false }()
-	data, err := r.readBody(int(size), reserve)
+	err := r.readBody(int(size), reserve)
 	if err != nil {
 		return nil, errors.Newf("read whole body: %w", err)
 	}
 	r.bodyComplete = true
-	return data, nil
+	return r.body, nil
 }
 
-// readBody reads the body into a buffer that grows with it. The size is negative if it is
-// not known.
-func (r *Response) readBody(size int, reserve func(bytes int) error) ([]byte, error) {
-	data := make([]byte, 0, firstBufferBytes(size))
+// readBody reads the body into pieces, within the bytes that are reserved. The size is
+// negative if it is not known.
+func (r *Response) readBody(size int, reserve func(bytes int) error) error {
+	reserved := firstBufferBytes(size)
+	read := 0
 	for {
-		n, err := r.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
+		piece := r.client.pool.bodies.newPiece(min(reserved-read, pieceBytes))
+		n, err := r.fill(piece, size-read)
+		read += n
+		r.body = append(r.body, piece[:n])
 		switch {
-		case errors.Is(err, io.EOF):
-			return data, nil
+		case errors.Is(err, io.EOF) || read == size:
+			return nil
 		case err != nil:
-			return nil, err
-		case len(data) == size:
-			return data, nil
-		case len(data) == cap(data):
-			data, err = growBody(data, size, reserve)
+			return err
+		case read == reserved:
+			reserved, err = growReserve(reserved, size, reserve)
 		}
 		if err != nil {
-			return nil, err
+			return err
 		}
 	}
 }
 
-// firstBufferBytes returns the size of the first buffer for a body of the given size,
-// which is negative if it is not known.
+// fill reads until piece is full or holds the given number of bytes, which is negative if
+// it is not known. It returns io.EOF at the end of a complete body.
+func (r *Response) fill(piece []byte, rest int) (int, error) {
+	filled := 0
+	for filled < len(piece) && filled != rest {
+		n, err := r.Read(piece[filled:])
+		filled += n
+		if err != nil {
+			return filled, err
+		}
+	}
+	return filled, nil
+}
+
+// firstBufferBytes returns the size of the first piece of a body of the given size, which
+// is negative if it is not known.
 func firstBufferBytes(size int) int {
 	if size < 0 {
 		return unknownBodyBytes
@@ -127,21 +144,21 @@
 	return min(size, maxFreeBodyBytes)
 }
 
-// growBody returns a copy of data in a buffer of twice the size, but of no more than a
-// body of the given size needs, once reserve has returned.
-func growBody(data []byte, size int, reserve func(bytes int) error) ([]byte, error) {
-	if len(data) >= maxBodyBytes {
-		return nil, ErrTooLarge
+// growReserve reserves twice as many bytes, but no more than a body of the given size
+// needs, and returns their number once reserve has returned.
+func growReserve(reserved, size int, reserve func(bytes int) error) (int, error) {
+	if reserved >= maxBodyBytes {
+		return 0, ErrTooLarge
 	}
-	larger := min(2*cap(data), maxBodyBytes)
+	larger := min(2*reserved, maxBodyBytes)
 	if size >= 0 {
 		larger = min(larger, size)
 	}
 	err := reserve(larger)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
-	return append(make([]byte, 0, larger), data...), nil
+	return larger, nil
 }
 
 // reserve takes memory for a body of the given size from the client's budget.
@@ -156,8 +173,11 @@
 	return nil
 }
 
-// FreeBody returns the memory of a body that ReadAll has read to the client's budget.
+// FreeBody returns the memory of a body that ReadAll has read, wholly or in part, to the
+// client's budget. Other bodies may overwrite it from then on.
 func (r *Response) FreeBody() {
+	r.client.pool.bodies.freePieces(r.body)
+	r.body = nil
 	r.client.pool.bodies.free(r.reserved)
 	r.reserved = 0
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -89,7 +89,7 @@
 		return "", err
 	}
 	response.Finish()
-	return string(body), nil
+	return body.String(), nil
 }
 
 // TestConnectionIsReused checks that consecutive requests share one connection.
