--- a/internal/roster/join.go
+++ b/internal/roster/join.go
@@ -110,19 +110,20 @@
 	for ctx.Err() == nil {
 		sleep.For(ctx, joinInterval)
 		status := j.Node.Status()
-		if status.Retired || status.Rejected {
-			j.signalRetired()
+		switch {
+		case status.Rejected:
+			j.signalRetired("the control group has started without this founder's data folder")
 			return
-		}
-		if ctx.Err() == nil && j.shouldJoin(status) && j.requestJoin(ctx) {
-			j.signalRetired()
+		case status.Retired, ctx.Err() == nil && j.shouldJoin(status) && j.requestJoin(ctx):
+			j.signalRetired("the control group has retired this member")
 			return
 		}
 	}
 }
 
-func (j *Joiner) signalRetired() {
-	j.Log.Warn("the control group has retired this member", "member", j.Member.ID, "rejected", j.Node.Status().Rejected)
+// signalRetired closes the channel of Retired and logs why.
+func (j *Joiner) signalRetired(reason string) {
+	j.Log.Warn(reason, "member", j.Member.ID)
 	close(j.retired)
 }
 
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// unknownBodyBytes is the size of the first buffer for a body without a length.
+	// unknownBodyBytes is the size of the first piece of a body without a length.
 	unknownBodyBytes = 4 << 10
 	// maxFreeBodyBytes is the size up to which a body takes no memory from the budget.
 	maxFreeBodyBytes = 64 << 10
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -69,7 +69,7 @@
 func (r *Response) ReadAllReserved(reserve func(bytes int) error) (Body, error) {
 	size := int(r.parsed.ContentLength)
 	if r.parsed.Body != http.NoBody && size <= maxBodyBytes {
-		err := reserve(max(size, firstBufferBytes(size)))
+		err := reserve(max(size, firstPieceBytes(size)))
 		if err != nil {
 			return nil, errors.Newf("reserve body: %w", err)
 		}
@@ -100,7 +100,7 @@
 // readBody reads the body into pieces, within the bytes that are reserved. The size is
 // negative if it is not known.
 func (r *Response) readBody(size int, reserve func(bytes int) error) error {
-	reserved := firstBufferBytes(size)
+	reserved := firstPieceBytes(size)
 	read := 0
 	for {
 		piece := r.client.pool.bodies.newPiece(min(reserved-read, pieceBytes))
@@ -108,11 +108,9 @@
 		read += n
 		r.body = append(r.body, piece[:n])
 		switch {
-		case errors.Is(err, io.EOF) || read == size:
+		case errors.Is(err, io.EOF), err == nil && read == size:
 			return nil
-		case err != nil:
-			return err
-		case read == reserved:
+		case err == nil && read == reserved:
 			reserved, err = growReserve(reserved, size, reserve)
 		}
 		if err != nil {
@@ -135,9 +133,9 @@
 	return filled, nil
 }
 
-// firstBufferBytes returns the size of the first piece of a body of the given size, which
+// firstPieceBytes returns the size of the first piece of a body of the given size, which
 // is negative if it is not known.
-func firstBufferBytes(size int) int {
+func firstPieceBytes(size int) int {
 	if size < 0 {
 		return unknownBodyBytes
 	}
