Roster: the test that an interrupted erase could not be opened, and its postmortem

TestFolderOfAnInterruptedDiscardOpens opens a group member on the folder after each number of changes.

--- a/internal/roster/identity_test.go
+++ b/internal/roster/identity_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cactusbay/cactusbay/internal/disk"
 	"github.com/cactusbay/cactusbay/internal/fake"
+	"github.com/cactusbay/cactusbay/internal/peer"
+	"github.com/cactusbay/cactusbay/internal/quorum"
 	"github.com/cactusbay/cactusbay/internal/roster"
 )
 
@@ -154,3 +156,28 @@
 		}
 	}
 }
+
+// checkOpens checks that a group member can be opened on the folder under the identity
+// in it.
+func checkOpens(t *testing.T, folder disk.Folder, changes int) {
+	t.Helper()
+	id := identify(t, folder, false, seeds).Member.ID
+	node, err := quorum.Open(quorum.Options{ID: id, Folder: folder, Client: &peer.Client{}})
+	if err != nil {
+		t.Errorf("member %s after a discard that ended after %d changes: %v", id, changes, err)
+		return
+	}
+	node.Close()
+}
+
+// TestFolderOfAnInterruptedDiscardOpens guards against an instance that was killed while it
+// discarded its folder and can't open the rest: the log in it belongs to another member
+// than the identity.
+func TestFolderOfAnInterruptedDiscardOpens(t *testing.T) {
+	for changes := range 3 {
+		folder := &killedFolder{Disk: &fake.Disk{}, changes: changes}
+		checkOpens(t, folder.Disk, 0)
+		_ = roster.Discard(folder, contacts)
+		checkOpens(t, folder.Disk, changes)
+	}
+}
