Forward: request bodies are read into pieces that are never copied

Cause: readBodyInSteps doubled its buffer and copied, so that the old and the new one were there at once, and the old ones stayed as garbage that the budget of memory doesn't count.

Change: a request body is an upstream.Body, in pieces of up to 64 KB that grow with it, as those of responses are since.

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -123,7 +123,7 @@
 	header := make(http.Header)
 	header.Set("Content-Type", "application/json")
 	header.Set(priorityHeader, chat.Priority)
-	request := &upstream.Request{Method: http.MethodPost, Target: chatPath, Header: header, Body: chat.Body, Once: chat.Once, Again: chat.Again}
+	request := &upstream.Request{Method: http.MethodPost, Target: chatPath, Header: header, Body: upstream.NewBody(chat.Body), Once: chat.Once, Again: chat.Again}
 	return c.stream(ctx, request, chat)
 }
 
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -77,7 +77,7 @@
 		header.Set("Content-Type", c.ContentType)
 	}
 	header.Set("Idempotency-Key", c.IdempotencyKey)
-	return &upstream.Request{Method: c.Method, Target: c.Path, Header: header, Body: c.Body, Once: c.Once}
+	return &upstream.Request{Method: c.Method, Target: c.Path, Header: header, Body: upstream.NewBody(c.Body), Once: c.Once}
 }
 
 // closeIdleOnTimeout closes the idle connections to a server if ctx has ended: a
--- a/internal/forward/digest.go
+++ b/internal/forward/digest.go
@@ -25,7 +25,7 @@
 		// A length in front of each part keeps parts from running into each other.
 		_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
 	}
-	_, _ = h.Write(r.Body)
+	_, _ = r.Body.WriteTo(h)
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
--- a/internal/forward/digest_test.go
+++ b/internal/forward/digest_test.go
@@ -1,11 +1,15 @@
 package forward
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/cactusbay/cactusbay/internal/upstream"
+)
 
 // TestDigestTellsRequestsApart guards against the refusal of requests that differ in their
 // workspace, target or body from one that crashes servers.
 func TestDigestTellsRequestsApart(t *testing.T) {
-	base := Request{AttemptID: "1", Method: "POST", Host: "h", Target: "/a/x", Body: []byte("work")}
+	base := Request{AttemptID: "1", Method: "POST", Host: "h", Target: "/a/x", Body: upstream.NewBody([]byte("work"))}
 	same := base
 	same.AttemptID = "2"
 	same.LastEventID = "7"
@@ -16,8 +20,8 @@
 		"method": func(r *Request) { r.Method = "PUT" },
 		"host":   func(r *Request) { r.Host = "i" },
 		"target": func(r *Request) { r.Target = "/a/x?y" },
-		"body":   func(r *Request) { r.Body = []byte("other") },
-		"parts":  func(r *Request) { r.Target, r.Body = "/a/xw", []byte("ork") },
+		"body":   func(r *Request) { r.Body = upstream.NewBody([]byte("other")) },
+		"parts":  func(r *Request) { r.Target, r.Body = "/a/xw", upstream.NewBody([]byte("ork")) },
 	} {
 		other := base
 		change(&other)
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -51,7 +51,7 @@
 		"tried", len(t.tried),
 		"may_have_run", t.mayHaveRun,
 		"events", t.events,
-		"request_bytes", len(t.request.Body),
+		"request_bytes", t.request.Body.Len(),
 		"answer_bytes", t.responseBytes,
 		"took_ms", time.Since(t.start).Milliseconds(),
 		"configuration", t.table.Version,
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,11 +25,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes limits a request body if the configuration sets no
-	// limit.
-	defaultMaxBodyBytes = 4 << 20
-	// firstBodyBytes is the size of the first buffer for a request body without a length.
-	firstBodyBytes = 4 << 10
 	// inFlightEvents is the number of events that are billed in addition when a
 	// stream breaks off, because the server may have sent more events than were
 	// forwarded.
@@ -232,66 +226,6 @@
 	return t.route.Timeout
 }
 
-// readBody reads the request body and refuses one that is too large, or for which the entry
-// has no memory.
-func (t *task) readBody(r *http.Request) *refusal {
-	limit := t.table.Limits.BodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return &refusal{reason: reasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	t.bodyMemory = t.server.Memory.Request(t.caller)
-	if r.ContentLength < 0 {
-		return t.readBodyInSteps(r, limit)
-	}
-	if !t.bodyMemory.TryGrow(r.ContentLength) {
-		return t.refuseWithoutMemory(r)
-	}
-	t.request.Body = make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, t.request.Body)
-	return bodyRefusal(err)
-}
-
-// readBodyInSteps reads a body without a length, whose memory is reserved as it grows.
-func (t *task) readBodyInSteps(r *http.Request, limit int64) *refusal {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			larger := min(max(firstBodyBytes, 2*int64(cap(body))), limit+1)
-			if !t.bodyMemory.TryGrow(larger) {
-				return t.refuseWithoutMemory(r)
-			}
-			body = append(make([]byte, 0, larger), body...)
-		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > limit {
-			return &refusal{reason: reasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
-		}
-		t.request.Body = body
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return bodyRefusal(err)
-		}
-	}
-}
-
-// bodyRefusal returns nil if err is nil. A body that can't be read means that
-// the caller has disconnected.
-func bodyRefusal(err error) *refusal {
-	if err == nil {
-		return nil
-	}
-	return &refusal{reason: reasonCallerLeft}
-}
-
 // run makes attempts until the response is delivered or no
 // further attempt is allowed.
 func (t *task) run(callerCtx context.Context) *refusal {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -192,7 +192,7 @@
 		Upstream:      t.upstream,
 		FailureDomain: t.server.FailureDomain,
 		Prompt:        t.request.Prompt,
-		Bytes:         int64(len(t.request.Body)),
+		Bytes:         int64(t.request.Body.Len()),
 		Version:       t.version,
 		Regions:       t.regions,
 		Tried:         tried,
--- a/internal/forward/translator.go
+++ b/internal/forward/translator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusbay/cactusbay/internal/place"
+	"github.com/cactusbay/cactusbay/internal/upstream"
 )
 
 // Request is a caller's decoded request.
@@ -37,7 +38,7 @@
 	Prompt *place.Prompt
 	// Header holds the headers to forward.
 	Header http.Header
-	Body   []byte
+	Body   upstream.Body
 }
 
 // Attempt is one send of a request to a backend server.
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -9,10 +9,19 @@
 // pieceBytes is the largest size of a piece of a body.
 const pieceBytes = 64 << 10
 
-// Body is the whole body of a response, in pieces: one that grows is never copied, so that
-// it takes no more memory than is reserved for it.
+// Body is the whole body of a request or a response, in pieces: one that grows is never
+// copied, so that it takes no more memory than is reserved for it.
 type Body [][]byte
 
+// NewBody returns a body with the given content, which it shares. A body without content is
+// nil.
+func NewBody(content []byte) Body {
+	if len(content) == 0 {
+		return nil
+	}
+	return Body{content}
+}
+
 // Len returns the length of the body in bytes.
 func (b Body) Len() int {
 	total := 0
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -212,8 +212,11 @@
 // returned bodyWriter is nil if the body is already written.
 func (c *conn) send(request *Request) (*bodyWriter, error) {
 	head := request.head()
-	if len(request.Body) <= maxInlineBodyBytes {
-		return nil, c.write(append(head, request.Body...))
+	if request.Body.Len() <= maxInlineBodyBytes {
+		for _, piece := range request.Body {
+			head = append(head, piece...)
+		}
+		return nil, c.write(head)
 	}
 	err := c.write(head)
 	if err != nil {
@@ -279,7 +282,8 @@
 // head returns the encoded request line and header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
-	b.Grow(headBufferBytes + min(len(r.Body), maxInlineBodyBytes))
+	bodyBytes := r.Body.Len()
+	b.Grow(headBufferBytes + min(bodyBytes, maxInlineBodyBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -294,9 +298,9 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if bodyBytes > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(bodyBytes))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
@@ -307,7 +311,7 @@
 // a body that is already written.
 type bodyWriter struct {
 	conn *conn
-	body []byte
+	body Body
 	// err may be read once done is closed.
 	err  error
 	done chan struct{}
@@ -315,7 +319,7 @@
 
 func (w *bodyWriter) run() {
 	defer close(w.done)
-	_, w.err = w.conn.socket.Write(w.body)
+	_, w.err = w.body.WriteTo(w.conn.socket)
 }
 
 // waitDone waits up to bodyWriteTimeout for the rest of the body and reports
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,7 +56,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Once is set for a request that must not run twice. It is sent only on a
 	// new or recently used connection: if the server closes an idle connection
 	// just as the request is sent, it is unknown whether the request has run.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -69,7 +69,7 @@
 		Target:     "/x",
 		Host:       "test",
 		Header:     http.Header{"Id": {id}},
-		Body:       []byte("body"),
+		Body:       upstream.NewBody([]byte("body")),
 		IsResponse: func(header http.Header) bool { return header.Get("Id") == id },
 	}
 }
@@ -276,7 +276,7 @@
 	})
 	client := &upstream.Client{}
 	long := request("a")
-	long.Body = []byte(strings.Repeat("x", size))
+	long.Body = upstream.NewBody([]byte(strings.Repeat("x", size)))
 	_, err := send(t, client, s, long)
 	if err != nil {
 		t.Fatal(err)
