Process: entries bound bodies and descriptors on every seeded site

Cause: boundResources ran only where the contracts name "pressure", one of the seven deployments in force. Elsewhere Server.Memory was nil, which bounds nothing, and HasDescriptors too.

Change: every seeded entry gets the account of bodies, from the memory in its settings (256 MiB without), and the bounds on descriptors.

--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -99,6 +99,7 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
+	g.boundResources(s.Seeded)
 	if s.Seeded.Overload != nil {
 		g.limitLoad(s.Seeded.Overload, dialect.BoundsLoad(s.Seeded.Contracts))
 	}
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -20,11 +20,12 @@
 	// Keep-Alive may be idle. Where many entries share many servers, the requests of one
 	// entry to one server are seconds apart.
 	backendIdleTimeout = 12 * time.Second
+	// defaultMemoryMB is the memory of an instance whose settings don't state it.
+	defaultMemoryMB = 256
 )
 
 // limitLoad lets the entry divert load if the settings ask for that. If bounded is set, it also
-// bounds what callers and backend servers occupy of the entry's resources, and lets it shed
-// load.
+// lets it shed load, and bounds what is outstanding at each backend server.
 func (g *Gateway) limitLoad(s *settings.Overload, bounded bool) {
 	sheds := bounded && s.Shed
 	if sheds || s.Divert {
@@ -36,17 +37,30 @@
 	g.bounded = bounded
 	g.mayDivert.Store(bounded)
 	if bounded {
-		g.boundResources(s)
+		g.Server.Upstream.IdleTimeout = backendIdleTimeout
+		g.Server.Upstream.OldestFirst = true
+		g.Server.Fleet.MaxServerBytes = g.Server.Memory.Bounds.Server
 	}
 }
 
-// boundResources bounds what callers and backend servers occupy of the entry's connections,
-// descriptors and memory.
-func (g *Gateway) boundResources(s *settings.Overload) {
+// boundResources bounds what callers and backend servers occupy of the entry's descriptors and
+// memory, on every site: callers need not keep to the limits.
+func (g *Gateway) boundResources(s *settings.Seeded) {
 	g.limitConnections(descriptorLimit())
-	bounds := memory.BoundsOf(s.MemoryMB)
-	g.Server.Memory = &memory.Account{Bounds: bounds}
-	g.Server.Fleet.MaxServerBytes = bounds.Server
+	g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(entryMemoryMB(s))}
+}
+
+// entryMemoryMB returns the memory of the entry in MiB, or defaultMemoryMB if the settings
+// don't state it.
+func entryMemoryMB(s *settings.Seeded) int {
+	switch {
+	case s.Overload != nil:
+		return s.Overload.MemoryMB
+	case s.MemoryMB > 0:
+		return s.MemoryMB
+	default:
+		return defaultMemoryMB
+	}
 }
 
 // newOverloadController returns the controller of an entry with the given resources.
@@ -69,17 +83,14 @@
 	return overload.DescriptorLimit(limit.Cur)
 }
 
-// limitConnections makes the entry reuse idle connections for longer, close those that would
-// leave callers too few descriptors, and refuse requests before none is left.
+// limitConnections makes the entry close idle connections that would leave callers too few
+// descriptors, and refuse requests before none is left.
 func (g *Gateway) limitConnections(limit overload.DescriptorLimit) {
-	client := g.Server.Upstream
-	client.IdleTimeout = backendIdleTimeout
-	client.OldestFirst = true
 	g.descriptorLimit = limit
 	if limit == 0 {
 		return
 	}
-	client.MaxIdle = func() int { return limit.MaxIdle(g.connectionsInUse()) }
+	g.Server.Upstream.MaxIdle = func() int { return limit.MaxIdle(g.connectionsInUse()) }
 	g.Server.HasDescriptors = func() bool { return limit.HasRoom(g.connectionsInUse()) }
 }
 
