Forward, process: request bodies have a deadline, and refusals don't wait for them

Causes: a body was read without a deadline. And before the HTTP server sends a response it reads up to 256 KB of an unread body, also without one; only some refusals closed the connection instead.

Change: at a seeded entry a body must arrive by the deadline of its request (the route's timeout or the caller's): after that it can't be served, and is refused (408 body_timeout: not run, which is true). All listeners: a response that begins before the body has arrived closes the connection, unless 4 KB at most may follow, and what follows is read for 500 ms at most. A slow body that is whole in time is served (TestSlowBodyIsServed), and once it is whole there is no deadline, so that none looks like a caller that has left.

TestRefusalBeforeTheBody: on "listed site, unknown key" got no refusal in 30 s (the other cases were still being played); now all six cases pass.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,8 +24,8 @@
 // errBodyTooLarge reports that a body is longer than the limit.
 var errBodyTooLarge = errors.New("the request body is over the limit")
 
-// readBody reads the request body and refuses one that is too large, or for which the entry
-// has no memory.
+// readBody reads the request body. It refuses one that is too large, for which the entry has no
+// memory, or that has not arrived by the deadline of the request: it can't be served any more.
 func (t *task) readBody(r *http.Request) *refusal {
 	limit := t.table.Limits.BodyBytes
 	if limit == 0 {
@@ -39,14 +41,21 @@
 	if r.ContentLength > 0 && !t.bodyMemory.TryGrow(r.ContentLength) {
 		return t.refuseWithoutMemory(r)
 	}
+	controller := http.NewResponseController(t.w)
+	// Connections without deadlines, such as those of some tests, are left without.
+	_ = controller.SetReadDeadline(t.deadline)
 	err := t.readPieces(r, limit)
 	switch {
 	case err == nil:
+		_ = controller.SetReadDeadline(time.Time{})
 		return nil
 	case errors.Is(err, errNoMemory):
 		return t.refuseWithoutMemory(r)
 	case errors.Is(err, errBodyTooLarge):
 		return bodyTooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		t.w.Header().Set("Connection", "close")
+		return &refusal{reason: reasonBodyTimeout, status: http.StatusRequestTimeout}
 	default:
 		// A body that can't be read means that the caller has disconnected.
 		return &refusal{reason: reasonCallerLeft}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -18,6 +18,7 @@
 	reasonNoRoute         reason = "no_route"
 	reasonUnknownKey      reason = "unknown_key"
 	reasonBodyTooLarge    reason = "body_too_large"
+	reasonBodyTimeout     reason = "body_timeout"
 	reasonNoConfiguration reason = "no_configuration"
 	reasonBudgetExhausted reason = "budget_exhausted"
 	reasonNoTokens        reason = "no_tokens_now"
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -66,7 +66,7 @@
 		conns:  make(map[*connection]struct{}),
 	}
 	l.server = &http.Server{
-		Handler:           l.closeWhenDraining(handler),
+		Handler:           l.closeWhenDraining(guardBodies(handler)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
