Process: entries bound open connections, and close those without a whole request

Cause: nothing bounded the connections; the entry accepted until the kernel refused, and then waited for one to end.

Change: the listeners for callers and for other entries share a group of connections (connectionGroup), bounded by descriptors, by memory or by max_connections in the settings; those for status and metrics have one each. Beyond the bound the least recently active connections without a whole request are closed. One that carries a whole request never is; one that is idle stays if bytes of a request come first, as in a shutdown. A connection knows the phase that it is in, and bounds the header and the time without a request itself, in place of the HTTP server; the limits are the same as before. A header that is given up gets no 400 any more, after which callers don't try again: the connection ends.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"io"
 	"log"
 	"net"
 	"os"
@@ -37,10 +38,12 @@
 	// noWait is set once Accept must end as soon as no connection is in the queue, without
 	// waiting for one.
 	noWait *atomic.Bool
+	// limits returns the limits of requests; nil stands for the default ones.
+	limits func() requestLimits
 }
 
-func newConnectionListener(socket net.Listener) connectionListener {
-	return connectionListener{Listener: socket, noWait: &atomic.Bool{}}
+func newConnectionListener(socket net.Listener, limits func() requestLimits) connectionListener {
+	return connectionListener{Listener: socket, noWait: &atomic.Bool{}, limits: limits}
 }
 
 // Accept implements net.Listener. After stop, it returns the connections that wait in
@@ -59,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, idleSince: time.Now()}, nil
+	return newConnection(conn, l.limits), nil
 }
 
 // isExhausted reports whether an accept failed because no descriptors are free.
@@ -113,22 +116,72 @@
 	l.stop()
 }
 
-// connection is an accepted connection that can be closed while it is idle without
-// losing a request. It isn't closed from outside, because the HTTP server may have
-// read a request already. Instead, the read that waits for the next request fails,
-// upon which the HTTP server closes the connection. As soon as bytes of a request
+// phase is what a connection is used for at the moment.
+type phase int
+
+const (
+	// phaseNew lasts from the accept to the first byte.
+	phaseNew phase = iota
+	// phaseIdle lasts from the end of a response to the first byte of the next request.
+	phaseIdle
+	// phaseHead lasts until the header of a request is complete.
+	phaseHead
+	// phaseBody lasts until the body of the request is complete.
+	phaseBody
+	// phaseResponse lasts until the response is complete.
+	phaseResponse
+)
+
+// connection is an accepted connection with deadlines for the header of a request and for the
+// time without one, which follow limits that may change while it is open. It can be closed
+// while it is idle without losing a request. It isn't closed from outside, because the HTTP
+// server may have read a request already. Instead, the read that waits for the next request
+// fails, upon which the HTTP server closes the connection. As soon as bytes of a request
 // have been read, or are in the socket, reads no longer fail.
 type connection struct {
 	net.Conn
+	// limits returns the limits in force; nil stands for the default ones.
+	limits func() requestLimits
+	// group is what the connection has been added to; nil if it has not.
+	group *connectionGroup
+
+	// silent is set once a header has been given up: the HTTP server would answer the part that
+	// has arrived as malformed, after which callers don't try again.
+	silent atomic.Bool
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began.
+	since time.Time
+	// readAt is when bytes have last arrived.
+	readAt time.Time
+	// closing is set while reads fail so that the HTTP server closes the connection, and cut
+	// once they fail even if bytes arrive.
+	closing, cut bool
+	// leaving is set while the connection counts as leaving in its group.
+	leaving bool
+	// deadline is the read deadline that the HTTP server or a handler has set, and
+	// phaseDeadline that of the phase. The earlier one counts; zero is none.
+	deadline      time.Time
+	phaseDeadline time.Time
+	// headBytes is the number of bytes that have arrived in phaseHead.
+	headBytes int
+}
+
+// newConnection returns an accepted connection that waits for its first request.
+func newConnection(conn net.Conn, limits func() requestLimits) *connection {
+	c := &connection{Conn: conn, limits: limits, since: time.Now()}
+	c.phaseDeadline = c.since.Add(c.limitsInForce().firstByteTimeout())
+	c.applyDeadline()
+	return c
+}
 
-	mu sync.Mutex
-	// inRequest is set from the first byte of a request to the end of its response.
-	inRequest bool
-	idleSince time.Time
-	// closing is set while reads fail so that the HTTP server closes the connection.
-	closing bool
-	// deadline is the read deadline that the HTTP server has set.
-	deadline time.Time
+// limitsInForce returns the limits for the request that is being read.
+func (c *connection) limitsInForce() requestLimits {
+	if c.limits == nil {
+		return requestLimits{}.orDefaults()
+	}
+	return c.limits().orDefaults()
 }
 
 // NetConn returns the wrapped connection, whose file descriptor transport.IsClosedByPeer needs.
@@ -138,57 +191,136 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.beginRead() {
+		// The caller may still be sending, and a close would then discard the response.
+		time.Sleep(drainTimeout)
+		return 0, os.ErrDeadlineExceeded
+	}
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.endRead(n) {
+		if !c.endRead(n, err) {
 			return n, err
 		}
 	}
 }
 
+// beginRead bounds the time of a header that needs more than one read. It reports whether the
+// header is over the limit, and then answers it. The read must then fail with a timeout, upon
+// which the HTTP server closes the connection without a response of its own.
+func (c *connection) beginRead() (tooLarge bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseHead {
+		return false
+	}
+	limits := c.limitsInForce()
+	c.phaseDeadline = c.since.Add(limits.HeaderTimeout)
+	c.applyDeadline()
+	if c.headBytes <= limits.HeaderBytes+headerSlack {
+		return false
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.WriteString(c.Conn, headerTooLarge)
+	_ = c.CloseWrite()
+	c.silent.Store(true)
+	return true
+}
+
 // endRead evaluates a read of n bytes and reports whether it must be repeated, because
 // bytes arrived after it had failed.
-func (c *connection) endRead(n int) bool {
+func (c *connection) endRead(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.setInRequest()
+		c.countRead(n)
 		return false
 	}
-	if !c.closing || c.isSocketEmpty() {
-		return false
+	ends := c.cut || c.isPhaseOver(err)
+	if !c.cut && (c.closing || ends) && c.hasUnread() {
+		c.stay()
+		c.phaseDeadline = time.Now().Add(lateReadTimeout)
+		c.applyDeadline()
+		return true
 	}
-	c.setInRequest()
-	return true
+	if ends && c.phase == phaseHead {
+		c.silent.Store(true)
+	}
+	c.applyDeadline()
+	return false
 }
 
-// isSocketEmpty reports whether a closing connection is open and has no unread bytes.
-// A read after its deadline doesn't look at the socket. The caller holds mu.
-func (c *connection) isSocketEmpty() bool {
+// countRead records that n bytes have arrived. The caller holds mu.
+func (c *connection) countRead(n int) {
+	c.readAt = time.Now()
+	if c.phase == phaseNew || c.phase == phaseIdle {
+		c.enter(phaseHead)
+	}
+	if c.phase == phaseHead {
+		c.headBytes += n
+	}
+	if c.closing {
+		c.stay()
+		c.applyDeadline()
+	}
+}
+
+// enter begins a phase. The caller holds mu.
+func (c *connection) enter(next phase) {
+	c.phase = next
+	c.since = time.Now()
+	c.headBytes = 0
+}
+
+// stay ends closing. The caller holds mu, and applies the deadline.
+func (c *connection) stay() {
+	c.closing = false
+	if c.leaving && !c.cut {
+		c.leaving = false
+		c.group.leaving.Add(-1)
+	}
+}
+
+// isPhaseOver reports whether a read has failed because of the deadline of the phase. The
+// caller holds mu.
+func (c *connection) isPhaseOver(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && !c.phaseDeadline.IsZero() && !time.Now().Before(c.phaseDeadline)
+}
+
+// hasUnread reports whether bytes, or the end of the connection, wait to be read. The process
+// may not have been scheduled while they arrived, and a read after its deadline doesn't look at
+// the socket. It clears the deadline of reads. The caller holds mu.
+func (c *connection) hasUnread() bool {
 	_ = c.Conn.SetReadDeadline(time.Time{})
-	empty := transport.IsReusable(c.Conn)
-	_ = c.Conn.SetReadDeadline(pastDeadline)
-	return empty
+	return !transport.IsReusable(c.Conn)
 }
 
-// setInRequest keeps the connection open for a request. The caller holds mu.
-func (c *connection) setInRequest() {
-	c.inRequest = true
-	if c.closing {
-		c.closing = false
-		_ = c.Conn.SetReadDeadline(c.deadline)
+// applyDeadline sets the deadline of reads that is in force. The caller holds mu.
+func (c *connection) applyDeadline() {
+	deadline := c.deadline
+	if deadline.IsZero() || !c.phaseDeadline.IsZero() && c.phaseDeadline.Before(deadline) {
+		deadline = c.phaseDeadline
+	}
+	if c.closing || c.cut {
+		deadline = pastDeadline
 	}
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. The deadline of the phase stays in force.
 func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
-	if c.closing {
-		return nil
+	c.applyDeadline()
+	return nil
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return 0, net.ErrClosed
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.Conn.Write(p)
 }
 
 // CloseWrite ends the response while the rest of a request is still unread, so that the
@@ -212,19 +344,35 @@
 	return lingerer.SetLinger(seconds)
 }
 
-// beginRequest records that the HTTP server has read the header of a request.
-func (c *connection) beginRequest() {
+// beginRequest records that the HTTP server has read the header of a request, which a body may
+// follow.
+func (c *connection) beginRequest(hasBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setInRequest()
+	c.enter(phaseResponse)
+	if hasBody {
+		c.phase = phaseBody
+		c.readAt = c.since
+	}
+	c.phaseDeadline = time.Time{}
+	c.stay()
+	c.applyDeadline()
+}
+
+// endBody records that the whole request has arrived.
+func (c *connection) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(phaseResponse)
 }
 
 // endRequest records that the response is complete.
 func (c *connection) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = false
-	c.idleSince = time.Now()
+	c.enter(phaseIdle)
+	c.phaseDeadline = c.since.Add(c.limitsInForce().IdleTimeout)
+	c.applyDeadline()
 }
 
 // closeAfter makes the HTTP server close the connection if it has been idle for the
@@ -232,9 +380,56 @@
 func (c *connection) closeAfter(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inRequest || time.Since(c.idleSince) < idle {
+	waits := c.phase == phaseNew || c.phase == phaseIdle
+	if !waits || time.Since(c.since) < idle {
 		return
 	}
 	c.closing = true
-	_ = c.Conn.SetReadDeadline(pastDeadline)
+	c.applyDeadline()
+}
+
+// activity returns when the connection was last active, and whether no whole request has arrived
+// on it. One that is being closed for want of room counts as neither.
+func (c *connection) activity() (active time.Time, unfinished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseBody {
+		return c.readAt, !c.leaving
+	}
+	return c.since, c.phase != phaseResponse && !c.leaving
+}
+
+// closeForRoom makes the HTTP server close the connection, unless a whole request has arrived or
+// the connection is being closed already. It reports whether it did. One on which nothing of a
+// request has arrived stays open if that comes first.
+func (c *connection) closeForRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseResponse || c.leaving {
+		return false
+	}
+	c.closing = true
+	c.cut = c.phase == phaseHead || c.phase == phaseBody
+	c.leaving = true
+	c.group.leaving.Add(1)
+	c.applyDeadline()
+	return true
+}
+
+// cutOff makes the HTTP server close a new connection, whatever arrives on it.
+func (c *connection) cutOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	c.applyDeadline()
+}
+
+// endLeaving records that the connection is closed.
+func (c *connection) endLeaving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		c.leaving = false
+		c.group.leaving.Add(-1)
+	}
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -220,7 +220,7 @@
 }
 
 func (c *Control) listen(environment Environment, address string, handler http.Handler) error {
-	l, err := listen(environment.Network, address, handler)
+	l, err := listen(environment.Network, address, handler, listenOptions{})
 	if err != nil {
 		return err
 	}
--- a/internal/process/divert_test.go
+++ b/internal/process/divert_test.go
@@ -142,7 +142,7 @@
 		{settings.Overload{LinkMbps: 10, MemoryMB: 184, Divert: true, Shed: true}, false, true, false, true},
 	} {
 		g := &Gateway{Server: &forward.Server{Upstream: &upstream.Client{}, Fleet: &place.Fleet{}}}
-		g.boundResources(&settings.Seeded{Overload: &c.settings})
+		g.boundResources(&settings.Settings{Seeded: &settings.Seeded{Overload: &c.settings}}, log.New(io.Discard))
 		g.limitLoad(&c.settings, c.bounded)
 		if g.Server.Memory == nil || g.Server.Memory.Bounds != memory.BoundsOf(c.settings.MemoryMB) {
 			t.Errorf("%+v: memory %+v, want the bounds of the settings", c.settings, g.Server.Memory)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -200,7 +200,8 @@
 	e.Watcher = watcher
 	e.startLoadPoller(server, watcher)
 	e.startListPoller(departures)
-	callers, err := listen(e.env.Network, e.settings.CallerAddress, server.Handler())
+	connections := newConnectionGroup(maxConnections(e.settings.MaxConnections, descriptorLimit(), 0), e.env.Telemetry.Log, e.settings.CallerAddress)
+	callers, err := listen(e.env.Network, e.settings.CallerAddress, server.Handler(), listenOptions{group: connections})
 	if err != nil {
 		return err
 	}
@@ -208,7 +209,7 @@
 	e.closers.add(callers.close)
 	if e.settings.StatusAddress != "" {
 		ready := func() bool { return watcher.Active().Document != nil && !e.shuttingDown.Load() }
-		status, err := listen(e.env.Network, e.settings.StatusAddress, statusHandler(e.env.Telemetry, ready))
+		status, err := listen(e.env.Network, e.settings.StatusAddress, statusHandler(e.env.Telemetry, ready), statusOptions(e.env.Telemetry.Log, e.settings.StatusAddress))
 		if err != nil {
 			return err
 		}
--- a/internal/process/exhaustion_test.go
+++ b/internal/process/exhaustion_test.go
@@ -49,7 +49,7 @@
 		var network fake.Network
 		limited := &exhaustedNetwork{Network: network.Host("entry")}
 		limited.exhausted.Store(true)
-		l, err := listen(limited, "entry:1", &echo{})
+		l, err := listen(limited, "entry:1", &echo{}, listenOptions{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/process/fake.go
+++ b/internal/process/fake.go
@@ -14,7 +14,7 @@
 // StartFake serves the handler of a fake on address. The caller ends it with
 // Close.
 func StartFake(network transport.Network, address string, handler http.Handler) (*Fake, error) {
-	l, err := listen(network, address, handler)
+	l, err := listen(network, address, handler, listenOptions{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -52,8 +52,8 @@
 	callers   *listener
 	// relays accepts the requests that other entries pass on.
 	relays *listener
-	// connections counts the open connections of both.
-	connections atomic.Int64
+	// connections holds the open connections of both.
+	connections connectionGroup
 	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
 	descriptorLimit overload.DescriptorLimit
 	// diverter decides when the entry reports not ready because it is overloaded. It is nil if
@@ -99,7 +99,7 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 	}
-	g.boundResources(s.Seeded)
+	g.boundResources(s, environment.Telemetry.Log)
 	if s.Seeded.Overload != nil {
 		g.limitLoad(s.Seeded.Overload, dialect.BoundsLoad(s.Seeded.Contracts))
 	}
@@ -185,7 +185,9 @@
 	m.setDiversion(g.diverter)
 	m.setAccepts(g.accepts)
 	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting(), g.isNotListening())
-	m.setMemory(g.Server.Memory, counts.ServerBytes)
+	m.setMemory(g.Server.Memory)
+	m.setServerBytes(counts.ServerBytes, g.Server.Fleet.MaxServerBytes)
+	m.setConnections(&g.connections)
 	_, idle := g.Server.Upstream.Open()
 	m.set("backend_connections_idle", float64(idle))
 	m.set("descriptors_in_use", float64(g.connectionsInUse()))
@@ -344,7 +346,7 @@
 	if err != nil {
 		return err
 	}
-	g.relays, err = listenCounted(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), &g.connections)
+	g.relays, err = listen(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), listenOptions{group: &g.connections})
 	if err != nil {
 		return err
 	}
@@ -352,7 +354,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", statusHandler(environment.Telemetry, g.isReady))
 	mux.HandleFunc(dialect.ReadyPath(), g.serveReady)
-	status, err := listen(environment.Network, g.settings.StatusAddress, mux)
+	status, err := listen(environment.Network, g.settings.StatusAddress, mux, statusOptions(environment.Telemetry.Log, g.settings.StatusAddress))
 	if err != nil {
 		return err
 	}
@@ -361,7 +363,7 @@
 		mux := http.NewServeMux()
 		mux.Handle("/", statusHandler(environment.Telemetry, g.isReady))
 		mux.Handle("POST "+explainPath, &explainer{instance: g.settings.InstanceID, explain: g.Server.Explain})
-		metrics, err := listen(environment.Network, g.settings.MetricsAddress, mux)
+		metrics, err := listen(environment.Network, g.settings.MetricsAddress, mux, statusOptions(environment.Telemetry.Log, g.settings.MetricsAddress))
 		if err != nil {
 			return err
 		}
--- a/internal/process/idle_test.go
+++ b/internal/process/idle_test.go
@@ -109,7 +109,7 @@
 
 func listenForTest(t *testing.T, network transport.Network, handler http.Handler) *listener {
 	t.Helper()
-	l, err := listen(network, "127.0.0.1:0", handler)
+	l, err := listen(network, "127.0.0.1:0", handler, listenOptions{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -409,7 +409,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = caller.Close() })
-	accepted, err = newConnectionListener(socket).Accept()
+	accepted, err = newConnectionListener(socket, nil).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -15,9 +16,6 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
 	// minIdleTime is how long a connection must have been idle before a graceful
 	// shutdown closes it.
 	minIdleTime       = time.Second
@@ -36,42 +34,49 @@
 	// their next connection elsewhere.
 	draining atomic.Bool
 
-	// open counts the connections of this listener and others that share the counter.
-	open *atomic.Int64
+	// group holds the connections of this listener and of others that share it.
+	group *connectionGroup
 
 	mu    sync.Mutex
 	conns map[*connection]struct{}
 }
 
-// listen starts serving handler on address.
-func listen(network transport.Network, address string, handler http.Handler) (*listener, error) {
-	return listenCounted(network, address, handler, new(atomic.Int64))
+// listenOptions says what a listener bounds. Its zero value bounds what is the same for all
+// listeners.
+type listenOptions struct {
+	// group holds the open connections and bounds them; nil bounds none.
+	group *connectionGroup
+	// limits returns the limits of requests that are in force; nil stands for the default
+	// ones.
+	limits func() requestLimits
 }
 
-// listenCounted starts serving handler on address and counts the open connections in open.
-func listenCounted(network transport.Network, address string, handler http.Handler, open *atomic.Int64) (*listener, error) {
+// listen starts serving handler on address.
+func listen(network transport.Network, address string, handler http.Handler, options listenOptions) (*listener, error) {
 	socket, err := network.Listen(address)
 	if err != nil {
 		return nil, errors.Newf("start listener: %w", err)
 	}
-	return serveOn(socket, handler, open), nil
+	return serveOn(socket, handler, options), nil
 }
 
-// serveOn starts serving handler on a socket and counts the open connections in open.
-func serveOn(socket net.Listener, handler http.Handler, open *atomic.Int64) *listener {
+// serveOn starts serving handler on a socket.
+func serveOn(socket net.Listener, handler http.Handler, options listenOptions) *listener {
 	l := &listener{
-		socket: newConnectionListener(socket),
+		socket: newConnectionListener(socket, options.limits),
 		done:   make(chan struct{}),
-		open:   open,
+		group:  options.group,
 		conns:  make(map[*connection]struct{}),
 	}
+	if l.group == nil {
+		l.group = &connectionGroup{}
+	}
 	l.server = &http.Server{
-		Handler:           l.closeWhenDraining(guardBodies(handler)),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         l.trackState,
-		ConnContext:       transport.WithConn,
+		Handler: l.serveRequests(guardBodies(handler)),
+		// The connections bound the header and the time without a request.
+		MaxHeaderBytes: math.MaxInt32,
+		ConnState:      l.trackState,
+		ConnContext:    transport.WithConn,
 	}
 	go l.run()
 	return l
@@ -82,10 +87,13 @@
 	_ = l.server.Serve(l.socket)
 }
 
-// closeWhenDraining makes the responses of a draining listener close their
-// connections.
-func (l *listener) closeWhenDraining(next http.Handler) http.Handler {
+// serveRequests tells connections that the header of a request is complete, and makes the
+// responses of a draining listener close their connections.
+func (l *listener) serveRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := transport.ConnOf(r.Context()).(*connection); ok {
+			c.beginRequest(r.ContentLength != 0)
+		}
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -100,19 +108,27 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		l.conns[c] = struct{}{}
-		l.open.Add(1)
-	case http.StateActive:
-		c.beginRequest()
+		c.group = l.group
+		l.setOpen(c, true)
+		l.group.add(c)
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
+		l.setOpen(c, false)
+		l.group.remove(c)
+	}
+}
+
+// setOpen records whether a connection is open.
+func (l *listener) setOpen(c *connection, open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open {
+		l.conns[c] = struct{}{}
+	} else {
 		delete(l.conns, c)
-		l.open.Add(-1)
 	}
 }
 
--- a/internal/process/listener_test.go
+++ b/internal/process/listener_test.go
@@ -24,7 +24,7 @@
 			<-release
 		}
 	})
-	l, err := listen(transport.TCP{}, "127.0.0.1:0", handler)
+	l, err := listen(transport.TCP{}, "127.0.0.1:0", handler, listenOptions{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -154,7 +154,7 @@
 		handlers[s.MetricsAddress] = statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
 	}
 	for address, handler := range handlers {
-		l, err := listen(environment.Network, address, handler)
+		l, err := listen(environment.Network, address, handler, listenOptions{})
 		if err != nil {
 			return err
 		}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -188,14 +188,29 @@
 	return 0
 }
 
-// setMemory sets the gauges of the bodies that the entry holds, and of the most bytes at one
-// server; they are 0 if they have no bounds.
-func (m *meter) setMemory(account *memory.Account, serverBytes int64) {
+// setConnections sets the gauges of the open connections, and counts those that were closed for
+// want of room.
+func (m *meter) setConnections(group *connectionGroup) {
+	m.set("connections_open", float64(group.count()))
+	m.set("connection_limit", float64(group.max))
+	m.countTo("connections_closed_for_room", group.closedTotal.Load())
+}
+
+// setServerBytes sets the gauges of the most bytes at one server; they are 0 without a bound.
+func (m *meter) setServerBytes(highest, limit int64) {
+	if limit == 0 {
+		highest = 0
+	}
+	m.set("server_body_bytes_highest", float64(highest))
+	m.set("server_body_bytes_limit", float64(limit))
+}
+
+// setMemory sets the gauges of the bodies that the entry holds; they are 0 if they have no
+// bounds.
+func (m *meter) setMemory(account *memory.Account) {
 	var bounds memory.Bounds
 	if account != nil {
 		bounds = account.Bounds
-	} else {
-		serverBytes = 0
 	}
 	held := account.Held()
 	m.set("body_bytes_held", float64(held.Total))
@@ -203,8 +218,6 @@
 	m.set("responses_waiting_for_memory", float64(held.Waiting))
 	m.set("caller_body_bytes_highest", float64(held.Caller))
 	m.set("caller_body_bytes_limit", float64(held.CallerLimit))
-	m.set("server_body_bytes_highest", float64(serverBytes))
-	m.set("server_body_bytes_limit", float64(bounds.Server))
 	m.set("body_bytes_limit", float64(bounds.Total))
 	m.set("request_body_bytes_limit", float64(bounds.Requests))
 }
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"golang.org/x/sys/unix"
 
 	"github.com/cactusbay/cactusbay/internal/memory"
@@ -45,9 +46,11 @@
 
 // boundResources bounds what callers and backend servers occupy of the entry's descriptors and
 // memory, on every site: callers need not keep to the limits.
-func (g *Gateway) boundResources(s *settings.Seeded) {
-	g.limitConnections(descriptorLimit())
-	g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(entryMemoryMB(s))}
+func (g *Gateway) boundResources(s *settings.Settings, logger *log.Logger) {
+	limit, memoryMB := descriptorLimit(), entryMemoryMB(s.Seeded)
+	g.limitConnections(limit)
+	g.connections.bound(maxConnections(s.MaxConnections, limit, memoryMB), logger, s.CallerAddress)
+	g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(memoryMB)}
 }
 
 // entryMemoryMB returns the memory of the entry in MiB, or defaultMemoryMB if the settings
@@ -138,8 +141,9 @@
 func (g *Gateway) listenForCallers(environment Environment) error {
 	network := g.requestNetwork(environment.Network)
 	bounds := g.settings.Seeded.Overload
+	options := listenOptions{group: &g.connections}
 	if g.diverter == nil || !bounds.RefuseConnections {
-		callers, err := listenCounted(network, g.settings.CallerAddress, g.Server, &g.connections)
+		callers, err := listen(network, g.settings.CallerAddress, g.Server, options)
 		if err != nil {
 			return err
 		}
@@ -151,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	g.callers = serveOn(socket, g.Server, &g.connections)
+	g.callers = serveOn(socket, g.Server, options)
 	g.closers.add(g.callers.close)
 	g.accepts = &acceptLoop{
 		limiter:   overload.NewAcceptLimiter(bounds.LinkMbps * bytesPerMegabit),
@@ -165,5 +169,5 @@
 // connectionsInUse returns the number of open connections, without the idle ones to servers.
 func (g *Gateway) connectionsInUse() int {
 	open, idle := g.Server.Upstream.Open()
-	return open - idle + int(g.connections.Load())
+	return open - idle + g.connections.count()
 }
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -54,7 +54,7 @@
 		g := &Gateway{Server: &forward.Server{Upstream: &upstream.Client{}}}
 		g.limitConnections(limit)
 		var network fake.Network
-		l, err := listenCounted(network.Host("entry"), "entry:1", http.NotFoundHandler(), &g.connections)
+		l, err := listen(network.Host("entry"), "entry:1", http.NotFoundHandler(), listenOptions{group: &g.connections})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -97,7 +97,12 @@
 	} {
 		scope := tally.NewTestScope("", nil)
 		m := &meter{scope: scope}
-		m.setMemory(c.account, 7)
+		m.setMemory(c.account)
+		var bounds memory.Bounds
+		if c.account != nil {
+			bounds = c.account.Bounds
+		}
+		m.setServerBytes(7, bounds.Server)
 		gauges := make(map[string]float64)
 		for _, gauge := range scope.Snapshot().Gauges() {
 			gauges[gauge.Name()] = gauge.Value()
--- a/internal/process/pausable_test.go
+++ b/internal/process/pausable_test.go
@@ -24,7 +24,7 @@
 	}
 	l := serveOn(socket, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
-	}), new(atomic.Int64))
+	}), listenOptions{})
 	t.Cleanup(l.close)
 	return socket, l
 }
--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
 const (
@@ -29,6 +31,7 @@
 			return
 		}
 		body := &requestBody{ReadCloser: r.Body, controller: http.NewResponseController(w)}
+		body.conn, _ = transport.ConnOf(r.Context()).(*connection)
 		body.setDeadline(time.Now().Add(bodyTimeout))
 		guarded := r.WithContext(r.Context())
 		guarded.Body = body
@@ -41,6 +44,8 @@
 type requestBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
+	// conn is the connection of the request; nil in some tests.
+	conn *connection
 	// complete is set once the whole body has been read.
 	complete bool
 }
@@ -53,6 +58,9 @@
 		// The HTTP server now reads the connection to see whether the caller leaves. A
 		// deadline would look like that.
 		b.setDeadline(time.Time{})
+		if b.conn != nil {
+			b.conn.endBody()
+		}
 	}
 	return n, err
 }
--- a/internal/process/shutdown_test.go
+++ b/internal/process/shutdown_test.go
@@ -53,7 +53,7 @@
 		if drain.IsInterrupted(ctx) {
 			w.WriteHeader(http.StatusBadGateway)
 		}
-	}))
+	}), listenOptions{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,9 @@
 	// MetricsAddress is a second address for health, readiness and metrics, for
 	// sites on which the platform polls StatusAddress.
 	MetricsAddress string `json:"metrics_address,omitempty"`
+	// MaxConnections bounds the open connections for callers of an entry; 0 means as many as
+	// descriptors and memory allow.
+	MaxConnections int `json:"max_connections,omitempty"`
 	// DataFolder is the folder for the durable state of a control instance.
 	DataFolder string `json:"data_folder,omitempty"`
 	// Controls are the initial members of the control group.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -19,6 +19,9 @@
 	default:
 		faults.Add("role", `must be "entry" or "control"`)
 	}
+	if s.MaxConnections < 0 {
+		faults.Add("max_connections", "must be 1 or more connections, or absent")
+	}
 	if s.Seeded != nil {
 		s.Seeded.validate(faults)
 	} else {
--- a/internal/transport/quiet.go
+++ b/internal/transport/quiet.go
@@ -71,18 +71,24 @@
 type connKey struct{}
 
 // WithConn returns a context that holds the connection on which a request arrived, for
-// IsClosedByPeer. It is an http.Server's ConnContext function.
+// ConnOf and IsClosedByPeer. It is an http.Server's ConnContext function.
 func WithConn(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// ConnOf returns the connection on which the request of ctx arrived; nil if ctx holds none.
+func ConnOf(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // IsClosedByPeer reports whether the peer has closed the connection on which a request arrived.
 // It looks at the socket, because the HTTP server cancels ctx only once its reader has run,
 // which may be after the handler has ended if both wait for a processor. It returns false
 // if ctx holds no connection, or one without a file descriptor, such as one of a simulated
 // network.
 func IsClosedByPeer(ctx context.Context) bool {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	conn := ConnOf(ctx)
 	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = wrapper.NetConn()
 	}
