Process: the configuration's limits on headers and idle connections are in force

Cause: header_bytes, header_timeout and idle_timeout were decoded and checked, and no code obeyed them.

Change: the connections for callers, of seeded and of listed sites, take the limits from the configuration in force for each header. Other listeners keep the defaults (64 KB, 5 s, 2 minutes); requests that other entries pass on may have headers twice as long as those of callers. The end of the idle time leaves a connection open on which bytes have arrived that a process that wasn't scheduled hasn't read. 4 KB beyond the limit are taken in, as before, because a part of the body may come with a header.

TestHeaderLimit, TestHeaderTimeout, TestIdleTimeout, TestSilentConnectionEnds and TestPipelinedRequestOutlastsTheIdleTimeout pass.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -201,7 +201,7 @@
 	e.startLoadPoller(server, watcher)
 	e.startListPoller(departures)
 	connections := newConnectionGroup(maxConnections(e.settings.MaxConnections, descriptorLimit(), 0), e.env.Telemetry.Log, e.settings.CallerAddress)
-	callers, err := listen(e.env.Network, e.settings.CallerAddress, server.Handler(), listenOptions{group: connections})
+	callers, err := listen(e.env.Network, e.settings.CallerAddress, server.Handler(), listenOptions{group: connections, limits: e.requestLimits})
 	if err != nil {
 		return err
 	}
@@ -221,6 +221,15 @@
 	return nil
 }
 
+// requestLimits returns the limits of the configuration in force.
+func (e *Entry) requestLimits() requestLimits {
+	document := e.Watcher.Active().Document
+	if document == nil {
+		return requestLimits{}
+	}
+	return limitsOf(document.Limits)
+}
+
 // measure updates the gauges of the instance.
 func (e *Entry) measure(m *meter) {
 	m.set("requests_in_progress", float64(e.Server.Running()))
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -346,7 +346,7 @@
 	if err != nil {
 		return err
 	}
-	g.relays, err = listen(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), listenOptions{group: &g.connections})
+	g.relays, err = listen(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), listenOptions{group: &g.connections, limits: g.relayLimits})
 	if err != nil {
 		return err
 	}
@@ -373,6 +373,21 @@
 	return nil
 }
 
+// requestLimits returns the limits of the configuration in force.
+func (g *Gateway) requestLimits() requestLimits {
+	table := g.Server.Table()
+	if table == nil {
+		return requestLimits{}
+	}
+	return limitsOf(table.Limits)
+}
+
+// relayLimits returns the limits of requests that other entries pass on: they add headers, and
+// have seen to it that the caller keeps to its limits.
+func (g *Gateway) relayLimits() requestLimits {
+	return requestLimits{HeaderBytes: max(defaultHeaderBytes, 2*g.requestLimits().HeaderBytes)}
+}
+
 func (g *Gateway) isReady() bool {
 	return g.Server.Table() != nil && !g.shuttingDown.Load()
 }
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -141,7 +141,7 @@
 func (g *Gateway) listenForCallers(environment Environment) error {
 	network := g.requestNetwork(environment.Network)
 	bounds := g.settings.Seeded.Overload
-	options := listenOptions{group: &g.connections}
+	options := listenOptions{group: &g.connections, limits: g.requestLimits}
 	if g.diverter == nil || !bounds.RefuseConnections {
 		callers, err := listen(network, g.settings.CallerAddress, g.Server, options)
 		if err != nil {
--- a/internal/process/requestlimits.go
+++ b/internal/process/requestlimits.go
@@ -1,6 +1,10 @@
 package process
 
-import "time"
+import (
+	"time"
+
+	"github.com/cactusbay/cactusbay/internal/config"
+)
 
 const (
 	// Limits of requests if the configuration sets none.
@@ -27,6 +31,11 @@
 	IdleTimeout time.Duration
 }
 
+// limitsOf returns the limits of a configuration.
+func limitsOf(l config.Limits) requestLimits {
+	return requestLimits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout.Or(0), IdleTimeout: l.IdleTimeout.Or(0)}
+}
+
 // orDefaults returns the limits with the defaults in place of zeros.
 func (l requestLimits) orDefaults() requestLimits {
 	if l.HeaderBytes == 0 {
