Process: the headers of all requests together are bounded

Cause: each header was bounded, not all together. A header of 15 KB in lines of 6 bytes takes about 130 KB: the HTTP server keeps each line as a string and an entry of a map, until the response.

Change: the group of connections counts the bytes of headers from the first one to the end of the response, and bounds them to a 32nd of the memory. Over it, connections without a whole request are closed, the least recently active first, and whole headers over 4 KB are refused (503, not run).

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -164,8 +164,9 @@
 	// phaseDeadline that of the phase. The earlier one counts; zero is none.
 	deadline      time.Time
 	phaseDeadline time.Time
-	// headBytes is the number of bytes that have arrived in phaseHead.
-	headBytes int
+	// headBytes is the number of bytes that have arrived in phaseHead, and heldBytes how many
+	// the group counts for the header until its response is complete.
+	headBytes, heldBytes int
 }
 
 // newConnection returns an accepted connection that waits for its first request.
@@ -198,9 +199,13 @@
 	}
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.endRead(n, err) {
-			return n, err
+		if c.endRead(n, err) {
+			continue
 		}
+		if n > 0 && c.group != nil {
+			c.group.boundHeads()
+		}
+		return n, err
 	}
 }
 
@@ -257,6 +262,7 @@
 	}
 	if c.phase == phaseHead {
 		c.headBytes += n
+		c.hold(n)
 	}
 	if c.closing {
 		c.stay()
@@ -264,6 +270,14 @@
 	}
 }
 
+// hold counts bytes of a header in the group. The caller holds mu.
+func (c *connection) hold(bytes int) {
+	if c.group != nil {
+		c.heldBytes += bytes
+		c.group.heldBytes.Add(int64(bytes))
+	}
+}
+
 // enter begins a phase. The caller holds mu.
 func (c *connection) enter(next phase) {
 	c.phase = next
@@ -371,6 +385,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enter(phaseIdle)
+	c.hold(-c.heldBytes)
 	c.phaseDeadline = c.since.Add(c.limitsInForce().IdleTimeout)
 	c.applyDeadline()
 }
@@ -412,6 +427,7 @@
 	c.cut = c.phase == phaseHead || c.phase == phaseBody
 	c.leaving = true
 	c.group.leaving.Add(1)
+	c.hold(-c.heldBytes)
 	c.applyDeadline()
 	return true
 }
@@ -424,12 +440,20 @@
 	c.applyDeadline()
 }
 
-// endLeaving records that the connection is closed.
-func (c *connection) endLeaving() {
+// leave records that the connection is closed.
+func (c *connection) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hold(-c.heldBytes)
 	if c.leaving {
 		c.leaving = false
 		c.group.leaving.Add(-1)
 	}
 }
+
+// heldHead returns how many bytes the group counts for the header of the request.
+func (c *connection) heldHead() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heldBytes
+}
--- a/internal/process/connectiongroup.go
+++ b/internal/process/connectiongroup.go
@@ -25,6 +25,9 @@
 type connectionGroup struct {
 	// max is the number of connections; 0 bounds none.
 	max int
+	// maxHeldBytes is the number of bytes of the headers of all requests that are being read
+	// or served; 0 bounds none. Short header lines take many times their length of memory.
+	maxHeldBytes int64
 	// closed is called with the number of connections that were closed for want of room; nil
 	// is not called.
 	closed func(count int)
@@ -33,6 +36,8 @@
 	open map[*connection]struct{}
 	// leaving counts the open connections that are being closed for want of room.
 	leaving atomic.Int64
+	// heldBytes counts the bytes of headers.
+	heldBytes atomic.Int64
 	// closedTotal counts the connections that were closed for want of room.
 	closedTotal atomic.Int64
 }
@@ -63,7 +68,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.open, c)
-	c.endLeaving()
+	c.leave()
 }
 
 // count returns the number of open connections.
@@ -91,6 +96,32 @@
 	g.closeAll(waiting[:min(count, len(waiting))])
 }
 
+// isOverHeads reports whether the headers of all requests are over their bound.
+func (g *connectionGroup) isOverHeads() bool {
+	return g.maxHeldBytes > 0 && g.heldBytes.Load() > g.maxHeldBytes
+}
+
+// boundHeads closes connections on which no whole request has arrived while the headers of all
+// requests are over their bound.
+func (g *connectionGroup) boundHeads() {
+	if !g.isOverHeads() {
+		return
+	}
+	excess := g.heldBytes.Load() - g.maxHeldBytes + g.maxHeldBytes/closedShare
+	var chosen []*connection
+	for _, c := range g.unfinished() {
+		if excess <= 0 {
+			break
+		}
+		held := c.heldHead()
+		if held > 0 {
+			chosen = append(chosen, c)
+			excess -= int64(held)
+		}
+	}
+	g.closeAll(chosen)
+}
+
 // unfinished returns the connections on which no whole request has arrived, the least recently
 // active first.
 func (g *connectionGroup) unfinished() []*connection {
--- a/internal/process/connectiongroup_test.go
+++ b/internal/process/connectiongroup_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +134,33 @@
 		}
 	})
 }
+
+// TestHeadsTogetherAreBounded guards against long headers of many requests that are served at once
+// and fill the memory, and against requests with short ones that are refused because of them.
+func TestHeadsTogetherAreBounded(t *testing.T) {
+	serveBounded(t, func(t *testing.T, group *connectionGroup, dial func() net.Conn) {
+		group.maxHeldBytes = 20 << 10
+		long := "/long?" + strings.Repeat("x", 8<<10)
+		statuses := make(chan int)
+		for range 3 {
+			conn := dial()
+			go func() { statuses <- get(conn, long) }()
+			time.Sleep(time.Millisecond)
+		}
+		if status := <-statuses; status != 0 && status != http.StatusServiceUnavailable {
+			t.Errorf("the third long header got status %d, want 503 or the end of the connection", status)
+		}
+		if status := get(dial(), "/"); status != http.StatusOK {
+			t.Errorf("a short header got status %d, want 200", status)
+		}
+		for range 2 {
+			if status := <-statuses; status != http.StatusOK {
+				t.Errorf("a request that was being served got status %d, want 200", status)
+			}
+		}
+		time.Sleep(time.Second)
+		if held := group.heldBytes.Load(); held != 0 {
+			t.Errorf("%d bytes of headers are held after the requests, want none", held)
+		}
+	})
+}
--- a/internal/process/connectionlimits.go
+++ b/internal/process/connectionlimits.go
@@ -14,6 +14,12 @@
 	// share of the memory of an instance, one part in so many, that connections may take.
 	connectionBytes = 16 << 10
 	connectionShare = 6
+	// headShare is the share of the memory of an instance that the headers of requests may
+	// come to, as they are sent; in memory they take up to ten times as much.
+	headShare = 32
+	// smallHeadBytes is the size of a header up to which a request is served whatever the
+	// headers of others come to.
+	smallHeadBytes = 4 << 10
 
 	bytesPerMegabyte = 1 << 20
 )
@@ -32,6 +38,11 @@
 	return min(byMemory, byDescriptors)
 }
 
+// maxHeadBytes returns the bound of the headers of all requests.
+func maxHeadBytes(memoryMB int) int64 {
+	return int64(memoryMB) * bytesPerMegabyte / headShare
+}
+
 // statusOptions returns the options of a listener for status or metrics.
 func statusOptions(logger *log.Logger, address string) listenOptions {
 	return listenOptions{group: newConnectionGroup(statusConnections, logger, address)}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -93,6 +93,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := transport.ConnOf(r.Context()).(*connection); ok {
 			c.beginRequest(r.ContentLength != 0)
+			if l.group.isOverHeads() && c.heldHead() > smallHeadBytes {
+				refuseForRoom(w)
+				return
+			}
 		}
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -101,6 +105,13 @@
 	})
 }
 
+// refuseForRoom refuses a request, which has not run, for want of memory.
+func refuseForRoom(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "0.05")
+	http.Error(w, "no_memory", http.StatusServiceUnavailable)
+}
+
 // trackState records the state of a connection. The HTTP server calls it at each
 // change.
 func (l *listener) trackState(conn net.Conn, state http.ConnState) {
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -50,6 +50,7 @@
 	limit, memoryMB := descriptorLimit(), entryMemoryMB(s.Seeded)
 	g.limitConnections(limit)
 	g.connections.bound(maxConnections(s.MaxConnections, limit, memoryMB), logger, s.CallerAddress)
+	g.connections.maxHeldBytes = maxHeadBytes(memoryMB)
 	g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(memoryMB)}
 }
 
