Process: control instances bound documents, messages and connections

Cause: each body was bounded (5 MB, 8 MB), not their number, nor their time before; what is made of a document while it is decoded came on top.

Change: bodyLimits.guard reserves memory for each body in an account of the listener, for the bytes announced or read, times what handling takes (4 for documents, 2 for messages), and refuses what has no room as not run; a body must arrive within 10 s. The listeners for operators and for other processes have groups of connections of their own, so that one can't take the room of the other. A connection of an operator may be idle for 20 s.

Messages that are compressed are reserved as they come, not as they are decompressed (at most 8 MB each): still open.

--- a/internal/process/connectionlimits.go
+++ b/internal/process/connectionlimits.go
@@ -1,8 +1,11 @@
 package process
 
 import (
+	"time"
+
 	"github.com/charmbracelet/log"
 
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/overload"
 )
 
@@ -10,6 +13,17 @@
 	// statusConnections bounds the connections of a listener for status or metrics, which
 	// few programs ask, each now and then.
 	statusConnections = 16
+	// operatorConnections bounds the connections of operators.
+	operatorConnections = 256
+	// operatorIdleTimeout is how long a connection of an operator may be idle.
+	operatorIdleTimeout = 20 * time.Second
+	// controlBodyTimeout bounds the time in which a document or a message must arrive at a
+	// control instance.
+	controlBodyTimeout = 10 * time.Second
+	// documentFactor and messageFactor are how many times its length a document of an operator
+	// and a message of another process take while they are read, decoded and handled.
+	documentFactor = 4
+	messageFactor  = 2
 	// connectionBytes is the memory that an idle connection takes, and connectionShare the
 	// share of the memory of an instance, one part in so many, that connections may take.
 	connectionBytes = 16 << 10
@@ -48,6 +62,33 @@
 	return listenOptions{group: newConnectionGroup(statusConnections, logger, address)}
 }
 
+// peerOptions returns the options of the listener of a control instance for the other processes of
+// the fleet, each of which keeps several connections open.
+func peerOptions(logger *log.Logger, address string, memoryMB int) listenOptions {
+	options := controlOptions(logger, address, memoryMB)
+	options.group.max = descriptorLimit().MaxConnections()
+	options.bodies.Factor = messageFactor
+	return options
+}
+
+// operatorOptions returns the options of the listener of a control instance for operators.
+func operatorOptions(logger *log.Logger, address string, memoryMB int) listenOptions {
+	options := controlOptions(logger, address, memoryMB)
+	options.limits = func() requestLimits { return requestLimits{IdleTimeout: operatorIdleTimeout} }
+	return options
+}
+
+// controlOptions returns what the listeners of a control instance have in common.
+func controlOptions(logger *log.Logger, address string, memoryMB int) listenOptions {
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	group := newConnectionGroup(operatorConnections, logger, address)
+	group.maxHeldBytes = maxHeadBytes(memoryMB)
+	account := &memory.Account{Bounds: memory.BoundsOf(memoryMB)}
+	return listenOptions{group: group, bodies: bodyLimits{Memory: account, Factor: documentFactor, Timeout: controlBodyTimeout}}
+}
+
 // newConnectionGroup returns a group that logs the connections that it closes for want of room.
 func newConnectionGroup(limit int, logger *log.Logger, address string) *connectionGroup {
 	g := &connectionGroup{}
@@ -59,6 +100,6 @@
 func (g *connectionGroup) bound(limit int, logger *log.Logger, address string) {
 	g.max = limit
 	g.closed = func(count int) {
-		logger.Warn("connections closed for want of room", "address", address, "closed", count, "open", g.count(), "limit", limit)
+		logger.Warn("connections closed for want of room", "address", address, "closed", count, "open", g.count(), "limit", g.max)
 	}
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -190,16 +190,16 @@
 	node.Handle(mux, secret)
 	g.Handle(mux, secret, log)
 	l.Handle(mux, secret)
-	err := c.listen(environment, c.settings.PeerListenAddress(), mux)
+	err := c.listen(environment, c.settings.PeerListenAddress(), mux, peerOptions(environment.Telemetry.Log, c.settings.PeerListenAddress(), 0))
 	if err != nil {
 		return err
 	}
-	err = c.listen(environment, c.settings.OperatorAddress, operators.Handler())
+	err = c.listen(environment, c.settings.OperatorAddress, operators.Handler(), operatorOptions(environment.Telemetry.Log, c.settings.OperatorAddress, 0))
 	if err != nil {
 		return err
 	}
 	if c.settings.StatusAddress != "" {
-		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return !c.shuttingDown.Load() }))
+		err = c.listen(environment, c.settings.StatusAddress, statusHandler(environment.Telemetry, func() bool { return !c.shuttingDown.Load() }), statusOptions(environment.Telemetry.Log, c.settings.StatusAddress))
 		if err != nil {
 			return err
 		}
@@ -219,8 +219,8 @@
 	m.setGroup(c.Group)
 }
 
-func (c *Control) listen(environment Environment, address string, handler http.Handler) error {
-	l, err := listen(environment.Network, address, handler, listenOptions{})
+func (c *Control) listen(environment Environment, address string, handler http.Handler, options listenOptions) error {
+	l, err := listen(environment.Network, address, handler, options)
 	if err != nil {
 		return err
 	}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -49,6 +49,8 @@
 	// limits returns the limits of requests that are in force; nil stands for the default
 	// ones.
 	limits func() requestLimits
+	// bodies bounds the request bodies.
+	bodies bodyLimits
 }
 
 // listen starts serving handler on address.
@@ -72,7 +74,7 @@
 		l.group = &connectionGroup{}
 	}
 	l.server = &http.Server{
-		Handler: l.serveRequests(guardBodies(handler)),
+		Handler: l.serveRequests(options.bodies.guard(handler)),
 		// The connections bound the header and the time without a request.
 		MaxHeaderBytes: math.MaxInt32,
 		ConnState:      l.trackState,
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -146,24 +146,36 @@
 		Started:        releases.Started,
 		FailureDomains: s.Seeded.FailureDomains,
 	}
-	handlers := map[string]http.Handler{
-		s.PeerListenAddress(): mux,
-		s.OperatorAddress:     dialect.Operators(releases, evacuations),
+	logger, memoryMB := environment.Telemetry.Log, s.Seeded.MemoryMB
+	err := m.listen(environment, s.PeerListenAddress(), mux, peerOptions(logger, s.PeerListenAddress(), memoryMB))
+	if err != nil {
+		return err
 	}
-	if s.MetricsAddress != "" {
-		handlers[s.MetricsAddress] = statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
+	err = m.listen(environment, s.OperatorAddress, dialect.Operators(releases, evacuations), operatorOptions(logger, s.OperatorAddress, memoryMB))
+	if err != nil {
+		return err
 	}
-	for address, handler := range handlers {
-		l, err := listen(environment.Network, address, handler, listenOptions{})
+	if s.MetricsAddress != "" {
+		status := statusHandler(environment.Telemetry, func() bool { return m.Quorum.Status().Leader != "" })
+		err = m.listen(environment, s.MetricsAddress, status, statusOptions(logger, s.MetricsAddress))
 		if err != nil {
 			return err
 		}
-		m.closers.add(l.close)
 	}
 	environment.Telemetry.Log.Info("control instance started", "peer_address", s.PeerAddress, "operator_address", s.OperatorAddress, "founding", s.Seeded.Founding)
 	return nil
 }
 
+// listen opens a listener, which is closed with the instance.
+func (m *Member) listen(environment Environment, address string, handler http.Handler, options listenOptions) error {
+	l, err := listen(environment.Network, address, handler, options)
+	if err != nil {
+		return err
+	}
+	m.closers.add(l.close)
+	return nil
+}
+
 // remoteLeaderAddress returns the peer address of the leader, or "" if this
 // instance is the leader or has received no message from one within
 // maxLeaderContactAge.
--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
@@ -21,38 +23,95 @@
 	maxDrainBytes = 4 << 10
 )
 
-// guardBodies makes the request bodies of a handler end: with a read deadline, and, once the
+// bodyLimits bounds the request bodies of a listener. Its zero value bounds their time by
+// bodyTimeout.
+type bodyLimits struct {
+	// Memory bounds the bodies that are read and handled at once, for all callers and for each
+	// address; nil bounds none.
+	Memory *memory.Account
+	// Factor is how many times its length a body takes while it is read and handled.
+	Factor int64
+	// Timeout bounds the time in which a body must arrive; 0 stands for bodyTimeout.
+	Timeout time.Duration
+}
+
+// guard makes the request bodies of a handler end: with a read deadline, and, once the
 // handler responds before a body has arrived, with the connection. Without it, the HTTP server
-// reads up to 256 KB of the rest before it sends the response, however long that takes.
-func guardBodies(next http.Handler) http.Handler {
+// reads up to 256 KB of the rest before it sends the response, however long that takes. Requests
+// whose bodies have no room are refused as not run.
+func (l bodyLimits) guard(next http.Handler) http.Handler {
+	timeout := l.Timeout
+	if timeout == 0 {
+		timeout = bodyTimeout
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &requestBody{ReadCloser: r.Body, controller: http.NewResponseController(w)}
+		body := &requestBody{ReadCloser: r.Body, controller: http.NewResponseController(w), memory: l.Memory.Request(hostOf(r)), factor: l.Factor}
 		body.conn, _ = transport.ConnOf(r.Context()).(*connection)
-		body.setDeadline(time.Now().Add(bodyTimeout))
+		body.setDeadline(time.Now().Add(timeout))
+		defer body.endHandler()
+		response := &earlyResponse{ResponseWriter: w, body: body, announced: r.ContentLength}
+		if !body.reserve(r.ContentLength) {
+			refuseForRoom(response)
+			return
+		}
 		guarded := r.WithContext(r.Context())
 		guarded.Body = body
-		defer body.endHandler()
-		next.ServeHTTP(&earlyResponse{ResponseWriter: w, body: body, announced: r.ContentLength}, guarded)
+		next.ServeHTTP(response, guarded)
 	})
 }
 
+// hostOf returns the host from which a request came.
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// errNoBodyMemory reports that a body without a length has no room.
+var errNoBodyMemory = errors.New("no memory for the request body")
+
 // requestBody is a request body with a read deadline, which ends with the body.
 type requestBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
 	// conn is the connection of the request; nil in some tests.
 	conn *connection
+	// memory is what is reserved for the body and for what is made of it, for bytes that have
+	// been announced or read.
+	memory   *memory.Request
+	factor   int64
+	reserved int64
+	read     int64
 	// complete is set once the whole body has been read.
 	complete bool
 }
 
-// Read implements io.Reader.
+// reserve reserves memory for a body of the given size, unless it has as much, and reports
+// whether it could.
+func (b *requestBody) reserve(size int64) bool {
+	if size <= b.reserved {
+		return true
+	}
+	if !b.memory.TryGrow(size * b.factor) {
+		return false
+	}
+	b.reserved = size
+	return true
+}
+
+// Read implements io.Reader. It returns errNoBodyMemory if what it has read has no room.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if !b.reserve(b.read) {
+		return 0, errNoBodyMemory
+	}
 	if errors.Is(err, io.EOF) && !b.complete {
 		b.complete = true
 		// The HTTP server now reads the connection to see whether the caller leaves. A
@@ -71,8 +130,10 @@
 	_ = b.controller.SetReadDeadline(deadline)
 }
 
-// endHandler bounds the time in which the HTTP server reads what the handler has left unread.
+// endHandler gives the memory of the body back, and bounds the time in which the HTTP server reads
+// what the handler has left unread.
 func (b *requestBody) endHandler() {
+	b.memory.Release()
 	if !b.complete {
 		b.setDeadline(time.Now().Add(drainTimeout))
 	}
