Memory: request bodies that stall give way to others

Callers of a workspace, or operators at one address, were refused for as long as a request lasts (10 s and more) while bodies that didn't go on held the memory of that workspace or address.

Cause: the account knows what is held, not whether it goes on.

Change: a request body that is being read has to advance by 4 KB a second while others lack memory. If one has no room, those that stall are ended, the longest first, of the same caller if its own bound is what lacks, until there is room; they are refused as not run. Nothing changes while there is memory.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -18,7 +18,11 @@
 	pieceBytes      = 64 << 10
 )
 
-// errNoMemory reports that the entry has no memory for the next piece of a body.
+// pastDeadline makes reads fail at once.
+var pastDeadline = time.Unix(1, 0)
+
+// errNoMemory reports that the entry has no memory for the next piece of a body, or that the
+// body stalled and gave way to others that lacked memory.
 var errNoMemory = errors.New("no memory for the request body")
 
 // errBodyTooLarge reports that a body is longer than the limit.
@@ -44,7 +48,11 @@
 	controller := http.NewResponseController(t.w)
 	// Connections without deadlines, such as those of some tests, are left without.
 	_ = controller.SetReadDeadline(t.deadline)
+	t.bodyMemory.Begin(func() { _ = controller.SetReadDeadline(pastDeadline) })
 	err := t.readPieces(r, limit)
+	if !t.bodyMemory.Complete() {
+		err = errNoMemory
+	}
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
@@ -81,7 +89,7 @@
 			return errNoMemory
 		}
 		piece := make([]byte, size)
-		n, err := fill(r.Body, piece)
+		n, err := t.fill(r.Body, piece)
 		read += int64(n)
 		if n > 0 {
 			t.request.Body = append(t.request.Body, piece[:n])
@@ -112,11 +120,12 @@
 }
 
 // fill reads until piece is full. It returns io.EOF at the end of a complete body.
-func fill(body io.Reader, piece []byte) (int, error) {
+func (t *task) fill(body io.Reader, piece []byte) (int, error) {
 	filled := 0
 	for filled < len(piece) {
 		n, err := body.Read(piece[filled:])
 		filled += n
+		t.bodyMemory.Advance(n)
 		if err != nil {
 			return filled, err
 		}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -75,6 +75,10 @@
 	held usage
 	// callers holds what is held for each caller for which anything is.
 	callers map[string]usage
+	// reading holds the request bodies that are being read.
+	reading map[*Request]struct{}
+	// givenWay counts the bodies that had to give way because they stalled.
+	givenWay int64
 	// waiting holds the responses that wait for memory, the first first.
 	waiting []*waiter
 	// overdrawn is the response that may exceed the bound; nil if none does.
@@ -93,6 +97,8 @@
 	CallerLimit int64
 	// Waiting is the number of responses that wait for memory.
 	Waiting int
+	// GivenWay counts the request bodies that stalled while others lacked memory, and gave way.
+	GivenWay int64
 }
 
 // Held returns what is held.
@@ -102,7 +108,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	held := Held{Total: a.held.total, Requests: a.held.requests, CallerLimit: a.Bounds.caller().total, Waiting: len(a.waiting)}
+	held := Held{Total: a.held.total, Requests: a.held.requests, CallerLimit: a.Bounds.caller().total, Waiting: len(a.waiting), GivenWay: a.givenWay}
 	for _, u := range a.callers {
 		held.Caller = max(held.Caller, u.total)
 	}
@@ -129,6 +135,10 @@
 	account *Account
 	caller  string
 	bytes   int64
+	// reading is set while the body is being read.
+	reading *reading
+	// hasGivenWay is set once the body had to give way. It then gets no more memory.
+	hasGivenWay bool
 }
 
 // Request returns an empty reservation for a request body of the named caller; nil if the
@@ -141,22 +151,37 @@
 }
 
 // TryGrow grows the reservation to the given number of bytes, unless that exceeds a bound,
-// and reports whether it did. The only request body of the entry may take more than the
+// and reports whether it did. Bodies of other requests that stall give way to it. The only request body of the entry may take more than the
 // bound of request bodies, and a caller for whom nothing else is held more than the bounds of
 // a caller, because large bodies would otherwise be refused for ever.
 func (r *Request) TryGrow(bytes int64) bool {
 	if r == nil {
 		return true
 	}
+	grown, stops := r.tryGrow(bytes)
+	for _, stop := range stops {
+		stop()
+	}
+	return grown
+}
+
+// tryGrow is TryGrow, but returns the functions that end the reading of stalled bodies.
+func (r *Request) tryGrow(bytes int64) (grown bool, stops []func()) {
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if r.hasGivenWay {
+		return false, nil
+	}
 	if !a.hasRoom(r.caller, r.bytes, bytes) {
-		return false
+		stops = a.stopStalled(r, bytes)
+	}
+	if !a.hasRoom(r.caller, r.bytes, bytes) {
+		return false, stops
 	}
 	a.add(r.caller, usage{total: bytes - r.bytes, requests: bytes - r.bytes})
 	r.bytes = bytes
-	return true
+	return true, stops
 }
 
 // HasRoom reports whether TryGrow would grant a new request of the named caller the given
@@ -173,11 +198,16 @@
 // hasRoom reports whether a reservation of the named caller may grow from one number of bytes
 // to another; mu is held.
 func (a *Account) hasRoom(caller string, from, to int64) bool {
-	more := usage{total: to - from, requests: to - from}
-	held, ofCaller := a.held.plus(more), a.callers[caller].plus(more)
+	held := a.held.plus(usage{total: to - from, requests: to - from})
 	if held.total > a.Bounds.Total || held.requests > a.Bounds.Requests && held.requests > to {
 		return false
 	}
+	return a.callerHasRoom(caller, from, to)
+}
+
+// callerHasRoom reports whether the bounds of the named caller allow that; mu is held.
+func (a *Account) callerHasRoom(caller string, from, to int64) bool {
+	ofCaller := a.callers[caller].plus(usage{total: to - from, requests: to - from})
 	return a.Bounds.caller().allows(ofCaller) || ofCaller.total <= to
 }
 
@@ -189,6 +219,7 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	r.endReading()
 	a.add(r.caller, usage{total: -r.bytes, requests: -r.bytes})
 	r.bytes = 0
 	a.grant()
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -96,7 +96,7 @@
 		{account, map[string]float64{"body_bytes_held": 120, "request_body_bytes_held": 100, "responses_waiting_for_memory": 0, "caller_body_bytes_highest": 120, "caller_body_bytes_limit": 16 << 20, "server_body_bytes_highest": 7, "server_body_bytes_limit": 2 << 20, "body_bytes_limit": 32 << 20, "request_body_bytes_limit": 16 << 20}},
 	} {
 		scope := tally.NewTestScope("", nil)
-		m := &meter{scope: scope}
+		m := &meter{scope: scope, counted: make(map[string]int64)}
 		m.setMemory(c.account)
 		var bounds memory.Bounds
 		if c.account != nil {
--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -58,6 +58,7 @@
 			refuseForRoom(response)
 			return
 		}
+		body.memory.Begin(func() { body.setDeadline(pastDeadline) })
 		guarded := r.WithContext(r.Context())
 		guarded.Body = body
 		next.ServeHTTP(response, guarded)
@@ -105,14 +106,19 @@
 	return true
 }
 
-// Read implements io.Reader. It returns errNoBodyMemory if what it has read has no room.
+// Read implements io.Reader. It returns errNoBodyMemory if what it has read has no room, or gave way
+// to others.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	b.memory.Advance(n)
 	if !b.reserve(b.read) {
 		return 0, errNoBodyMemory
 	}
 	if errors.Is(err, io.EOF) && !b.complete {
+		if !b.memory.Complete() {
+			return 0, errNoBodyMemory
+		}
 		b.complete = true
 		// The HTTP server now reads the connection to see whether the caller leaves. A
 		// deadline would look like that.
@@ -162,7 +168,7 @@
 	if w.body.complete {
 		return
 	}
-	if w.announced < 0 || w.announced > maxDrainBytes {
+	if w.announced < 0 || w.announced > maxDrainBytes || w.body.memory.HasGivenWay() {
 		w.Header().Set("Connection", "close")
 	}
 	w.body.setDeadline(time.Now().Add(drainTimeout))
