Caller: listed entries bound request bodies, and count requests that have arrived

Cause: the body was read by io.ReadAll up to its limit, whatever others held, and a request counted as running from its first byte, before its key was checked.

Change: the entry has an account of request bodies, by workspace: twice their bytes, because a buffer is copied while it grows and the body is passed on as another one; memory_mb in the settings, 256 MiB by default. A body that is announced takes its buffer at once and is not copied. Bodies that stall give way, as at seeded entries. requests_running bounds the requests whose bodies have arrived. Headers and connections are bounded as at seeded entries.

Tests of internal/caller, settings, process, cmd, test and test/live pass.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -45,6 +45,7 @@
 		refusal.write(w)
 		return
 	}
+	defer req.release()
 	chat, refusal := req.parseChat(r.Header)
 	if refusal == nil {
 		refusal = s.refuseWhenLeaving(req)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/propagation"
@@ -24,12 +23,12 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/invariant"
 	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/observe"
 	"github.com/cactusbay/cactusbay/internal/place"
 )
 
 const (
-	defaultBodyBytes       = 1 << 20
 	defaultRequestsRunning = 4096
 	bearerPrefix           = "Bearer "
 
@@ -62,9 +61,13 @@
 	Scope         tally.Scope
 	Tracer        trace.Tracer
 	Check         *invariant.Checker
+	// Memory bounds the request bodies that the entry holds; nil bounds none.
+	Memory *memory.Account
 
 	running atomic.Int64
-	drain   drain.Drain
+	// accepted counts the running requests whose bodies have arrived.
+	accepted atomic.Int64
+	drain    drain.Drain
 }
 
 // Handler returns the handler of the callers' HTTP API.
@@ -120,6 +123,10 @@
 	// key is the idempotency key; it is empty if the caller sent none.
 	key  string
 	body []byte
+	// memory is what is reserved for the body.
+	memory *memory.Request
+	// accepted is the counter in which the request counts; nil if it does not.
+	accepted *atomic.Int64
 	// target is the method and path of a call to a plain service.
 	target string
 	// prompt describes the prompt for placement; it is nil for a call to a service.
@@ -131,6 +138,14 @@
 	repeatable bool
 }
 
+// release ends what the request has reserved, and no longer counts it as accepted.
+func (req *request) release() {
+	req.memory.Release()
+	if req.accepted != nil {
+		req.accepted.Add(-1)
+	}
+}
+
 // begin starts the root span and counts the request as running. The caller of
 // begin calls the returned function at the end of the request.
 func (s *Server) begin(r *http.Request, name string) (context.Context, func()) {
@@ -146,18 +161,18 @@
 }
 
 // accept authenticates the caller and reads the body. It refuses the request if
-// too many are running or the body is too large.
+// too many are running or the body is too large. The caller of accept releases the request.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
 	document := s.Watcher.Active().Document
 	if document == nil {
 		return nil, notRun(http.StatusServiceUnavailable, codeNoConfig, "the instance has no configuration yet", retrySoon)
 	}
-	limit := document.Limits.RequestsRunning
+	limit := int64(document.Limits.RequestsRunning)
 	if limit == 0 {
 		limit = defaultRequestsRunning
 	}
-	if s.running.Load() > int64(limit) {
-		return nil, notRun(http.StatusServiceUnavailable, codeNoCapacity, "too many requests in progress at this instance", retrySoon)
+	if s.accepted.Load() >= limit {
+		return nil, tooManyRequests()
 	}
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 	workspace := ""
@@ -171,11 +186,22 @@
 	if len(idempotencyKey) > maxIdempotencyKeyBytes {
 		return nil, notRun(http.StatusBadRequest, codeBadRequest, "Idempotency-Key is longer than 256 bytes", 0)
 	}
-	body, refusal := readBody(w, r, document)
+	req := &request{workspace: workspace, document: document, key: idempotencyKey, memory: s.Memory.Request(workspace)}
+	refusal := req.readBody(w, r)
 	if refusal != nil {
+		req.release()
 		return nil, refusal
 	}
-	return &request{workspace: workspace, document: document, key: idempotencyKey, body: body}, nil
+	req.accepted = &s.accepted
+	if s.accepted.Add(1) > limit {
+		req.release()
+		return nil, tooManyRequests()
+	}
+	return req, nil
+}
+
+func tooManyRequests() *Refusal {
+	return notRun(http.StatusServiceUnavailable, codeNoCapacity, "too many requests in progress at this instance", retrySoon)
 }
 
 // refuseWhenLeaving returns a refusal if the end of a shutdown may cut the request.
@@ -187,23 +213,6 @@
 	return notRun(http.StatusServiceUnavailable, codeShuttingDown, "the instance is shutting down: send the request to another one", retrySoon)
 }
 
-// readBody reads the body up to the configured limit.
-func readBody(w http.ResponseWriter, r *http.Request, document *config.Document) ([]byte, *Refusal) {
-	limit := document.Limits.BodyBytes
-	if limit == 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the body is larger than the limit", 0)
-	}
-	if err != nil {
-		return nil, notRun(http.StatusBadRequest, codeBadRequest, "the body broke off", 0)
-	}
-	return body, nil
-}
-
 // resolveRoute sets the work that the route called name leads to, and checks that
 // the workspace may use it.
 func (r *request) resolveRoute(name, kind string, header http.Header) *Refusal {
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -23,6 +23,7 @@
 		refusal.write(w)
 		return
 	}
+	defer req.release()
 	service := chi.URLParam(r, "service")
 	refusal = req.resolveRoute(service, config.KindService, r.Header)
 	if refusal == nil {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -17,6 +17,7 @@
 	"github.com/cactusbay/cactusbay/internal/group"
 	"github.com/cactusbay/cactusbay/internal/instances"
 	"github.com/cactusbay/cactusbay/internal/ledger"
+	"github.com/cactusbay/cactusbay/internal/memory"
 	"github.com/cactusbay/cactusbay/internal/peer"
 	"github.com/cactusbay/cactusbay/internal/settings"
 	"github.com/cactusbay/cactusbay/internal/transport"
@@ -32,6 +33,7 @@
 	settings     *settings.Settings
 	env          Environment
 	callers      *listener
+	connections  *connectionGroup
 	closers      closers
 	shuttingDown atomic.Bool
 }
@@ -190,9 +192,19 @@
 		Scope:         environment.Telemetry.Scope,
 		Tracer:        environment.Telemetry.Tracer,
 		Check:         environment.Check,
+		Memory:        &memory.Account{Bounds: memory.BoundsOf(listedMemoryMB(s))},
 	}
 }
 
+// listedMemoryMB returns the memory of an entry in MiB, or defaultMemoryMB if the settings don't
+// state it.
+func listedMemoryMB(s *settings.Settings) int {
+	if s.MemoryMB > 0 {
+		return s.MemoryMB
+	}
+	return defaultMemoryMB
+}
+
 // serve starts the load poller, the poller of the list of instances and the listeners for callers
 // and for status.
 func (e *Entry) serve(server *caller.Server, watcher *group.Watcher, departures *instances.Departures) error {
@@ -200,7 +212,9 @@
 	e.Watcher = watcher
 	e.startLoadPoller(server, watcher)
 	e.startListPoller(departures)
-	connections := newConnectionGroup(maxConnections(e.settings.MaxConnections, descriptorLimit(), 0), e.env.Telemetry.Log, e.settings.CallerAddress)
+	connections := newConnectionGroup(maxConnections(e.settings.MaxConnections, descriptorLimit(), e.settings.MemoryMB), e.env.Telemetry.Log, e.settings.CallerAddress)
+	connections.maxHeldBytes = maxHeadBytes(listedMemoryMB(e.settings))
+	e.connections = connections
 	callers, err := listen(e.env.Network, e.settings.CallerAddress, server.Handler(), listenOptions{group: connections, limits: e.requestLimits})
 	if err != nil {
 		return err
@@ -233,6 +247,8 @@
 // measure updates the gauges of the instance.
 func (e *Entry) measure(m *meter) {
 	m.set("requests_in_progress", float64(e.Server.Running()))
+	m.setMemory(e.Server.Memory)
+	m.setConnections(e.connections)
 	m.setPool(e.Server.Pool.Counts())
 	m.setWatcher(e.Watcher)
 	m.countTo("backend_connections", e.Server.Backend.Upstream.Dials())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,8 @@
 	// MaxConnections bounds the open connections for callers of an entry; 0 means as many as
 	// descriptors and memory allow.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// MemoryMB is the memory of an entry of a site without Seeded, in MiB; 0 stands for 256.
+	MemoryMB int `json:"memory_mb,omitempty"`
 	// DataFolder is the folder for the durable state of a control instance.
 	DataFolder string `json:"data_folder,omitempty"`
 	// Controls are the initial members of the control group.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -22,6 +22,12 @@
 	if s.MaxConnections < 0 {
 		faults.Add("max_connections", "must be 1 or more connections, or absent")
 	}
+	if s.MemoryMB < 0 {
+		faults.Add("memory_mb", "must be 1 or more megabytes, or absent")
+	}
+	if s.MemoryMB != 0 && s.Seeded != nil {
+		faults.Add("memory_mb", "has no effect beside seeded: write seeded.memory_mb")
+	}
 	if s.Seeded != nil {
 		s.Seeded.validate(faults)
 	} else {
