--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -27,15 +27,15 @@
 var errBodyTooLarge = errors.New("the request body is over the limit")
 
 // readBody reads the body up to the configured limit, into memory that the request has reserved.
-func (req *request) readBody(w http.ResponseWriter, r *http.Request) *Refusal {
-	limit := req.document.Limits.BodyBytes
+func (r *request) readBody(w http.ResponseWriter, in *http.Request) *Refusal {
+	limit := r.document.Limits.BodyBytes
 	if limit == 0 {
 		limit = defaultBodyBytes
 	}
 	controller := http.NewResponseController(w)
-	req.memory.Begin(func() { _ = controller.SetReadDeadline(pastDeadline) })
-	err := req.fillBody(r, limit)
-	if !req.memory.Complete() {
+	r.memory.Begin(func() { _ = controller.SetReadDeadline(pastDeadline) })
+	err := r.fillBody(in, limit)
+	if !r.memory.Complete() {
 		err = errNoMemory
 	}
 	switch {
@@ -52,23 +52,23 @@
 
 // fillBody reads the body, whose buffer grows to its length if that is known, or else to twice its
 // size each time. Errors are errBodyTooLarge, errNoMemory and those of the caller's connection.
-func (req *request) fillBody(r *http.Request, limit int64) error {
-	if r.ContentLength > limit {
+func (r *request) fillBody(in *http.Request, limit int64) error {
+	if in.ContentLength > limit {
 		return errBodyTooLarge
 	}
-	size := r.ContentLength
+	size := in.ContentLength
 	if size < 0 {
 		size = min(firstBodyBytes, limit+1)
 	}
 	for {
-		if !req.memory.TryGrow(size * bodyFactor) {
+		if !r.memory.TryGrow(size * bodyFactor) {
 			return errNoMemory
 		}
 		// The byte beyond a known length lets a read see the end of the body.
-		req.body = append(make([]byte, 0, size+1), req.body...)
-		err := req.fillBuffer(r.Body)
+		r.body = append(make([]byte, 0, size+1), r.body...)
+		err := r.fillBuffer(in.Body)
 		switch {
-		case int64(len(req.body)) > limit:
+		case int64(len(r.body)) > limit:
 			return errBodyTooLarge
 		case errors.Is(err, io.EOF):
 			return nil
@@ -81,11 +81,11 @@
 
 // fillBuffer reads until the buffer of the body is full. It returns io.EOF at the end of a complete
 // body.
-func (req *request) fillBuffer(body io.Reader) error {
-	for len(req.body) < cap(req.body) {
-		n, err := body.Read(req.body[len(req.body):cap(req.body)])
-		req.body = req.body[:len(req.body)+n]
-		req.memory.Advance(n)
+func (r *request) fillBuffer(body io.Reader) error {
+	for len(r.body) < cap(r.body) {
+		n, err := body.Read(r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		r.memory.Advance(n)
 		if err != nil {
 			return err
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -139,10 +139,10 @@
 }
 
 // release ends what the request has reserved, and no longer counts it as accepted.
-func (req *request) release() {
-	req.memory.Release()
-	if req.accepted != nil {
-		req.accepted.Add(-1)
+func (r *request) release() {
+	r.memory.Release()
+	if r.accepted != nil {
+		r.accepted.Add(-1)
 	}
 }
 
