Process: a connection whose caller reads nothing for a minute ends

Cause: writes had no deadline. A request's deadline ends the work at the server, not a write to the caller that blocks.

Change: a write fails once nothing of it has been taken for a minute.

Measured: TestUnreadResponseEnds blocks for ever without the deadline (virtual time: "all goroutines in bubble are blocked"), passes now. Not measured with a crowd of real callers.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -19,6 +19,8 @@
 	// queueTimeout is how long no connection must arrive for the queue of a listener
 	// to count as empty.
 	queueTimeout = 100 * time.Millisecond
+	// unreadTimeout is how long a caller may read nothing of a response that waits for it.
+	unreadTimeout = time.Minute
 	// acceptRetryInterval is the pause between accepts while no descriptors are free.
 	acceptRetryInterval = 10 * time.Millisecond
 )
@@ -329,12 +331,20 @@
 	return nil
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It fails once the caller has read nothing for unreadTimeout.
 func (c *connection) Write(p []byte) (int, error) {
 	if c.silent.Load() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	written := 0
+	for {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n == 0 || written == len(p) || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
 }
 
 // CloseWrite ends the response while the rest of a request is still unread, so that the
