Process: control instances refuse compressed messages

Cause: the calls between processes accept gzip, and the account of bodies counts what arrives. 60 messages of 8 KB came to 8 MB each.

Change: where bodies are accounted, one with a Content-Encoding is refused (415). Responses are compressed as before.

--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -38,7 +38,8 @@
 // guard makes the request bodies of a handler end: with a read deadline, and, once the
 // handler responds before a body has arrived, with the connection. Without it, the HTTP server
 // reads up to 256 KB of the rest before it sends the response, however long that takes. Requests
-// whose bodies have no room are refused as not run.
+// whose bodies have no room are refused as not run, and where memory is bounded also those whose
+// bodies are encoded.
 func (l bodyLimits) guard(next http.Handler) http.Handler {
 	timeout := l.Timeout
 	if timeout == 0 {
@@ -54,6 +55,11 @@
 		body.setDeadline(time.Now().Add(timeout))
 		defer body.endHandler()
 		response := &earlyResponse{ResponseWriter: w, body: body, announced: r.ContentLength}
+		if l.Memory != nil && r.Header.Get("Content-Encoding") != "" {
+			// What it comes to once it is decompressed can't be reserved.
+			http.Error(response, "the body must not be encoded", http.StatusUnsupportedMediaType)
+			return
+		}
 		if !body.reserve(r.ContentLength) {
 			refuseForRoom(response)
 			return
