--- a/internal/process/connectiongroup_test.go
+++ b/internal/process/connectiongroup_test.go
@@ -164,3 +164,37 @@
 		}
 	})
 }
+
+// TestRequestThatArrivesIsNotCut guards against a request whose connection is chosen to be closed
+// for want of room just as its last byte arrives: it would seem that the caller has left.
+func TestRequestThatArrivesIsNotCut(t *testing.T) {
+	for _, hasBody := range []bool{false, true} {
+		near, far := net.Pipe()
+		group := &connectionGroup{}
+		c := newConnection(near, nil)
+		c.group = group
+		go func() { _, _ = io.WriteString(far, "x") }()
+		buffer := make([]byte, 1)
+		_, err := c.Read(buffer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if hasBody {
+			c.beginRequest(true)
+		}
+		if !c.closeForRoom() {
+			t.Fatal("the connection was not chosen")
+		}
+		if hasBody {
+			c.endBody()
+		} else {
+			c.beginRequest(false)
+		}
+		go func() { _, _ = io.WriteString(far, "y") }()
+		_, err = c.Read(buffer)
+		if err != nil || group.leaving.Load() != 0 {
+			t.Errorf("with body %t: the next read failed with %v, %d connections leaving; want none", hasBody, err, group.leaving.Load())
+		}
+		_, _ = near.Close(), far.Close()
+	}
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -53,7 +53,7 @@
 	// relays accepts the requests that other entries pass on.
 	relays *listener
 	// connections holds the open connections of both.
-	connections connectionGroup
+	connections *connectionGroup
 	// descriptorLimit is the number of descriptors that bounds connections; 0 bounds none.
 	descriptorLimit overload.DescriptorLimit
 	// diverter decides when the entry reports not ready because it is overloaded. It is nil if
@@ -187,7 +187,7 @@
 	m.setReady(g.Server.Table() != nil, g.shuttingDown.Load(), g.isDiverting(), g.isNotListening())
 	m.setMemory(g.Server.Memory)
 	m.setServerBytes(counts.ServerBytes, g.Server.Fleet.MaxServerBytes)
-	m.setConnections(&g.connections)
+	m.setConnections(g.connections)
 	_, idle := g.Server.Upstream.Open()
 	m.set("backend_connections_idle", float64(idle))
 	m.set("descriptors_in_use", float64(g.connectionsInUse()))
@@ -346,7 +346,7 @@
 	if err != nil {
 		return err
 	}
-	g.relays, err = listen(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), listenOptions{group: &g.connections, limits: g.relayLimits})
+	g.relays, err = listen(g.requestNetwork(environment.Network), peerAddress, http.HandlerFunc(g.Server.ServeRelayed), listenOptions{group: g.connections, limits: g.relayLimits})
 	if err != nil {
 		return err
 	}
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -41,18 +41,6 @@
 	conns map[*connection]struct{}
 }
 
-// listenOptions says what a listener bounds. Its zero value bounds what is the same for all
-// listeners.
-type listenOptions struct {
-	// group holds the open connections and bounds them; nil bounds none.
-	group *connectionGroup
-	// limits returns the limits of requests that are in force; nil stands for the default
-	// ones.
-	limits func() requestLimits
-	// bodies bounds the request bodies.
-	bodies bodyLimits
-}
-
 // listen starts serving handler on address.
 func listen(network transport.Network, address string, handler http.Handler, options listenOptions) (*listener, error) {
 	socket, err := network.Listen(address)
--- a/internal/process/connectionlimits.go
+++ b/internal/process/listenoptions.go
@@ -38,18 +38,31 @@
 	bytesPerMegabyte = 1 << 20
 )
 
+// listenOptions says what a listener bounds. Its zero value bounds what is the same for all
+// listeners.
+type listenOptions struct {
+	// group holds the open connections and bounds them; nil bounds none.
+	group *connectionGroup
+	// limits returns the limits of requests that are in force; nil stands for the default
+	// ones.
+	limits func() requestLimits
+	// bodies bounds the request bodies.
+	bodies bodyLimits
+}
+
 // maxConnections returns how many connections of callers an instance may keep open: what its
-// settings say, or else what its descriptors and its memory allow; 0 if neither is known.
+// settings say, or else its memory allows, but no more than its descriptors allow. 0 stands for
+// what is not set or not known.
 func maxConnections(configured int, limit overload.DescriptorLimit, memoryMB int) int {
-	if configured > 0 {
-		return configured
+	wanted := configured
+	if wanted == 0 {
+		wanted = memoryMB * bytesPerMegabyte / connectionShare / connectionBytes
 	}
-	byMemory := memoryMB * bytesPerMegabyte / connectionShare / connectionBytes
-	byDescriptors := limit.MaxConnections()
-	if byMemory == 0 || byDescriptors == 0 {
-		return max(byMemory, byDescriptors)
+	allowed := limit.MaxConnections()
+	if wanted == 0 || allowed == 0 {
+		return max(wanted, allowed)
 	}
-	return min(byMemory, byDescriptors)
+	return min(wanted, allowed)
 }
 
 // maxHeadBytes returns the bound of the headers of all requests.
@@ -89,17 +102,8 @@
 	return listenOptions{group: group, bodies: bodyLimits{Memory: account, Factor: documentFactor, Timeout: controlBodyTimeout}}
 }
 
-// newConnectionGroup returns a group that logs the connections that it closes for want of room.
+// newConnectionGroup returns a group that keeps up to the given number of connections open and logs
+// those that it closes.
 func newConnectionGroup(limit int, logger *log.Logger, address string) *connectionGroup {
-	g := &connectionGroup{}
-	g.bound(limit, logger, address)
-	return g
-}
-
-// bound sets the bound of the group, and logs the connections that it closes.
-func (g *connectionGroup) bound(limit int, logger *log.Logger, address string) {
-	g.max = limit
-	g.closed = func(count int) {
-		logger.Warn("connections closed for want of room", "address", address, "closed", count, "open", g.count(), "limit", g.max)
-	}
+	return &connectionGroup{max: limit, log: logger, address: address}
 }
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -49,7 +49,7 @@
 func (g *Gateway) boundResources(s *settings.Settings, logger *log.Logger) {
 	limit, memoryMB := descriptorLimit(), entryMemoryMB(s.Seeded)
 	g.limitConnections(limit)
-	g.connections.bound(maxConnections(s.MaxConnections, limit, memoryMB), logger, s.CallerAddress)
+	g.connections = newConnectionGroup(maxConnections(s.MaxConnections, limit, memoryMB), logger, s.CallerAddress)
 	g.connections.maxHeldBytes = maxHeadBytes(memoryMB)
 	g.Server.Memory = &memory.Account{Bounds: memory.BoundsOf(memoryMB)}
 }
@@ -142,7 +142,7 @@
 func (g *Gateway) listenForCallers(environment Environment) error {
 	network := g.requestNetwork(environment.Network)
 	bounds := g.settings.Seeded.Overload
-	options := listenOptions{group: &g.connections, limits: g.requestLimits}
+	options := listenOptions{group: g.connections, limits: g.requestLimits}
 	if g.diverter == nil || !bounds.RefuseConnections {
 		callers, err := listen(network, g.settings.CallerAddress, g.Server, options)
 		if err != nil {
--- a/internal/process/overload_test.go
+++ b/internal/process/overload_test.go
@@ -51,10 +51,10 @@
 func TestCallersCountTowardsTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const limit = overload.DescriptorLimit(128)
-		g := &Gateway{Server: &forward.Server{Upstream: &upstream.Client{}}}
+		g := &Gateway{Server: &forward.Server{Upstream: &upstream.Client{}}, connections: &connectionGroup{}}
 		g.limitConnections(limit)
 		var network fake.Network
-		l, err := listen(network.Host("entry"), "entry:1", http.NotFoundHandler(), listenOptions{group: &g.connections})
+		l, err := listen(network.Host("entry"), "entry:1", http.NotFoundHandler(), listenOptions{group: g.connections})
 		if err != nil {
 			t.Fatal(err)
 		}
