Process: counters and a log line for callers beyond the limits

Operators saw nothing of headers that were refused or given up, of bodies that came too late, or of documents that a control instance had no room for.

--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -93,6 +93,7 @@
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.beginRead() {
+		c.recordExcess(headerTooLong)
 		// The caller may still be sending, and a close would then discard the response.
 		time.Sleep(drainTimeout)
 		return 0, os.ErrDeadlineExceeded
@@ -105,10 +106,20 @@
 		if n > 0 && c.group != nil {
 			c.group.boundHeads()
 		}
+		if n == 0 && c.silent.Load() {
+			c.recordExcess(headerLate)
+		}
 		return n, err
 	}
 }
 
+// recordExcess counts what the caller does beyond a limit. The caller doesn't hold mu.
+func (c *connection) recordExcess(kind excess) {
+	if c.group != nil {
+		c.group.excess.record(kind, 1)
+	}
+}
+
 // beginRead bounds the time of a header that needs more than one read. It reports whether the
 // header is over the limit, and then answers it. The read must then fail with a timeout, upon
 // which the HTTP server closes the connection without a response of its own.
--- a/internal/process/connectiongroup.go
+++ b/internal/process/connectiongroup.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/charmbracelet/log"
 )
 
 const (
@@ -19,8 +17,6 @@
 	// maxRoomWait bounds the time in which a new connection waits for others to be closed.
 	maxRoomWait      = time.Second
 	roomPollInterval = time.Millisecond
-	// closedLogInterval is the least time between two log lines on closed connections.
-	closedLogInterval = time.Second
 )
 
 // connectionGroup holds the open connections of the listeners that share descriptors, and bounds
@@ -32,22 +28,15 @@
 	// maxHeldBytes is the number of bytes of the headers of all requests that are being read
 	// or served; 0 bounds none. Short header lines take many times their length of memory.
 	maxHeldBytes int64
-	// log gets a line on the connections that are closed for want of room, with address, which
-	// names the listeners; nil gets none.
-	log     *log.Logger
-	address string
+	// excess counts what callers do beyond the limits.
+	excess excessCounter
 
 	mu   sync.Mutex
 	open map[*connection]struct{}
-	// loggedAt is the time of the last line, and loggedTotal the value of closedTotal then.
-	loggedAt    time.Time
-	loggedTotal int64
 	// leaving counts the open connections that are being closed for want of room.
 	leaving atomic.Int64
 	// heldBytes counts the bytes of headers.
 	heldBytes atomic.Int64
-	// closedTotal counts the connections that were closed for want of room.
-	closedTotal atomic.Int64
 }
 
 // add adds a new connection, for which others are closed if there are too many. It waits for
@@ -67,7 +56,7 @@
 	}
 	if !g.awaitRoom() {
 		c.cutOff()
-		g.recordClosed(1)
+		g.excess.record(connectionClosed, 1)
 	}
 }
 
@@ -163,27 +152,6 @@
 		}
 	}
 	if count > 0 {
-		g.recordClosed(count)
-	}
-}
-
-// recordClosed counts connections that were closed for want of room.
-func (g *connectionGroup) recordClosed(count int) {
-	total := g.closedTotal.Add(int64(count))
-	if g.log != nil {
-		g.logClosed(total, time.Now())
-	}
-}
-
-// logClosed writes a line, at most one each closedLogInterval.
-func (g *connectionGroup) logClosed(total int64, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.loggedAt) < closedLogInterval {
-		return
+		g.excess.record(connectionClosed, count)
 	}
-	g.log.Warn("connections closed for want of room", "address", g.address,
-		"closed", total-g.loggedTotal, "open", len(g.open), "limit", g.max,
-		"header_bytes", g.heldBytes.Load(), "header_bytes_limit", g.maxHeldBytes)
-	g.loggedAt, g.loggedTotal = now, total
 }
--- a/internal/process/connectiongroup_test.go
+++ b/internal/process/connectiongroup_test.go
@@ -107,7 +107,7 @@
 				t.Errorf("a request that was being served got status %d, want 200", status)
 			}
 		}
-		if group.closedTotal.Load() == 0 {
+		if group.excess.counts[connectionClosed].Load() == 0 {
 			t.Error("no connection was closed for want of room")
 		}
 	})
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -54,8 +54,10 @@
 	settings *settings.Settings
 	log      group.Log
 
-	closers      closers
-	listeners    []*listener
+	closers   closers
+	listeners []*listener
+	// groups hold the connections of the listeners.
+	groups       []*connectionGroup
 	shuttingDown atomic.Bool
 
 	stop context.CancelFunc
@@ -217,6 +219,7 @@
 func (c *Control) measure(m *meter) {
 	m.setQuorum(c.Quorum.Status())
 	m.setGroup(c.Group)
+	m.setConnections(c.groups...)
 }
 
 func (c *Control) listen(environment Environment, address string, handler http.Handler, options listenOptions) error {
@@ -225,6 +228,7 @@
 		return err
 	}
 	c.listeners = append(c.listeners, l)
+	c.groups = append(c.groups, options.group)
 	c.closers.add(l.close)
 	return nil
 }
--- a/internal/process/listener.go
+++ b/internal/process/listener.go
@@ -84,6 +84,7 @@
 		if c, ok := transport.ConnOf(r.Context()).(*connection); ok {
 			c.beginRequest(r.ContentLength != 0)
 			if l.group.isOverHeads() && c.heldHead() > smallHeadBytes {
+				c.recordExcess(bodyRefused)
 				refuseForRoom(w)
 				return
 			}
--- a/internal/process/listenoptions.go
+++ b/internal/process/listenoptions.go
@@ -103,7 +103,7 @@
 }
 
 // newConnectionGroup returns a group that keeps up to the given number of connections open and logs
-// those that it closes.
+// what callers do beyond the limits.
 func newConnectionGroup(limit int, logger *log.Logger, address string) *connectionGroup {
-	return &connectionGroup{max: limit, log: logger, address: address}
+	return &connectionGroup{max: limit, excess: excessCounter{log: logger, address: address}}
 }
--- a/internal/process/member.go
+++ b/internal/process/member.go
@@ -31,7 +31,9 @@
 	settings  *settings.Settings
 	joiner    *roster.Joiner
 	directory *group.Directory
-	closers   closers
+	// groups hold the connections of the listeners.
+	groups  []*connectionGroup
+	closers closers
 }
 
 // StartMember opens the durable state of a control instance of a seeded site and
@@ -76,9 +78,13 @@
 	m.closers.add(m.Quorum.Close)
 	m.startJoiner(environment, identity, client)
 	poller := m.startListPoller(environment, dialect, client)
+	err = m.serve(environment, dialect)
+	if err != nil {
+		return err
+	}
 	meter := startMeter(environment.Telemetry.Scope, func(meter *meter) { m.measure(meter, poller) })
 	m.closers.add(meter.close)
-	return m.serve(environment, dialect)
+	return nil
 }
 
 // startJoiner starts the joiner, and sets the functions with which the group reads
@@ -121,6 +127,7 @@
 func (m *Member) measure(meter *meter, poller *instances.Poller) {
 	meter.setQuorum(m.Quorum.Status())
 	meter.setGroup(m.Group)
+	meter.setConnections(m.groups...)
 	_, age, _ := poller.Current()
 	meter.setAge("list_age_seconds", age)
 }
@@ -173,6 +180,7 @@
 		return err
 	}
 	m.closers.add(l.close)
+	m.groups = append(m.groups, options.group)
 	return nil
 }
 
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -188,12 +188,23 @@
 	return 0
 }
 
-// setConnections sets the gauges of the open connections, and counts those that were closed for
-// want of room.
-func (m *meter) setConnections(group *connectionGroup) {
-	m.set("connections_open", float64(group.count()))
-	m.set("connection_limit", float64(group.max))
-	m.countTo("connections_closed_for_room", group.closedTotal.Load())
+// setConnections sets the gauges of the open connections, and counts what callers do beyond the
+// limits.
+func (m *meter) setConnections(groups ...*connectionGroup) {
+	open, limit := 0, 0
+	var counts [excessCount]int64
+	for _, group := range groups {
+		open += group.count()
+		limit += group.max
+		for kind := range counts {
+			counts[kind] += group.excess.counts[kind].Load()
+		}
+	}
+	m.set("connections_open", float64(open))
+	m.set("connection_limit", float64(limit))
+	for kind, name := range excessNames {
+		m.countTo(name, counts[kind])
+	}
 }
 
 // setServerBytes sets the gauges of the most bytes at one server; they are 0 without a bound.
--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,11 +57,13 @@
 		defer body.endHandler()
 		response := &earlyResponse{ResponseWriter: w, body: body, announced: r.ContentLength}
 		if l.Memory != nil && r.Header.Get("Content-Encoding") != "" {
+			body.recordExcess(bodyRefused)
 			// What it comes to once it is decompressed can't be reserved.
 			http.Error(response, "the body must not be encoded", http.StatusUnsupportedMediaType)
 			return
 		}
 		if !body.reserve(r.ContentLength) {
+			body.recordExcess(bodyRefused)
 			refuseForRoom(response)
 			return
 		}
@@ -95,8 +98,15 @@
 	factor   int64
 	reserved int64
 	read     int64
-	// complete is set once the whole body has been read.
-	complete bool
+	// complete is set once the whole body has been read, and late once it was not in time.
+	complete, late bool
+}
+
+// recordExcess counts what the caller does beyond a limit.
+func (b *requestBody) recordExcess(kind excess) {
+	if b.conn != nil {
+		b.conn.recordExcess(kind)
+	}
 }
 
 // reserve reserves memory for a body of the given size, unless it has as much, and reports
@@ -119,8 +129,13 @@
 	b.read += int64(n)
 	b.memory.Advance(n)
 	if !b.reserve(b.read) {
+		b.recordExcess(bodyRefused)
 		return 0, errNoBodyMemory
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !b.late {
+		b.late = true
+		b.recordExcess(bodyLate)
+	}
 	if errors.Is(err, io.EOF) && !b.complete {
 		if !b.memory.Complete() {
 			return 0, errNoBodyMemory
