--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,8 @@
 		return notRun(http.StatusRequestEntityTooLarge, codeTooLarge, "the body is larger than the limit", 0)
 	case errors.Is(err, errNoMemory):
 		return notRun(http.StatusServiceUnavailable, codeNoCapacity, "the instance has no memory for the body", retrySoon)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return notRun(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive in time", 0)
 	default:
 		return notRun(http.StatusBadRequest, codeBadRequest, "the body broke off", 0)
 	}
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -42,6 +42,7 @@
 	codeForbidden         = "work_not_allowed"
 	codeBadRequest        = "invalid_request"
 	codeTooLarge          = "request_too_large"
+	codeBodyTimeout       = "body_timeout"
 	codeNoRoute           = "model_not_found"
 	codeOverBudget        = "insufficient_budget"
 	codeNoCapacity        = "no_capacity"
