Forward: whole responses wait for memory only where the contracts ask for it

Found by a test of callers that read nothing.

Change: that part follows the contracts again (Server.BoundsResponses). Two fixtures of memory_test.go set the new field; TestOverloadSettings asks for it.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -102,7 +102,10 @@
 // deliverWhole reads a response to its end before it forwards any of it, so that
 // the request can be retried when the response breaks off.
 func (t *task) deliverWhole(ctx context.Context, placement *place.Placement, response *upstream.Response, failed bool) (refused *refusal, shouldRetry bool) {
-	room := t.server.Memory.Response(t.caller)
+	var room *memory.Response
+	if t.server.BoundsResponses {
+		room = t.server.Memory.Response(t.caller)
+	}
 	defer room.Release()
 	body, err := readWhole(ctx, response, room)
 	defer response.FreeBody()
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -107,6 +107,7 @@
 			f := newFixture(t, idempotentRoute, slices.Repeat([]responder{long}, 8)...)
 			account := &memory.Account{Bounds: memory.Bounds{Total: 100 << 10, Requests: 50 << 10}}
 			f.server.Memory = account
+			f.server.BoundsResponses = true
 			held := account.Response("other")
 			_ = held.Grow(t.Context(), 80<<10)
 			timer := time.AfterFunc(c.freed, held.Release)
@@ -202,6 +203,7 @@
 	f.server.Install(2, parsed)
 	account := &memory.Account{Bounds: memory.Bounds{Total: total, Requests: total / 2}}
 	f.server.Memory = account
+	f.server.BoundsResponses = true
 	release := make(chan struct{})
 	var running sync.WaitGroup
 	for range slow {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -55,8 +55,11 @@
 	// HasDescriptors reports whether enough file descriptors are free for another request;
 	// nil refuses no request for want of them.
 	HasDescriptors func() bool
-	// Memory bounds the bodies that the entry holds; nil bounds none.
+	// Memory bounds the request bodies that the entry holds; nil bounds none.
 	Memory *memory.Account
+	// BoundsResponses makes whole responses wait for Memory too. Otherwise those above 64 KB
+	// share a budget of Upstream, and fail beyond it.
+	BoundsResponses bool
 	// ListAge returns the age of the list of backend servers. If it is nil, the
 	// age is logged as 0.
 	ListAge func() time.Duration
--- a/internal/process/divert_test.go
+++ b/internal/process/divert_test.go
@@ -148,8 +148,9 @@
 			t.Errorf("%+v: memory %+v, want the bounds of the settings", c.settings, g.Server.Memory)
 		}
 		servers, reuses := g.Server.Fleet.MaxServerBytes > 0, g.Server.Upstream.OldestFirst
-		if servers != c.bounded || reuses != c.bounded || g.mayDivert.Load() != c.bounded {
-			t.Errorf("%+v, bounded %t: bounds servers %t, reuses old connections %t, may divert %t; want all as bounded", c.settings, c.bounded, servers, reuses, g.mayDivert.Load())
+		responses := g.Server.BoundsResponses
+		if servers != c.bounded || responses != c.bounded || reuses != c.bounded || g.mayDivert.Load() != c.bounded {
+			t.Errorf("%+v, bounded %t: bounds servers %t and responses %t, reuses old connections %t, may divert %t; want all as bounded", c.settings, c.bounded, servers, responses, reuses, g.mayDivert.Load())
 		}
 		controller := g.Server.Overload
 		_, counts := g.requestNetwork(transport.TCP{}).(countedNetwork)
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -26,7 +26,7 @@
 )
 
 // limitLoad lets the entry divert load if the settings ask for that. If bounded is set, it also
-// lets it shed load, and bounds what is outstanding at each backend server.
+// lets it shed load, and bounds whole responses and what is outstanding at each backend server.
 func (g *Gateway) limitLoad(s *settings.Overload, bounded bool) {
 	sheds := bounded && s.Shed
 	if sheds || s.Divert {
@@ -40,6 +40,7 @@
 	if bounded {
 		g.Server.Upstream.IdleTimeout = backendIdleTimeout
 		g.Server.Upstream.OldestFirst = true
+		g.Server.BoundsResponses = true
 		g.Server.Fleet.MaxServerBytes = g.Server.Memory.Bounds.Server
 	}
 }
