Memory: whole responses that aren't read give way to others

Cause: a whole response holds its memory until its caller has taken it, and others wait for memory until their deadlines.

Change: a response that is being written has to advance, like a request body that is being read (one transfer for both): one of which the caller hasn't taken 16 KB in 3 s is cut while others lack memory, the longest first. The write then fails (connection.SetWriteDeadline), and the caller sees that the response is cut. A stop never comes after its transfer has ended, when the connection may carry the next request. Nothing changes while there is memory, and streams are not in the account.

TestUnreadResponsesGiveWay, TestEndedTransferIsNotStopped and the older tests of internal/memory pass, also with -race.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -146,7 +147,7 @@
 	t.w.WriteHeader(response.Status)
 	t.responseBytes = int64(body.Len())
 	writeStart := time.Now()
-	_, err = body.WriteTo(t.w)
+	err = t.writeWhole(body, room)
 	t.recordWrite(writeStart)
 	if err != nil {
 		return &refusal{reason: reasonCallerLeft}, false
@@ -154,6 +155,31 @@
 	return nil, false
 }
 
+// writeBytes is the size of one write of a whole response that has room, so that it is seen to
+// advance.
+const writeBytes = 16 << 10
+
+// writeWhole writes a whole response to the caller, with memory from room. One that the caller
+// doesn't read is given up while others lack memory.
+func (t *task) writeWhole(body upstream.Body, room *memory.Response) error {
+	if room == nil {
+		_, err := body.WriteTo(t.w)
+		return err
+	}
+	controller := http.NewResponseController(t.w)
+	room.Begin(func() { _ = controller.SetWriteDeadline(pastDeadline) })
+	for _, piece := range body {
+		for part := range slices.Chunk(piece, writeBytes) {
+			n, err := t.w.Write(part)
+			room.Advance(n)
+			if err != nil {
+				return errors.Newf("write response: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
 // deadlineMargin is how long before the deadline a server may end a response because its time
 // is over: it is told the time left in whole milliseconds.
 const deadlineMargin = 10 * time.Millisecond
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -75,9 +75,10 @@
 	held usage
 	// callers holds what is held for each caller for which anything is.
 	callers map[string]usage
-	// reading holds the request bodies that are being read.
-	reading map[*Request]struct{}
-	// givenWay counts the bodies that had to give way because they stalled.
+	// transfers holds the request bodies that are being read, and the responses that are being
+	// written.
+	transfers map[*transfer]struct{}
+	// givenWay counts those that had to give way because they stalled.
 	givenWay int64
 	// waiting holds the responses that wait for memory, the first first.
 	waiting []*waiter
@@ -97,7 +98,8 @@
 	CallerLimit int64
 	// Waiting is the number of responses that wait for memory.
 	Waiting int
-	// GivenWay counts the request bodies that stalled while others lacked memory, and gave way.
+	// GivenWay counts the request bodies and responses that stalled while others lacked memory,
+	// and gave way.
 	GivenWay int64
 }
 
@@ -136,7 +138,7 @@
 	caller  string
 	bytes   int64
 	// reading is set while the body is being read.
-	reading *reading
+	reading *transfer
 	// hasGivenWay is set once the body had to give way. It then gets no more memory.
 	hasGivenWay bool
 }
@@ -174,9 +176,11 @@
 		return false, nil
 	}
 	if !a.hasRoom(r.caller, r.bytes, bytes) {
-		stops = a.stopStalled(r, bytes)
+		stops = a.stopStalled(r.caller,
+			func() bool { return r.hasGivenWay || a.hasRoom(r.caller, r.bytes, bytes) },
+			func() bool { return a.callerHasRoom(r.caller, r.bytes, bytes) })
 	}
-	if !a.hasRoom(r.caller, r.bytes, bytes) {
+	if r.hasGivenWay || !a.hasRoom(r.caller, r.bytes, bytes) {
 		return false, stops
 	}
 	a.add(r.caller, usage{total: bytes - r.bytes, requests: bytes - r.bytes})
@@ -217,9 +221,10 @@
 		return
 	}
 	a := r.account
+	defer r.reading.end()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r.endReading()
+	delete(a.transfers, r.reading)
 	a.add(r.caller, usage{total: -r.bytes, requests: -r.bytes})
 	r.bytes = 0
 	a.grant()
--- a/internal/memory/response.go
+++ b/internal/memory/response.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// stallCheckInterval is the time after which a waiting response looks again for transfers that
+// stall.
+const stallCheckInterval = 250 * time.Millisecond
+
 // ErrNoRoom reports that no memory became free for a response in time.
 var ErrNoRoom = errors.New("no memory for the response")
 
@@ -17,6 +22,8 @@
 	caller  string
 	bytes   int64
 	waited  bool
+	// writing is set while the response is being written to its caller.
+	writing *transfer
 }
 
 // waiter is a response that waits until it may hold the given number of bytes.
@@ -53,10 +60,8 @@
 	default:
 	}
 	r.waited = true
-	select {
-	case <-w.granted:
+	if a.await(ctx, w) {
 		return nil
-	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -69,6 +74,41 @@
 	return errors.Newf("wait for %d bytes: %s: %w", bytes, context.Cause(ctx), ErrNoRoom)
 }
 
+// await waits until a response has its memory, and reports whether it has before ctx ends. Meanwhile
+// transfers that stall give way to it.
+func (a *Account) await(ctx context.Context, w *waiter) (granted bool) {
+	ticker := time.NewTicker(stallCheckInterval)
+	defer ticker.Stop()
+	for {
+		for _, stop := range a.stopStalledFor(w) {
+			stop()
+		}
+		select {
+		case <-w.granted:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// stopStalledFor ends transfers that stall until a waiting response has its memory, and returns
+// their stop functions.
+func (a *Account) stopStalledFor(w *waiter) []func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := w.response
+	hasRoom := func() bool {
+		a.grant()
+		return !slices.Contains(a.waiting, w)
+	}
+	callerHasRoom := func() bool { return a.callers[r.caller].total+w.bytes-r.bytes <= a.Bounds.caller().total }
+	stops := a.stopStalled(r.caller, hasRoom, callerHasRoom)
+	a.grant()
+	return stops
+}
+
 // HasWaited reports whether the response has waited for memory, with its server unread.
 func (r *Response) HasWaited() bool {
 	return r != nil && r.waited
@@ -80,8 +120,10 @@
 		return
 	}
 	a := r.account
+	defer r.writing.end()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	delete(a.transfers, r.writing)
 	a.add(r.caller, usage{total: -r.bytes})
 	r.bytes = 0
 	if a.overdrawn == r {
--- a/internal/memory/stalled.go
+++ b/internal/memory/stalled.go
@@ -2,24 +2,69 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 )
 
 const (
-	// stallTime is the time in which a body that is being read must advance by stallBytes, or
-	// it gives way to others that lack memory.
-	stallTime  = time.Second
-	stallBytes = 4 << 10
+	// bodyStallTime is the time in which a request body that is being read must advance by
+	// stallBytes, and responseStallTime that for a response that is being written, or it gives
+	// way to others that lack memory.
+	bodyStallTime     = time.Second
+	responseStallTime = 3 * time.Second
+	stallBytes        = 4 << 10
 )
 
-// reading is the state of a request body that is being read.
-type reading struct {
-	// stop ends the reading.
-	stop func()
-	// advancedAt is when the body has last advanced by stallBytes, and since how many bytes
-	// have arrived from then on.
+// transfer is a body on its way between the entry and a caller. It gives way to others that lack
+// memory if it stalls.
+type transfer struct {
+	caller string
+	// stop ends the transfer, and giveBack gives its bytes back; the account's mu is held.
+	stop     func()
+	giveBack func()
+	// stallTime is the time in which it must advance by stallBytes.
+	stallTime time.Duration
+	// advancedAt is when it has last advanced by stallBytes, and since how many bytes have
+	// been transferred from then on.
 	advancedAt time.Time
 	since      int
+	// ended makes sure that stop isn't called once the transfer has ended: by then its
+	// connection may carry the next one.
+	ended sync.Once
+}
+
+// end records that the transfer has ended; nothing if x is nil. The account's mu is not held.
+func (x *transfer) end() {
+	if x != nil {
+		x.ended.Do(func() {})
+	}
+}
+
+// isStalled reports whether the transfer has not advanced for its stallTime.
+func (x *transfer) isStalled(now time.Time) bool {
+	return now.Sub(x.advancedAt) >= x.stallTime
+}
+
+// advance records that bytes have been transferred; nothing if x is nil.
+func (x *transfer) advance(bytes int) {
+	if x == nil {
+		return
+	}
+	x.since += bytes
+	if x.since >= stallBytes {
+		x.since = 0
+		x.advancedAt = time.Now()
+	}
+}
+
+// begin adds a transfer that begins now; mu is held.
+func (a *Account) begin(x *transfer) *transfer {
+	x.advancedAt = time.Now()
+	if a.transfers == nil {
+		a.transfers = make(map[*transfer]struct{})
+	}
+	a.transfers[x] = struct{}{}
+	return x
 }
 
 // Begin records that the body is being read, and that stop ends that. While others lack memory,
@@ -31,11 +76,14 @@
 	}
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
-	r.reading = &reading{stop: stop, advancedAt: time.Now()}
-	if r.account.reading == nil {
-		r.account.reading = make(map[*Request]struct{})
-	}
-	r.account.reading[r] = struct{}{}
+	r.reading = r.account.begin(&transfer{caller: r.caller, stop: stop, stallTime: bodyStallTime, giveBack: r.giveBack})
+}
+
+// giveBack gives the bytes of a body that has to give way back; mu is held.
+func (r *Request) giveBack() {
+	r.hasGivenWay = true
+	r.account.add(r.caller, usage{total: -r.bytes, requests: -r.bytes})
+	r.bytes = 0
 }
 
 // Advance records that bytes of the body have arrived.
@@ -45,14 +93,7 @@
 	}
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
-	if r.reading == nil {
-		return
-	}
-	r.reading.since += bytes
-	if r.reading.since >= stallBytes {
-		r.reading.since = 0
-		r.reading.advancedAt = time.Now()
-	}
+	r.reading.advance(bytes)
 }
 
 // Complete records that the whole body has been read. It reports whether its bytes are still
@@ -61,9 +102,10 @@
 	if r == nil {
 		return true
 	}
+	defer r.reading.end()
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
-	r.endReading()
+	delete(r.account.transfers, r.reading)
 	return !r.hasGivenWay
 }
 
@@ -77,49 +119,66 @@
 	return r.hasGivenWay
 }
 
-// endReading forgets that the body is being read; mu is held.
-func (r *Request) endReading() {
-	r.reading = nil
-	delete(r.account.reading, r)
+// Begin records that the whole response is there and is being written to its caller, and that stop
+// ends that. While others lack memory, stop is called for a response that stalls, and its bytes
+// are given back. stop may be called by any goroutine, at most once, and not after Release.
+func (r *Response) Begin(stop func()) {
+	if r == nil {
+		return
+	}
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.writing = r.account.begin(&transfer{caller: r.caller, stop: stop, stallTime: responseStallTime, giveBack: r.giveBack})
 }
 
-// stopStalled ends the reading of bodies that stall, those that have stalled for the longest first,
-// until r may grow to the given number of bytes or none is left. It returns their stop functions,
-// which must be called without mu; mu is held.
-func (a *Account) stopStalled(r *Request, bytes int64) []func() {
+// giveBack gives the bytes of a response that has to give way back; mu is held.
+func (r *Response) giveBack() {
+	r.account.add(r.caller, usage{total: -r.bytes})
+	r.bytes = 0
+	if r.account.overdrawn == r {
+		r.account.overdrawn = nil
+	}
+}
+
+// Advance records that bytes of the response have been written.
+func (r *Response) Advance(bytes int) {
+	if r == nil {
+		return
+	}
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.writing.advance(bytes)
+}
+
+// stopStalled ends transfers that stall, those that have stalled for the longest first, until
+// hasRoom holds or none is left. Only those of the named caller help if callerHasRoom doesn't
+// hold. It returns their stop functions, which must be called without mu; mu is held.
+func (a *Account) stopStalled(caller string, hasRoom, callerHasRoom func() bool) []func() {
 	var stops []func()
-	for _, other := range a.stalled(r, time.Now()) {
-		if a.hasRoom(r.caller, r.bytes, bytes) {
+	for _, x := range a.stalled(time.Now()) {
+		if hasRoom() {
 			break
 		}
-		if other.caller == r.caller || a.callerHasRoom(r.caller, r.bytes, bytes) {
-			stops = append(stops, other.giveWay())
+		if x.caller != caller && !callerHasRoom() {
+			continue
 		}
+		delete(a.transfers, x)
+		x.giveBack()
+		a.givenWay++
+		stops = append(stops, func() { x.ended.Do(x.stop) })
 	}
 	return stops
 }
 
-// stalled returns the bodies other than that of r which stall, those that have stalled for the
-// longest first; mu is held.
-func (a *Account) stalled(r *Request, now time.Time) []*Request {
-	var found []*Request
-	for other := range a.reading {
-		if other != r && other.bytes > 0 && now.Sub(other.reading.advancedAt) >= stallTime {
-			found = append(found, other)
+// stalled returns the transfers that stall, those that have stalled for the longest first; mu is
+// held.
+func (a *Account) stalled(now time.Time) []*transfer {
+	var found []*transfer
+	for x := range a.transfers {
+		if x.isStalled(now) {
+			found = append(found, x)
 		}
 	}
-	slices.SortFunc(found, func(x, y *Request) int { return x.reading.advancedAt.Compare(y.reading.advancedAt) })
+	slices.SortFunc(found, func(x, y *transfer) int { return x.advancedAt.Compare(y.advancedAt) })
 	return found
 }
-
-// giveWay gives the bytes of a body that is being read back, and returns the function that ends
-// the reading; the account's mu is held.
-func (r *Request) giveWay() (stop func()) {
-	stop = r.reading.stop
-	r.endReading()
-	r.hasGivenWay = true
-	r.account.add(r.caller, usage{total: -r.bytes, requests: -r.bytes})
-	r.account.givenWay++
-	r.bytes = 0
-	return stop
-}
--- a/internal/memory/stalled_test.go
+++ b/internal/memory/stalled_test.go
@@ -25,7 +25,7 @@
 		if !complete.Complete() {
 			t.Error("a complete body has given way")
 		}
-		time.Sleep(stallTime)
+		time.Sleep(bodyStallTime)
 		advancing.Advance(stallBytes)
 		begin("new")
 		last := a.Request("last")
@@ -55,12 +55,12 @@
 			t.Fatal("no memory")
 		}
 		other.Begin(func() { t.Error("the body of another caller has given way") })
-		time.Sleep(stallTime)
+		time.Sleep(bodyStallTime)
 		if second.TryGrow(10) {
 			t.Error("a caller got more than its bound")
 		}
 		first.Begin(func() {})
-		time.Sleep(stallTime)
+		time.Sleep(bodyStallTime)
 		if !second.TryGrow(10) || !first.HasGivenWay() {
 			t.Error("the stalled body of the same caller has not given way")
 		}
@@ -78,7 +78,7 @@
 		}
 		trickling.Begin(func() {})
 		for range 10 {
-			time.Sleep(stallTime / 5)
+			time.Sleep(bodyStallTime / 5)
 			trickling.Advance(1)
 		}
 		if !a.Request("two").TryGrow(50) {
@@ -86,3 +86,60 @@
 		}
 	})
 }
+
+// TestUnreadResponsesGiveWay guards against responses that are not read and take the memory of
+// others until they are, and against one that is read slowly and gives way, or one of a caller whose
+// own bound is what others lack.
+func TestUnreadResponsesGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Bounds: Bounds{Total: 100, Requests: 50}}
+		unread, slow, last := a.Response("unread"), a.Response("slow"), a.Response("last")
+		if unread.Grow(t.Context(), 45) != nil || slow.Grow(t.Context(), 45) != nil {
+			t.Fatal("no memory")
+		}
+		stopped := false
+		unread.Begin(func() { stopped = true })
+		slow.Begin(func() { t.Error("a response that is read slowly has given way") })
+		go func() {
+			for range 10 {
+				time.Sleep(time.Second)
+				slow.Advance(stallBytes)
+			}
+		}()
+		start := time.Now()
+		err := last.Grow(t.Context(), 40)
+		if err != nil || !stopped || time.Since(start) > 2*responseStallTime {
+			t.Errorf("got %v after %s, unread response ended %t; want memory once it has stalled", err, time.Since(start), stopped)
+		}
+		unread.Release()
+		if held := a.Held(); held.Total != 85 || held.GivenWay != 1 {
+			t.Errorf("held %+v, want 85 bytes and one response that gave way", held)
+		}
+		slow.Release()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestEndedTransferIsNotStopped guards against a stop that comes after its transfer has ended, when
+// the connection may carry the next one.
+func TestEndedTransferIsNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Bounds: Bounds{Total: 100, Requests: 50}}
+		r := a.Request("one")
+		if !r.TryGrow(50) {
+			t.Fatal("no memory")
+		}
+		r.Begin(func() { t.Error("a transfer was stopped after its end") })
+		time.Sleep(bodyStallTime)
+		_, stops := a.Request("two").tryGrow(10)
+		if r.Complete() {
+			t.Error("a body that has given way counts as complete")
+		}
+		for _, stop := range stops {
+			stop()
+		}
+		if len(stops) != 1 {
+			t.Errorf("%d transfers were stopped, want one", len(stops))
+		}
+	})
+}
--- a/internal/process/connection.go
+++ b/internal/process/connection.go
@@ -64,6 +64,9 @@
 	// phaseDeadline that of the phase. The earlier one counts; zero is none.
 	deadline      time.Time
 	phaseDeadline time.Time
+	// writeDeadline is the deadline of writes that the HTTP server or a handler has set; zero
+	// is none.
+	writeDeadline time.Time
 	// headBytes is the number of bytes that have arrived in phaseHead, and heldBytes how many
 	// the group counts for the header until its response is complete.
 	headBytes, heldBytes int
@@ -247,15 +250,37 @@
 	}
 	written := 0
 	for {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		isSet := c.beginWrite()
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if n == 0 || written == len(p) || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n == 0 || written == len(p) || isSet || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
 	}
 }
 
+// beginWrite sets the deadline of the next write, and reports whether one of the HTTP server or a
+// handler is in force.
+func (c *connection) beginWrite() (isSet bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Now().Add(unreadTimeout)
+	isSet = !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline)
+	if isSet {
+		deadline = c.writeDeadline
+	}
+	_ = c.Conn.SetWriteDeadline(deadline)
+	return isSet
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *connection) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = deadline
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
 // CloseWrite ends the response while the rest of a request is still unread, so that the
 // close doesn't reset the connection before the caller has the response. The HTTP server
 // calls it.
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -226,7 +226,7 @@
 	held := account.Held()
 	m.set("body_bytes_held", float64(held.Total))
 	m.set("request_body_bytes_held", float64(held.Requests))
-	m.countTo("request_bodies_given_way", held.GivenWay)
+	m.countTo("bodies_given_way", held.GivenWay)
 	m.set("responses_waiting_for_memory", float64(held.Waiting))
 	m.set("caller_body_bytes_highest", float64(held.Caller))
 	m.set("caller_body_bytes_limit", float64(held.CallerLimit))
