--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -153,9 +153,10 @@
 }
 
 // TryGrow grows the reservation to the given number of bytes, unless that exceeds a bound,
-// and reports whether it did. Bodies of other requests that stall give way to it. The only request body of the entry may take more than the
-// bound of request bodies, and a caller for whom nothing else is held more than the bounds of
-// a caller, because large bodies would otherwise be refused for ever.
+// and reports whether it did. Bodies that stall give way to it. The only request body of the
+// entry may take more than the bound of request bodies, and a caller for whom nothing else is
+// held more than the bounds of a caller, because large bodies would otherwise be refused for
+// ever.
 func (r *Request) TryGrow(bytes int64) bool {
 	if r == nil {
 		return true
@@ -167,7 +168,7 @@
 	return grown
 }
 
-// tryGrow is TryGrow, but returns the functions that end the reading of stalled bodies.
+// tryGrow is TryGrow, but returns the functions that end the transfers of stalled bodies.
 func (r *Request) tryGrow(bytes int64) (grown bool, stops []func()) {
 	a := r.account
 	a.mu.Lock()
