--- a/review/platform/fleet2/fleet.go
+++ b/review/platform/fleet2/fleet.go
@@ -316,6 +316,8 @@
 	err    error
 	sent   time.Time
 	ended  time.Time
+	// leaving is set if the answer says that its server leaves.
+	leaving bool
 }
 
 // request is what a client sends.
@@ -345,6 +347,7 @@
 	if err == nil {
 		a.status = response.StatusCode
 		a.stamp = response.Header.Get("X-Cactusbay-Server-Stamp")
+		a.leaving = response.Header.Get("Server-Leaving") == "1"
 		var text []byte
 		text, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
--- a/review/platform/fleet2/main.go
+++ b/review/platform/fleet2/main.go
@@ -24,6 +24,8 @@
 	"in-place":    runInPlace,
 	"invalid":     runInvalid,
 	"poison":      runPoison,
+	"leaving":     runLeaving,
+	"unframed":    runUnframed,
 	"stale-relay": runStaleRelay,
 }
 
@@ -32,6 +34,9 @@
 }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == serverArgument {
+		return serveUnframed(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: fleet2 SCENARIO RECORD")
 		return exitFailed
--- a/review/platform/fleet2/scenarios.go
+++ b/review/platform/fleet2/scenarios.go
@@ -101,6 +101,7 @@
 // relayRun is a run of a request of the moved route.
 type relayRun struct {
 	service string
+	tenant  string
 	at      time.Time
 }
 
@@ -111,18 +112,22 @@
 	runs := make(map[string]relayRun)
 	onRun := func(b *backend, r *http.Request) {
 		id := r.Header.Get("X-Cactusbay-Attempt-Id")
-		f.note("server %s of %s runs %s %s", b.id, b.service, id, r.URL.Path)
+		tenant := r.Header.Get("X-Cactusbay-Tenant")
+		f.note("server %s of %s runs %s %s for tenant %s", b.id, b.service, id, r.URL.Path, tenant)
 		mu.Lock()
 		defer mu.Unlock()
-		runs[id] = relayRun{service: b.service, at: time.Now()}
+		runs[id] = relayRun{service: b.service, tenant: tenant, at: time.Now()}
 	}
 	servers, err := runServers(f, 2, false, true, onRun, "svc-x", "svc-y")
 	if err != nil {
 		return false, err
 	}
+	// The second configuration moves the route, and the clients' key to another tenant.
 	keep := routeJSON("r-keep", host, "/keep/", "idempotent", "svc-y", false, 1200)
 	old := configurationJSON(1, keep, routeJSON("r-move", host, "/move/", "idempotent", "svc-x", false, 1200))
 	moved := configurationJSON(2, keep, routeJSON("r-move", host, "/move/", "idempotent", "svc-y", false, 1200))
+	old = withTenants(old, `{"name":"t-old","api-keys":["k1"]}`)
+	moved = withTenants(moved, `{"name":"t-old","api-keys":["k2"]},{"name":"t-new","api-keys":["k1"]}`)
 	err = f.start(2, old)
 	if err != nil {
 		return false, err
@@ -142,7 +147,7 @@
 					case <-time.After(sendInterval):
 					}
 					id := fmt.Sprintf("e%d-%s-%d", entry+1, strings.Split(path, "/")[1], number)
-					a := f.send(client, entry, request{method: http.MethodGet, host: host, path: path, id: id, deadline: 2500 * time.Millisecond})
+					a := f.send(client, entry, request{method: http.MethodGet, host: host, path: path, id: id, deadline: 2500 * time.Millisecond, header: map[string]string{"X-Cactusbay-Key": "k1"}})
 					f.note("client: %s sent to entry %d: %d %s %v", id, entry+1, a.status, strings.TrimSpace(a.body), a.err)
 					sentMu.Lock()
 					answers[id] = a
@@ -192,9 +197,12 @@
 	if effect.IsZero() {
 		return false, errors.New("entry 1 never had the new configuration")
 	}
-	late, regressed := 0, 0
+	late, regressed, foreign := 0, 0, 0
 	for id, a := range answers {
 		run, ran := runs[id]
+		if strings.HasPrefix(id, "e1-") && ran && run.tenant == "t-old" && a.sent.After(acknowledged.Add(applyTime)) {
+			foreign++
+		}
 		if !strings.HasPrefix(id, "e1-move-") || !ran || run.service != "svc-x" {
 			continue
 		}
@@ -208,9 +216,16 @@
 	f.log("acknowledged at %.3f s; svc-y first ran a request for /move/ through entry 1 at %.3f s", acknowledged.Sub(f.started).Seconds(), effect.Sub(f.started).Seconds())
 	f.log("requests for /move/ that clients sent to entry 1 more than %s after that, and that svc-x ran: %d", rollbackSlack, regressed)
 	f.log("the same, sent later than %s after the acknowledgement: %d", applyTime, late)
+	f.log("requests that clients sent to entry 1 as late, with the key of t-new, and that a server ran for t-old: %d", foreign)
 	return regressed == 0, nil
 }
 
+// withTenants returns a configuration with tenants, and with routes that require a key.
+func withTenants(configuration, tenants string) string {
+	configuration = strings.ReplaceAll(configuration, `"public":true`, `"public":false`)
+	return strings.Replace(configuration, `"tenants":[]`, `"tenants":[`+tenants+`]`, 1)
+}
+
 // The times of runInPlace.
 const (
 	streamClients = 10
--- a/review/platform/fleet2/servers.go
+++ b/review/platform/fleet2/servers.go
@@ -28,6 +28,15 @@
 type platform struct {
 	mu      sync.Mutex
 	history []change
+	// down is set while the platform answers nothing but 503.
+	down bool
+}
+
+// setDown makes the platform answer 503, or serve again.
+func (p *platform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
 }
 
 // change is one change of the list.
@@ -49,6 +58,7 @@
 	var order []string
 	current := make(map[string]listed)
 	p.mu.Lock()
+	down := p.down
 	for _, c := range p.history {
 		if c.at.After(asOf) {
 			continue
@@ -59,6 +69,10 @@
 		current[c.entry.ID] = c.entry
 	}
 	p.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	list := []listed{}
 	for _, id := range order {
 		list = append(list, current[id])
@@ -94,6 +108,7 @@
 	server  *http.Server
 	running int
 	runs    int
+	leaving bool
 }
 
 const (
@@ -131,7 +146,26 @@
 	server := b.server
 	b.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	b.fleet.platform.set(listed{ID: b.id, Service: b.service, Address: b.address, Zone: zone, Version: version, Slots: slots, State: "ready", Born: time.Now().UnixMilli()})
+	b.fleet.platform.set(b.entry(version))
+}
+
+// entry returns the entry of the list for a run that begins now.
+func (b *backend) entry(version string) listed {
+	return listed{ID: b.id, Service: b.service, Address: b.address, Zone: zone, Version: version, Slots: slots, State: "ready", Born: time.Now().UnixMilli()}
+}
+
+// setLeaving makes the server say in its answers that it leaves.
+func (b *backend) setLeaving(leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = leaving
+}
+
+// isLeaving reports whether the server says that it leaves.
+func (b *backend) isLeaving() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaving
 }
 
 // crash ends all connections of the server and its listener.
@@ -193,6 +227,9 @@
 		return
 	}
 	header.Set("X-Cactusbay-Server-Stamp", fmt.Sprintf("%s.%s.%d", b.id, version, run))
+	if b.isLeaving() {
+		header.Set("Server-Leaving", "1")
+	}
 	header.Set("X-Cactusbay-Server-Load", fmt.Sprintf("%d,0,%d", running, slots))
 	if b.streams {
 		b.stream(w, r, version)
