review: show that the sound part of prompts is refused for an hour

Cause: the quarantine takes the part that crashes servers and those that come with it alike, unless an answer has protected them, which an entry forgets when it is stopped and started. The test serves sound requests, stops and starts both entries in turn, sends requests with a part that crashes servers beside a busy route, and counts the sound requests that begin afterwards.

--- a/review/platform/fleet2/main.go
+++ b/review/platform/fleet2/main.go
@@ -24,6 +24,7 @@
 	"in-place":    runInPlace,
 	"invalid":     runInvalid,
 	"poison":      runPoison,
+	"innocent":    runInnocent,
 	"leaving":     runLeaving,
 	"unframed":    runUnframed,
 	"stale-relay": runStaleRelay,
