review: show that a part of an answer passes for the whole when its server is killed

Cause: an answer without a length ends with its connection, which the kernel closes in order when the server is killed. The test kills one of four servers at a time, each a process of its own, in the midst of such answers to requests that may run once, and checks each body for its last line.

--- a/review/platform/fleet2/main.go
+++ b/review/platform/fleet2/main.go
@@ -21,6 +21,7 @@
 
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
+	"behind":      runBehind,
 	"in-place":    runInPlace,
 	"invalid":     runInvalid,
 	"poison":      runPoison,
--- a/review/platform/fleet2/unframed.go
+++ b/review/platform/fleet2/unframed.go
@@ -22,7 +22,7 @@
 const (
 	lineCount    = 20
 	lineInterval = 25 * time.Millisecond
-	killInterval = 900 * time.Millisecond
+	killInterval = 2 * time.Second
 	killTime     = 10 * time.Second
 	unframedDown = 500 * time.Millisecond
 )
@@ -93,7 +93,7 @@
 // runUnframed kills servers while they answer without a length.
 func runUnframed(f *fleet, trouble bool) (bool, error) {
 	addresses := make(map[string]string)
-	ids := []string{"i-svc-x-1", "i-svc-x-2", "i-svc-x-3"}
+	ids := []string{"i-svc-x-1", "i-svc-x-2", "i-svc-x-3", "i-svc-x-4"}
 	for _, id := range ids {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
