review: write to the records which server runs a request

Cause: the records of some cases held what clients sent and got, and not what ran. The stand-ins now note each run; what they check is unchanged.

--- a/review/platform/fleet2/behind.go
+++ b/review/platform/fleet2/behind.go
@@ -28,7 +28,7 @@
 	for _, service := range []string{"svc-x", "svc-y"} {
 		for number := range 2 {
 			version := map[string]string{"svc-x": "v1", "svc-y": "v2"}[service]
-			_, err := newBackend(f, fmt.Sprintf("i-%s-%d", service, number+1), service, version, true, false, nil)
+			_, err := newBackend(f, fmt.Sprintf("i-%s-%d", service, number+1), service, version, true, false, noteRun(f))
 			if err != nil {
 				return false, err
 			}
--- a/review/platform/fleet2/innocent.go
+++ b/review/platform/fleet2/innocent.go
@@ -30,7 +30,9 @@
 	var mu sync.Mutex
 	var crashes []time.Time
 	began := make(map[string]bool)
-	servers, err := runServers(f, 5, true, false, func(_ *backend, r *http.Request) {
+	note := noteRun(f)
+	servers, err := runServers(f, 5, true, false, func(b *backend, r *http.Request) {
+		note(b, r)
 		mu.Lock()
 		defer mu.Unlock()
 		began[r.Header.Get("X-Cactusbay-Attempt-Id")] = true
--- a/review/platform/fleet2/poison.go
+++ b/review/platform/fleet2/poison.go
@@ -44,12 +44,13 @@
 	for _, b := range servers {
 		b.firstEvent = promptTime
 		b.eventInterval = tokenTime
-		b.onRun = func(_ *backend, r *http.Request) {
+		note := noteRun(f)
+		b.onRun = func(b *backend, r *http.Request) {
+			note(b, r)
 			if isPoison(r) {
 				mu.Lock()
 				reached = append(reached, time.Now())
 				mu.Unlock()
-				f.note("poison %s reaches %s", r.Header.Get("X-Cactusbay-Attempt-Id"), b.id)
 			}
 		}
 		b.crashesUnder = func(r *http.Request) bool {
--- a/review/platform/fleet2/scenarios.go
+++ b/review/platform/fleet2/scenarios.go
@@ -28,6 +28,13 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}`, version, strings.Join(routes, ","), services)
 }
 
+// noteRun writes to the record that a request begins to run.
+func noteRun(f *fleet) func(*backend, *http.Request) {
+	return func(b *backend, r *http.Request) {
+		f.note("server %s (%s) runs %s %s", b.id, b.service, r.Header.Get("X-Cactusbay-Attempt-Id"), r.URL.Path)
+	}
+}
+
 // runServers starts count servers for each of the services.
 func runServers(f *fleet, count int, streams, linked bool, onRun func(*backend, *http.Request), services ...string) ([]*backend, error) {
 	var servers []*backend
@@ -52,7 +59,7 @@
 // runInvalid sends configurations with a route that names an unknown service, and with two routes
 // of the same host and prefix.
 func runInvalid(f *fleet, trouble bool) (bool, error) {
-	_, err := runServers(f, 1, false, false, nil, "svc-x", "svc-y")
+	_, err := runServers(f, 1, false, false, noteRun(f), "svc-x", "svc-y")
 	if err != nil {
 		return false, err
 	}
@@ -238,7 +245,7 @@
 // runInPlace replaces the servers of a service one after the other by a newer version, each under
 // the id and the address that it had.
 func runInPlace(f *fleet, trouble bool) (bool, error) {
-	servers, err := runServers(f, 3, true, false, nil, "svc-x")
+	servers, err := runServers(f, 3, true, false, noteRun(f), "svc-x")
 	if err != nil {
 		return false, err
 	}
--- a/review/platform/fleet2/unframed.go
+++ b/review/platform/fleet2/unframed.go
@@ -60,6 +60,7 @@
 		return
 	}
 	attempt := r.Header.Get("X-Cactusbay-Attempt-Id")
+	fmt.Printf("server %s runs %s %s\n", id, attempt, r.URL.Path)
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Cactusbay-Attempt-Id: %s\r\nX-Cactusbay-Server-Stamp: %s.%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", attempt, id, attempt)
 	for number := 1; number <= lineCount; number++ {
 		time.Sleep(lineInterval)
@@ -77,6 +78,10 @@
 		return err
 	}
 	command := exec.Command(executable, serverArgument, id, address)
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return err
+	}
 	err = command.Start()
 	if err != nil {
 		return err
@@ -84,6 +89,10 @@
 	c := &child{process: command.Process, done: make(chan struct{})}
 	f.processes[id] = c
 	go func() {
+		lines := bufio.NewScanner(output)
+		for lines.Scan() {
+			f.note("%s", lines.Text())
+		}
 		_ = command.Wait()
 		close(c.done)
 	}()
