--- a/review/platform/fleet2/poison.go
+++ b/review/platform/fleet2/poison.go
@@ -12,10 +12,10 @@
 // The mean times of runPoison. Each is drawn from half to one and a half of it.
 const (
 	poisonPart     = "dead1"
-	soundInterval  = 5 * time.Second
-	poisonInterval = 900 * time.Millisecond
+	soundInterval  = 8 * time.Second
+	poisonInterval = time.Second
 	downTime       = 4 * time.Second
-	soundBefore    = 12 * time.Second
+	soundBefore    = 16 * time.Second
 	poisonTime     = 40 * time.Second
 	// promptTime is how long a server reads a prompt.
 	promptTime = 300 * time.Millisecond
