--- a/review/platform/fleet2/scenarios.go
+++ b/review/platform/fleet2/scenarios.go
@@ -242,10 +242,10 @@
 	streamTimeout = 8 * time.Second
 )
 
-// runInPlace replaces the servers of a service one after the other by a newer version, each under
-// the id and the address that it had.
+// runInPlace crashes the servers of a service one after the other. Each starts again with a newer
+// version, under the id and the address that it had.
 func runInPlace(f *fleet, trouble bool) (bool, error) {
-	servers, err := runServers(f, 3, true, false, noteRun(f), "svc-x")
+	servers, err := runServers(f, 4, true, false, noteRun(f), "svc-x")
 	if err != nil {
 		return false, err
 	}
