upstream, transport: take no response whose field names are invalid

What callers saw: a server sent a blank in the name of a field of a response, and the caller got 200. The field was gone; where it was the one that frames the body ("Content-Length : 4", "Transfer-Encoding : chunked"), the body was not the server's: what follows the length, or the lines of the chunks. The same for interim responses and for fields after the last chunk.

Cause: net/textproto accepts blanks in a field's name, takes the field for one that it doesn't know, and leaves it to its caller to refuse it. Neither the client of backend servers nor that of other processes did. RFC 9110, section 5.1: a name is a token. RFC 9112, section 5.1, lets nobody pass such a line on. Control bytes in names were refused by the library already.

Change: transport.CheckFieldNames, with the library's own rule for tokens (httpguts), on every header that a process reads in a response, and on the trailers of backend servers. It knows no name of a field and no server, and runs before anything of the header is used. The attempt has failed: it is repeated where that is allowed, else the caller gets 502 or a cut stream, and "attempt failed" names the request, the server and the cause.

--- a/internal/transport/fresh.go
+++ b/internal/transport/fresh.go
@@ -13,8 +13,9 @@
 // resends it if its connection breaks, even if the server has run it.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
-// roundTripper closes its idle connections after a request has timed out, and
-// keeps http.Transport from resending requests with an idempotency key.
+// roundTripper closes its idle connections after a request has timed out, keeps
+// http.Transport from resending requests with an idempotency key, and returns an
+// ErrInvalidFieldName in place of a response with an invalid header.
 type roundTripper struct {
 	next *http.Transport
 }
@@ -25,7 +26,15 @@
 	if err != nil && errors.Is(request.Context().Err(), context.DeadlineExceeded) {
 		f.next.CloseIdleConnections()
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	err = CheckFieldNames(response.Header)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, errors.Newf("read response from %s: %w", request.URL.Host, err)
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the idle connections. http.Client calls it in its
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -261,7 +261,8 @@
 }
 
 // readHeader reads the header of the next response and skips informational (1xx)
-// responses. It returns ErrInvalidStatus for a status that no final response has: 101
+// responses. It returns transport.ErrInvalidFieldName for a header, also of an informational
+// response, that is none, and ErrInvalidStatus for a status that no final response has: 101
 // ends the use of HTTP on the connection, and no request asks for that.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	for {
@@ -269,6 +270,10 @@
 		if err != nil {
 			return nil, errors.Newf("read header: %w", err)
 		}
+		err = transport.CheckFieldNames(parsed.Header)
+		if err != nil {
+			return nil, errors.Newf("check header: %w", err)
+		}
 		status := parsed.StatusCode
 		switch {
 		case status == http.StatusSwitchingProtocols || status < http.StatusContinue || status > maxStatus:
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
 const (
@@ -41,17 +43,16 @@
 	body Body
 }
 
-// Read reads the body. It returns io.EOF after a complete body and ErrTruncated
-// after an incomplete one. A body without a length is complete if the server
-// closed its connection without a reset.
+// Read reads the body. It returns io.EOF after a complete body, ErrTruncated
+// after an incomplete one, and transport.ErrInvalidFieldName after a trailer that is none.
+// A body without a length is complete if the server closed its connection without a reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.parsed.Body.Read(p)
 	switch {
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
-		r.bodyComplete = true
-		return n, io.EOF
+		return n, r.end()
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return n, ErrTruncated
 	default:
@@ -59,6 +60,16 @@
 	}
 }
 
+// end checks the trailer once the body has ended. It returns io.EOF after a complete body.
+func (r *Response) end() error {
+	err := transport.CheckFieldNames(r.parsed.Trailer)
+	if err != nil {
+		return errors.Newf("check trailer: %w", err)
+	}
+	r.bodyComplete = true
+	return io.EOF
+}
+
 // ReadAll reads the rest of the body. It fails if the body is incomplete, longer than
 // 16 MiB, or larger than the memory that the bodies of other responses leave. The caller
 // must call FreeBody once it no longer needs the body, also after an error.
