transport: tell a reset that a write has taken from an end in order

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: the kernel reports the error that ended a connection once, to the first read or write that comes. The background write of the upload took it, and the read that followed saw what it sees after an end in order: io.EOF, which ends a body without a length.

Change: a connection of transport.TCP keeps the error that ended it, whichever read or write took it, and returns that in place of io.EOF. If a read sees the end while a write is in progress, the state of the socket tells whether to wait for it: a dead connection (TCP_CLOSE) makes the write return at once, a living one was ended in order. The verdict thus depends on no goroutine. EPIPE is not kept: the kernel reports it for a reset after the peer's end, and what came before that end is whole. It is at the place where all connections to servers, entries, control and lists are opened.

Decision: a response that ends in order is whole, whether its server reads the rest of the upload, reads nothing, or resets the connection afterwards (RFC 9112, section 6.3: the close ends it).

The caller gets 502 or the next attempt, a stream is cut, and "attempt failed" names the request, server and "connection reset by peer".

The log of the tests of broken heads is now guarded by a lock: the race detector showed that a crash check still writes to it.

--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -104,3 +105,42 @@
 		})
 	}
 }
+
+// TestResetUnderAnUploadIsNoEnd guards against a part of a response without a length that passes
+// for the whole, because the write of the request's body took the error of the reset.
+func TestResetUnderAnUploadIsNoEnd(t *testing.T) {
+	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+		for range 20 {
+			address := resetServer(t, okHead+"\r\npart", pause)
+			response, err := (&Client{}).Do(t.Context(), Call{Address: address, Attempt: cutAttempt, Method: http.MethodPost, Path: "/x", Body: make([]byte, 8<<20)})
+			if !errors.Is(err, upstream.ErrTruncated) {
+				t.Errorf("reset after %s: body %q, error %v; want ErrTruncated", pause, response.Body, err)
+			}
+		}
+	}
+}
+
+// resetServer starts a server that answers one request with text before it has read the body, and
+// resets the connection after a pause.
+func resetServer(t *testing.T, text string, pause time.Duration) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer func() { _ = listener.Close() }()
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, err = http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.WriteString(conn, text)
+			time.Sleep(pause)
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	return listener.Addr().String()
+}
--- a/internal/forward/broken_head_test.go
+++ b/internal/forward/broken_head_test.go
@@ -1,10 +1,10 @@
 package forward_test
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,23 +70,49 @@
 	t.Helper()
 	for _, text := range responses {
 		f := newFixture(t, route, sendRaw(text))
-		var logged bytes.Buffer
-		f.server.Log = log.NewWithOptions(&logged, log.Options{Formatter: log.LogfmtFormatter})
+		logged := f.keepLog()
 		status, body, complete, _ := f.send("/a/x", "secret")
 		if status != http.StatusBadGateway || body != "outcome_unclear\n" || !complete {
 			t.Errorf("status %d, body %q, complete %v after %q; want 502", status, body, complete, text)
 		}
 		f.close()
-		if !logsFailedAttempt(logged.String(), f.receivedBy[0]) {
-			t.Errorf("after %q the log names no server and cause:\n%s", text, logged.String())
+		if !logged.hasFailedAttempt(f.receivedBy[0]) {
+			t.Errorf("after %q the log names no server and cause:\n%s", text, logged)
 		}
 	}
 }
 
-// logsFailedAttempt reports whether a line of the log names the failed attempt, its server and
-// the cause.
-func logsFailedAttempt(logged, server string) bool {
-	for line := range strings.Lines(logged) {
+// keptLog keeps the log of an entry.
+type keptLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// keepLog makes the entry write its log to the returned one.
+func (f *fixture) keepLog() *keptLog {
+	kept := &keptLog{}
+	f.server.Log = log.NewWithOptions(kept, log.Options{Formatter: log.LogfmtFormatter})
+	return kept
+}
+
+// Write implements io.Writer.
+func (l *keptLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns the log.
+func (l *keptLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// hasFailedAttempt reports whether a line of the log names the failed attempt, its server and the
+// cause.
+func (l *keptLog) hasFailedAttempt(server string) bool {
+	for line := range strings.Lines(l.String()) {
 		named := strings.Contains(line, "request=a1") && strings.Contains(line, "server="+server)
 		if named && strings.Contains(line, `"attempt failed"`) && strings.Contains(line, "cause=") {
 			return true
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,7 +47,7 @@
 
 // DialContext implements Network. Keep-alive probes close a connection whose peer
 // no longer knows it, and the TCP user timeout closes one whose peer acknowledges
-// nothing.
+// nothing. A read returns io.EOF only after the peer has ended the connection in order.
 func (t TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
@@ -62,11 +62,20 @@
 	if t.Source != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(t.Source)}
 	}
-	conn, err := dialer.DialContext(ctx, network, address)
+	dialed, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", address, err)
 	}
-	return conn, nil
+	tcp, ok := dialed.(*net.TCPConn)
+	if !ok {
+		return dialed, nil
+	}
+	wrapped, err := newConn(tcp)
+	if err != nil {
+		_ = dialed.Close()
+		return nil, errors.Newf("dial %s: %w", address, err)
+	}
+	return wrapped, nil
 }
 
 // Client returns an HTTP client over network that follows no redirects and doesn't
--- a/test/live/site_test.go
+++ b/test/live/site_test.go
@@ -29,6 +29,7 @@
 	eventuallyTimeout = 30 * time.Second
 	requestTimeout    = 20 * time.Second
 	pollInterval      = 50 * time.Millisecond
+	maxBodyBytes      = 8 << 20
 )
 
 var domains = []string{"a", "b", "c"}
@@ -138,9 +139,10 @@
 func (s *site) document() config.Document {
 	once := false
 	document := config.Document{
-		Workspaces:     map[string]config.Workspace{workspace: {KeyHashes: []string{config.HashKey(callerKey)}, Works: []string{"chat", "orders"}}},
+		Workspaces:     map[string]config.Workspace{workspace: {KeyHashes: []string{config.HashKey(callerKey)}, Works: []string{"chat", "orders", "records"}}},
 		BackendServers: make(map[string]config.BackendServer),
-		Routes:         map[string]config.Route{"demo": {Work: "chat"}, "orders": {Work: "orders"}},
+		Routes:         map[string]config.Route{"demo": {Work: "chat"}, "orders": {Work: "orders"}, "records": {Work: "records"}},
+		Limits:         config.Limits{BodyBytes: maxBodyBytes},
 	}
 	var engines, services []string
 	for _, domain := range domains {
@@ -150,8 +152,9 @@
 		services = append(services, "service-"+domain)
 	}
 	document.Works = map[string]config.Work{
-		"chat":   {Kind: config.KindModel, Model: "demo", BackendServers: engines},
-		"orders": {Kind: config.KindService, BackendServers: services, CallTokens: 10, Repeatable: &once},
+		"chat":    {Kind: config.KindModel, Model: "demo", BackendServers: engines},
+		"orders":  {Kind: config.KindService, BackendServers: services, CallTokens: 10, Repeatable: &once},
+		"records": {Kind: config.KindService, BackendServers: services, CallTokens: 10},
 	}
 	return document
 }
