caller: log each failed dispatch of listed sites

What on-call saw: nothing. At an entry of a listed site, a broken response of a backend server left no line in the log if another dispatch, or the same stream resumed, then served the request: the error was dropped when the request moved on.

Evidence: TestFailedDispatchIsLogged failed on in all three cases (a call that moves, a chat that moves, a chat that is resumed).

Change: moveTo logs the error of the dispatch that it ends, with both servers, and a chat logs each break before it resumes its stream. The lines carry the attempt's id as the others do; at most one a dispatch or a try.

Result: the test passes, and ./test and ./internal/caller do.

--- a/internal/caller/chat_relay.go
+++ b/internal/caller/chat_relay.go
@@ -87,6 +87,7 @@
 	}
 	pause := resumePause
 	for try := 0; try < resumeTries && isResumable(err) && hasRetryTime(ctx); try++ {
+		r.attempt.log().Warn("response broke off, resuming it", "server", r.attempt.lease.Name, "err", err.Error())
 		sleep.For(ctx, pause)
 		pause *= 2
 		events := r.sink.events
@@ -176,7 +177,7 @@
 		r.cancelInBackground(ctx)
 	}
 	r.unclear = true
-	r.moveTo(lease)
+	r.moveTo(lease, err)
 	r.sink.reset()
 	return true
 }
--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -93,8 +93,9 @@
 	return lease
 }
 
-// moveTo replaces the lease of a server that failed by lease.
-func (d *dispatcher) moveTo(lease *backend.Lease) {
+// moveTo replaces the lease of a server that failed with err by lease.
+func (d *dispatcher) moveTo(lease *backend.Lease, err error) {
+	d.attempt.log().Warn("dispatch failed, another backend server takes over", "server", d.attempt.lease.Name, "next", lease.Name, "err", err.Error())
 	d.attempt.lease.Result.Failed = true
 	d.attempt.lease.Release()
 	lease.Result.Sent = true
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -81,7 +81,7 @@
 	c.attempt.lease.Result.Sent = true
 	result, err := c.sendOnce(spanCtx)
 	mayHaveRun := !upstream.IsNotSent(err)
-	for err != nil && mayHaveRun && c.failOver(ctx) {
+	for err != nil && mayHaveRun && c.failOver(ctx, err) {
 		result, err = c.sendOnce(spanCtx)
 	}
 	if !mayHaveRun {
@@ -126,9 +126,9 @@
 	return result, err
 }
 
-// failOver moves a repeatable call to another backend server. It reports whether there
-// is a new lease to send the call with.
-func (c *call) failOver(ctx context.Context) bool {
+// failOver moves a repeatable call, which failed with err, to another backend server. It
+// reports whether there is a new lease to send the call with.
+func (c *call) failOver(ctx context.Context, err error) bool {
 	if !c.request.repeatable {
 		return false
 	}
@@ -136,7 +136,7 @@
 	if lease == nil {
 		return false
 	}
-	c.moveTo(lease)
+	c.moveTo(lease, err)
 	return true
 }
 
