upstream: a line feed before a field's name doesn't end the head

What callers saw: where the control byte in the name of a field was a line feed before its first letter, the caller got 200 with a body that was not the server's: the rest of the head, and then the body as far as a length before it allowed.

Cause: RFC 9112, section 2.2, lets a recipient take a line feed alone for the end of a line, and net/http does. After lines that end with CRLF that empty line is no end of the head but a spoiled one, and the response has no telling where its body begins.

Change: a headScanner looks at the bytes of a head as the connection brings them, in constant memory, for how its first line and its empty line end. A head whose status line ends with CRLF must end so; heads with line feeds alone are taken as before (TestSoundHeadsStayResponses). In a trailer a line feed alone ends the message as before: the chunks have told that the body is whole.

--- a/internal/forward/broken_head_test.go
+++ b/internal/forward/broken_head_test.go
@@ -48,7 +48,8 @@
 // brokenHeads are the heads that no recipient may take for those of a response.
 func brokenHeads() []string {
 	var heads []string
-	for _, name := range invalidFieldNames() {
+	// A line feed before a name is no end of the head where lines end with CRLF.
+	for _, name := range append(invalidFieldNames(), "\nX", "\nContent-Length", "\n Y") {
 		heads = append(heads, responsesWithInvalidName(name)...)
 	}
 	return append(heads, streamHead+"Transfer-Encoding : chunked\r\n\r\n"+chunk(eventText(1, 2))+finalChunk)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -64,6 +64,9 @@
 	readLimit int
 	limited   bool
 
+	// head, if set, looks at what is read; it belongs to the goroutine that reads.
+	head *headScanner
+
 	// silenceTimeout is how long a read may wait before it calls onSilence; 0 means
 	// any time. Both belong to the goroutine that reads.
 	silenceTimeout time.Duration
@@ -91,14 +94,19 @@
 // Read implements io.Reader on the socket. It returns ErrTooLarge beyond the limit of
 // limitReads.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.limited {
-		return c.readSocket(p)
+	if c.limited {
+		if c.readLimit <= 0 {
+			return 0, ErrTooLarge
+		}
+		p = p[:min(len(p), c.readLimit)]
 	}
-	if c.readLimit <= 0 {
-		return 0, ErrTooLarge
+	n, err := c.readSocket(p)
+	if c.limited {
+		c.readLimit -= n
+	}
+	if c.head != nil {
+		c.head.scan(p[:n])
 	}
-	n, err := c.readSocket(p[:min(len(p), c.readLimit)])
-	c.readLimit -= n
 	return n, err
 }
 
@@ -261,18 +269,14 @@
 }
 
 // readHeader reads the header of the next response and skips informational (1xx)
-// responses. It returns transport.ErrInvalidFieldName for a header, also of an informational
-// response, that is none, and ErrInvalidStatus for a status that no final response has: 101
-// ends the use of HTTP on the connection, and no request asks for that.
+// responses. It returns ErrInvalidStatus for a status that no final response has: 101
+// ends the use of HTTP on the connection, and no request asks for that. Other errors are
+// those of parseHeader.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	for {
-		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		parsed, err := c.parseHeader(method)
 		if err != nil {
-			return nil, errors.Newf("read header: %w", err)
-		}
-		err = transport.CheckFieldNames(parsed.Header)
-		if err != nil {
-			return nil, errors.Newf("check header: %w", err)
+			return nil, err
 		}
 		status := parsed.StatusCode
 		switch {
@@ -284,6 +288,28 @@
 	}
 }
 
+// parseHeader reads the header of the next response, which may be an informational one. It
+// returns transport.ErrInvalidFieldName or ErrInvalidFraming for one that http.ReadResponse takes
+// and HTTP doesn't.
+func (c *conn) parseHeader(method string) (*http.Response, error) {
+	c.head = &headScanner{}
+	defer func() { c.head = nil }()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.scan(buffered)
+	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, errors.Newf("read header: %w", err)
+	}
+	err = transport.CheckFieldNames(parsed.Header)
+	if err == nil {
+		err = c.head.check()
+	}
+	if err != nil {
+		return nil, errors.Newf("check header: %w", err)
+	}
+	return parsed, nil
+}
+
 // head returns the encoded request line and header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,10 @@
 // client can have.
 var ErrInvalidStatus = errors.New("response has no valid status")
 
+// ErrInvalidFraming reports a response whose header doesn't tell where its body begins (RFC 9112,
+// section 2.2).
+var ErrInvalidFraming = errors.New("response has no valid framing")
+
 // ErrTooLarge reports a response whose header or body is longer than the client reads.
 var ErrTooLarge = errors.New("response is too large")
 
