upstream: take no HTTP/1.0 response with a transfer encoding

What callers saw: 200 with a body that was not the server's: the lines of the chunks, where a server in trouble sent "Transfer-Encoding: chunked" in a response whose version said HTTP/1.0.

Cause: HTTP/1.0 has no transfer encodings. net/http deletes the field there and takes the body as it comes; RFC 9112, section 6.1, has a client treat the framing of such a message as faulty, also beside a Content-Length.

Change: the headScanner also looks for a line with that field, which is gone from the parsed header, in constant memory.

--- a/internal/forward/broken_head_test.go
+++ b/internal/forward/broken_head_test.go
@@ -122,6 +122,26 @@
 	return false
 }
 
+// TestTransferEncodingOfOldHTTPIsNoResponse guards against a body that holds the lines of the
+// chunks: HTTP/1.0 has no transfer encodings, and net/http overlooks them there.
+func TestTransferEncodingOfOldHTTPIsNoResponse(t *testing.T) {
+	head := strings.Replace(streamHead, "1.1", "1.0", 1)
+	chunked := chunk(eventText(1, 2)) + finalChunk
+	responses := []string{
+		head + chunkedHead + chunked,
+		head + "transfer-encoding:chunked\r\n\r\n" + chunked,
+		head + "TRANSFER-ENCODING:\r\n chunked\r\n\r\n" + chunked,
+		head + fmt.Sprintf("Content-Length: %d\r\n", len(chunked)) + chunkedHead + chunked,
+		head + "Transfer-Encoding: gzip\r\n\r\n" + chunked,
+		strings.ReplaceAll(head+chunkedHead, "\r", "") + chunked,
+	}
+	for name, route := range cutRoutes {
+		t.Run(name, func(t *testing.T) {
+			expectNoResponse(t, route, responses)
+		})
+	}
+}
+
 // TestInvalidFieldNameIsRetried guards against a broken head that ends a request, or a stream,
 // although another attempt is allowed.
 func TestInvalidFieldNameIsRetried(t *testing.T) {
@@ -202,6 +222,7 @@
 		"trailer":          head + "Trailer: X, Z, a b\r\n" + chunkedHead + chunk(body) + "0\r\nX: a\r\n b\r\nY:\r\n\r\n",
 		"interim":          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n y\r\n\r\n" + head + framed,
 		"HTTP/1.0":         strings.Replace(head, "1.1", "1.0", 1) + "\r\n" + body,
+		"HTTP/1.0, length": strings.Replace(head, "1.1", "1.0", 1) + "X-Transfer-Encoding: a\r\nTransfer-Encodings: b\r\n" + framed,
 		"unframed":         head + "\r\n" + body,
 		"no reason":        strings.Replace(head, "OK", "", 1) + framed,
 	} {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -302,7 +302,7 @@
 	}
 	err = transport.CheckFieldNames(parsed.Header)
 	if err == nil {
-		err = c.head.check()
+		err = c.head.check(parsed)
 	}
 	if err != nil {
 		return nil, errors.Newf("check header: %w", err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,8 +23,8 @@
 // client can have.
 var ErrInvalidStatus = errors.New("response has no valid status")
 
-// ErrInvalidFraming reports a response whose header doesn't tell where its body begins (RFC 9112,
-// section 2.2).
+// ErrInvalidFraming reports a response whose header doesn't tell where its body begins or ends
+// (RFC 9112, sections 2.2 and 6.1).
 var ErrInvalidFraming = errors.New("response has no valid framing")
 
 // ErrTooLarge reports a response whose header or body is longer than the client reads.
