--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/rawserver"
 	"github.com/cactusbay/cactusbay/internal/upstream"
 )
 
@@ -111,7 +112,11 @@
 func TestResetUnderAnUploadIsNoEnd(t *testing.T) {
 	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 		for range 20 {
-			address := resetServer(t, okHead+"\r\npart", pause)
+			address := rawserver.Start(t, rawserver.Loopback, func(conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, okHead+"\r\npart")
+				time.Sleep(pause)
+				rawserver.Reset(conn)
+			})
 			response, err := (&Client{}).Do(t.Context(), Call{Address: address, Attempt: cutAttempt, Method: http.MethodPost, Path: "/x", Body: make([]byte, 8<<20)})
 			if !errors.Is(err, upstream.ErrTruncated) {
 				t.Errorf("reset after %s: body %q, error %v; want ErrTruncated", pause, response.Body, err)
@@ -119,28 +124,3 @@
 		}
 	}
 }
-
-// resetServer starts a server that answers one request with text before it has read the body, and
-// resets the connection after a pause.
-func resetServer(t *testing.T, text string, pause time.Duration) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer func() { _ = listener.Close() }()
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, err = http.ReadRequest(bufio.NewReader(conn))
-		if err == nil {
-			_, _ = io.WriteString(conn, text)
-			time.Sleep(pause)
-		}
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}()
-	return listener.Addr().String()
-}
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 
 	"github.com/cactusbay/cactusbay/internal/config"
 	"github.com/cactusbay/cactusbay/internal/instances"
+	"github.com/cactusbay/cactusbay/internal/rawserver"
 )
 
 // uploadServers are backend servers that answer requests before they have read their bodies. They
@@ -37,14 +37,10 @@
 	s := &uploadServers{answers: answers}
 	var list []instances.Instance
 	for i := range 3 {
-		listener, err := net.Listen("tcp", backendHost()+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = listener.Close() })
 		id := "s" + strconv.Itoa(i)
-		go s.run(id, listener)
-		s.addresses = append(s.addresses, listener.Addr().String())
+		s.addresses = append(s.addresses, rawserver.Start(t, backendHost()+":0", func(conn *net.TCPConn, request *http.Request) {
+			s.serve(id, conn, request)
+		}))
 		list = append(list, instances.Instance{ID: id, Upstream: "pool", Address: s.addresses[i], Slots: 8})
 	}
 	f.server.Fleet.Update(list, time.Now())
@@ -59,24 +55,8 @@
 	return d
 }
 
-// run accepts connections until the listener is closed.
-func (s *uploadServers) run(id string, listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(id, conn)
-	}
-}
-
-// serve answers one request, of whose body it reads nothing but what came with the head.
-func (s *uploadServers) serve(id string, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+// serve answers one request at the server with the given id.
+func (s *uploadServers) serve(id string, conn net.Conn, request *http.Request) {
 	s.mu.Lock()
 	number := len(s.received)
 	s.received = append(s.received, id)
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusbay/cactusbay/internal/rawserver"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
@@ -31,7 +32,8 @@
 		{"HTTP/1.1 200 OK", "X\x01: 1\r\n", false, false},
 		{"HTTP/1.1 200 OK", "", true, false},
 	} {
-		address := answerEarly(t, fmt.Sprintf("%s\r\nContent-Type: application/cbor\r\n%s\r\n%s", c.statusLine, c.fields, message), c.resets)
+		text := fmt.Sprintf("%s\r\nContent-Type: application/cbor\r\n%s\r\n%s", c.statusLine, c.fields, message)
+		address := rawserver.Start(t, rawserver.Loopback, answerEarly(text, c.resets))
 		client := &Client{HTTP: transport.Client(transport.TCP{})}
 		request := make([]byte, MaxMessageBytes)
 		result, err := Call[[]byte, string](t.Context(), client, address, "/x", &request)
@@ -42,31 +44,17 @@
 	}
 }
 
-// answerEarly starts a server that answers one request with text before it has read its body, and
-// then resets the connection or ends its own direction in order. It returns the server's address.
-func answerEarly(t *testing.T, text string, resets bool) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
+// answerEarly returns an answer that sends text before the body of the request has been read, and
+// then resets the connection or ends its own direction in order.
+func answerEarly(text string, resets bool) rawserver.Answer {
+	return func(conn *net.TCPConn, _ *http.Request) {
 		_, _ = conn.Write([]byte(text))
 		time.Sleep(20 * time.Millisecond)
 		if resets {
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			rawserver.Reset(conn)
 			return
 		}
-		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.CloseWrite()
 		time.Sleep(100 * time.Millisecond)
-	})}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
+	}
 }
--- a/internal/transport/response_test.go
+++ b/internal/transport/response_test.go
@@ -1,47 +1,22 @@
 package transport_test
 
 import (
-	"bufio"
 	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusbay/cactusbay/internal/rawserver"
 	"github.com/cactusbay/cactusbay/internal/transport"
 )
 
-// answerRaw starts a server that answers one request with text and closes the connection. It
-// returns the server's address.
-func answerRaw(t *testing.T, text string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer func() { _ = listener.Close() }()
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, err = http.ReadRequest(bufio.NewReader(conn))
-		if err == nil {
-			_, _ = io.WriteString(conn, text)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestInvalidFieldNameIsNoResponse guards against a response of another process that is read by
 // a broken header: as empty if the field with the length has a blank in its name, for instance.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	client := transport.Client(transport.TCP{})
 	defer client.CloseIdleConnections()
 	for _, fields := range []string{"X Y: 1\r\n", "X : 1\r\n", "Content-Length : 4\r\n", "Transfer-Encoding : chunked\r\n"} {
-		address := answerRaw(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\ndone")
+		address := rawserver.Start(t, rawserver.Loopback, rawserver.Text("HTTP/1.1 200 OK\r\n"+fields+"\r\ndone"))
 		_, err := client.Get("http://" + address)
 		if !errors.Is(err, transport.ErrInvalidFieldName) {
 			t.Errorf("error %v after %q, want ErrInvalidFieldName", err, fields)
@@ -53,7 +28,7 @@
 func TestFoldedLineIsRead(t *testing.T) {
 	client := transport.Client(transport.TCP{})
 	defer client.CloseIdleConnections()
-	address := answerRaw(t, "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nTrailer: A B\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nY: z\r\n\r\n")
+	address := rawserver.Start(t, rawserver.Loopback, rawserver.Text("HTTP/1.1 200 OK\r\nX: a\r\n b\r\nTrailer: A B\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nY: z\r\n\r\n"))
 	response, err := client.Get("http://" + address)
 	if err != nil {
 		t.Fatal(err)
--- a/test/live/broken_test.go
+++ b/test/live/broken_test.go
@@ -1,7 +1,6 @@
 package live
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"maps"
@@ -15,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cactusbay/cactusbay/internal/rawserver"
 )
 
 // attemptHeader is the header with the id of an attempt, which a service repeats.
@@ -48,34 +49,13 @@
 	b := &brokenServices{received: make(map[string]int)}
 	for _, domain := range domains {
 		s.kill("service-" + domain)
-		listener, err := net.Listen("tcp", s.addresses["service-"+domain])
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		s.t.Cleanup(func() { _ = listener.Close() })
-		go b.run(listener)
+		rawserver.Start(s.t, s.addresses["service-"+domain], b.serve)
 	}
 	return b
 }
 
-// run accepts connections until the listener is closed.
-func (b *brokenServices) run(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go b.serve(conn.(*net.TCPConn))
-	}
-}
-
 // serve answers one request.
-func (b *brokenServices) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+func (b *brokenServices) serve(conn *net.TCPConn, request *http.Request) {
 	kind := path.Base(request.URL.Path)
 	b.mu.Lock()
 	b.received[kind]++
@@ -88,7 +68,7 @@
 		if kind != "reset" {
 			time.Sleep(time.Millisecond)
 		}
-		_ = conn.SetLinger(0)
+		rawserver.Reset(conn)
 	case response != "":
 		_, _ = fmt.Fprintf(conn, response, id)
 	case kind == "load":
